--- /dev/null
+++ b/packages/admit/src/queue.ts
@@ -0,0 +1,192 @@
+import { Err, Ok, type Result } from 'ts-results-es'
+import { type Clock, type Subscription } from '@eiderwind/clock'
+import { Fault } from '@eiderwind/fault'
+
+/** What a request brings to the queue. */
+export interface Request {
+  readonly team: string
+  /** When the caller gives up, on `Clock.now`. */
+  readonly deadline: number
+}
+
+/** The right to run. It must be returned exactly once. */
+export interface Ticket {
+  /** Gives the place to the next in the queue. Calling it again does nothing. */
+  done (): void
+}
+
+/** The outcome of an entry into the queue. */
+export type Admission = Result<Ticket, Fault>
+
+/** The bounds of a queue. */
+export interface Bounds {
+  /** Requests that run at once. */
+  readonly concurrency: number
+  /** Requests that wait. */
+  readonly queue: number
+}
+
+interface Waiter {
+  readonly team: string
+  readonly settle: (admission: Admission) => void
+  readonly expiry: Subscription
+}
+
+/** A team's place in the weighing. */
+interface Share {
+  running: number
+  readonly waiting: Waiter[]
+}
+
+/**
+ * Admission to one upstream: so many requests run, so many wait, the rest are refused at once. A free place goes to
+ * the waiting team that has least running for its priority. When the queue is full, a team below its share of the
+ * queue takes the place of the newest waiter of the team furthest above its own; that one is refused at once.
+ */
+export class Queue {
+  readonly #clock: Clock
+  readonly #shares = new Map<string, Share>()
+  #bounds: Bounds
+  #priorities: ReadonlyMap<string, number> = new Map()
+  #running = 0
+  #waiting = 0
+  #closed: 'leaving' | 'not-serving' | undefined
+  #spell = 1000
+
+  constructor (clock: Clock, bounds: Bounds) {
+    this.#clock = clock
+    this.#bounds = bounds
+  }
+
+  get running (): number {
+    return this.#running
+  }
+
+  get waiting (): number {
+    return this.#waiting
+  }
+
+  /** Takes other bounds and priorities from now on. What runs or waits already is left alone. */
+  configure (bounds: Bounds, priorities: ReadonlyMap<string, number>): void {
+    this.#bounds = bounds
+    this.#priorities = priorities
+    this.#fill()
+  }
+
+  /** Refuses everything new from now on, and what waits as well; what runs goes on. */
+  close (code: 'leaving' | 'not-serving'): void {
+    this.#closed = code
+    for (const share of this.#shares.values()) {
+      for (const waiter of share.waiting.splice(0)) this.#refuse(waiter, new Fault(code))
+    }
+  }
+
+  /** Takes new work again after `close`. */
+  open (): void {
+    this.#closed = undefined
+  }
+
+  /** Asks for a place. Settles at once with a ticket or a refusal, or later when a place is free or the deadline passes. */
+  enter (request: Request): Promise<Admission> {
+    if (this.#closed !== undefined) return settled(Err(new Fault(this.#closed)))
+    if (request.deadline <= this.#clock.now()) return settled(Err(new Fault('deadline')))
+    if (this.#running < this.#bounds.concurrency && this.#waiting === 0) return settled(Ok(this.#admit(request.team)))
+    if (this.#waiting >= this.#bounds.queue && !this.#displace(request.team)) return settled(Err(this.#busy()))
+    return this.#wait(request)
+  }
+
+  #wait ({ team, deadline }: Request): Promise<Admission> {
+    return new Promise(resolve => {
+      const expiry = this.#clock.after(deadline - this.#clock.now(), () => {
+        this.#remove(waiter)
+        this.#refuse(waiter, new Fault('deadline'))
+      })
+      const waiter: Waiter = { team, settle: resolve, expiry }
+      this.#share(team).waiting.push(waiter)
+      this.#waiting++
+    })
+  }
+
+  #admit (team: string): Ticket {
+    const share = this.#share(team)
+    const since = this.#clock.now()
+    share.running++
+    this.#running++
+    let returned = false
+    return {
+      done: () => {
+        if (returned) return
+        returned = true
+        share.running--
+        this.#running--
+        this.#spell += (this.#clock.now() - since - this.#spell) / 16
+        this.#fill()
+      }
+    }
+  }
+
+  #fill (): void {
+    while (this.#running < this.#bounds.concurrency && this.#waiting > 0) {
+      const waiter = this.#next().waiting.shift() as Waiter
+      this.#waiting--
+      waiter.expiry.cancel()
+      waiter.settle(Ok(this.#admit(waiter.team)))
+    }
+  }
+
+  /** The share with somebody waiting that has least running for its priority. */
+  #next (): Share {
+    const hungry = [...this.#shares].filter(([, share]) => share.waiting.length > 0)
+    hungry.sort(([a, x], [b, y]) => x.running / this.#priority(a) - y.running / this.#priority(b))
+    return hungry[0][1]
+  }
+
+  /** Makes room for `team` by refusing the newest waiter of the team furthest above its share, if `team` is below its own. */
+  #displace (team: string): boolean {
+    const excess = (name: string, more: number): number => ((this.#shares.get(name)?.waiting.length ?? 0) + more) / this.#priority(name)
+    let worst: string | undefined
+    for (const [name, share] of this.#shares) {
+      if (share.waiting.length === 0) continue
+      if (worst === undefined || excess(name, 0) > excess(worst, 0)) worst = name
+    }
+    if (worst === undefined || worst === team || excess(team, 1) >= excess(worst, 0)) return false
+    const waiter = this.#share(worst).waiting.pop() as Waiter
+    this.#refuse(waiter, this.#busy())
+    return true
+  }
+
+  #refuse (waiter: Waiter, fault: Fault): void {
+    this.#waiting--
+    waiter.expiry.cancel()
+    waiter.settle(Err(fault))
+  }
+
+  #remove (waiter: Waiter): void {
+    const { waiting } = this.#share(waiter.team)
+    const index = waiting.indexOf(waiter)
+    if (index >= 0) waiting.splice(index, 1)
+  }
+
+  /** A refusal that says when the present queue should have run off. */
+  #busy (): Fault {
+    const off = (this.#waiting + 1) * this.#spell / this.#bounds.concurrency
+    return new Fault('busy', { retryAfter: Math.min(30, Math.max(1, Math.ceil(off / 1000))) })
+  }
+
+  #share (team: string): Share {
+    let share = this.#shares.get(team)
+    if (share === undefined) {
+      share = { running: 0, waiting: [] }
+      this.#shares.set(team, share)
+    }
+    return share
+  }
+
+  #priority (team: string): number {
+    return this.#priorities.get(team) ?? 1
+  }
+}
+
+function settled (admission: Admission): Promise<Admission> {
+  return Promise.resolve(admission)
+}
--- /dev/null
+++ b/packages/clock/src/index.ts
@@ -0,0 +1,5 @@
+/** The timer service and the seeded random source. */
+export { Clock, type Subscription, type Task } from './clock.js'
+export { SystemClock } from './system.js'
+export { ManualClock } from './manual.js'
+export { type Random, seeded } from './random.js'
--- /dev/null
+++ b/packages/ctl/src/commands.ts
@@ -0,0 +1,167 @@
+import { type MessageInitShape } from '@bufbuild/protobuf'
+import { AuditSchema, ConfigurationSchema, StatusSchema, type ServiceSchema } from '@eiderwind/rpc'
+import { auditLines, configurationLines, statusLines } from './lines.js'
+import { fileDigests, wholeNumber, type CommonOptions, type Session } from './session.js'
+import { UsageError } from './usage.js'
+
+/** Options as they come from the command line. */
+export type Options = CommonOptions & Readonly<Record<string, unknown>>
+
+/** An option of a command: its flags, what it is for, and its default. */
+export interface Option {
+  readonly flags: string
+  readonly text: string
+  readonly default?: string | number | boolean
+}
+
+/** One command: its words, what it does, and how. */
+export interface Command {
+  readonly usage: string
+  readonly text: string
+  readonly options?: readonly Option[]
+  readonly example: string
+  readonly run: (session: Session, options: Options, name: string) => Promise<void>
+}
+
+const bounds: readonly Option[] = [
+  { flags: '--concurrency', text: 'Requests that run at once in one replica or worker', default: 64 },
+  { flags: '--queue', text: 'Requests that wait there before new ones are refused', default: 256 }
+]
+
+/** Every command. */
+export const commands: readonly Command[] = [
+  {
+    usage: 'configuration',
+    text: 'Show the configuration.',
+    options: [{ flags: '--watch', text: 'Go on and show each later revision', default: false }],
+    example: 'configuration --json',
+    run: async (session, options) => {
+      const show = (found: Awaited<ReturnType<typeof session.calls.readConfiguration>>): void => session.show(ConfigurationSchema, found, configurationLines)
+      if (options.watch !== true) return show(await session.calls.readConfiguration({}))
+      for await (const found of session.calls.watchConfiguration({})) show(found)
+    }
+  },
+  {
+    usage: 'service model <name>',
+    text: 'Make or replace a model service.',
+    options: [
+      { flags: '--replicas', text: 'Replicas wanted', default: 1 },
+      { flags: '--members', text: 'Nodes in a replica', default: 4 },
+      { flags: '--engine', text: 'Version that its engines load' },
+      { flags: '--adapters', text: 'Adapters, with commas between them' },
+      { flags: '--unchecked', text: 'The engine does not check who orders it', default: false },
+      ...bounds
+    ],
+    example: 'service model support --replicas 7 --members 4 --engine v12',
+    run: async (session, options, name) => {
+      const value = {
+        replicas: count('replicas', options),
+        members: count('members', options),
+        version: words('engine', options)[0] ?? '',
+        adapters: words('adapters', options),
+        checksOrders: options.unchecked !== true,
+        concurrency: count('concurrency', options),
+        queue: count('queue', options)
+      }
+      await putService(session, { name, kind: { case: 'model', value } })
+    }
+  },
+  {
+    usage: 'service plain <name>',
+    text: 'Make or replace a plain service.',
+    options: [{ flags: '--once', text: 'Calls that may not be repeated, as METHOD:/path with commas between them' }, ...bounds],
+    example: 'service plain receipts --once POST:/topups,POST:/receipts',
+    run: async (session, options, name) => {
+      const routes = words('once', options).map(onceRoute)
+      await putService(session, { name, kind: { case: 'plain', value: { routes, concurrency: count('concurrency', options), queue: count('queue', options) } } })
+    }
+  },
+  {
+    usage: 'service drop <name>',
+    text: 'Remove a service.',
+    example: 'service drop support --revision 12',
+    run: async (session, _options, name) => session.changed(await session.calls.dropService({ name, header: session.header }))
+  },
+  {
+    usage: 'team put <name>',
+    text: 'Make or replace a team.',
+    options: [
+      { flags: '--priority', text: 'Share of a full replica, relative to other teams, 1 to 100', default: 1 },
+      { flags: '--key-file', text: 'File with the team\'s API keys, one a line; only their digests are sent' }
+    ],
+    example: 'team put counters --priority 10 --key-file keys.txt',
+    run: async (session, options, name) => {
+      const file = options['key-file']
+      const keyDigests = typeof file === 'string' ? fileDigests(file) : []
+      session.changed(await session.calls.putTeam({ team: { name, priority: count('priority', options), keyDigests }, header: session.header }))
+    }
+  },
+  {
+    usage: 'team drop <name>',
+    text: 'Remove a team.',
+    example: 'team drop counters',
+    run: async (session, _options, name) => session.changed(await session.calls.dropTeam({ name, header: session.header }))
+  },
+  {
+    usage: 'operator put <name>',
+    text: 'Make or replace an operator.',
+    options: [{ flags: '--secret-file', text: 'File with the operator\'s token; only its digest is sent' }],
+    example: 'operator put lucia --secret-file lucia.token',
+    run: async (session, options, name) => {
+      const file = options['secret-file']
+      if (typeof file !== 'string') throw new UsageError('No token for the new operator is given. Give --secret-file FILE.')
+      session.changed(await session.calls.putOperator({ operator: { name, tokenDigest: fileDigests(file)[0] }, header: session.header }))
+    }
+  },
+  {
+    usage: 'operator drop <name>',
+    text: 'Remove an operator.',
+    example: 'operator drop lucia',
+    run: async (session, _options, name) => session.changed(await session.calls.dropOperator({ name, header: session.header }))
+  },
+  {
+    usage: 'leave <id>',
+    text: 'Tell a node or entry to take nothing new, finish and be replaced.',
+    example: 'leave node-17',
+    run: async (session, _options, id) => session.changed(await session.calls.leave({ id, header: session.header }))
+  },
+  {
+    usage: 'return <id>',
+    text: 'Take a leave back.',
+    example: 'return node-17',
+    run: async (session, _options, id) => session.changed(await session.calls.return({ id, header: session.header }))
+  },
+  {
+    usage: 'status',
+    text: 'Show what every entry, replica and node does now.',
+    example: 'status --json',
+    run: async session => session.show(StatusSchema, await session.calls.readStatus({}), statusLines)
+  },
+  {
+    usage: 'audit',
+    text: 'Show every accepted change: who, what, when, from and to which revision.',
+    options: [{ flags: '--after', text: 'Only changes to revisions above this one', default: 0 }],
+    example: 'audit --after 100',
+    run: async (session, options) => session.show(AuditSchema, await session.calls.readAudit({ after: wholeNumber('after', String(options.after)) }), auditLines)
+  }
+]
+
+async function putService (session: Session, service: MessageInitShape<typeof ServiceSchema>): Promise<void> {
+  session.changed(await session.calls.putService({ service, header: session.header }))
+}
+
+function count (name: string, options: Options): number {
+  return Number(wholeNumber(name, String(options[name])))
+}
+
+function words (name: string, options: Options): string[] {
+  const value = options[name]
+  if (value === undefined || value === '') return []
+  return String(value).split(',').map(each => each.trim())
+}
+
+function onceRoute (text: string): { method: string, path: string, repeatable: boolean } {
+  const colon = text.indexOf(':')
+  if (colon <= 0) throw new UsageError(`--once takes METHOD:/path, not "${text}".`)
+  return { method: text.slice(0, colon).toUpperCase(), path: text.slice(colon + 1), repeatable: false }
+}
--- /dev/null
+++ b/packages/ctl/src/index.ts
@@ -0,0 +1,63 @@
+/** The command `eiderwindctl`: the operators' command line. */
+import sade, { type Sade } from 'sade'
+import { commands, type Command, type Options } from './commands.js'
+import { Session, type Print } from './session.js'
+import { statuses, verdict } from './usage.js'
+
+const version = '0.1.0'
+
+/** The options that every command takes, as the help shows them. */
+const common = [
+  ['--server', 'URL of an entry\'s operators\' address (or EIDERWIND_SERVER)'],
+  ['--token-file', 'File with the operator\'s token (or EIDERWIND_TOKEN holds the token itself)'],
+  ['--json', 'Write JSON, one object a line'],
+  ['--revision', 'Make the change only if this is the present revision'],
+  ['--operation', 'Id of this change; the same id again never makes it twice']
+] as const
+
+/** Where the command writes. */
+export interface Output {
+  readonly out: Print
+  readonly error: Print
+}
+
+/** Writes to the process's own streams. */
+const standard: Output = {
+  out: line => process.stdout.write(`${line}\n`),
+  error: line => process.stderr.write(`${line}\n`)
+}
+
+/** Runs the command with the words of a command line and gives its exit status. */
+export async function main (words: string[], output: Output = standard): Promise<number> {
+  let status: number | Promise<number> = statuses.usage
+  const program = sade('eiderwindctl').version(version)
+  for (const [flags, text] of common) program.option(flags, text, flags === '--json' ? false : undefined)
+  for (const command of commands) {
+    add(program, command, (options, name) => { status = runCommand(command, options, name, output) })
+  }
+  const known = new Set(commands.flatMap(each => (each.options ?? []).map(option => option.flags)))
+  for (const [flags] of common) known.add(flags)
+  program.parse(words, {
+    unknown: flag => known.has(flag) || flag === '-h' || flag === '--help' || flag === '-v' ? '' : `There is no option ${flag}.`,
+    string: ['server', 'token-file', 'revision', 'operation', 'key-file', 'secret-file', 'engine', 'adapters', 'once']
+  })
+  return await status
+}
+
+function add (program: Sade, command: Command, act: (options: Options, name: string) => void): void {
+  program.command(command.usage).describe(command.text).example(command.example)
+  for (const { flags, text, default: value } of command.options ?? []) program.option(flags, text, value)
+  if (command.usage.includes('<')) program.action((name: string, options: Options) => act(options, name))
+  else program.action((options: Options) => act(options, ''))
+}
+
+async function runCommand (command: Command, options: Options, name: string, output: Output): Promise<number> {
+  try {
+    await command.run(new Session(options, output.out), options, name)
+    return statuses.ok
+  } catch (error) {
+    const { status, message } = verdict(error)
+    output.error(options.json === true ? JSON.stringify({ status, message }) : message)
+    return status
+  }
+}
--- /dev/null
+++ b/packages/ctl/src/usage.ts
@@ -0,0 +1,34 @@
+import { Code, ConnectError } from '@connectrpc/connect'
+
+/** Something wrong with the words of the command line. */
+export class UsageError extends Error {}
+
+/** Exit statuses of the command. */
+export const statuses = {
+  ok: 0,
+  failed: 1,
+  usage: 2,
+  stale: 3,
+  unreachable: 4,
+  unknown: 5,
+  refused: 6
+} as const
+
+/** The exit status and the message for whatever went wrong. */
+export interface Verdict {
+  readonly status: number
+  readonly message: string
+}
+
+/** Judges an error. */
+export function verdict (error: unknown): Verdict {
+  if (error instanceof UsageError) return { status: statuses.usage, message: error.message }
+  const { code, rawMessage, metadata } = ConnectError.from(error)
+  const fault = metadata.get('eiderwind-code')
+  const message = fault === null ? rawMessage : `${fault}: ${rawMessage}`
+  if (code === Code.Aborted) return { status: statuses.stale, message }
+  if (code === Code.Unauthenticated) return { status: statuses.refused, message }
+  if (metadata.get('eiderwind-outcome') === 'unknown') return { status: statuses.unknown, message }
+  if (fault === null && code === Code.Unavailable) return { status: statuses.unreachable, message: `The entry cannot be reached (${rawMessage}). Try another entry.` }
+  return { status: statuses.failed, message }
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,59 @@
+/** The command `eiderwind`: runs a role, or checks settings. */
+import sade from 'sade'
+import { problemLine, readSettings, type Role, type Settings } from '@eiderwind/settings'
+import { run } from './daemon.js'
+import { entryDaemon, workerDaemon } from './roles.js'
+
+const version = '0.1.0'
+
+/** Exit statuses: done, failed, and bad words or settings. */
+const ok = 0
+const bad = 2
+
+/** Runs the command with the words of a command line and gives its exit status. */
+export async function main (words: string[]): Promise<number> {
+  let status: number | Promise<number> = bad
+  const program = sade('eiderwind').version(version)
+  program
+    .command('entry <file>')
+    .describe('Run an entry: the process that takes callers and operators.')
+    .example('entry /etc/eiderwind/entry.ini')
+    .action((file: string) => { status = runRole('entry', file) })
+  program
+    .command('worker <file>')
+    .describe('Run a worker: the process beside one engine or plain service.')
+    .example('worker /etc/eiderwind/worker.ini')
+    .action((file: string) => { status = runRole('worker', file) })
+  program
+    .command('check <file>')
+    .describe('Check a settings file and list every problem. The sections tell its role, unless --role does.')
+    .option('--role', 'entry or worker')
+    .example('check /etc/eiderwind/entry.ini')
+    .action((file: string, options: { role?: string }) => { status = check(file, options.role) })
+  program.parse(words)
+  return await status
+}
+
+async function runRole (role: Role, file: string): Promise<number> {
+  const settings = load(file, role)
+  if (settings === undefined) return bad
+  return await run(settings.role === 'entry' ? entryDaemon(settings.entry) : workerDaemon(settings.worker))
+}
+
+function check (file: string, role: string | undefined): number {
+  if (role !== undefined && role !== 'entry' && role !== 'worker') {
+    process.stderr.write(`--role takes entry or worker, not ${role}.\n`)
+    return bad
+  }
+  const settings = load(file, role)
+  if (settings === undefined) return bad
+  process.stdout.write(`${file}: settings of role ${settings.role} are in order.\n`)
+  return ok
+}
+
+function load (file: string, role: Role | undefined): Settings | undefined {
+  const settings = readSettings(file, role)
+  if (settings.isOk()) return settings.value
+  for (const problem of settings.error) process.stderr.write(`${problemLine(problem)}\n`)
+  return undefined
+}
--- /dev/null
+++ b/packages/daemon/src/roles.ts
@@ -0,0 +1,86 @@
+import { SystemClock } from '@eiderwind/clock'
+import { Entry } from '@eiderwind/entry'
+import { Log, Metric } from '@eiderwind/log'
+import { type EntrySettings, type WorkerSettings } from '@eiderwind/settings'
+import { HttpStore } from '@eiderwind/store'
+import { splitAddress } from '@eiderwind/wire'
+import { Worker } from '@eiderwind/worker'
+import { type Daemon } from './daemon.js'
+
+/** The settings that both roles have. */
+type CommonSettings = Pick<EntrySettings, 'process' | 'observe'>
+
+/** An entry made from its settings. */
+export function entryDaemon (settings: EntrySettings): Daemon {
+  const { process: { id, data_centre: dataCentre, region }, listen, platform, operators, limits, planner } = settings
+  const { log, metric } = observers(settings, 'entry')
+  const first = operators.name === undefined || operators.token_sha256 === undefined ? undefined : { name: operators.name, token: operators.token_sha256 }
+  const store = new HttpStore(platform)
+  const entry = new Entry({
+    clock: new SystemClock(),
+    log,
+    metric,
+    store,
+    id,
+    dataCentre,
+    region,
+    ...listen,
+    seeds: settings.entries.seeds,
+    first,
+    bodyLimit: limits.body,
+    deadline: limits.deadline,
+    stop: limits.stop,
+    weights: {
+      downtime: planner.downtime_weight,
+      stranded: planner.stranded_weight,
+      restart: planner.restart_time,
+      load: planner.load_time
+    },
+    lostAfter: planner.lost_after
+  })
+  return {
+    log,
+    start: async () => ({ ...await entry.start() }),
+    stop: async () => {
+      await entry.stop()
+      await store.close()
+      metric.close()
+    }
+  }
+}
+
+/** A worker made from its settings. */
+export function workerDaemon (settings: WorkerSettings): Daemon {
+  const { process: { data_centre: dataCentre }, listen, node, upstream, entries, lease, limits } = settings
+  const { log, metric } = observers(settings, 'worker')
+  const worker = new Worker({
+    clock: new SystemClock(),
+    log,
+    metric,
+    node: node.id,
+    dataCentre,
+    listen: listen.peers,
+    upstream: { kind: upstream.kind, url: upstream.url, health: upstream.check ? upstream.health : undefined },
+    seeds: entries.seeds,
+    period: lease.period,
+    interval: lease.interval,
+    skew: lease.skew,
+    keep: limits.keep_keys,
+    stop: limits.stop
+  })
+  return {
+    log,
+    start: async () => ({ peers: await worker.start() }),
+    stop: async () => {
+      await worker.stop()
+      metric.close()
+    }
+  }
+}
+
+function observers ({ process: { id, data_centre: dataCentre }, observe }: CommonSettings, role: string): { log: Log, metric: Metric } {
+  const log = new Log({ level: observe.level, fields: { role, id } })
+  const tags = { role, id, data_centre: dataCentre }
+  const metric = observe.statsd === '' ? new Metric() : new Metric({ ...splitAddress(observe.statsd), tags })
+  return { log, metric }
+}
--- /dev/null
+++ b/packages/entry/src/attempting.ts
@@ -0,0 +1,67 @@
+import { type Context } from './context.js'
+import { attemptAt, attemptHeaders, left, type Attempt, type Exchange } from './exchange.js'
+import { failure, workerFault, type AttemptEnd } from './outcome.js'
+import { type Target } from './targets.js'
+import { Fault } from '@eiderwind/fault'
+import { Collect, send, wireHeaders, type Call, type Collected } from '@eiderwind/wire'
+
+/** What a try adds to the request. */
+export interface TryOptions {
+  readonly headers?: Readonly<Record<string, string>>
+  /** Told of the attempt before it is sent. */
+  readonly begun?: (attempt: Attempt) => void
+}
+
+/** Sends a request to a target and collects the whole answer. Gives up at the deadline, and when the caller goes away. */
+export function tryWhole (context: Context, exchange: Exchange, target: Target, options: TryOptions = {}): Promise<AttemptEnd> {
+  const { clock, targets, dispatcher } = context
+  const attempt = attemptAt(target, clock)
+  options.begun?.(attempt)
+  targets.open(target.worker)
+  return new Promise(resolve => {
+    const finish = (end: AttemptEnd): void => {
+      timer.cancel()
+      exchange.response.off('close', gone)
+      targets.close(target.worker)
+      resolve(end)
+    }
+    const cancel = send(dispatcher, attemptCall(context, exchange, attempt, options.headers), new Collect({
+      whole: answer => finish(judge(context, attempt, answer)),
+      failed: ({ sent }) => finish(broken(sent, left(exchange, clock) <= 0))
+    }))
+    const timer = clock.after(left(exchange, clock), () => cancel(new Error('The deadline has passed.')))
+    const gone = (): void => cancel(new Error('The caller went away.'))
+    exchange.response.once('close', gone)
+  })
+}
+
+/** The call that carries an attempt to its worker. */
+export function attemptCall (context: Context, exchange: Exchange, attempt: Attempt, more: Readonly<Record<string, string>> = {}, body = exchange.body): Call {
+  return {
+    origin: `http://${attempt.target.address}`,
+    path: exchange.request.url ?? '/',
+    method: exchange.request.method ?? 'GET',
+    headers: { ...attemptHeaders(exchange, attempt, context.clock), ...more },
+    body: body.length === 0 ? undefined : body
+  }
+}
+
+/** Whether an answer is the one to this attempt. Others are dropped and counted. */
+export function ownAnswer (context: Context, attempt: Attempt, echoed: string | string[] | undefined): boolean {
+  if (echoed === attempt.id) return true
+  context.log.write('answer-foreign', { attempt: attempt.id, worker: attempt.target.worker })
+  context.metric.count('answer.foreign')
+  return false
+}
+
+function judge (context: Context, attempt: Attempt, answer: Collected): AttemptEnd {
+  const fault = workerFault(answer.status, answer.headers, answer.body)
+  if (fault !== undefined) return { type: 'failed', failure: failure(fault) }
+  if (!ownAnswer(context, attempt, answer.headers[wireHeaders.attempt])) return { type: 'failed', failure: failure(new Fault('lost')) }
+  return { type: 'answered', answer }
+}
+
+function broken (sent: boolean, late: boolean): AttemptEnd {
+  const code = sent ? (late ? 'deadline-running' : 'lost') : (late ? 'deadline' : 'upstream-down')
+  return { type: 'failed', failure: failure(new Fault(code)) }
+}
--- /dev/null
+++ b/packages/entry/src/callers.ts
@@ -0,0 +1,181 @@
+import { type IncomingMessage, type ServerResponse } from 'node:http'
+import { Err, Ok, type Result } from 'ts-results-es'
+import { Fault, asFault } from '@eiderwind/fault'
+import { type Service, type Team } from '@eiderwind/schema'
+import { answerFault, callerHeaders, readBody } from '@eiderwind/wire'
+import { readCompletion, serviceOf } from './completion.js'
+import { type Context } from './context.js'
+import { type Exchange } from './exchange.js'
+import { type EntryBoard } from './facts.js'
+import { serveModel } from './modelpath.js'
+import { declaredOnce, servePlain } from './plainpath.js'
+import { type Teams } from './teams.js'
+
+/** Path of completions, of the list of models, and prefix of plain services. */
+const completionsPath = '/v1/chat/completions'
+const modelsPath = '/v1/models'
+const servicesPrefix = '/services/'
+
+/** Where the platform's balancer asks whether this entry takes requests. */
+const healthPath = '/healthz'
+
+/** What the callers' side stands on. */
+export interface CallersOptions {
+  readonly context: Context
+  readonly board: EntryBoard
+  readonly teams: Teams
+  /** Id of this entry. */
+  readonly entry: string
+  /** Longest body, in bytes. */
+  readonly bodyLimit: number
+  /** Deadline of a request that gives none, in ms. */
+  readonly deadline: number
+}
+
+/** The callers' side of an entry: reads and checks each request and hands it to the path of its service. */
+export class Callers {
+  readonly #options: CallersOptions
+  #open = 0
+
+  constructor (options: CallersOptions) {
+    this.#options = options
+  }
+
+  /** Requests that are not answered yet. */
+  get open (): number {
+    return this.#open
+  }
+
+  /** Handles one request. */
+  async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.url === healthPath) return this.#health(response)
+    this.#open++
+    response.once('close', () => { this.#open-- })
+    try {
+      const fault = await this.#route(request, response)
+      if (fault !== undefined) this.#refuse(response, fault)
+    } catch (error) {
+      this.#refuse(response, asFault(error, 'lost'))
+    }
+  }
+
+  /** Answers with a fault, and closes the connection where the body was not read, so that what follows is not taken for a request. */
+  #refuse (response: ServerResponse, fault: Fault): void {
+    if (!response.headersSent && !response.req.complete) response.setHeader('connection', 'close')
+    answerFault(response, fault)
+  }
+
+  get #leaving (): boolean {
+    const { board, context, entry } = this.#options
+    return board.read('stopping') || context.current.configuration.leaving.includes(entry)
+  }
+
+  #health (response: ServerResponse): void {
+    const known = this.#options.context.current.revision > 0
+    response.statusCode = known && !this.#leaving ? 200 : 503
+    response.end()
+  }
+
+  async #route (request: IncomingMessage, response: ServerResponse): Promise<Fault | undefined> {
+    const { teams, context } = this.#options
+    if (this.#leaving) {
+      response.setHeader('connection', 'close')
+      return new Fault('leaving')
+    }
+    const team = teams.find(request.headers.authorization)
+    if (team === undefined) return new Fault('bad-key')
+    const [path] = (request.url ?? '/').split('?')
+    if (path === modelsPath) return this.#models(response)
+    if (path === completionsPath && request.method === 'POST') return await this.#complete(request, response, team)
+    if (path.startsWith(servicesPrefix)) return await this.#plain(request, response, team, path.slice(servicesPrefix.length))
+    context.log.write('attempt-failed', { code: 'unknown-path', outcome: 'not-run' })
+    return new Fault('unknown-path', { detail: `There is no ${request.method ?? ''} ${path}.` })
+  }
+
+  #models (response: ServerResponse): undefined {
+    const { services } = this.#options.context.current.configuration
+    const names = services.flatMap(each => each.kind === 'model' ? [each.name, ...each.adapters] : [])
+    const data = names.map(id => ({ id, object: 'model', created: 0, owned_by: 'eiderwind' }))
+    response.setHeader('content-type', 'application/json')
+    response.end(JSON.stringify({ object: 'list', data }))
+  }
+
+  async #complete (request: IncomingMessage, response: ServerResponse, team: Team): Promise<Fault | undefined> {
+    const body = await readBody(request, this.#options.bodyLimit)
+    if (body.isErr()) return body.error
+    const completion = readCompletion(body.value)
+    if (completion.isErr()) return completion.error
+    const { context } = this.#options
+    const service = serviceOf(completion.value.model, context.current.configuration)
+    if (service === undefined) return new Fault('unknown-service', { detail: `There is no model ${completion.value.model}.` })
+    const exchange = this.#exchange(request, response, body.value, team, service)
+    if (exchange.isErr()) return exchange.error
+    if (request.headers[callerHeaders.lastEvent] !== undefined && completion.value.resume === undefined) {
+      return new Fault('bad-request', { detail: 'Last-Event-ID needs the text so far, as resume.text in the body.' })
+    }
+    this.#observe(exchange.value)
+    await serveModel(context, exchange.value, completion.value)
+  }
+
+  async #plain (request: IncomingMessage, response: ServerResponse, team: Team, rest: string): Promise<Fault | undefined> {
+    const { context, bodyLimit } = this.#options
+    const name = rest.split('/')[0]
+    const service = context.current.configuration.services.find(each => each.name === name)
+    if (service?.kind !== 'plain') return new Fault('unknown-service', { detail: `There is no plain service ${name}.` })
+    const body = await readBody(request, bodyLimit)
+    if (body.isErr()) return body.error
+    const exchange = this.#exchange(request, response, body.value, team, service)
+    if (exchange.isErr()) return exchange.error
+    const inner = rest.slice(name.length) || '/'
+    const once = !exchange.value.repeatable || exchange.value.key !== undefined || declaredOnce(service, request.method ?? 'GET', inner)
+    request.url = (request.url ?? '/').slice(servicesPrefix.length + name.length) || '/'
+    if (!request.url.startsWith('/')) request.url = `/${request.url}`
+    this.#observe(exchange.value)
+    await servePlain(context, exchange.value, once)
+  }
+
+  #exchange (request: IncomingMessage, response: ServerResponse, body: Buffer, team: Team, service: Service): Result<Exchange, Fault> {
+    const { clock } = this.#options.context
+    const span = this.#deadline(request)
+    if (span.isErr()) return span
+    const repeatable = text(request, callerHeaders.repeatable)
+    if (repeatable !== undefined && repeatable !== 'true' && repeatable !== 'false') {
+      return Err(new Fault('bad-request', { detail: `The header ${callerHeaders.repeatable} takes true or false.` }))
+    }
+    const now = clock.now()
+    return Ok({
+      request,
+      response,
+      body,
+      team,
+      service: service.name,
+      deadline: now + span.value,
+      startedAt: now,
+      session: text(request, callerHeaders.session),
+      repeatable: repeatable !== 'false',
+      key: text(request, callerHeaders.key)
+    })
+  }
+
+  #deadline (request: IncomingMessage): Result<number, Fault> {
+    const given = text(request, callerHeaders.deadline)
+    if (given === undefined) return Ok(this.#options.deadline)
+    const span = Number(given)
+    if (!Number.isFinite(span) || span <= 0) return Err(new Fault('bad-request', { detail: `The header ${callerHeaders.deadline} takes milliseconds above 0.` }))
+    return Ok(Math.min(span, this.#options.deadline))
+  }
+
+  #observe ({ response, service, team, startedAt }: Exchange): void {
+    const { metric, clock } = this.#options.context
+    response.once('close', () => {
+      metric.count('request.count', { service, team: team.name, status: String(response.statusCode) })
+      metric.timing('request.total_ms', clock.now() - startedAt, { service })
+      if (response.getHeader(callerHeaders.outcome) === 'unknown') metric.count('request.unknown', { service })
+    })
+  }
+}
+
+function text (request: IncomingMessage, name: string): string | undefined {
+  const value = request.headers[name]
+  return Array.isArray(value) ? value[0] : value
+}
--- /dev/null
+++ b/packages/entry/src/calls.ts
@@ -0,0 +1,72 @@
+import { type Current } from '@eiderwind/config'
+import { type Configuration, type Report, type ReportAnswer } from '@eiderwind/schema'
+import { reportTargets, type Reports } from '@eiderwind/spread'
+import { EntryCalls, type Exchange, type ExchangeAnswer, type Known } from '@eiderwind/wire'
+import { assignment } from './assignment.js'
+import { knownDigest, type EntryBoard } from './facts.js'
+import { type Peers } from './peers.js'
+
+/** What the calls of an entry stand on. */
+export interface CallsOptions {
+  readonly board: EntryBoard
+  readonly current: Current
+  readonly reports: Reports
+  readonly peers: Peers
+  /** Fetches what another entry has and this one lacks. */
+  readonly fetch: (address: string, revision: number, known: number) => Promise<void>
+}
+
+/** The calls of an entry to workers and other entries. */
+export class Calls extends EntryCalls {
+  readonly #options: CallsOptions
+
+  constructor (options: CallsOptions) {
+    super()
+    this.#options = options
+  }
+
+  async report (report: Report): Promise<ReportAnswer> {
+    const { board, current, reports } = this.#options
+    reports.accept({ report, age: 0 }, true)
+    const { configuration } = current
+    const nodes = board.read('nodes')?.nodes ?? []
+    const node = nodes.find(each => each.id === report.worker)
+    return {
+      revision: configuration.revision,
+      assignment: assignment(report.worker, { configuration, nodes, placements: board.read('placements'), homes: board.read('homes') }),
+      leaving: configuration.leaving.includes(report.worker) || node?.state === 'leaving',
+      teams: configuration.teams.map(({ name, priority }) => ({ name, priority })),
+      entries: reportTargets(report.worker, report.dataCentre, board.read('live')).map(each => each.peer)
+    }
+  }
+
+  async exchange ({ from, revision, known, reports }: Exchange): Promise<ExchangeAnswer> {
+    const { board, current, peers, fetch } = this.#options
+    peers.heard(from.id)
+    for (const aged of reports) this.#options.reports.accept(aged, false)
+    const mine = { revision: current.revision, known: knownDigest(board) }
+    if (revision > mine.revision || known !== mine.known) fetch(from.peer, revision, known).catch(() => {})
+    return mine
+  }
+
+  async configuration (): Promise<Configuration> {
+    return this.#options.current.configuration
+  }
+
+  async known (): Promise<Known> {
+    const { board } = this.#options
+    const nodes = board.read('nodes')
+    return {
+      placements: [...board.read('placements').values()],
+      homes: [...board.read('homes').values()],
+      entries: board.read('entries'),
+      nodes: nodes?.nodes ?? [],
+      nodesSeen: nodes?.seen ?? 0
+    }
+  }
+
+  async offer (configuration: Configuration): Promise<number> {
+    this.#options.current.accept(configuration)
+    return this.#options.current.revision
+  }
+}
--- /dev/null
+++ b/packages/entry/src/context.ts
@@ -0,0 +1,22 @@
+import { type Dispatcher } from 'undici'
+import { type Clock } from '@eiderwind/clock'
+import { type Current } from '@eiderwind/config'
+import { type Log, type Metric } from '@eiderwind/log'
+import { type Affinity, type Budget, type Policy } from '@eiderwind/route'
+import { type Clients } from '@eiderwind/wire'
+import { type Targets } from './targets.js'
+
+/** What the path of a request through an entry stands on. */
+export interface Context {
+  readonly clock: Clock
+  readonly current: Current
+  readonly targets: Targets
+  readonly policy: Policy
+  readonly affinity: Affinity
+  readonly budget: Budget
+  readonly clients: Clients
+  /** Connections to workers. */
+  readonly dispatcher: Dispatcher
+  readonly log: Log
+  readonly metric: Metric
+}
--- /dev/null
+++ b/packages/entry/src/entry.ts
@@ -0,0 +1,187 @@
+import { type Server } from 'node:http'
+import { connectNodeAdapter } from '@connectrpc/connect-node'
+import { Agent } from 'undici'
+import { Crew } from '@eiderwind/board'
+import { seeded, type Clock } from '@eiderwind/clock'
+import { Current } from '@eiderwind/config'
+import { digest } from '@eiderwind/hash'
+import { type Log, type Metric } from '@eiderwind/log'
+import { Repairing, type Weights } from '@eiderwind/plan'
+import { Affinity, Balanced, Budget } from '@eiderwind/route'
+import { type EntryAddress, type Operator } from '@eiderwind/schema'
+import { Reports } from '@eiderwind/spread'
+import { type Store } from '@eiderwind/store'
+import { Clients, entryRouter, listen, makeServer, serve, splitAddress } from '@eiderwind/wire'
+import { Callers } from './callers.js'
+import { Calls } from './calls.js'
+import { type Context } from './context.js'
+import { entryBoard, type EntryBoard } from './facts.js'
+import { DualListener } from './listener.js'
+import { NodeReader } from './nodereader.js'
+import { OperatorCalls, operatorCheck } from './operators.js'
+import { Peers } from './peers.js'
+import { Planning } from './planning.js'
+import { Registrar } from './registrar.js'
+import { Spreader } from './spreader.js'
+import { Targets } from './targets.js'
+import { Teams } from './teams.js'
+import { Voting } from './voting.js'
+import { Watcher } from './watcher.js'
+
+/** How often a stop looks whether everything is answered, in ms. */
+const stopInterval = 50
+
+/** How long the balancer gets to notice that this entry leaves, in ms, before it stops to listen. */
+const noticeTime = 300
+
+/** Options of an entry. Spans are in ms. */
+export interface EntryOptions {
+  readonly clock: Clock
+  readonly log: Log
+  readonly metric: Metric
+  readonly store: Store
+  readonly id: string
+  readonly dataCentre: string
+  readonly region: string
+  /** Addresses as `host:port`; port 0 takes any. */
+  readonly callers: string
+  readonly operators: string
+  readonly peers: string
+  readonly seeds: readonly string[]
+  readonly first: Operator | undefined
+  readonly bodyLimit: number
+  readonly deadline: number
+  readonly stop: number
+  readonly weights: Weights
+  readonly lostAfter: number
+}
+
+/** The addresses that an entry has taken. */
+export interface EntryAddresses {
+  readonly callers: string
+  readonly operators: string
+  readonly peers: string
+}
+
+/** The process that takes callers and operators. */
+export class Entry {
+  readonly #options: EntryOptions
+  readonly #current = new Current()
+  readonly #clients = new Clients()
+  readonly #dispatcher = new Agent({ pipelining: 1, bodyTimeout: 0, headersTimeout: 0, keepAliveTimeout: 30_000, connect: { timeout: 2000 } })
+  readonly #crew: Crew
+  readonly #reports: Reports
+  readonly #servers: Server[] = []
+  #operators: DualListener | undefined
+  #callers: Callers | undefined
+  #board: EntryBoard | undefined
+
+  constructor (options: EntryOptions) {
+    this.#options = options
+    this.#reports = new Reports(options.clock)
+    this.#crew = new Crew(options.clock, (controller, error) => options.log.write('store-lost', { controller, cause: String(error) }))
+  }
+
+  /** Listens on all three addresses and starts the controllers. */
+  async start (): Promise<EntryAddresses> {
+    const { peers: address, id, dataCentre, region, clock } = this.#options
+    const peerServer = makeServer()
+    const port = await listen(peerServer, address)
+    const self: EntryAddress = { id, dataCentre, region, peer: `${splitAddress(address).host}:${port}` }
+    const board = entryBoard(self)
+    const peers = new Peers(clock, self)
+    this.#board = board
+    this.#servers.push(peerServer)
+    const spreader = this.#startControllers(board, self, peers)
+    const calls = new Calls({
+      board,
+      current: this.#current,
+      reports: this.#reports,
+      peers,
+      fetch: (from, revision, known) => spreader.fetch(from, revision, known)
+    })
+    serve(peerServer, { router: entryRouter(calls) })
+    const callers = await this.#startCallers(board, self)
+    const operators = await this.#startOperators(board, self)
+    return { callers, operators, peers: self.peer }
+  }
+
+  /** Refuses new requests, answers those it has, and ends. */
+  async stop (): Promise<void> {
+    const { clock, stop } = this.#options
+    this.#board?.write('stopping', true)
+    const end = clock.now() + stop
+    await clock.wait(noticeTime)
+    while (clock.now() < end && (this.#callers?.open ?? 0) > 0) await clock.wait(stopInterval)
+    await this.kill()
+  }
+
+  /** Ends at once. */
+  async kill (): Promise<void> {
+    this.#crew.stop()
+    this.#operators?.close()
+    for (const server of this.#servers) {
+      server.close()
+      server.closeAllConnections()
+    }
+    await Promise.all([this.#clients.close(), this.#dispatcher.destroy()])
+  }
+
+  #startControllers (board: EntryBoard, self: EntryAddress, peers: Peers): Spreader {
+    const { clock, log, store, seeds, weights, lostAfter, metric } = this.#options
+    const current = this.#current
+    const reports = this.#reports
+    const spreader = new Spreader({ board, clock, current, reports, peers, clients: this.#clients, self, seeds })
+    this.#crew.add(new Registrar(board, store, self, peers))
+    this.#crew.add(new Watcher(board, current, store, self))
+    this.#crew.add(new NodeReader(board, store, clock, self))
+    this.#crew.add(spreader)
+    this.#crew.add(new Planning({ board, clock, current, reports, store, planner: new Repairing(weights), self, log, lostAfter }))
+    this.#crew.add(new Voting({ board, clock, current, reports, store, self }))
+    board.listen('platform', up => log.write(up ? 'store-back' : 'store-lost'))
+    board.listen('placements', () => this.#crew.wake('spreader'))
+    current.listen(configuration => {
+      log.write('configuration-new', { revision: configuration.revision })
+      metric.gauge('configuration.revision', configuration.revision)
+      spreader.urge()
+      this.#crew.wake('spreader')
+    })
+    return spreader
+  }
+
+  async #startCallers (board: EntryBoard, self: EntryAddress): Promise<string> {
+    const { clock, log, metric, bodyLimit, deadline, callers: address } = this.#options
+    const current = this.#current
+    const context: Context = {
+      clock,
+      current,
+      targets: new Targets({ board, clock, current, reports: this.#reports, self }),
+      policy: new Balanced({ random: seeded(digest(self.id)) }),
+      affinity: new Affinity(),
+      budget: new Budget(clock),
+      clients: this.#clients,
+      dispatcher: this.#dispatcher,
+      log,
+      metric
+    }
+    const callers = new Callers({ context, board, teams: new Teams(current), entry: self.id, bodyLimit, deadline })
+    this.#callers = callers
+    const server = makeServer({ handler: (request, response) => { callers.handle(request, response) } })
+    const port = await listen(server, address)
+    this.#servers.push(server)
+    return `${splitAddress(address).host}:${port}`
+  }
+
+  async #startOperators (board: EntryBoard, self: EntryAddress): Promise<string> {
+    const { clock, log, store, first, lostAfter, operators } = this.#options
+    const current = this.#current
+    const calls = new OperatorCalls({ board, clock, current, reports: this.#reports, store, clients: this.#clients, log, self, first, lostAfter })
+    const listener = new DualListener(connectNodeAdapter({
+      routes: router => calls.register(router),
+      interceptors: [operatorCheck({ current, first })]
+    }))
+    this.#operators = listener
+    const { host, port } = splitAddress(operators)
+    return `${host}:${await listener.listen(host, port)}`
+  }
+}
--- /dev/null
+++ b/packages/entry/src/facts.ts
@@ -0,0 +1,87 @@
+import { Board } from '@eiderwind/board'
+import { digest } from '@eiderwind/hash'
+import { type EntryAddress, type Homes, type Node, type Placement } from '@eiderwind/schema'
+
+/** The node list as it was seen at the platform. */
+export interface NodeList {
+  /** Wall time at which it was first seen as it is, in ms. */
+  readonly seen: number
+  readonly nodes: readonly Node[]
+}
+
+/** The facts that an entry's controllers share. */
+export interface EntryFacts {
+  /** Every registered entry, this one among them. */
+  readonly entries: readonly EntryAddress[]
+  /** Those of them believed live. */
+  readonly live: readonly EntryAddress[]
+  /** Undefined until the list was seen or heard of. */
+  readonly nodes: NodeList | undefined
+  /** By domain. */
+  readonly placements: ReadonlyMap<string, Placement>
+  /** By service. */
+  readonly homes: ReadonlyMap<string, Homes>
+  /** Whether the platform answered last. */
+  readonly platform: boolean
+  readonly stopping: boolean
+}
+
+/** The blackboard of an entry. */
+export type EntryBoard = Board<EntryFacts>
+
+/** The blackboard of an entry that knows only itself. */
+export function entryBoard (self: EntryAddress): EntryBoard {
+  return new Board<EntryFacts>({
+    entries: [self],
+    live: [self],
+    nodes: undefined,
+    placements: new Map(),
+    homes: new Map(),
+    platform: false,
+    stopping: false
+  })
+}
+
+interface Revised {
+  readonly revision: number
+}
+
+/** Takes a placement unless it is older than the one known. */
+export function takePlacement (board: EntryBoard, placement: Placement): void {
+  const known = board.read('placements')
+  if (newer(placement, known.get(placement.domain))) board.write('placements', new Map(known).set(placement.domain, placement))
+}
+
+/** Takes a list of voters unless it is older than the one known. */
+export function takeHomes (board: EntryBoard, homes: Homes): void {
+  const known = board.read('homes')
+  if (newer(homes, known.get(homes.service))) board.write('homes', new Map(known).set(homes.service, homes))
+}
+
+/** Takes a node list unless one was seen later. */
+export function takeNodes (board: EntryBoard, list: NodeList): void {
+  const known = board.read('nodes')
+  if (known === undefined || list.seen > known.seen) board.write('nodes', list)
+}
+
+/** Takes entries that were not known, and new addresses of those that were. */
+export function takeEntries (board: EntryBoard, entries: readonly EntryAddress[]): void {
+  const known = new Map(board.read('entries').map(each => [each.id, each]))
+  const news = entries.filter(each => known.get(each.id)?.peer !== each.peer)
+  if (news.length === 0) return
+  for (const entry of news) known.set(entry.id, entry)
+  board.write('entries', [...known.values()])
+}
+
+/** A digest of all that entries tell each other beside reports and the configuration: equal digests, nothing to fetch. */
+export function knownDigest (board: EntryBoard): number {
+  const placements = [...board.read('placements').values()].map(each => `${each.domain}=${each.revision}`)
+  const homes = [...board.read('homes').values()].map(each => `${each.service}:${each.revision}`)
+  const entries = board.read('entries').map(each => `${each.id}@${each.peer}`)
+  const parts = [...placements, ...homes, ...entries].sort()
+  return digest([...parts, String(board.read('nodes')?.seen ?? 0)].join())
+}
+
+function newer (found: Revised, known: Revised | undefined): boolean {
+  return known === undefined || found.revision > known.revision
+}
--- /dev/null
+++ b/packages/entry/src/keyedpath.ts
@@ -0,0 +1,59 @@
+import { Fault } from '@eiderwind/fault'
+import { mintKey, type Key, readKey } from '@eiderwind/run'
+import { answerFault, wireHeaders } from '@eiderwind/wire'
+import { tryWhole } from './attempting.js'
+import { type Context } from './context.js'
+import { left, type Exchange } from './exchange.js'
+import { pass } from './modelpath.js'
+import { finalFault } from './outcome.js'
+
+/** Pause before the home of a key is asked again, in ms. */
+const askAgain = 150
+
+/** How often a home that does not answer is asked, beyond the first time. */
+const mostUnanswered = 3
+
+/** How often another home is looked for when one said that it is not the home. */
+const mostMoves = 3
+
+/**
+ * Serves one request that may not be repeated. It goes to the home of its key. When the connection to the home is
+ * lost, the same key is sent to the home again: it gives the first answer, or says that the request still runs, and
+ * never runs it twice. The answer is final at once when the home can no longer tell.
+ */
+export async function serveKeyed (context: Context, exchange: Exchange): Promise<void> {
+  const { clock, targets, log } = context
+  const minted = exchange.key === undefined
+  const read = readKey(exchange.key ?? mintKey(clock.wall()))
+  if (read.isErr()) return answerFault(exchange.response, read.error)
+  const key = read.value
+  let last = new Fault('not-home', { detail: 'No worker is the home of this key now.' })
+  let doubt = false
+  let unanswered = 0
+  let moves = 0
+  while (left(exchange, clock) > 0) {
+    const target = targets.home(exchange.service, key.slot)
+    if (target === undefined) break
+    const end = await tryWhole(context, exchange, target, { headers: keyHeaders(key, minted && !doubt) })
+    if (end.type === 'answered') return pass(exchange, end.answer)
+    const { fault, outcome } = end.failure
+    log.write('attempt-failed', { service: exchange.service, worker: target.worker, code: fault.code, outcome })
+    last = fault
+    if (outcome !== 'not-run') doubt = true
+    if (exchange.response.destroyed || !again(fault)) break
+    if (fault.code === 'lost' && ++unanswered > mostUnanswered) break
+    if (outcome === 'not-run' && ++moves > mostMoves) break
+    await clock.wait(Math.min(askAgain, left(exchange, clock)))
+  }
+  const late = left(exchange, clock) <= 0
+  answerFault(exchange.response, finalFault(late ? new Fault(doubt ? 'deadline-running' : 'deadline') : last, doubt))
+}
+
+/** Whether asking once more can bring a better answer. */
+function again ({ code }: Fault): boolean {
+  return code === 'lost' || code === 'still-running' || code === 'not-home' || code === 'not-serving' || code === 'leaving'
+}
+
+function keyHeaders (key: Key, fresh: boolean): Record<string, string> {
+  return { [wireHeaders.key]: key.text, ...(fresh ? { [wireHeaders.fresh]: '1' } : {}) }
+}
--- /dev/null
+++ b/packages/entry/src/modelpath.ts
@@ -0,0 +1,87 @@
+import { Fault } from '@eiderwind/fault'
+import { prefixes } from '@eiderwind/route'
+import { answerFault, endToEnd, type Collected } from '@eiderwind/wire'
+import { tryWhole } from './attempting.js'
+import { promptText, type Completion } from './completion.js'
+import { type Context } from './context.js'
+import { left, type Exchange } from './exchange.js'
+import { finalFault } from './outcome.js'
+import { Stream } from './stream.js'
+import { type Target } from './targets.js'
+
+/** Chooses replicas for one request, none of them twice. */
+export class Choice {
+  readonly #context: Context
+  readonly #exchange: Exchange
+  readonly #blocks: readonly number[]
+  readonly #tried = new Set<string>()
+
+  constructor (context: Context, exchange: Exchange, completion: Completion) {
+    this.#context = context
+    this.#exchange = exchange
+    this.#blocks = prefixes(promptText(completion))
+  }
+
+  /** The next replica to try, or undefined where none is left. */
+  next (): Target | undefined {
+    const { targets, policy, affinity } = this.#context
+    const left = targets.heads(this.#exchange.service).filter(({ candidate }) => !this.#tried.has(candidate.id))
+    if (left.length === 0) return undefined
+    const preference = { session: affinity.session(this.#exchange.session), prefix: affinity.prefix(this.#blocks) }
+    const warm = left.filter(({ candidate }) => candidate.id === preference.session || preference.prefix.includes(candidate.id))
+    const near = [...new Set([...targets.nearest(left), ...warm])]
+    const picked = policy.pick(near.map(each => each.candidate), preference)
+    const target = near.find(each => each.candidate === picked)
+    if (target !== undefined) this.#tried.add(target.candidate.id)
+    return target
+  }
+
+  /** Lets every replica be tried again. */
+  reset (): void {
+    this.#tried.clear()
+  }
+
+  /** Notes that a replica serves this request. */
+  served (target: Target): void {
+    this.#context.affinity.served(target.candidate.id, this.#exchange.session, this.#blocks)
+  }
+}
+
+/** Serves one completion request; it answers the response in every case. */
+export async function serveModel (context: Context, exchange: Exchange, completion: Completion): Promise<void> {
+  const choice = new Choice(context, exchange, completion)
+  if (completion.stream === true) return await new Stream(context, exchange, completion, choice).serve()
+  await serveWhole(context, exchange, choice)
+}
+
+async function serveWhole (context: Context, exchange: Exchange, choice: Choice): Promise<void> {
+  const { clock, budget, log, metric, targets } = context
+  let last = new Fault('no-replica')
+  let doubt = false
+  budget.deposit()
+  for (let tries = 0; left(exchange, clock) > 0 && !exchange.response.destroyed; tries++) {
+    const target = choice.next()
+    if (target === undefined || (tries > 0 && !budget.withdraw())) break
+    if (tries > 0) metric.count('request.retry')
+    const sentAt = clock.now()
+    const end = await tryWhole(context, exchange, target)
+    if (end.type === 'answered') {
+      targets.answered(target.worker, clock.now() - sentAt)
+      choice.served(target)
+      return pass(exchange, end.answer)
+    }
+    const { fault, outcome } = end.failure
+    log.write('attempt-failed', { service: exchange.service, worker: target.worker, code: fault.code, outcome })
+    last = fault
+    if (outcome !== 'not-run') doubt = true
+    if (doubt && !exchange.repeatable) break
+  }
+  answerFault(exchange.response, finalFault(last, doubt))
+}
+
+/** Answers the caller with an upstream's whole answer. */
+export function pass ({ response }: Exchange, { status, headers, body }: Collected): void {
+  if (response.destroyed) return
+  response.writeHead(status, { ...endToEnd(headers), 'content-length': body.length })
+  response.end(body)
+}
--- /dev/null
+++ b/packages/entry/src/outcome.ts
@@ -0,0 +1,38 @@
+import { Fault, type Outcome } from '@eiderwind/fault'
+import { wireHeaders, type AnswerHeaders, type Collected } from '@eiderwind/wire'
+
+/** How one attempt ended without an answer for the caller. */
+export interface Failure {
+  /** What the caller would be told if this were the last attempt. */
+  readonly fault: Fault
+  /** Whether this attempt may have run. */
+  readonly outcome: Outcome
+}
+
+/** How one attempt ended. */
+export type AttemptEnd =
+  | { readonly type: 'answered', readonly answer: Collected }
+  | { readonly type: 'failed', readonly failure: Failure }
+
+/** A failure with the outcome of its fault. */
+export function failure (fault: Fault): Failure {
+  return { fault, outcome: fault.outcome }
+}
+
+/** The fault that a worker answered with, or undefined where the answer is the upstream's own. */
+export function workerFault (status: number, headers: AnswerHeaders, body: Buffer): Fault | undefined {
+  if (status < 400 || headers[wireHeaders.attempt] !== undefined) return undefined
+  const fault = Fault.read(body.toString())
+  if (fault === undefined) return new Fault('lost', { detail: `The worker answered ${status}.` })
+  const retryAfter = Number(headers['retry-after'])
+  return Number.isFinite(retryAfter) ? new Fault(fault.code, { retryAfter, outcome: fault.outcome }) : fault
+}
+
+/**
+ * What the caller is told in the end. `last` is the newest failure; where any attempt before it may have run, the
+ * whole request may have run, whatever the last one says.
+ */
+export function finalFault (last: Fault, doubt: boolean): Fault {
+  if (!doubt || last.outcome !== 'not-run') return last
+  return new Fault('lost', { retryAfter: last.retryAfter })
+}
--- /dev/null
+++ b/packages/entry/src/peers.ts
@@ -0,0 +1,38 @@
+import { type Clock } from '@eiderwind/clock'
+import { type EntryAddress } from '@eiderwind/schema'
+
+/** Silence after which an entry of the same data centre counts as gone, in ms. */
+const goneAfter = 4000
+
+/** Which other entries are believed live. An entry counts as live from when it was first known until it is silent for too long. */
+export class Peers {
+  readonly #clock: Clock
+  readonly #self: EntryAddress
+  readonly #heard = new Map<string, number>()
+
+  constructor (clock: Clock, self: EntryAddress) {
+    this.#clock = clock
+    this.#self = self
+  }
+
+  /** Notes that an entry was heard of directly. */
+  heard (id: string): void {
+    this.#heard.set(id, this.#clock.now())
+  }
+
+  /** The entries believed live among `entries`: all far ones, and those of the same data centre that are not silent. */
+  live (entries: readonly EntryAddress[]): EntryAddress[] {
+    return entries.filter(entry => entry.id === this.#self.id || entry.dataCentre !== this.#self.dataCentre || this.#fresh(entry.id))
+  }
+
+  /** Time since an entry was heard of, in ms. One first asked about now was heard of now. */
+  silence (id: string): number {
+    const heard = this.#heard.get(id)
+    if (heard === undefined) this.heard(id)
+    return heard === undefined ? 0 : this.#clock.now() - heard
+  }
+
+  #fresh (id: string): boolean {
+    return this.silence(id) < goneAfter
+  }
+}
--- /dev/null
+++ b/packages/entry/src/plainpath.ts
@@ -0,0 +1,123 @@
+import { Fault } from '@eiderwind/fault'
+import { type PlainService } from '@eiderwind/schema'
+import { Relay, answerFault, send, wireHeaders, type AnswerHeaders, type Flow } from '@eiderwind/wire'
+import { attemptCall, ownAnswer } from './attempting.js'
+import { type Context } from './context.js'
+import { attemptAt, left, type Attempt, type Exchange } from './exchange.js'
+import { serveKeyed } from './keyedpath.js'
+import { failure, finalFault, workerFault, type Failure } from './outcome.js'
+import { type Target } from './targets.js'
+
+/** Methods that may be repeated by their definition (RFC 9110, section 9.2.2). */
+const idempotent: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS', 'TRACE', 'PUT', 'DELETE'])
+
+/** Whether the service declares a call as not repeatable. The longest prefix of the path decides. */
+export function declaredOnce ({ routes }: PlainService, method: string, path: string): boolean {
+  const fitting = routes.filter(route => route.method === method && path.startsWith(route.path))
+  fitting.sort((a, b) => b.path.length - a.path.length)
+  return fitting[0]?.repeatable === false
+}
+
+/** Serves one request to a plain service; it answers the response in every case. */
+export async function servePlain (context: Context, exchange: Exchange, once: boolean): Promise<void> {
+  if (once) return await serveKeyed(context, exchange)
+  const { clock, budget, targets, policy, log, metric } = context
+  const tried = new Set<string>()
+  let last = new Fault('no-replica')
+  let doubt = false
+  budget.deposit()
+  while (left(exchange, clock) > 0 && !exchange.response.destroyed) {
+    const usable = targets.workers(exchange.service).filter(each => !tried.has(each.worker))
+    if (usable.length === 0 || (tried.size > 0 && !budget.withdraw())) break
+    if (tried.size > 0) metric.count('request.retry')
+    const near = targets.nearest(usable)
+    const picked = policy.pick(near.map(each => each.candidate), { session: undefined, prefix: [] })
+    const target = near.find(each => each.candidate === picked) as Target
+    tried.add(target.worker)
+    const failed = await tryRelay(context, exchange, target)
+    if (failed === undefined) return
+    log.write('attempt-failed', { service: exchange.service, worker: target.worker, code: failed.fault.code, outcome: failed.outcome })
+    last = failed.fault
+    if (failed.outcome !== 'not-run') doubt = true
+    if (doubt && !idempotent.has(exchange.request.method ?? '')) break
+  }
+  answerFault(exchange.response, finalFault(last, doubt))
+}
+
+/** Passes a request to a worker and its answer back as it comes. Undefined once an answer was begun. */
+function tryRelay (context: Context, exchange: Exchange, target: Target): Promise<Failure | undefined> {
+  const { clock, targets, dispatcher } = context
+  const attempt = attemptAt(target, clock)
+  targets.open(target.worker)
+  return new Promise(resolve => {
+    const finish = (failed: Failure | undefined): void => {
+      timer.cancel()
+      exchange.response.off('close', gone)
+      targets.close(target.worker)
+      resolve(failed)
+    }
+    const relay = new PlainRelay(context, exchange, attempt, finish)
+    const cancel = send(dispatcher, attemptCall(context, exchange, attempt), relay)
+    const timer = clock.after(left(exchange, clock), () => cancel(new Error('The deadline has passed.')))
+    const gone = (): void => cancel(new Error('The caller went away.'))
+    exchange.response.once('close', gone)
+  })
+}
+
+/** Passes a service's answer on, and keeps a worker's refusal back so that another worker can be tried. */
+class PlainRelay extends Relay {
+  readonly #context: Context
+  readonly #attempt: Attempt
+  readonly #finish: (failed: Failure | undefined) => void
+  readonly #refusal: Buffer[] = []
+  #refused: { readonly status: number, readonly headers: AnswerHeaders } | undefined
+
+  constructor (context: Context, exchange: Exchange, attempt: Attempt, finish: (failed: Failure | undefined) => void) {
+    super({
+      response: exchange.response,
+      done: () => finish(undefined),
+      failed: ({ sent }) => {
+        settle(context, attempt, sent).then(finish, () => finish(failure(new Fault('lost'))))
+      }
+    })
+    this.#context = context
+    this.#attempt = attempt
+    this.#finish = finish
+  }
+
+  override head (status: number, headers: AnswerHeaders, flow: Flow): void {
+    const echoed = headers[wireHeaders.attempt]
+    if (echoed === undefined && status >= 400) {
+      this.#refused = { status, headers }
+      return
+    }
+    if (!ownAnswer(this.#context, this.#attempt, echoed)) {
+      flow.abort(new Error('The answer belongs to another attempt.'))
+      return
+    }
+    const { [wireHeaders.attempt]: _attempt, ...kept } = headers
+    super.head(status, kept, flow)
+  }
+
+  override data (chunk: Buffer): void {
+    if (this.#refused === undefined) super.data(chunk)
+    else this.#refusal.push(chunk)
+  }
+
+  override end (): void {
+    if (this.#refused === undefined) return super.end()
+    const fault = workerFault(this.#refused.status, this.#refused.headers, Buffer.concat(this.#refusal))
+    this.#finish(failure(fault ?? new Fault('lost')))
+  }
+}
+
+/**
+ * What became of an attempt whose connection broke before an answer. Asks the same incarnation of the worker: if the
+ * attempt has not started, it never will, and "not run" is true.
+ */
+async function settle ({ clients, clock }: Context, attempt: Attempt, sent: boolean): Promise<Failure> {
+  if (!sent) return failure(new Fault('upstream-down'))
+  const { address, incarnation } = attempt.target
+  const fate = await clients.worker(address).settle.mutate({ attempt: attempt.id, incarnation, age: clock.now() - attempt.sentAt })
+  return failure(new Fault(fate === 'tombstoned' ? 'upstream-down' : 'lost'))
+}
--- /dev/null
+++ b/packages/entry/src/planning.ts
@@ -0,0 +1,95 @@
+import { Controller } from '@eiderwind/board'
+import { type Clock } from '@eiderwind/clock'
+import { type Current } from '@eiderwind/config'
+import { type Log } from '@eiderwind/log'
+import { emptyPlacement, type Facts, type Planner } from '@eiderwind/plan'
+import { Placement, type EntryAddress, type ModelService } from '@eiderwind/schema'
+import { type Store } from '@eiderwind/store'
+import { actor, type Reports } from '@eiderwind/spread'
+import { takePlacement, type EntryBoard } from './facts.js'
+import { nodeFacts } from './health.js'
+
+/** What the planning stands on. */
+export interface PlanningOptions {
+  readonly board: EntryBoard
+  readonly clock: Clock
+  readonly current: Current
+  readonly reports: Reports
+  readonly store: Store
+  readonly planner: Planner
+  readonly self: EntryAddress
+  readonly log: Log
+  /** Silence after which a node counts as lost, in ms. */
+  readonly lostAfter: number
+}
+
+/**
+ * Plans the domains that this entry acts for. Two entries that both act do no harm: a placement is one object, and
+ * only the update on the version that was planned on takes effect.
+ */
+export class Planning extends Controller {
+  readonly name = 'planning'
+  readonly interval = 500
+  readonly #options: PlanningOptions
+  readonly #startedAt: number
+
+  constructor (options: PlanningOptions) {
+    super()
+    this.#options = options
+    this.#startedAt = options.clock.now()
+  }
+
+  async update (): Promise<void> {
+    const { board, clock, lostAfter, current } = this.#options
+    const settling = clock.now() - this.#startedAt < lostAfter / 2
+    if (settling || current.revision === 0 || board.read('nodes') === undefined) return
+    for (const domain of this.#domains()) await this.#plan(domain)
+  }
+
+  /** The domains that this entry acts for: those of its own data centre that fall to it, and those of data centres without entries. */
+  #domains (): string[] {
+    const { board, self } = this.#options
+    const live = board.read('live')
+    const nodes = board.read('nodes')?.nodes ?? []
+    const homes = new Map(nodes.filter(each => each.service === undefined).map(each => [each.domain, each.dataCentre]))
+    return [...homes].filter(([domain, dataCentre]) => {
+      const near = live.filter(each => each.dataCentre === dataCentre)
+      return actor(`domain/${domain}`, near.length > 0 ? near : live)?.id === self.id
+    }).map(([domain]) => domain)
+  }
+
+  async #plan (domain: string): Promise<void> {
+    const { board, planner, store, log } = this.#options
+    if (!board.read('placements').has(domain)) {
+      await this.#read(domain)
+      if (!board.read('placements').has(domain)) return
+    }
+    const { placement, orders } = planner.plan(domain, this.#facts())
+    if (orders.length === 0) return
+    const written = await store.write(`placement/${domain}`, placement, placement.revision - 1)
+    if (written.isOk()) {
+      takePlacement(board, placement)
+      for (const { action, replica, members } of orders) log.write('placement-changed', { domain, action, replica, members: members.join(','), revision: placement.revision })
+      return
+    }
+    if (written.error.code === 'stale-revision') log.write('placement-lost-race', { domain })
+    await this.#read(domain)
+  }
+
+  async #read (domain: string): Promise<void> {
+    const { board, store } = this.#options
+    const found = await store.read(`placement/${domain}`)
+    if (found.isErr()) return
+    takePlacement(board, found.value.version === 0 ? emptyPlacement(domain) : Placement.parse(found.value.value))
+  }
+
+  #facts (): Facts {
+    const { board, current, reports, lostAfter } = this.#options
+    const { configuration } = current
+    const services = configuration.services.filter((each): each is ModelService => each.kind === 'model')
+    const nodes = nodeFacts({ nodes: board.read('nodes')?.nodes ?? [], configuration, reports, lostAfter })
+    const serving = new Set<string>()
+    for (const { report } of reports.all) if (report.serving && report.replica !== undefined) serving.add(report.replica)
+    return { services, nodes, placements: [...board.read('placements').values()], serving }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/registrar.ts
@@ -0,0 +1,66 @@
+import { Controller } from '@eiderwind/board'
+import { EntryList, Homes, Placement, type EntryAddress } from '@eiderwind/schema'
+import { type Store } from '@eiderwind/store'
+import { watchers } from '@eiderwind/spread'
+import { takeEntries, takeHomes, takePlacement, type EntryBoard } from './facts.js'
+import { type Peers } from './peers.js'
+
+/** Silence after which an entry is taken off its data centre's list, in ms. */
+const removeAfter = 600_000
+
+/** Updates between two readings of everything, for what was missed otherwise. */
+const readingEvery = 5
+
+/** Registers this entry at the platform, and reads what is there: the other entries, placements and lists of voters. */
+export class Registrar extends Controller {
+  readonly name = 'registrar'
+  readonly interval = 2000
+  readonly #board: EntryBoard
+  readonly #store: Store
+  readonly #self: EntryAddress
+  readonly #peers: Peers
+  #registered = false
+  #turn = 0
+
+  constructor (board: EntryBoard, store: Store, self: EntryAddress, peers: Peers) {
+    super()
+    this.#board = board
+    this.#store = store
+    this.#self = self
+    this.#peers = peers
+  }
+
+  async update (): Promise<void> {
+    if (!this.#registered) this.#registered = await this.#register()
+    const due = this.#turn++ % readingEvery === 0 || this.#board.read('placements').size === 0
+    if (!due || !this.#reader()) return
+    await this.#read()
+  }
+
+  /** A few entries of each data centre read; the others hear from them. One that knows nobody reads too. */
+  #reader (): boolean {
+    const own = this.#board.read('live').filter(each => each.dataCentre === this.#self.dataCentre)
+    return watchers('objects', own).some(each => each.id === this.#self.id)
+  }
+
+  async #register (): Promise<boolean> {
+    const key = `entries/${this.#self.dataCentre}`
+    const read = await this.#store.read(key)
+    if (read.isErr()) return false
+    const { version, value } = read.value
+    const listed = version === 0 ? [] : EntryList.parse(value).entries
+    takeEntries(this.#board, listed)
+    const kept = listed.filter(each => each.id !== this.#self.id && this.#peers.silence(each.id) < removeAfter)
+    if (listed.length === kept.length + 1 && listed.some(each => each.id === this.#self.id && each.peer === this.#self.peer)) return true
+    const list: EntryList = { dataCentre: this.#self.dataCentre, entries: [...kept, this.#self] }
+    return (await this.#store.write(key, list, version)).isOk()
+  }
+
+  async #read (): Promise<void> {
+    const [entries, placements, homes] = await Promise.all(['entries/', 'placement/', 'homes/'].map(prefix => this.#store.list(prefix)))
+    this.#board.write('platform', entries.isOk())
+    for (const { value } of entries.unwrapOr([])) takeEntries(this.#board, EntryList.parse(value).entries)
+    for (const { value } of placements.unwrapOr([])) takePlacement(this.#board, Placement.parse(value))
+    for (const { value } of homes.unwrapOr([])) takeHomes(this.#board, Homes.parse(value))
+  }
+}
--- /dev/null
+++ b/packages/entry/src/status.ts
@@ -0,0 +1,62 @@
+import { type MessageInitShape } from '@bufbuild/protobuf'
+import { type Current } from '@eiderwind/config'
+import { type NodeFact } from '@eiderwind/plan'
+import { type StatusSchema } from '@eiderwind/rpc'
+import { type Replica } from '@eiderwind/schema'
+import { type Reports } from '@eiderwind/spread'
+import { type EntryBoard } from './facts.js'
+import { nodeFacts } from './health.js'
+
+/** What a status is made from. */
+export interface StatusFacts {
+  readonly board: EntryBoard
+  readonly current: Current
+  readonly reports: Reports
+  /** Silence after which a node counts as lost, in ms. */
+  readonly lostAfter: number
+}
+
+/** What every node, replica and entry does now, as far as this entry has heard. */
+export function status (facts: StatusFacts): MessageInitShape<typeof StatusSchema> {
+  const { board, current, reports, lostAfter } = facts
+  const replicas = [...board.read('placements').values()].flatMap(each => each.replicas)
+  const nodes = nodeFacts({ nodes: board.read('nodes')?.nodes ?? [], configuration: current.configuration, reports, lostAfter })
+  const live = new Set(board.read('live').map(each => each.id))
+  return {
+    revision: BigInt(current.revision),
+    platform: board.read('platform'),
+    replicas: replicas.map(replica => replicaStatus(replica, reports)),
+    nodes: nodes.map(fact => nodeStatus(fact, replicas, reports)),
+    entries: board.read('entries').map(({ id, dataCentre }) => ({ id, dataCentre, live: live.has(id) }))
+  }
+}
+
+function replicaStatus ({ id, service, generation, members, version }: Replica, reports: Reports) {
+  const report = reports.of(members[0])?.report
+  const current = report?.replica === id ? report : undefined
+  return {
+    id,
+    service,
+    generation: BigInt(generation),
+    members,
+    version,
+    serving: current?.serving ?? false,
+    running: current?.running ?? 0,
+    queued: current?.queued ?? 0
+  }
+}
+
+function nodeStatus ({ node, health }: NodeFact, replicas: readonly Replica[], reports: Reports) {
+  const age = reports.age(node.id)
+  return {
+    id: node.id,
+    domain: node.domain,
+    dataCentre: node.dataCentre,
+    health,
+    service: node.service ?? '',
+    replica: replicas.find(each => each.members.includes(node.id))?.id ?? '',
+    accelerators: node.accelerators,
+    age: BigInt(age === undefined ? -1 : Math.round(age)),
+    slots: reports.of(node.id)?.report.slots ?? []
+  }
+}
--- /dev/null
+++ b/packages/entry/src/stream.ts
@@ -0,0 +1,231 @@
+import { type ServerResponse } from 'node:http'
+import { Fault } from '@eiderwind/fault'
+import { Receiver, answerFault, callerHeaders, endToEnd, send, wireHeaders, type AnswerHeaders, type Break, type Flow } from '@eiderwind/wire'
+import { attemptCall, ownAnswer } from './attempting.js'
+import { type Completion } from './completion.js'
+import { type Context } from './context.js'
+import { attemptAt, left, type Attempt, type Exchange } from './exchange.js'
+import { type Choice } from './modelpath.js'
+import { failure, finalFault, workerFault, type Failure } from './outcome.js'
+import { type Target } from './targets.js'
+import { Transcript } from './transcript.js'
+
+/** Pause before a stream that has begun looks again for a replica, in ms. */
+const resumePause = 200
+
+/** How long a stream that has begun looks for a replica at the most, in ms. */
+const resumePatience = 60_000
+
+/** How one attempt at a stream ended. */
+type PartEnd =
+  | { readonly type: 'done' }
+  | { readonly type: 'failed', readonly failure: Failure }
+
+/**
+ * One streamed completion. It is whole only with its end mark. When a replica is lost in the middle, it is resumed on
+ * another one at the offset that the caller has; a stream that has begun is not given up because replicas are busy
+ * for a moment. The first attempt, with nothing sent to the caller, is answered at once when no replica takes it.
+ */
+export class Stream {
+  readonly #context: Context
+  readonly #exchange: Exchange
+  readonly #completion: Completion
+  readonly #choice: Choice
+  readonly #transcript: Transcript
+  #begun = false
+
+  constructor (context: Context, exchange: Exchange, completion: Completion, choice: Choice) {
+    this.#context = context
+    this.#exchange = exchange
+    this.#completion = completion
+    this.#choice = choice
+    const offset = Number(exchange.request.headers[callerHeaders.lastEvent] ?? 0)
+    this.#transcript = new Transcript({ offset, text: completion.resume?.text ?? '', finished: false })
+  }
+
+  /** Serves the stream; it answers the response in every case. */
+  async serve (): Promise<void> {
+    const { clock, budget, metric, targets } = this.#context
+    const { response } = this.#exchange
+    let last = new Fault('no-replica')
+    let doubt = false
+    let lostAt = Infinity
+    budget.deposit()
+    for (let tries = 0; left(this.#exchange, clock) > 0 && !response.destroyed; tries++) {
+      const target = this.#choice.next()
+      if (!this.#begun && (target === undefined || (tries > 0 && !budget.withdraw()))) break
+      if (target === undefined) {
+        if (clock.now() - lostAt > resumePatience) break
+        this.#choice.reset()
+        await clock.wait(resumePause)
+        continue
+      }
+      if (tries > 0) metric.count('request.retry')
+      targets.open(target.worker)
+      const end = await this.#part(target)
+      targets.close(target.worker)
+      if (end.type === 'done') return
+      last = end.failure.fault
+      this.#failed(target, end.failure)
+      if (end.failure.outcome !== 'not-run') doubt = true
+      if (doubt && !this.#exchange.repeatable) break
+      lostAt = Math.min(lostAt, clock.now())
+    }
+    this.#giveUp(finalFault(last, doubt))
+  }
+
+  #failed (target: Target, { fault, outcome }: Failure): void {
+    const { log, metric } = this.#context
+    log.write('attempt-failed', { service: this.#exchange.service, worker: target.worker, code: fault.code, outcome })
+    if (this.#begun && fault.code === 'interrupted') {
+      log.write('stream-resumed', { service: this.#exchange.service, offset: this.#transcript.resume().offset })
+      metric.count('request.resumed')
+    }
+  }
+
+  /** Streams from one replica until the end mark or a break. */
+  #part (target: Target): Promise<PartEnd> {
+    const { clock, dispatcher } = this.#context
+    const exchange = this.#exchange
+    const progress = this.#transcript.resume()
+    if (progress.finished) return Promise.resolve(this.#end())
+    const attempt = attemptAt(target, clock)
+    return new Promise(resolve => {
+      const finish = (end: PartEnd): void => {
+        timer.cancel()
+        exchange.response.off('close', gone)
+        resolve(end)
+      }
+      const part = new Part(this.#context, attempt, {
+        begin: headers => this.#begin(target, headers, attempt),
+        take: chunk => this.#take(chunk),
+        pass: (status, headers, body) => this.#pass(status, headers, body),
+        ended: end => finish(this.#transcript.done ? this.#end() : end)
+      }, this.#exchange.response)
+      const cancel = send(dispatcher, attemptCall(this.#context, exchange, attempt, {}, this.#body(progress.offset, progress.text)), part)
+      const timer = clock.after(left(exchange, clock), () => cancel(new Error('The deadline has passed.')))
+      const gone = (): void => {
+        this.#context.log.write('caller-gone', { service: exchange.service })
+        cancel(new Error('The caller went away.'))
+      }
+      exchange.response.once('close', gone)
+    })
+  }
+
+  /** The body for an engine: the caller's own, with where to go on from once something was sent. */
+  #body (offset: number, text: string): Buffer {
+    if (offset === 0) return this.#exchange.body
+    return Buffer.from(JSON.stringify({ ...this.#completion, resume: { offset, text } }))
+  }
+
+  #begin (target: Target, headers: AnswerHeaders, attempt: Attempt): void {
+    const { clock, targets, metric } = this.#context
+    targets.answered(target.worker, clock.now() - attempt.sentAt)
+    this.#choice.served(target)
+    if (this.#begun) return
+    this.#begun = true
+    metric.timing('request.first_byte_ms', clock.now() - this.#exchange.startedAt, { service: this.#exchange.service })
+    const { [wireHeaders.attempt]: _attempt, ...kept } = endToEnd(headers)
+    this.#exchange.response.writeHead(200, kept)
+    this.#exchange.response.flushHeaders()
+  }
+
+  /** Passes whole events on. False while the caller takes no more. */
+  #take (chunk: Buffer): boolean {
+    const events = this.#transcript.take(chunk)
+    return events === undefined || this.#exchange.response.write(events)
+  }
+
+  /** Answers with what the engine said instead of a stream, such as that it does not understand the request. */
+  #pass (status: number, headers: AnswerHeaders, body: Buffer): PartEnd {
+    const { response } = this.#exchange
+    if (this.#begun) return { type: 'failed', failure: failure(new Fault('interrupted')) }
+    const { [wireHeaders.attempt]: _attempt, ...kept } = endToEnd(headers)
+    response.writeHead(status, { ...kept, 'content-length': body.length })
+    response.end(body)
+    return { type: 'done' }
+  }
+
+  /** Ends a whole stream, with the end mark where the replica was lost just before it. */
+  #end (): PartEnd {
+    const { response } = this.#exchange
+    response.end(this.#transcript.done ? undefined : 'data: [DONE]\n\n')
+    return { type: 'done' }
+  }
+
+  /** Tells the caller that the stream is not whole: by an answer, or by an event of type `error` and no end mark. */
+  #giveUp (fault: Fault): void {
+    const { response } = this.#exchange
+    if (!this.#begun) return answerFault(response, fault)
+    if (response.destroyed) return
+    const told = new Fault('interrupted')
+    response.end(`event: error\ndata: ${JSON.stringify({ error: told.body })}\n\n`)
+  }
+}
+
+/** What a part tells its stream. */
+interface PartListener {
+  readonly begin: (headers: AnswerHeaders) => void
+  readonly take: (chunk: Buffer) => boolean
+  readonly pass: (status: number, headers: AnswerHeaders, body: Buffer) => PartEnd
+  readonly ended: (end: PartEnd) => void
+}
+
+/** Receives what one replica sends for a stream. */
+class Part extends Receiver {
+  readonly #context: Context
+  readonly #attempt: Attempt
+  readonly #listener: PartListener
+  readonly #response: ServerResponse
+  readonly #other: Buffer[] = []
+  #status = 0
+  #headers: AnswerHeaders = {}
+  #flow: Flow | undefined
+  #foreign = false
+
+  constructor (context: Context, attempt: Attempt, listener: PartListener, response: ServerResponse) {
+    super()
+    this.#context = context
+    this.#attempt = attempt
+    this.#listener = listener
+    this.#response = response
+  }
+
+  head (status: number, headers: AnswerHeaders, flow: Flow): void {
+    this.#status = status
+    this.#headers = headers
+    this.#flow = flow
+    if (status !== 200) return
+    this.#foreign = !ownAnswer(this.#context, this.#attempt, headers[wireHeaders.attempt])
+    if (this.#foreign) flow.abort(new Error('The answer belongs to another attempt.'))
+    else this.#listener.begin(headers)
+  }
+
+  data (chunk: Buffer): void {
+    if (this.#foreign) return
+    if (this.#status !== 200) {
+      this.#other.push(chunk)
+      return
+    }
+    if (this.#listener.take(chunk) || this.#flow === undefined) return
+    const flow = this.#flow
+    flow.pause()
+    this.#response.once('drain', () => flow.resume())
+  }
+
+  end (): void {
+    if (this.#status === 200) return this.#failed('interrupted')
+    const body = Buffer.concat(this.#other)
+    const fault = workerFault(this.#status, this.#headers, body)
+    if (fault !== undefined) this.#listener.ended({ type: 'failed', failure: failure(fault) })
+    else this.#listener.ended(this.#listener.pass(this.#status, this.#headers, body))
+  }
+
+  fail ({ sent }: Break): void {
+    this.#failed(sent ? 'interrupted' : 'upstream-down')
+  }
+
+  #failed (code: 'interrupted' | 'upstream-down'): void {
+    this.#listener.ended({ type: 'failed', failure: failure(new Fault(code)) })
+  }
+}
--- /dev/null
+++ b/packages/entry/src/transcript.ts
@@ -0,0 +1,107 @@
+import { createParser } from 'eventsource-parser'
+import { z } from 'zod'
+
+/** The end of a server-sent event, and of a whole stream. */
+const boundary = Buffer.from('\n\n')
+const endMark = Buffer.from('data: [DONE]')
+
+/** Bytes that are kept as they came before their text is taken out. */
+const foldSize = 16_384
+
+/** What of one event of a completion stream matters here. */
+const Chunk = z.object({
+  choices: z.array(z.object({
+    delta: z.object({ content: z.string().nullish() }).optional(),
+    finish_reason: z.string().nullish()
+  }))
+})
+
+/** Where a stream stands: enough to go on with it elsewhere. */
+export interface Progress {
+  /** Events that the caller has. */
+  readonly offset: number
+  /** Text that the caller has. */
+  readonly text: string
+  /** Whether the caller has the event that says why the answer ended. */
+  readonly finished: boolean
+}
+
+/**
+ * What the caller of one stream has received. Only whole events are handed on, so that a stream that breaks inside
+ * one can be resumed without a part twice. Events are kept as bytes and read only when there are many or when the
+ * stream has to be resumed; the usual chunk costs two searches.
+ */
+export class Transcript {
+  #rest: Buffer | undefined
+  #kept: Buffer[] = []
+  #size = 0
+  #progress: Progress
+  #done = false
+
+  /** @param start what the caller had before this request */
+  constructor (start: Progress = { offset: 0, text: '', finished: false }) {
+    this.#progress = start
+  }
+
+  /** Whether the end mark was handed on: only then is the stream whole. */
+  get done (): boolean {
+    return this.#done
+  }
+
+  /** Takes a chunk and gives the whole events in it, or undefined where there is none. */
+  take (chunk: Buffer): Buffer | undefined {
+    const bytes = this.#rest === undefined ? chunk : Buffer.concat([this.#rest, chunk])
+    const last = bytes.lastIndexOf(boundary)
+    if (last < 0) {
+      this.#rest = bytes
+      return undefined
+    }
+    const end = last + boundary.length
+    this.#rest = end === bytes.length ? undefined : bytes.subarray(end)
+    const events = end === bytes.length ? bytes : bytes.subarray(0, end)
+    this.#keep(events)
+    return events
+  }
+
+  /** Forgets a part of an event that will not be completed, and says where the stream stands. */
+  resume (): Progress {
+    this.#rest = undefined
+    this.#fold()
+    return this.#progress
+  }
+
+  #keep (events: Buffer): void {
+    if (events.includes(endMark)) this.#done = true
+    this.#kept.push(events)
+    this.#size += events.length
+    if (this.#size >= foldSize) this.#fold()
+  }
+
+  #fold (): void {
+    let { offset, text, finished } = this.#progress
+    const parser = createParser({
+      onEvent: ({ id, data }) => {
+        if (id === undefined) return
+        const chunk = Chunk.safeParse(parsed(data))
+        if (Number(id) > offset) offset = Number(id)
+        if (!chunk.success) return
+        for (const { delta, finish_reason: reason } of chunk.data.choices) {
+          text += delta?.content ?? ''
+          finished ||= typeof reason === 'string'
+        }
+      }
+    })
+    parser.feed(Buffer.concat(this.#kept).toString())
+    this.#kept = []
+    this.#size = 0
+    this.#progress = { offset, text, finished }
+  }
+}
+
+function parsed (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/entry/src/voting.ts
@@ -0,0 +1,96 @@
+import { Controller } from '@eiderwind/board'
+import { type Clock } from '@eiderwind/clock'
+import { type Current } from '@eiderwind/config'
+import { Homes, type EntryAddress } from '@eiderwind/schema'
+import { type Store } from '@eiderwind/store'
+import { actor, type Reports } from '@eiderwind/spread'
+import { takeHomes, type EntryBoard } from './facts.js'
+
+/** Time for which a majority must go by a list before the next one is made, in ms: longer than any lease. */
+const settleTime = 10_000
+
+/** Silence after which a voter is replaced, in ms. Voters that restart come back sooner. */
+const replaceAfter = 60_000
+
+/** What the voting stands on. */
+export interface VotingOptions {
+  readonly board: EntryBoard
+  readonly clock: Clock
+  readonly current: Current
+  readonly reports: Reports
+  readonly store: Store
+  readonly self: EntryAddress
+}
+
+/**
+ * Keeps the list of workers that vote on the homes of a plain service's keys. A list differs from the one before by
+ * one voter, and the next is made only after a majority of the present one has gone by it for longer than any lease:
+ * then no majority of an older list can still hold anything.
+ */
+export class Voting extends Controller {
+  readonly name = 'voting'
+  readonly interval = 1000
+  readonly #options: VotingOptions
+  readonly #settledAt = new Map<string, number>()
+
+  constructor (options: VotingOptions) {
+    super()
+    this.#options = options
+  }
+
+  async update (): Promise<void> {
+    const { board, current, self } = this.#options
+    for (const service of current.configuration.services) {
+      if (service.kind !== 'plain') continue
+      if (actor(`homes/${service.name}`, board.read('live'))?.id !== self.id) continue
+      await this.#keep(service.name)
+    }
+  }
+
+  async #keep (service: string): Promise<void> {
+    const { board, store } = this.#options
+    const known = board.read('homes').get(service)
+    const next = known === undefined ? this.#first(service) : this.#next(known)
+    if (next === undefined) return
+    const written = await store.write(`homes/${service}`, next, next.revision - 1)
+    if (written.isOk()) return takeHomes(board, next)
+    const found = await store.read(`homes/${service}`)
+    if (found.isOk() && found.value.version > 0) takeHomes(board, Homes.parse(found.value.value))
+  }
+
+  #first (service: string): Homes | undefined {
+    const voters = this.#listed(service)
+    return voters.length === 0 ? undefined : { service, revision: 1, voters }
+  }
+
+  /** The list that follows, where one voter has to come or go and the present list has settled. */
+  #next (known: Homes): Homes | undefined {
+    const { service, revision, voters } = known
+    const listed = this.#listed(service)
+    const added = listed.find(id => !voters.includes(id) && this.#silence(id) < replaceAfter)
+    const gone = voters.find(id => !listed.includes(id) || this.#silence(id) > replaceAfter)
+    if (added === undefined && (gone === undefined || voters.length === 1)) return undefined
+    if (!this.#settled(known)) return undefined
+    if (added !== undefined) return { service, revision: revision + 1, voters: [...voters, added] }
+    return { service, revision: revision + 1, voters: voters.filter(id => id !== gone) }
+  }
+
+  #settled ({ service, revision, voters }: Homes): boolean {
+    const { reports, clock } = this.#options
+    const mark = `${service}@${revision}`
+    const adopted = voters.filter(id => reports.of(id)?.report.votersRevision === revision)
+    if (adopted.length <= voters.length / 2) this.#settledAt.delete(mark)
+    else if (!this.#settledAt.has(mark)) this.#settledAt.set(mark, clock.now())
+    const since = this.#settledAt.get(mark)
+    return since !== undefined && clock.now() - since >= settleTime
+  }
+
+  #listed (service: string): string[] {
+    const nodes = this.#options.board.read('nodes')?.nodes ?? []
+    return nodes.filter(each => each.service === service && each.state === 'live').map(each => each.id).sort()
+  }
+
+  #silence (id: string): number {
+    return this.#options.reports.age(id) ?? Infinity
+  }
+}
--- /dev/null
+++ b/packages/entry/src/watcher.ts
@@ -0,0 +1,41 @@
+import { Controller } from '@eiderwind/board'
+import { configurationKey, type Current } from '@eiderwind/config'
+import { Configuration, type EntryAddress } from '@eiderwind/schema'
+import { type Store } from '@eiderwind/store'
+import { watchers } from '@eiderwind/spread'
+import { type EntryBoard } from './facts.js'
+
+/** How long one watch waits at the platform, in ms. */
+const watchTime = 10_000
+
+/** Keeps a watch on the configuration at the platform, where this entry is one of the few of its data centre that do. */
+export class Watcher extends Controller {
+  readonly name = 'watcher'
+  readonly interval = 500
+  readonly #board: EntryBoard
+  readonly #current: Current
+  readonly #store: Store
+  readonly #self: EntryAddress
+
+  constructor (board: EntryBoard, current: Current, store: Store, self: EntryAddress) {
+    super()
+    this.#board = board
+    this.#current = current
+    this.#store = store
+    this.#self = self
+  }
+
+  async update (): Promise<void> {
+    if (!this.#chosen()) return
+    const before = this.#current.revision
+    const found = await this.#store.watch(configurationKey, before, watchTime)
+    this.#board.write('platform', found.isOk())
+    if (found.isErr() || found.value.version === 0) return
+    this.#current.accept(Configuration.parse(found.value.value))
+  }
+
+  #chosen (): boolean {
+    const own = this.#board.read('live').filter(each => each.dataCentre === this.#self.dataCentre)
+    return watchers('configuration', own).some(each => each.id === this.#self.id)
+  }
+}
--- /dev/null
+++ b/packages/fault/src/kinds.ts
@@ -0,0 +1,48 @@
+/** Whether the request that a fault answers has run: certainly, certainly not, or nobody can tell. */
+export type Outcome = 'ran' | 'not-run' | 'unknown'
+
+/** What is fixed for every fault of one kind. */
+export interface Kind {
+  /** HTTP status (RFC 9110). */
+  readonly status: number
+  readonly outcome: Outcome
+  /** What the caller can do about it, in one sentence. */
+  readonly remedy: string
+  /** Seconds after which coming back helps, where it does. */
+  readonly retryAfter?: number
+}
+
+/** Every kind of fault that the system answers with. The key is the code on the wire. */
+export const kinds = {
+  'bad-key': { status: 401, outcome: 'not-run', remedy: 'Send "Authorization: Bearer <key>" with a key of a team in the configuration.' },
+  'bad-operator': { status: 401, outcome: 'not-run', remedy: 'Give the token of an operator in the configuration or in the entry\'s settings.' },
+  'bad-request': { status: 400, outcome: 'not-run', remedy: 'Correct the request as the message says and send it again.' },
+  'unknown-path': { status: 404, outcome: 'not-run', remedy: 'Use /v1/chat/completions, /v1/models or /services/<name>/...' },
+  'unknown-service': { status: 404, outcome: 'not-run', remedy: 'Ask GET /v1/models for the names that are served.' },
+  'too-large': { status: 413, outcome: 'not-run', remedy: 'Send a smaller body.' },
+  'no-replica': { status: 503, outcome: 'not-run', remedy: 'Come back after the time given; no replica is serving now.', retryAfter: 2 },
+  busy: { status: 429, outcome: 'not-run', remedy: 'Come back after the time given; the queue for your team is full.', retryAfter: 1 },
+  deadline: { status: 504, outcome: 'not-run', remedy: 'Give a later deadline or come back when there is less load.', retryAfter: 1 },
+  'deadline-running': { status: 504, outcome: 'unknown', remedy: 'Ask again with the same Idempotency-Key to learn the answer.', retryAfter: 1 },
+  leaving: { status: 503, outcome: 'not-run', remedy: 'Send the request again; another process will take it.', retryAfter: 1 },
+  'not-serving': { status: 503, outcome: 'not-run', remedy: 'Send the request again; this replica holds no grant now.', retryAfter: 1 },
+  'not-home': { status: 503, outcome: 'not-run', remedy: 'Send the request again; another worker is the home of this key.', retryAfter: 1 },
+  tombstoned: { status: 409, outcome: 'not-run', remedy: 'Use a new attempt; this one was given up before it started.' },
+  'still-running': { status: 409, outcome: 'unknown', remedy: 'Ask again with the same Idempotency-Key after the time given.', retryAfter: 1 },
+  'key-before-home': { status: 409, outcome: 'unknown', remedy: 'Look up by other means whether the request ran; for a new request mint a new key.' },
+  'key-in-future': { status: 400, outcome: 'not-run', remedy: 'Set the clock that minted the key (UUID version 7) right and mint a new one.' },
+  'key-invalid': { status: 400, outcome: 'not-run', remedy: 'Send an Idempotency-Key that is a UUID of version 7 (RFC 9562).' },
+  'key-reused': { status: 422, outcome: 'not-run', remedy: 'Mint a new key for a different request.' },
+  'answer-too-large': { status: 409, outcome: 'ran', remedy: 'The request ran, but its answer was too large to keep; look it up by other means.' },
+  lost: { status: 502, outcome: 'unknown', remedy: 'Look up whether the request ran before you send it again.' },
+  interrupted: { status: 502, outcome: 'unknown', remedy: 'Send the request again with Last-Event-ID and the text so far, to go on from there.', retryAfter: 1 },
+  'upstream-down': { status: 503, outcome: 'not-run', remedy: 'Come back after the time given; the upstream takes no connections.', retryAfter: 2 },
+  'stale-revision': { status: 409, outcome: 'not-run', remedy: 'Read the configuration again and repeat the change on its present revision.' },
+  'bad-change': { status: 400, outcome: 'not-run', remedy: 'Correct the change as the message says.' },
+  'store-down': { status: 503, outcome: 'not-run', remedy: 'Come back when the platform\'s object API answers again.', retryAfter: 5 },
+  'store-unknown': { status: 503, outcome: 'unknown', remedy: 'Repeat the change with the same operation id to learn whether it took effect.', retryAfter: 5 },
+  'bad-settings': { status: 400, outcome: 'not-run', remedy: 'Correct the settings as listed.' }
+} as const satisfies Record<string, Kind>
+
+/** The code of a kind of fault, as it stands on the wire. */
+export type Code = keyof typeof kinds
--- /dev/null
+++ b/packages/lease/src/granter.ts
@@ -0,0 +1,111 @@
+/** What a holder asks a granter for. */
+export interface Claim {
+  /** What is to be held, such as a node or a slot of keys. */
+  readonly resource: string
+  /** Who is to hold it. */
+  readonly holder: string
+  /**
+   * One stretch of holding. A holder that has released a term, or restarted, must use a new one: a delayed
+   * duplicate of an old release would otherwise end a grant that the holder still counts on.
+   */
+  readonly term: string
+  /** How long the grant lasts, in ms. */
+  readonly period: number
+}
+
+/** A granter's answer to a claim. */
+export type Answer =
+  | { readonly granted: true }
+  | { readonly granted: false, readonly reason: Refusal, readonly wait: number }
+
+/** Why a claim was refused: `starting` while the granter may have forgotten a grant, `held` while another holds it, `period` where it is too long. */
+export type Refusal = 'starting' | 'held' | 'period'
+
+/** A grant as the granter remembers it. */
+interface Grant {
+  readonly holder: string
+  readonly term: string
+  readonly until: number
+}
+
+/** What a request did: the granter after it, and the answer to send. */
+export interface Decision {
+  readonly granter: Granter
+  readonly answer: Answer
+}
+
+/** Options of a granter. */
+export interface GranterOptions {
+  /** The longest period that may be asked for, in ms. The same for all processes. */
+  readonly longest: number
+  /** The largest share by which two clocks may run apart. Default: 0.01. */
+  readonly drift?: number
+}
+
+/**
+ * The side that gives. An immutable value: each request makes a new granter. It gives each resource to one holder
+ * and term at a time, until the grant runs out on its own steady clock, which it reads when the request arrives and
+ * with a margin for drift. A granter that has just started has forgotten what it gave, so it first waits out the
+ * longest grant there can be.
+ */
+export class Granter {
+  readonly #longest: number
+  readonly #stretch: number
+  readonly #openAt: number
+  readonly #grants: ReadonlyMap<string, Grant>
+
+  private constructor (longest: number, stretch: number, openAt: number, grants: ReadonlyMap<string, Grant>) {
+    this.#longest = longest
+    this.#stretch = stretch
+    this.#openAt = openAt
+    this.#grants = grants
+  }
+
+  /** A granter that starts at `now` with no memory. */
+  static started (now: number, options: GranterOptions): Granter {
+    const stretch = 1 + (options.drift ?? 0.01)
+    return new Granter(options.longest, stretch, now + options.longest * stretch, new Map())
+  }
+
+  /** When it gives its first grant. */
+  get openAt (): number {
+    return this.#openAt
+  }
+
+  /** Decides on a claim that arrived at `now`. */
+  request (claim: Claim, now: number): Decision {
+    if (claim.period > this.#longest) return this.#refuse('period', 0)
+    if (now < this.#openAt) return this.#refuse('starting', this.#openAt - now)
+    const grant = this.#grants.get(claim.resource)
+    const free = grant === undefined || grant.until <= now
+    const same = grant !== undefined && grant.holder === claim.holder && grant.term === claim.term
+    if (!free && !same) return this.#refuse('held', grant.until - now)
+    const until = now + claim.period * this.#stretch
+    const later = same ? Math.max(until, grant.until) : until
+    return { granter: this.#with(claim.resource, { holder: claim.holder, term: claim.term, until: later }), answer: { granted: true } }
+  }
+
+  /** Ends a grant early. A release of another holder or term changes nothing. */
+  release (claim: Pick<Claim, 'resource' | 'holder' | 'term'>): Granter {
+    const grant = this.#grants.get(claim.resource)
+    if (grant === undefined || grant.holder !== claim.holder || grant.term !== claim.term) return this
+    return this.#with(claim.resource, undefined)
+  }
+
+  /** Who holds `resource` at `now`. */
+  holder (resource: string, now: number): string | undefined {
+    const grant = this.#grants.get(resource)
+    return grant !== undefined && grant.until > now ? grant.holder : undefined
+  }
+
+  #refuse (reason: Refusal, wait: number): Decision {
+    return { granter: this, answer: { granted: false, reason, wait } }
+  }
+
+  #with (resource: string, grant: Grant | undefined): Granter {
+    const grants = new Map(this.#grants)
+    if (grant === undefined) grants.delete(resource)
+    else grants.set(resource, grant)
+    return new Granter(this.#longest, this.#stretch, this.#openAt, grants)
+  }
+}
--- /dev/null
+++ b/packages/lease/src/lease.ts
@@ -0,0 +1,121 @@
+import { type Clock, type Subscription } from '@eiderwind/clock'
+import { type Answer, type Claim } from './granter.js'
+import { Holding, type Quorum } from './holding.js'
+
+/** How a lease reaches its granters. A message may be lost, late or doubled; a call may reject. */
+export abstract class Channel {
+  abstract request (granter: string, claim: Claim): Promise<Answer>
+  abstract release (granter: string, claim: Claim): Promise<void>
+}
+
+/** What a lease tells about itself. */
+export interface LeaseListener {
+  /** The quorum came to stand. */
+  held? (): void
+  /** The quorum ended, by time or by release. */
+  lapsed? (missing: readonly string[]): void
+  refused? (granter: string, answer: Answer): void
+}
+
+/** Options of a lease. */
+export interface LeaseOptions {
+  readonly clock: Clock
+  readonly channel: Channel
+  readonly claim: Claim
+  readonly granters: readonly string[]
+  readonly quorum: Quorum
+  /** Time between two requests to a granter, in ms; several fit into a period. */
+  readonly interval: number
+  readonly listener?: LeaseListener
+}
+
+/** Keeps one claim renewed at its granters, and says at any moment whether it is held. It can be used for one term only. */
+export class Lease {
+  readonly #options: LeaseOptions
+  #holding: Holding
+  #timer: Subscription | undefined
+  #expiry: Subscription | undefined
+  #released = false
+  #held = false
+
+  constructor (options: LeaseOptions) {
+    this.#options = options
+    this.#holding = Holding.empty(options.claim, options.granters, options.quorum)
+  }
+
+  /** Asks every granter now and then at each interval. */
+  start (): void {
+    this.#timer = this.#options.clock.every(this.#options.interval, () => this.#renew())
+    this.#renew()
+  }
+
+  /** Whether the quorum stands at this very moment. Cheap enough to ask before each chunk that is forwarded. */
+  get valid (): boolean {
+    return !this.#released && this.#holding.valid(this.#options.clock.holderNow())
+  }
+
+  /** When the quorum ends unless renewed, on `Clock.holderNow`. */
+  get until (): number {
+    return this.#released ? -Infinity : this.#holding.until
+  }
+
+  /** The granters whose grant is missing now. */
+  get missing (): string[] {
+    return this.#holding.missing(this.#options.clock.holderNow())
+  }
+
+  /**
+   * Goes on with other granters. Safe only where every quorum of the old list meets every quorum of the new one: for
+   * a majority, a list that differs by one.
+   */
+  move (granters: readonly string[]): void {
+    this.#holding = this.#holding.moved(granters, this.#options.quorum)
+    this.#renew()
+  }
+
+  /** Gives the claim up for good and tells the granters, so that they need not wait it out. */
+  async release (): Promise<void> {
+    if (this.#released) return
+    this.stop()
+    const { channel, claim } = this.#options
+    await Promise.allSettled(this.#holding.granters.map(granter => channel.release(granter, claim)))
+  }
+
+  /** Gives the claim up for good without telling anybody. */
+  stop (): void {
+    this.#released = true
+    this.#timer?.cancel()
+    this.#expiry?.cancel()
+    this.#note()
+  }
+
+  #renew (): void {
+    this.#note()
+    for (const granter of this.#holding.granters) this.#ask(granter)
+  }
+
+  async #ask (granter: string): Promise<void> {
+    const { channel, claim, clock, listener } = this.#options
+    const sent = clock.holderNow()
+    const answer = await channel.request(granter, claim).catch(() => undefined)
+    if (this.#released || answer === undefined) return
+    if (!answer.granted) {
+      listener?.refused?.(granter, answer)
+      return
+    }
+    this.#holding = this.#holding.granted(granter, sent)
+    this.#note()
+  }
+
+  #note (): void {
+    const { clock, listener } = this.#options
+    const valid = this.valid
+    if (valid !== this.#held) {
+      this.#held = valid
+      if (valid) listener?.held?.()
+      else listener?.lapsed?.(this.missing)
+    }
+    this.#expiry?.cancel()
+    if (valid) this.#expiry = clock.after(this.until - clock.holderNow(), () => this.#note())
+  }
+}
--- /dev/null
+++ b/packages/log/src/events.ts
@@ -0,0 +1,42 @@
+/** How loud an event is, in loglevel's words. */
+export type Level = 'debug' | 'info' | 'warn' | 'error'
+
+/** A numbered event of the catalogue. */
+export interface Event {
+  readonly number: number
+  readonly level: Level
+  /** What happened, for the catalogue in docs/operators/events.md. */
+  readonly text: string
+}
+
+/** The catalogue of events. Numbers are never used again for another meaning. */
+export const events = {
+  started: { number: 100, level: 'info', text: 'The process listens.' },
+  stopping: { number: 101, level: 'info', text: 'The process was told to stop; it finishes what is in flight.' },
+  stopped: { number: 102, level: 'info', text: 'The process has finished everything and ends.' },
+  'settings-refused': { number: 103, level: 'error', text: 'The settings have problems; each is listed.' },
+  crashed: { number: 104, level: 'error', text: 'An error reached the top of the process; it ends.' },
+  'store-lost': { number: 200, level: 'warn', text: 'The platform\'s object API does not answer; the process goes on with what it knows.' },
+  'store-back': { number: 201, level: 'info', text: 'The platform\'s object API answers again.' },
+  'configuration-new': { number: 202, level: 'info', text: 'A new revision of the configuration is in force here.' },
+  'configuration-changed': { number: 203, level: 'info', text: 'An operator\'s change was accepted (audit record).' },
+  'placement-changed': { number: 204, level: 'info', text: 'This entry changed the placement of a fabric domain.' },
+  'placement-lost-race': { number: 205, level: 'debug', text: 'Another entry changed the placement first; the plan is made again.' },
+  'peer-lost': { number: 206, level: 'warn', text: 'Another entry was not heard of for too long.' },
+  'replica-serving': { number: 300, level: 'info', text: 'The head holds a grant of every member and serves.' },
+  'replica-lapsed': { number: 301, level: 'warn', text: 'The head lost a member\'s grant and stopped serving.' },
+  'grant-refused': { number: 302, level: 'debug', text: 'A member refused a grant.' },
+  'home-held': { number: 303, level: 'info', text: 'The worker is the home of a slot of keys now.' },
+  'home-lost': { number: 304, level: 'warn', text: 'The worker lost the majority for a slot of keys.' },
+  'engine-down': { number: 305, level: 'warn', text: 'The upstream beside this worker does not answer.' },
+  'engine-back': { number: 306, level: 'info', text: 'The upstream beside this worker answers again.' },
+  'engine-ordered': { number: 307, level: 'info', text: 'The worker gave its engine an order.' },
+  'order-failed': { number: 308, level: 'warn', text: 'An order to the engine failed; it is given again.' },
+  'attempt-failed': { number: 400, level: 'info', text: 'An attempt at an upstream failed; the outcome says whether it ran.' },
+  'stream-resumed': { number: 401, level: 'info', text: 'A stream was resumed on another replica.' },
+  'answer-foreign': { number: 402, level: 'warn', text: 'An answer for another attempt was dropped.' },
+  'caller-gone': { number: 403, level: 'debug', text: 'The caller went away; the work was cancelled.' }
+} as const satisfies Record<string, Event>
+
+/** The name of an event of the catalogue. */
+export type EventName = keyof typeof events
--- /dev/null
+++ b/packages/plan/src/draft.ts
@@ -0,0 +1,80 @@
+import { type ModelService, type Placement, type Replica } from '@eiderwind/schema'
+import { emptyPlacement, type Action, type Facts, type NodeFact, type Order, type Plan } from './facts.js'
+
+/** A placement under change: what a planner works on. It keeps nodes from being used twice. */
+export class Draft {
+  readonly domain: string
+  readonly #before: Placement
+  readonly #facts: ReadonlyMap<string, NodeFact>
+  readonly #orders: Order[] = []
+  #replicas: readonly Replica[]
+  #generation: number
+
+  constructor (domain: string, facts: Facts) {
+    this.domain = domain
+    this.#before = facts.placements.find(each => each.domain === domain) ?? emptyPlacement(domain)
+    this.#facts = new Map(facts.nodes.filter(({ node }) => node.domain === domain).map(fact => [fact.node.id, fact]))
+    this.#replicas = this.#before.replicas
+    this.#generation = this.#before.generation
+  }
+
+  get replicas (): readonly Replica[] {
+    return this.#replicas
+  }
+
+  /** What is believed of a node of this domain. */
+  fact (id: string): NodeFact | undefined {
+    return this.#facts.get(id)
+  }
+
+  /** Live nodes with an engine that belong to no replica, in the order of their names. */
+  get free (): NodeFact[] {
+    const used = new Set(this.#replicas.flatMap(replica => replica.members))
+    const free = [...this.#facts.values()].filter(({ node, health }) => health === 'live' && node.service === undefined && !used.has(node.id))
+    return free.sort((a, b) => a.node.id < b.node.id ? -1 : 1)
+  }
+
+  /** Members that are lost or that the platform no longer lists. */
+  lost (replica: Replica): string[] {
+    return replica.members.filter(id => (this.fact(id)?.health ?? 'lost') === 'lost')
+  }
+
+  /** Members that were told to leave. */
+  leaving (replica: Replica): string[] {
+    return replica.members.filter(id => this.fact(id)?.health === 'leaving')
+  }
+
+  /** Adds a replica. */
+  form (service: ModelService, members: readonly string[]): void {
+    const generation = ++this.#generation
+    const id = `${service.name}.${this.domain}.${generation}`
+    const { name, version, adapters } = service
+    const replica: Replica = { id, service: name, generation, members: [...members], version, adapters, state: 'serving' }
+    this.#replicas = [...this.#replicas, replica]
+    this.#note('form', replica)
+  }
+
+  /** Gives a replica other members or another version, under a new generation. */
+  change (action: Action, replica: Replica, difference: Partial<Pick<Replica, 'members' | 'version' | 'adapters'>>): void {
+    const changed = { ...replica, ...difference, generation: ++this.#generation }
+    this.#replicas = this.#replicas.map(each => each.id === replica.id ? changed : each)
+    this.#note(action, changed)
+  }
+
+  /** Takes a replica out. Its head finishes what it has before it releases the members. */
+  remove (action: Action, replica: Replica): void {
+    this.#replicas = this.#replicas.filter(each => each.id !== replica.id)
+    this.#note(action, replica)
+  }
+
+  /** The finished plan. */
+  finish (): Plan {
+    if (this.#orders.length === 0) return { placement: this.#before, orders: [] }
+    const placement = { domain: this.domain, revision: this.#before.revision + 1, generation: this.#generation, replicas: [...this.#replicas] }
+    return { placement, orders: this.#orders }
+  }
+
+  #note (action: Action, replica: Replica): void {
+    this.#orders.push({ action, replica: replica.id, members: replica.members })
+  }
+}
--- /dev/null
+++ b/packages/route/src/affinity.ts
@@ -0,0 +1,65 @@
+import { digest } from '@eiderwind/hash'
+
+/** Characters in one block of a prompt's prefix. */
+const blockSize = 256
+
+/** Blocks of a prompt that are looked at. */
+const mostBlocks = 32
+
+/** Replicas remembered for one block. */
+const replicasPerBlock = 3
+
+/** The digests of a prompt's prefixes, one for each whole block, shortest first. */
+export function prefixes (prompt: string): number[] {
+  const found: number[] = []
+  let chain = 0
+  for (let end = blockSize; end <= prompt.length && found.length < mostBlocks; end += blockSize) {
+    chain = digest(`${chain}\u0000${prompt.slice(end - blockSize, end)}`)
+    found.push(chain)
+  }
+  return found
+}
+
+/** Which replicas served which sessions and prefixes last. Bounded; the longest unused is forgotten first. */
+export class Affinity {
+  readonly #limit: number
+  readonly #sessions = new Map<string, string>()
+  readonly #blocks = new Map<number, string[]>()
+
+  /** @param limit sessions, and blocks, that are remembered. Default: 20,000 */
+  constructor (limit = 20_000) {
+    this.#limit = limit
+  }
+
+  /** The replica that served the session last. */
+  session (session: string | undefined): string | undefined {
+    return session === undefined ? undefined : this.#sessions.get(session)
+  }
+
+  /** The replicas that served the longest known prefix, latest first. */
+  prefix (blocks: readonly number[]): readonly string[] {
+    for (let index = blocks.length - 1; index >= 0; index--) {
+      const replicas = this.#blocks.get(blocks[index])
+      if (replicas !== undefined) return replicas
+    }
+    return []
+  }
+
+  /** Notes that `replica` serves a session and a prompt. */
+  served (replica: string, session: string | undefined, blocks: readonly number[]): void {
+    if (session !== undefined) refresh(this.#sessions, session, replica, this.#limit)
+    for (const block of blocks) {
+      const others = (this.#blocks.get(block) ?? []).filter(each => each !== replica)
+      refresh(this.#blocks, block, [replica, ...others].slice(0, replicasPerBlock), this.#limit)
+    }
+  }
+}
+
+/** Sets a value as the newest of a bounded map. */
+function refresh<Index, Value> (map: Map<Index, Value>, index: Index, value: Value, limit: number): void {
+  map.delete(index)
+  map.set(index, value)
+  if (map.size <= limit) return
+  const [oldest] = map.keys()
+  map.delete(oldest)
+}
--- /dev/null
+++ b/packages/run/src/book.ts
@@ -0,0 +1,140 @@
+import { Fault } from '@eiderwind/fault'
+import { type Key } from './key.js'
+
+/** An answer as it was given to the first caller. */
+export interface StoredAnswer {
+  readonly status: number
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: Buffer
+}
+
+/** What is known of one key. */
+export type Run =
+  | { readonly state: 'running', readonly request: number }
+  | { readonly state: 'answered', readonly request: number, readonly answer: StoredAnswer }
+  | { readonly state: 'ran', readonly request: number }
+  | { readonly state: 'unknown', readonly request: number }
+
+/** What the home does with a request that carries a key. */
+export type Verdict =
+  | { readonly type: 'run' }
+  | { readonly type: 'replay', readonly answer: StoredAnswer }
+  | { readonly type: 'refuse', readonly fault: Fault }
+
+/** The bounds of a book. All spans are in ms. */
+export interface BookOptions {
+  /** How far two wall clocks may differ, callers' and workers'. Default: 2000. */
+  readonly skew?: number
+  /** How long a key is remembered after its minting. Default: 600,000. */
+  readonly keep?: number
+  /** Most keys that are remembered at once. Default: 50,000. */
+  readonly limit?: number
+  /** Most bytes of answers that are kept. Default: 16 MiB. */
+  readonly bytes?: number
+}
+
+interface Entry {
+  readonly key: Key
+  run: Run
+}
+
+/**
+ * What one home knows of the keys of one slot, for as long as it is the home without a break.
+ *
+ * A key may run only if this book would know of an earlier run. So it refuses every key minted before `openedAt`
+ * plus twice the skew: an earlier home admits keys stamped up to one skew ahead of its own clock, and its clock may
+ * be another skew ahead of this one. It forgets a key only when the key is older than `keep`, and refuses older keys.
+ */
+export class Book {
+  readonly #skew: number
+  readonly #keep: number
+  readonly #limit: number
+  readonly #bytes: number
+  readonly #entries = new Map<string, Entry>()
+  #held = 0
+  #floor: number
+
+  /** @param openedAt wall time at which the slot was taken over */
+  constructor (openedAt: number, options: BookOptions = {}) {
+    this.#skew = options.skew ?? 2000
+    this.#keep = options.keep ?? 600_000
+    this.#limit = options.limit ?? 50_000
+    this.#bytes = options.bytes ?? 16 * 2 ** 20
+    this.#floor = openedAt + 2 * this.#skew
+  }
+
+  /** Keys remembered now. */
+  get size (): number {
+    return this.#entries.size
+  }
+
+  /** The time of minting up to which this book cannot judge, at wall time `wall`. It only rises, also when the wall clock steps back. */
+  floor (wall: number): number {
+    this.#floor = Math.max(this.#floor, wall - this.#keep)
+    return this.#floor
+  }
+
+  /**
+   * Decides on a request and, where it may run, notes it as running.
+   *
+   * @param request a digest of the request, so that a key used for two requests is found out
+   * @param fresh whether the entry has just minted the key itself, so that it cannot have run before
+   */
+  begin (key: Key, request: number, wall: number, fresh: boolean): Verdict {
+    const known = this.#entries.get(key.text)
+    if (known !== undefined) return known.run.request === request ? judge(known.run) : refuse('key-reused')
+    if (key.minted > wall + this.#skew) return refuse('key-in-future')
+    if (!fresh && key.minted <= this.floor(wall)) return refuse('key-before-home')
+    this.#forget(wall)
+    if (this.#entries.size >= this.#limit) return refuse('busy')
+    this.#entries.set(key.text, { key, run: { state: 'running', request } })
+    return { type: 'run' }
+  }
+
+  /** Notes that the request of `key` was never handed to the service, so that it may still run. */
+  abandon (key: Key): void {
+    this.#entries.delete(key.text)
+  }
+
+  /** Notes the answer of the service. */
+  finish (key: Key, answer: StoredAnswer): void {
+    const entry = this.#entries.get(key.text)
+    if (entry === undefined) return
+    const { request } = entry.run
+    if (this.#held + answer.body.length > this.#bytes) {
+      entry.run = { state: 'ran', request }
+      return
+    }
+    this.#held += answer.body.length
+    entry.run = { state: 'answered', request, answer }
+  }
+
+  /** Notes that the connection to the service broke after the request was handed over. */
+  lose (key: Key): void {
+    const entry = this.#entries.get(key.text)
+    if (entry !== undefined) entry.run = { state: 'unknown', request: entry.run.request }
+  }
+
+  #forget (wall: number): void {
+    const floor = this.floor(wall)
+    for (const [text, { key, run }] of this.#entries) {
+      if (key.minted > floor) break
+      if (run.state === 'running') continue
+      if (run.state === 'answered') this.#held -= run.answer.body.length
+      this.#entries.delete(text)
+    }
+  }
+}
+
+function judge (run: Run): Verdict {
+  switch (run.state) {
+    case 'running': return refuse('still-running')
+    case 'answered': return { type: 'replay', answer: run.answer }
+    case 'ran': return refuse('answer-too-large')
+    case 'unknown': return refuse('lost')
+  }
+}
+
+function refuse (code: 'key-reused' | 'key-in-future' | 'key-before-home' | 'busy' | 'still-running' | 'answer-too-large' | 'lost'): Verdict {
+  return { type: 'refuse', fault: new Fault(code) }
+}
--- /dev/null
+++ b/packages/schema/src/placement.ts
@@ -0,0 +1,62 @@
+import { z } from 'zod'
+
+/** A node as the platform lists it. */
+export const Node = z.object({
+  id: z.string(),
+  domain: z.string(),
+  dataCentre: z.string(),
+  region: z.string(),
+  /** `host:port` of the worker beside it. */
+  address: z.string(),
+  accelerators: z.int().min(0),
+  /** The plain service that runs on it, or undefined where it runs an engine. */
+  service: z.string().optional(),
+  state: z.enum(['live', 'leaving'])
+})
+export type Node = z.infer<typeof Node>
+
+/** A replica of a model service. Its first member is its head. */
+export const Replica = z.object({
+  id: z.string(),
+  service: z.string(),
+  /** Rises with every change of the replica; the fencing token of orders to its engines. */
+  generation: z.int(),
+  members: z.array(z.string()).min(1),
+  version: z.string(),
+  adapters: z.array(z.string()),
+  state: z.enum(['serving', 'leaving'])
+})
+export type Replica = z.infer<typeof Replica>
+
+/** The replicas of one fabric domain: the object `placement/<domain>`. */
+export const Placement = z.object({
+  domain: z.string(),
+  /** Rises with every update of the object. */
+  revision: z.int(),
+  /** The last generation given to a replica of this domain. */
+  generation: z.int(),
+  replicas: z.array(Replica)
+})
+export type Placement = z.infer<typeof Placement>
+
+/** The workers that vote on the homes of a plain service's keys: the object `homes/<service>`. */
+export const Homes = z.object({
+  service: z.string(),
+  revision: z.int(),
+  voters: z.array(z.string())
+})
+export type Homes = z.infer<typeof Homes>
+
+/** An entry as it registers itself in the object `entries/<data centre>`. */
+export const EntryAddress = z.object({
+  id: z.string(),
+  dataCentre: z.string(),
+  region: z.string(),
+  /** `host:port` for the system's own processes. */
+  peer: z.string()
+})
+export type EntryAddress = z.infer<typeof EntryAddress>
+
+/** The entries of one data centre. */
+export const EntryList = z.object({ dataCentre: z.string(), entries: z.array(EntryAddress) })
+export type EntryList = z.infer<typeof EntryList>
--- /dev/null
+++ b/packages/settings/src/read.ts
@@ -0,0 +1,70 @@
+import { readFileSync } from 'node:fs'
+import { parse } from 'ini'
+import { Err, Ok, type Result } from 'ts-results-es'
+import { type z } from 'zod'
+import { shapes, type EntrySettings, type Role, type WorkerSettings } from './shapes.js'
+
+/** One thing that is wrong with a settings file. */
+export interface Problem {
+  readonly file: string
+  readonly section: string
+  readonly key: string
+  readonly message: string
+  readonly remedy: string
+}
+
+/** The checked settings of a role. */
+export type Settings = { readonly role: 'entry', readonly entry: EntrySettings } | { readonly role: 'worker', readonly worker: WorkerSettings }
+
+/** Reads and checks a settings file. All problems are reported at once. */
+export function readSettings (file: string, role?: Role): Result<Settings, Problem[]> {
+  let text: string
+  try {
+    text = readFileSync(file, 'utf8')
+  } catch (error) {
+    return Err([problem(file, '', '', `The file cannot be read (${(error as { code: string }).code}).`, 'Give the path of a readable file.')])
+  }
+  return checkSettings(file, text, role)
+}
+
+/** Checks the text of a settings file. Without a role, the sections tell which it is. */
+export function checkSettings (file: string, text: string, role?: Role): Result<Settings, Problem[]> {
+  const found: unknown = JSON.parse(JSON.stringify(parse(text)))
+  const guessed = role ?? ('upstream' in (found as object) || 'node' in (found as object) ? 'worker' : 'entry')
+  if (guessed === 'entry') return check(file, shapes.entry, found).map(entry => ({ role: 'entry', entry }))
+  return check(file, shapes.worker, found).map(worker => ({ role: 'worker', worker }))
+}
+
+/** A problem in one line: file, section, key, what is wrong and what to do. */
+export function problemLine ({ file, section, key, message, remedy }: Problem): string {
+  const place = [section === '' ? '' : `[${section}]`, key].filter(each => each !== '').join(' ')
+  return `${file}: ${place === '' ? '' : `${place}: `}${message} ${remedy}`
+}
+
+function check<Shape extends z.ZodType> (file: string, shape: Shape, found: unknown): Result<z.infer<Shape>, Problem[]> {
+  const checked = shape.safeParse(found)
+  if (checked.success) return Ok(checked.data)
+  return Err(checked.error.issues.flatMap(issue => problems(file, issue, found)))
+}
+
+function problems (file: string, issue: z.core.$ZodIssue, found: unknown): Problem[] {
+  const [section = '', key = ''] = issue.path.map(String)
+  if (issue.code === 'unrecognized_keys') return issue.keys.map(unknown => unrecognized(file, section, unknown))
+  const missing = valueAt(found, issue.path) === undefined
+  if (missing && key === '') return [problem(file, section, '', 'The section is missing.', 'Add it as in the example for this role in docs/operators/settings.md.')]
+  if (missing) return [problem(file, section, key, 'The key is missing.', 'Add it as in the example for this role in docs/operators/settings.md.')]
+  return [problem(file, section, key, `"${String(valueAt(found, issue.path.slice(0, 2)))}" does not fit.`, `Give ${issue.message}.`)]
+}
+
+function unrecognized (file: string, section: string, key: string): Problem {
+  if (section === '') return problem(file, key, '', 'The section is unknown.', 'Remove it or correct its name.')
+  return problem(file, section, key, 'The key is unknown.', 'Remove it or correct its name.')
+}
+
+function valueAt (found: unknown, path: readonly PropertyKey[]): unknown {
+  return path.reduce<unknown>((value, key) => (value as Record<PropertyKey, unknown> | undefined)?.[key], found)
+}
+
+function problem (file: string, section: string, key: string, message: string, remedy: string): Problem {
+  return { file, section, key, message, remedy }
+}
--- /dev/null
+++ b/packages/trial/src/engine.ts
@@ -0,0 +1,123 @@
+import { type IncomingMessage, type ServerResponse } from 'node:http'
+import { digest } from '@eiderwind/hash'
+import { StandIn, answerJson, bodyText } from './http.js'
+
+/** How an engine stand-in behaves. Spans are in ms. */
+export interface EngineOptions {
+  /** Time between two tokens. Default: 20. */
+  readonly tokenTime?: number
+  /** Time before the first token. Default: 5. */
+  readonly firstTime?: number
+  /** Time to load a version. Default: 50. */
+  readonly loadTime?: number
+  /** Whether it refuses an order with a lower token than it has seen. Default: true. */
+  readonly checks?: boolean
+  /** Tokens of an answer that asks for no other number. Default: 24. */
+  readonly tokens?: number
+}
+
+/** What has happened at an engine. */
+export interface EngineRecord {
+  started: number
+  finished: number
+  cancelled: number
+  orders: { version: string, generation: number, accepted: boolean }[]
+}
+
+interface Completion {
+  readonly model: string
+  readonly messages: readonly { readonly content: string }[]
+  readonly stream?: boolean
+  readonly max_tokens?: number
+  readonly resume?: { readonly offset: number, readonly text: string }
+}
+
+interface Order {
+  readonly version: string
+  readonly adapters: string[]
+  readonly generation: number
+}
+
+/**
+ * A stand-in of a model engine. Its answer to a prompt is always the same words, so that a test can tell whether an
+ * answer that was resumed elsewhere is whole. It cancels when its caller goes away, goes on with an answer from a
+ * given text, and takes fenced orders at `/orders/load`. `GET /record` tells what has happened.
+ */
+export class EngineStandIn extends StandIn {
+  readonly record: EngineRecord = { started: 0, finished: 0, cancelled: 0, orders: [] }
+  readonly #options: Required<EngineOptions>
+  #loaded: Order = { version: '', adapters: [], generation: 0 }
+  #highest = 0
+
+  constructor (options: EngineOptions = {}) {
+    super()
+    this.#options = { tokenTime: 20, firstTime: 5, loadTime: 50, checks: true, tokens: 24, ...options }
+  }
+
+  protected async serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.url === '/health') return answerJson(response, 200, this.#loaded)
+    if (request.url === '/record') return answerJson(response, 200, this.record)
+    const body = JSON.parse(await bodyText(request)) as unknown
+    if (request.url === '/orders/load') return await this.#load(body as Order, response)
+    await this.#complete(body as Completion, response)
+  }
+
+  async #load (order: Order, response: ServerResponse): Promise<void> {
+    const accepted = !this.#options.checks || order.generation >= this.#highest
+    this.record.orders.push({ version: order.version, generation: order.generation, accepted })
+    if (!accepted) return answerJson(response, 409, { error: 'an order with a higher token came before' })
+    this.#highest = Math.max(this.#highest, order.generation)
+    await pause(this.#options.loadTime)
+    if (!this.#options.checks || order.generation >= this.#highest) this.#loaded = order
+    answerJson(response, 200, this.#loaded)
+  }
+
+  async #complete (completion: Completion, response: ServerResponse): Promise<void> {
+    this.record.started++
+    const words = answerWords(completion.messages.map(each => each.content).join('\n'), completion.max_tokens ?? this.#options.tokens)
+    const start = completion.resume?.offset ?? 0
+    if (words.slice(0, start).join('') !== (completion.resume?.text ?? '')) {
+      return answerJson(response, 400, { error: 'the text to go on from is not the start of the answer' })
+    }
+    response.once('close', () => {
+      if (response.writableFinished) this.record.finished++
+      else this.record.cancelled++
+    })
+    await pause(this.#options.firstTime)
+    if (completion.stream === true) await this.#stream(completion.model, words.slice(start), response)
+    else await this.#whole(completion.model, words, response)
+  }
+
+  async #stream (model: string, words: readonly string[], response: ServerResponse): Promise<void> {
+    response.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' })
+    for (const word of words) {
+      if (response.destroyed) return
+      response.write(event(model, { content: word }, null))
+      await pause(this.#options.tokenTime)
+    }
+    response.write(event(model, {}, 'stop'))
+    response.end('data: [DONE]\n\n')
+  }
+
+  async #whole (model: string, words: readonly string[], response: ServerResponse): Promise<void> {
+    for (let index = 0; index < words.length && !response.destroyed; index++) await pause(this.#options.tokenTime)
+    const choice = { index: 0, message: { role: 'assistant', content: words.join('') }, finish_reason: 'stop' }
+    answerJson(response, 200, { id: 'cmpl', object: 'chat.completion', model, choices: [choice], usage: { completion_tokens: words.length } })
+  }
+}
+
+/** The words with which every engine stand-in answers a prompt. */
+export function answerWords (prompt: string, count: number): string[] {
+  const seed = digest(prompt).toString(36)
+  return Array.from({ length: count }, (_each, index) => `${seed}-${index + 1} `)
+}
+
+function event (model: string, delta: object, finish: string | null): string {
+  const choice = { index: 0, delta, finish_reason: finish }
+  return `data: ${JSON.stringify({ id: 'cmpl', object: 'chat.completion.chunk', model, choices: [choice] })}\n\n`
+}
+
+function pause (span: number): Promise<void> {
+  if (span === 0) return Promise.resolve()
+  return new Promise(resolve => setTimeout(resolve, span))
+}
--- /dev/null
+++ b/packages/trial/src/fleet.ts
@@ -0,0 +1,285 @@
+import { createHash } from 'node:crypto'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { createClient, type Client } from '@connectrpc/connect'
+import { createConnectTransport } from '@connectrpc/connect-node'
+import { Operators, type Status } from '@eiderwind/rpc'
+import { type Node } from '@eiderwind/schema'
+import { Child } from './child.js'
+import { type EngineOptions } from './engine.js'
+import { type PlatformFault } from './platform.js'
+
+/** The secrets of a trial. They open nothing else. */
+export const trialKey = 'trial-key'
+export const trialToken = 'trial-token'
+
+/** The services of a trial. */
+export const modelName = 'support'
+export const plainName = 'receipts'
+
+const daemonScript = fileURLToPath(new URL('../../../daemon/bin/eiderwind.js', import.meta.url))
+const standInScript = fileURLToPath(new URL('./standin.js', import.meta.url))
+
+/** What a trial fleet consists of. */
+export interface FleetOptions {
+  /** Entries. Default: 2. */
+  readonly entries?: number
+  /** Nodes with an engine, all in one fabric domain. Default: 4. */
+  readonly engines?: number
+  /** Nodes with the plain service. Default: 3. */
+  readonly plain?: number
+  /** Replicas of the model service. Default: 1. */
+  readonly replicas?: number
+  /** Nodes in a replica. Default: 4. */
+  readonly members?: number
+  readonly engine?: EngineOptions
+  /** Lease period and interval, in ms. Default: 1500 and 300. */
+  readonly period?: number
+  readonly interval?: number
+  /** How far wall clocks may differ, in ms. Default: 300. */
+  readonly skew?: number
+  /** Silence after which a node counts as lost, in ms. Default: 2500. */
+  readonly lostAfter?: number
+  /** Load and restart times that the planner weighs, in ms. Default: 100 and 3000. */
+  readonly loadTime?: number
+  readonly restartTime?: number
+}
+
+/** An entry of a fleet, with its addresses. */
+export interface FleetEntry {
+  readonly id: string
+  child: Child
+  readonly callers: string
+  readonly operators: string
+  readonly peers: string
+  readonly settings: string
+}
+
+/** A worker of a fleet, with what stands beside it. */
+export interface FleetWorker {
+  readonly id: string
+  child: Child
+  readonly address: string
+  readonly settings: string
+  upstream: Child
+  readonly upstreamUrl: string
+  readonly service: string | undefined
+}
+
+/** Real daemons and stand-ins, each a process on loopback. For the local trial and for tests; the daemons themselves start no process. */
+export class Fleet {
+  readonly entries: FleetEntry[] = []
+  readonly workers: FleetWorker[] = []
+  readonly #options: Required<FleetOptions>
+  readonly #folder = mkdtempSync(join(tmpdir(), 'eiderwind-'))
+  readonly #children: Child[] = []
+  platform!: Child
+  platformUrl = ''
+
+  constructor (options: FleetOptions = {}) {
+    this.#options = { entries: 2, engines: 4, plain: 3, replicas: 1, members: 4, engine: {}, period: 1500, interval: 300, skew: 300, lostAfter: 2500, loadTime: 100, restartTime: 3000, ...options }
+  }
+
+  /** Starts everything and waits until every replica and plain worker serves. */
+  async start (): Promise<void> {
+    const { entries, engines, plain } = this.#options
+    this.platform = this.#standIn('platform', ['platform'])
+    this.platformUrl = await urlOf(this.platform)
+    for (let index = 1; index <= entries; index++) await this.addEntry(`entry-${index}`)
+    const nodes = [...names('engine', engines), ...names('plain', plain)]
+    await Promise.all(nodes.map(id => this.#addWorker(id, id.startsWith('plain') ? plainName : undefined)))
+    this.workers.sort((a, b) => a.id < b.id ? -1 : 1)
+    await this.setNodes(this.nodes())
+    await this.#configure()
+    await this.serving()
+  }
+
+  /** The node list of the fleet. */
+  nodes (): Node[] {
+    return this.workers.map(({ id, address, service }) => ({
+      id,
+      domain: service === undefined ? 'fabric-1' : 'fabric-plain',
+      dataCentre: 'dc-1',
+      region: 'region-1',
+      address,
+      accelerators: service === undefined ? 4 : 0,
+      service,
+      state: 'live'
+    }))
+  }
+
+  /** Gives the platform another node list. */
+  async setNodes (nodes: readonly Node[]): Promise<void> {
+    await this.control('nodes', nodes)
+  }
+
+  /** Has the platform fail, or work again. */
+  async failPlatform (fault: PlatformFault): Promise<void> {
+    await this.control('fault', fault)
+  }
+
+  async control (what: string, value: unknown): Promise<unknown> {
+    const response = await fetch(`${this.platformUrl}/control/${what}`, { method: 'PUT', body: JSON.stringify(value) })
+    return await response.json()
+  }
+
+  /** The operators' calls, through one entry. */
+  operators (entry = this.entries[0]): Client<typeof Operators> {
+    return createClient(Operators, createConnectTransport({
+      baseUrl: `http://${entry.operators}`,
+      httpVersion: '1.1',
+      interceptors: [next => request => {
+        request.header.set('authorization', `Bearer ${trialToken}`)
+        return next(request)
+      }]
+    }))
+  }
+
+  worker (id: string): FleetWorker {
+    const found = this.workers.find(each => each.id === id)
+    if (found === undefined) throw new Error(`There is no worker ${id}.`)
+    return found
+  }
+
+  /** Waits until a status fits, as one entry tells it. */
+  async status (fits: (status: Status) => boolean, entry = this.entries[0], patience = 30_000): Promise<Status> {
+    const end = Date.now() + patience
+    let last: unknown
+    while (Date.now() < end) {
+      const status = await this.operators(entry).readStatus({}).catch(error => { last = error })
+      if (status !== undefined) {
+        if (fits(status)) return status
+        last = status
+      }
+      await new Promise(resolve => setTimeout(resolve, 50))
+    }
+    throw new Error(`The status never fitted: ${JSON.stringify(last, (_key, value) => typeof value === 'bigint' ? Number(value) : value as unknown)}`)
+  }
+
+  /** Waits until every replica and every plain worker serves, as every entry tells it. */
+  async serving (): Promise<void> {
+    const { replicas, plain } = this.#options
+    for (const entry of this.entries.filter(each => each.child.running)) {
+      await this.status(status => {
+        const slots = status.nodes.flatMap(each => each.slots)
+        return status.replicas.filter(each => each.serving).length >= replicas && (plain === 0 || new Set(slots).size === 12)
+      }, entry)
+    }
+  }
+
+  /** Starts one more entry. */
+  async addEntry (id: string): Promise<FleetEntry> {
+    const settings = this.#write(id, this.#entrySettings(id))
+    const child = this.#start(id, ['entry', settings])
+    const { callers, operators, peers } = await child.line(line => line.event === 100) as unknown as FleetEntry
+    const entry = { id, child, callers, operators, peers, settings }
+    this.entries.push(entry)
+    return entry
+  }
+
+  /** Starts an entry again that has ended, on other ports. */
+  async restartEntry (entry: FleetEntry): Promise<FleetEntry> {
+    this.entries.splice(this.entries.indexOf(entry), 1)
+    return await this.addEntry(entry.id)
+  }
+
+  /** Starts a worker again that has ended, on the same port. */
+  async restartWorker (worker: FleetWorker): Promise<void> {
+    worker.child = this.#start(worker.id, ['worker', worker.settings])
+    await worker.child.line(line => line.event === 100)
+  }
+
+  /** Ends everything at once. */
+  async stop (): Promise<void> {
+    const running = this.#children.filter(each => each.running)
+    for (const child of running) {
+      child.signal('SIGKILL')
+    }
+    await Promise.all(running.map(each => each.ended()))
+    rmSync(this.#folder, { recursive: true })
+  }
+
+  async #addWorker (id: string, service: string | undefined): Promise<void> {
+    const words = service === undefined ? ['engine', JSON.stringify(this.#options.engine)] : ['plain', id]
+    const upstream = this.#standIn(`${id}-upstream`, words)
+    const upstreamUrl = await urlOf(upstream)
+    const first = this.#write(id, this.#workerSettings(id, '127.0.0.1:0', upstreamUrl, service))
+    const child = this.#start(id, ['worker', first])
+    const address = String((await child.line(line => line.event === 100)).peers)
+    const settings = this.#write(id, this.#workerSettings(id, address, upstreamUrl, service))
+    this.workers.push({ id, child, address, settings, upstream, upstreamUrl, service })
+  }
+
+  async #configure (): Promise<void> {
+    const { replicas, members } = this.#options
+    const calls = this.operators()
+    const bounds = { concurrency: 64, queue: 256 }
+    await calls.putTeam({ team: { name: 'trial', priority: 10, keyDigests: [sha256(trialKey)] } })
+    await calls.putService({ service: { name: modelName, kind: { case: 'model', value: { replicas, members, version: 'v1', checksOrders: true, ...bounds } } } })
+    if (this.#options.plain === 0) return
+    const routes = [{ method: 'POST', path: '/topups', repeatable: false }]
+    await calls.putService({ service: { name: plainName, kind: { case: 'plain', value: { routes, ...bounds } } } })
+  }
+
+  #entrySettings (id: string): string {
+    const { lostAfter, loadTime, restartTime } = this.#options
+    return lines([
+      '[process]', `id = ${id}`, 'data_centre = dc-1', 'region = region-1',
+      '[listen]', 'callers = 127.0.0.1:0', 'operators = 127.0.0.1:0', 'peers = 127.0.0.1:0',
+      '[platform]', `url = ${this.platformUrl}`, 'timeout = 1000',
+      '[entries]', `seeds = ${this.entries.map(each => each.peers).join(', ')}`,
+      '[operators]', 'name = trial', `token_sha256 = ${sha256(trialToken)}`,
+      '[planner]', `lost_after = ${lostAfter}`, `load_time = ${loadTime}`, `restart_time = ${restartTime}`
+    ])
+  }
+
+  #workerSettings (id: string, address: string, upstream: string, service: string | undefined): string {
+    const { period, interval, skew } = this.#options
+    return lines([
+      '[process]', `id = ${id}`, 'data_centre = dc-1', 'region = region-1',
+      '[listen]', `peers = ${address}`,
+      '[node]', `id = ${id}`,
+      '[upstream]', `kind = ${service === undefined ? 'engine' : 'service'}`, `url = ${upstream}`,
+      '[entries]', `seeds = ${this.entries.map(each => each.peers).join(', ')}`,
+      '[lease]', `period = ${period}`, `interval = ${interval}`, `skew = ${skew}`,
+      '[observe]', 'level = debug'
+    ])
+  }
+
+  #write (id: string, text: string): string {
+    const file = join(this.#folder, `${id}.ini`)
+    writeFileSync(file, text)
+    return file
+  }
+
+  #start (name: string, words: readonly string[]): Child {
+    const child = new Child(name, daemonScript, words)
+    this.#children.push(child)
+    return child
+  }
+
+  #standIn (name: string, words: readonly string[]): Child {
+    const child = new Child(name, standInScript, words)
+    this.#children.push(child)
+    return child
+  }
+}
+
+/** SHA-256 of a secret, in hex. */
+export function sha256 (secret: string): string {
+  return createHash('sha256').update(secret).digest('hex')
+}
+
+async function urlOf (child: Child): Promise<string> {
+  return String((await child.line(line => typeof line.url === 'string')).url)
+}
+
+function names (prefix: string, count: number): string[] {
+  return Array.from({ length: count }, (_each, index) => `${prefix}-${index + 1}`)
+}
+
+function lines (all: readonly string[]): string {
+  return `${all.join('\n')}\n`
+}
--- /dev/null
+++ b/packages/trial/src/plainservice.ts
@@ -0,0 +1,35 @@
+import { type IncomingMessage, type ServerResponse } from 'node:http'
+import { StandIn, answerJson, bodyText } from './http.js'
+
+/** One request that the service has run. */
+export interface Execution {
+  readonly method: string
+  readonly path: string
+  readonly body: string
+}
+
+/**
+ * A stand-in of a plain service: each request it runs gets a receipt. `?delay=<ms>` makes it slow, `/health` tells
+ * that it is up, `GET /executions` lists what it has run.
+ */
+export class PlainStandIn extends StandIn {
+  readonly executions: Execution[] = []
+  readonly #name: string
+
+  constructor (name: string) {
+    super()
+    this.#name = name
+  }
+
+  protected async serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.url === '/health') return answerJson(response, 200, {})
+    if (request.url === '/executions') return answerJson(response, 200, this.executions)
+    const url = new URL(request.url ?? '/', this.url)
+    const body = await bodyText(request)
+    this.executions.push({ method: request.method ?? '', path: url.pathname, body })
+    const receipt = `${this.#name}-${this.executions.length}`
+    const delay = Number(url.searchParams.get('delay') ?? 0)
+    if (delay > 0) await new Promise(resolve => setTimeout(resolve, delay))
+    answerJson(response, 200, { receipt, method: request.method, path: url.pathname, body })
+  }
+}
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,12 @@
+/** The protocol between the system's own processes. */
+export { callerHeaders, callsPath, hopHeaders, wireHeaders } from './headers.js'
+export {
+  EntryCalls, Exchange, WorkerCalls, entryRouter, workerRouter,
+  type ClaimAnswer, type ClaimMessage, type EntryRouter, type ExchangeAnswer, type Known, type SettleAnswer, type SettleMessage, type WorkerRouter
+} from './calls.js'
+export { Clients } from './client.js'
+export { answerFault, listen, makeServer, serve, splitAddress, type Handler, type ServeOptions } from './serve.js'
+export { readBody } from './body.js'
+export { Receiver, send, type AnswerHeaders, type Break, type Call, type Cancel, type Flow } from './call.js'
+export { Relay, endToEnd, type RelayOptions } from './relay.js'
+export { Collect, type CollectOptions, type Collected } from './collect.js'
--- /dev/null
+++ b/packages/worker/src/homekeeper.ts
@@ -0,0 +1,114 @@
+import { v7 } from 'uuid'
+import { Controller } from '@eiderwind/board'
+import { type Clock } from '@eiderwind/clock'
+import { ranked } from '@eiderwind/hash'
+import { type Log } from '@eiderwind/log'
+import { Homes, slotCount, type Book, type Key } from '@eiderwind/run'
+import { type PlainAssignment } from '@eiderwind/schema'
+import { type Clients } from '@eiderwind/wire'
+import { WireChannel } from './channel.js'
+import { type WorkerBoard } from './facts.js'
+import { type Grants } from './grants.js'
+
+/** What the keeper of homes stands on. */
+export interface HomekeeperOptions {
+  readonly clock: Clock
+  readonly board: WorkerBoard
+  readonly clients: Clients
+  readonly grants: Grants
+  readonly log: Log
+  readonly worker: string
+  readonly period: number
+  readonly leaseInterval: number
+  /** How far wall clocks may differ, and how long keys are remembered, in ms. */
+  readonly skew: number
+  readonly keep: number
+}
+
+/** Keeps the slots of keys whose home this plain worker is, and writes them to the board. */
+export class Homekeeper extends Controller {
+  readonly name = 'homes'
+  readonly interval = 300
+  readonly #options: HomekeeperOptions
+  #homes: Homes | undefined
+  #channel: WireChannel | undefined
+  #revision = 0
+
+  constructor (options: HomekeeperOptions) {
+    super()
+    this.#options = options
+  }
+
+  /** The book of a key's slot, while this worker is its home. */
+  book (key: Key): Book | undefined {
+    return this.#homes?.book(key.slot)
+  }
+
+  async update (): Promise<void> {
+    const { board } = this.#options
+    const assignment = board.read('assignment')
+    if (assignment?.kind !== 'plain' || board.read('stopping')) return
+    if (!assignment.voters.some(each => each.id === this.#options.worker)) return await this.stop()
+    if (this.#homes === undefined) this.#homes = this.#begin(assignment)
+    else if (assignment.revision !== this.#revision) this.#move(assignment, this.#homes)
+    this.#watch(assignment.service)
+    if (board.read('upstream').healthy) this.#homes.update()
+    this.#note()
+  }
+
+  /** Gives every slot up. */
+  async stop (): Promise<void> {
+    await this.#homes?.stop()
+    this.#homes = undefined
+    this.#note()
+  }
+
+  #begin (assignment: PlainAssignment): Homes {
+    const { clock, clients, worker, period, leaseInterval, skew, keep, log } = this.#options
+    const { service, voters, revision } = assignment
+    this.#revision = revision
+    this.#channel = new WireChannel(clients, voters, revision, () => {})
+    return new Homes({
+      clock,
+      channel: this.#channel,
+      service,
+      worker,
+      voters: voters.map(each => each.id),
+      period,
+      interval: leaseInterval,
+      nonce: v7,
+      preferred: (slot, names) => ranked(`${service}/${slot}`, names),
+      book: { skew, keep },
+      listener: {
+        held: slot => { log.write('home-held', { slot }); this.#note() },
+        lost: slot => { log.write('home-lost', { slot }); this.#note() }
+      }
+    })
+  }
+
+  /** Goes by a later list of voters. A list is only ever one voter away from the one before. */
+  #move ({ voters, revision }: PlainAssignment, homes: Homes): void {
+    if (revision !== this.#revision + 1) {
+      this.#homes = undefined
+      homes.stop()
+      return
+    }
+    this.#revision = revision
+    this.#channel?.revise(voters, revision)
+    homes.move(voters.map(each => each.id))
+  }
+
+  /** Tells the homes which slots this worker has granted to others, so that it does not claim them. */
+  #watch (service: string): void {
+    for (let slot = 0; slot < slotCount; slot++) {
+      const holder = this.#options.grants.holder(`home/${service}/${slot}`)
+      if (holder !== undefined) this.#homes?.seen(slot, holder)
+    }
+  }
+
+  #note (): void {
+    const { board } = this.#options
+    const slots = this.#homes?.held ?? []
+    if (slots.join() !== board.read('slots').join()) board.write('slots', slots)
+  }
+}
--- /dev/null
+++ b/packages/worker/src/inbound.ts
@@ -0,0 +1,56 @@
+import { type IncomingMessage, type ServerResponse } from 'node:http'
+import { type Clock } from '@eiderwind/clock'
+import { hopHeaders, wireHeaders } from '@eiderwind/wire'
+
+/** Longest wait of a request whose entry gave no deadline, in ms. */
+const defaultLeft = 600_000
+
+/** A request as an entry sends it to a worker. */
+export interface Inbound {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  readonly method: string
+  readonly path: string
+  readonly body: Buffer
+  /** The attempt's own id, echoed in the answer. */
+  readonly attempt: string
+  readonly team: string
+  /** On `Clock.now`. */
+  readonly deadline: number
+  readonly key: string | undefined
+  readonly fresh: boolean
+}
+
+/** Reads what the entry says of a request. */
+export function inbound (request: IncomingMessage, response: ServerResponse, body: Buffer, clock: Clock): Inbound {
+  const left = Number(header(request, wireHeaders.deadline) ?? defaultLeft)
+  return {
+    request,
+    response,
+    method: request.method ?? 'GET',
+    path: request.url ?? '/',
+    body,
+    attempt: header(request, wireHeaders.attempt) ?? '',
+    team: header(request, wireHeaders.team) ?? '',
+    deadline: clock.now() + left,
+    key: header(request, wireHeaders.key),
+    fresh: header(request, wireHeaders.fresh) === '1'
+  }
+}
+
+/** One header of a request. */
+export function header (request: IncomingMessage, name: string): string | undefined {
+  const value = request.headers[name]
+  return Array.isArray(value) ? value[0] : value
+}
+
+/** The headers that the upstream gets: those of the request, without the hop's and without ours. */
+export function upstreamHeaders (request: IncomingMessage): Record<string, string> {
+  const ours: ReadonlySet<string> = new Set(Object.values(wireHeaders))
+  const kept: Record<string, string> = {}
+  for (const [name, value] of Object.entries(request.headers)) {
+    if (value === undefined || hopHeaders.has(name) || ours.has(name) || name === 'content-length') continue
+    kept[name] = Array.isArray(value) ? value.join(', ') : value
+  }
+  return kept
+}
--- /dev/null
+++ b/packages/worker/src/reporter.ts
@@ -0,0 +1,96 @@
+import { Controller } from '@eiderwind/board'
+import { type Queue } from '@eiderwind/admit'
+import { type Metric } from '@eiderwind/log'
+import { type Assignment, type Report, type ReportAnswer } from '@eiderwind/schema'
+import { type Clients } from '@eiderwind/wire'
+import { type WorkerBoard } from './facts.js'
+
+/** What a reporter stands on. */
+export interface ReporterOptions {
+  readonly board: WorkerBoard
+  readonly queue: Queue
+  readonly clients: Clients
+  readonly metric: Metric
+  readonly worker: string
+  readonly incarnation: string
+  readonly address: string
+  readonly dataCentre: string
+  /** Entries to report to until one has said which. */
+  readonly seeds: readonly string[]
+}
+
+/** Reports to a few entries of this data centre, and takes from their answers what this worker has to do. */
+export class Reporter extends Controller {
+  readonly name = 'reporter'
+  readonly interval = 1000
+  readonly #options: ReporterOptions
+  #sequence = 0
+
+  constructor (options: ReporterOptions) {
+    super()
+    this.#options = options
+  }
+
+  async update (): Promise<void> {
+    const { board, clients, seeds, metric, queue } = this.#options
+    const known = board.read('entries')
+    const report = this.#report()
+    metric.gauge('admission.running', queue.running)
+    metric.gauge('admission.queued', queue.waiting)
+    const tell = async (address: string): Promise<boolean> => {
+      return await clients.entry(address).report.mutate(report).then(answer => this.#take(answer), () => false)
+    }
+    const told = await Promise.all(known.map(tell))
+    if (told.includes(true)) return
+    for (const seed of seeds) if (await tell(seed)) return
+  }
+
+  #report (): Report {
+    const { board, queue, worker, incarnation, address, dataCentre } = this.#options
+    const assignment = board.read('assignment')
+    const { healthy, loaded } = board.read('upstream')
+    const model = assignment?.kind === 'model' ? assignment : undefined
+    return {
+      worker,
+      incarnation,
+      address,
+      dataCentre,
+      sequence: ++this.#sequence,
+      service: assignment === undefined || assignment.kind === 'spare' ? undefined : assignment.service,
+      replica: model?.replica,
+      generation: model?.generation,
+      serving: board.read('serving'),
+      leaving: board.read('stopping') || board.read('told'),
+      healthy,
+      running: queue.running,
+      queued: queue.waiting,
+      concurrency: model?.concurrency ?? (assignment?.kind === 'plain' ? assignment.concurrency : 1),
+      slots: [...board.read('slots')],
+      loaded: loaded === undefined ? undefined : { version: loaded.version, generation: loaded.generation },
+      votersRevision: assignment?.kind === 'plain' ? assignment.revision : undefined,
+      revision: board.read('revision')
+    }
+  }
+
+  /** Takes an answer, unless it is older than what is known. Says whether the entry could answer. */
+  #take (answer: ReportAnswer): boolean {
+    const { board } = this.#options
+    if (answer.revision < board.read('revision')) return true
+    if (answer.revision > board.read('revision')) board.write('revision', answer.revision)
+    board.write('told', answer.leaving)
+    if (answer.entries.join() !== board.read('entries').join()) board.write('entries', answer.entries)
+    if (JSON.stringify(answer.teams) !== JSON.stringify(board.read('teams'))) board.write('teams', answer.teams)
+    this.#assign(answer.assignment)
+    return true
+  }
+
+  #assign (assignment: Assignment | undefined): void {
+    const { board, queue } = this.#options
+    const present = board.read('assignment')
+    if (assignment === undefined || assignment.revision < (present?.revision ?? 0)) return
+    if (JSON.stringify(assignment) !== JSON.stringify(present)) board.write('assignment', assignment)
+    if (assignment.kind === 'spare') return
+    const priorities = new Map(board.read('teams').map(({ name, priority }) => [name, priority]))
+    queue.configure({ concurrency: assignment.concurrency, queue: assignment.queue }, priorities)
+  }
+}
--- /dev/null
+++ b/packages/worker/src/worker.ts
@@ -0,0 +1,202 @@
+import { type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { v7 } from 'uuid'
+import { Queue } from '@eiderwind/admit'
+import { Crew } from '@eiderwind/board'
+import { type Clock } from '@eiderwind/clock'
+import { Fault, asFault } from '@eiderwind/fault'
+import { type Log, type Metric } from '@eiderwind/log'
+import { Attempts } from '@eiderwind/run'
+import { Clients, answerFault, listen, makeServer, readBody, splitAddress, wireHeaders, workerRouter } from '@eiderwind/wire'
+import { Calls } from './calls.js'
+import { workerBoard } from './facts.js'
+import { Flights } from './flights.js'
+import { Grants } from './grants.js'
+import { Head } from './head.js'
+import { Health } from './health.js'
+import { Homekeeper } from './homekeeper.js'
+import { header, inbound, type Inbound } from './inbound.js'
+import { ModelPath } from './model.js'
+import { Orders } from './orders.js'
+import { PlainPath } from './plain.js'
+import { PlainState } from './plainstate.js'
+import { Reporter } from './reporter.js'
+import { EngineUpstream, PlainUpstream, type Upstream } from './upstream.js'
+
+/** Longest body that a worker takes from an entry, in bytes. Entries have their own, lower limit. */
+const bodyLimit = 64 * 2 ** 20
+
+/** How often a stop looks whether everything is done, in ms. */
+const stopInterval = 50
+
+/** Options of a worker. Spans are in ms. */
+export interface WorkerOptions {
+  readonly clock: Clock
+  readonly log: Log
+  readonly metric: Metric
+  /** Id of the node, which is the worker's name too. */
+  readonly node: string
+  readonly dataCentre: string
+  /** `host:port`; port 0 takes any. */
+  readonly listen: string
+  readonly upstream: UpstreamOptions
+  /** Peer addresses of some entries. */
+  readonly seeds: readonly string[]
+  readonly period: number
+  readonly interval: number
+  readonly skew: number
+  /** How long an idempotency key is remembered. */
+  readonly keep: number
+  /** How long a stop waits for what is in flight. */
+  readonly stop: number
+}
+
+/** What stands beside the worker. */
+export interface UpstreamOptions {
+  readonly kind: 'engine' | 'service'
+  readonly url: string
+  /** Path that tells its health; undefined for a service that has none. */
+  readonly health: string | undefined
+}
+
+/** The process beside one upstream node. */
+export class Worker {
+  readonly #options: WorkerOptions
+  readonly #incarnation = v7()
+  readonly #board = workerBoard()
+  readonly #clients = new Clients()
+  readonly #attempts = new Attempts()
+  readonly #flights = new Flights()
+  readonly #queue: Queue
+  readonly #grants: Grants
+  readonly #upstream: Upstream
+  readonly #crew: Crew
+  readonly #server: Server
+  #stopHead = async (): Promise<void> => {}
+  #serve: (inbound: Inbound) => Promise<void> = async ({ response }) => answerFault(response, new Fault('not-serving'))
+
+  constructor (options: WorkerOptions) {
+    this.#options = options
+    const { clock, log } = options
+    this.#queue = new Queue(clock, { concurrency: 1, queue: 0 })
+    this.#queue.close('not-serving')
+    this.#grants = new Grants(clock, { longest: options.period })
+    this.#crew = new Crew(clock, (controller, error) => log.write('order-failed', { controller, cause: String(error) }))
+    this.#upstream = makeUpstream(options.upstream)
+    const calls = new Calls({ clock, board: this.#board, grants: this.#grants, attempts: this.#attempts, incarnation: this.#incarnation })
+    this.#server = makeServer({ router: workerRouter(calls), handler: (request, response) => { this.#handle(request, response) } })
+  }
+
+  /** Listens, and begins to report. Gives the address that was taken. */
+  async start (): Promise<string> {
+    const port = await listen(this.#server, this.#options.listen)
+    const address = `${splitAddress(this.#options.listen).host}:${port}`
+    this.#crew.add(new Health(this.#board, this.#upstream, this.#options.log))
+    if (this.#upstream instanceof EngineUpstream) this.#startModel(this.#upstream)
+    else this.#startPlain()
+    this.#startReporter(address)
+    return address
+  }
+
+  /** Takes nothing new, finishes what is in flight, gives its grants up and ends. */
+  async stop (): Promise<void> {
+    const { clock, stop } = this.#options
+    this.#board.write('stopping', true)
+    this.#crew.wake('reporter')
+    this.#crew.wake('plain-state')
+    const end = clock.now() + stop
+    while (clock.now() < end && this.#busy) await clock.wait(stopInterval)
+    await this.#stopHead()
+    this.#crew.stop()
+    await this.kill()
+  }
+
+  /** Ends at once. */
+  async kill (): Promise<void> {
+    this.#crew.stop()
+    this.#server.closeAllConnections()
+    this.#server.close()
+    await Promise.all([this.#clients.close(), this.#upstream.close()])
+  }
+
+  /** Whether something is in flight here, or a head still counts on this node. */
+  get #busy (): boolean {
+    return this.#queue.running > 0 || this.#grants.node !== undefined
+  }
+
+  #startModel (engine: EngineUpstream): void {
+    const { clock, log, metric, node, period, interval } = this.#options
+    const head = new Head({
+      clock,
+      board: this.#board,
+      queue: this.#queue,
+      clients: this.#clients,
+      log,
+      metric,
+      worker: node,
+      period,
+      leaseInterval: interval,
+      cut: () => this.#flights.cut()
+    })
+    const path = new ModelPath({ clock, queue: this.#queue, attempts: this.#attempts, upstream: engine, flights: this.#flights, head })
+    this.#serve = inbound => path.serve(inbound)
+    this.#stopHead = () => head.stop()
+    this.#crew.add(head)
+    this.#crew.add(new Orders(this.#board, engine, this.#grants, log))
+    this.#board.listen('assignment', () => this.#crew.wake('head'))
+  }
+
+  #startPlain (): void {
+    const { clock, log, node, period, interval, skew, keep } = this.#options
+    const homes = new Homekeeper({
+      clock,
+      board: this.#board,
+      clients: this.#clients,
+      grants: this.#grants,
+      log,
+      worker: node,
+      period,
+      leaseInterval: interval,
+      skew,
+      keep
+    })
+    const path = new PlainPath({ clock, board: this.#board, queue: this.#queue, attempts: this.#attempts, upstream: this.#upstream, book: key => homes.book(key) })
+    this.#serve = inbound => path.serve(inbound)
+    this.#stopHead = () => homes.stop()
+    this.#crew.add(new PlainState(this.#board, this.#queue))
+    this.#crew.add(homes)
+    this.#board.listen('told', () => this.#crew.wake('plain-state'))
+  }
+
+  #startReporter (address: string): void {
+    const { node, dataCentre, seeds, metric } = this.#options
+    this.#crew.add(new Reporter({
+      board: this.#board,
+      queue: this.#queue,
+      clients: this.#clients,
+      metric,
+      worker: node,
+      incarnation: this.#incarnation,
+      address,
+      dataCentre,
+      seeds
+    }))
+    this.#board.listen('serving', () => this.#crew.wake('reporter'))
+    this.#board.listen('slots', () => this.#crew.wake('reporter'))
+  }
+
+  async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    try {
+      const meant = header(request, wireHeaders.incarnation)
+      if (meant !== undefined && meant !== this.#incarnation) return answerFault(response, new Fault('not-serving'))
+      const body = await readBody(request, bodyLimit)
+      if (body.isErr()) return answerFault(response, body.error)
+      await this.#serve(inbound(request, response, body.value, this.#options.clock))
+    } catch (error) {
+      answerFault(response, asFault(error, 'lost'))
+    }
+  }
+}
+
+function makeUpstream ({ kind, url, health }: UpstreamOptions): Upstream {
+  return kind === 'engine' ? new EngineUpstream(url, health ?? '/health') : new PlainUpstream(url, health)
+}
