Prove leases and runs by random interleavings; tie a freshly minted key to one tenure of its home

Cause: an entry that mints a key vouches that it cannot have run, which lets a home that has just taken its slot over run it at once. An attempt that was late (a paused worker that lost the slot and won it back) still carried that word, although its key had meanwhile run at another home: executed twice. Ruled out: the floor (keys without that word were never run twice), the leases (exclusion.test.ts is green), and doubled delivery alone (the counterexample needs the change of tenure). Change: reports name the tenure of each slot, the entry vouches for that tenure only, and the home takes the word only in it; the attempt already names the worker's incarnation. prove/ holds breakages that are applied in memory. Conclusion: a key runs at most once under every interleaving that was tried.

--- /dev/null
+++ b/packages/clock/test/clock.test.ts
@@ -0,0 +1,52 @@
+import test from 'ava'
+import { ManualClock, SystemClock, ViewClock, seeded } from '../src/index.js'
+
+test('a manual clock runs what falls due, in order, and not what was cancelled', t => {
+  const clock = new ManualClock()
+  const ran: string[] = []
+  clock.after(20, () => ran.push('b'))
+  clock.after(10, () => ran.push('a'))
+  clock.after(15, () => ran.push('never')).cancel()
+  const each = clock.every(8, () => ran.push('each'))
+  clock.advance(20)
+  each.cancel()
+  clock.advance(100)
+  t.deepEqual(ran, ['each', 'a', 'each', 'b'])
+})
+
+test('a holder counts time that the steady clock missed, a granter does not', t => {
+  const clock = new ManualClock(1000)
+  clock.suspend(500)
+  t.deepEqual([clock.now(), clock.holderNow(), clock.wall()], [0, 500, 1500])
+})
+
+test('the system clock gives holders at least the steady time, and never goes back', t => {
+  const clock = new SystemClock()
+  let last = clock.holderNow()
+  for (let index = 0; index < 10_000; index++) {
+    const now = clock.now()
+    const held = clock.holderNow()
+    t.true(held >= now && held >= last)
+    last = held
+  }
+})
+
+test('a paused process does what fell due once it goes on', t => {
+  const clock = new ManualClock()
+  const view = new ViewClock(clock, 1.01, 50)
+  const ran: number[] = []
+  view.after(10, () => ran.push(clock.now()))
+  view.pause()
+  clock.advance(40)
+  t.deepEqual(ran, [])
+  view.resume()
+  t.deepEqual(ran, [40])
+  t.is(view.wall(), 90)
+})
+
+test('a seeded source gives the same numbers on every run', t => {
+  const [a, b] = [seeded(7), seeded(7)]
+  const first = Array.from({ length: 100 }, a)
+  t.deepEqual(first, Array.from({ length: 100 }, b))
+  t.true(first.every(each => each >= 0 && each < 1))
+})
--- a/packages/entry/src/keyedpath.ts
+++ b/packages/entry/src/keyedpath.ts
@@ -34,7 +34,7 @@
   while (left(exchange, clock) > 0) {
     const target = targets.home(exchange.service, key.slot)
     if (target === undefined) break
-    const end = await tryWhole(context, exchange, target, { headers: keyHeaders(key, minted && !doubt) })
+    const end = await tryWhole(context, exchange, target, { headers: keyHeaders(key, minted && !doubt ? target.tenure : undefined) })
     if (end.type === 'answered') return pass(exchange, end.answer)
     const { fault, outcome } = end.failure
     log.write('attempt-failed', { service: exchange.service, worker: target.worker, code: fault.code, outcome })
@@ -54,6 +54,6 @@
   return code === 'lost' || code === 'still-running' || code === 'not-home' || code === 'not-serving' || code === 'leaving'
 }
 
-function keyHeaders (key: Key, fresh: boolean): Record<string, string> {
-  return { [wireHeaders.key]: key.text, ...(fresh ? { [wireHeaders.fresh]: '1' } : {}) }
+function keyHeaders (key: Key, fresh: number | undefined): Record<string, string> {
+  return { [wireHeaders.key]: key.text, ...(fresh === undefined ? {} : { [wireHeaders.fresh]: String(fresh) }) }
 }
--- a/packages/entry/src/targets.ts
+++ b/packages/entry/src/targets.ts
@@ -21,6 +21,12 @@
   readonly incarnation: string
 }
 
+/** The home of a slot of keys. */
+export interface HomeTarget extends Target {
+  /** The stretch of being the home, as the worker counts them. */
+  readonly tenure: number
+}
+
 /** What an entry counts itself of one worker. */
 interface Tally {
   open: number
@@ -73,10 +79,12 @@
   }
 
   /** The worker of a plain service that is the home of a slot of keys. */
-  home (service: string, slot: number): Target | undefined {
+  home (service: string, slot: number): HomeTarget | undefined {
     for (const heard of this.#options.reports.all) {
       const { report } = heard
-      if (report.service === service && report.slots.includes(slot) && this.#usable(heard)) return this.#target(heard, report.worker)
+      if (report.service !== service || !this.#usable(heard)) continue
+      const held = report.slots.find(each => each.slot === slot)
+      if (held !== undefined) return { ...this.#target(heard, report.worker), tenure: held.tenure }
     }
     return undefined
   }
--- /dev/null
+++ b/packages/lease/test/granter.test.ts
@@ -0,0 +1,63 @@
+import test from 'ava'
+import { Granter, Holding, type Claim } from '../src/index.js'
+
+const options = { longest: 1000, drift: 0.01 }
+
+function claim (holder: string, term = '1', more: Partial<Claim> = {}): Claim {
+  return { resource: 'node', holder, term, period: 1000, ...more }
+}
+
+/** A granter that is past its waiting time, with one grant given at 2000. */
+function granted (): Granter {
+  return Granter.started(0, options).request(claim('a'), 2000).granter
+}
+
+interface Case {
+  readonly title: string
+  readonly claim: Claim
+  readonly at: number
+  readonly answer: string
+}
+
+const cases: readonly Case[] = [
+  { title: 'the same holder and term', claim: claim('a'), at: 2500, answer: 'granted' },
+  { title: 'another holder while the grant lasts', claim: claim('b'), at: 2500, answer: 'held' },
+  { title: 'the same holder with another term', claim: claim('a', '2'), at: 2500, answer: 'held' },
+  { title: 'another holder at the end of the period, within the margin for drift', claim: claim('b'), at: 3005, answer: 'held' },
+  { title: 'another holder after the margin', claim: claim('b'), at: 3010, answer: 'granted' },
+  { title: 'another resource', claim: claim('b', '1', { resource: 'other' }), at: 2500, answer: 'granted' },
+  { title: 'a longer period than there may be', claim: claim('a', '1', { period: 1001 }), at: 2500, answer: 'period' }
+]
+
+for (const { title, claim, at, answer } of cases) {
+  test(`a claim of ${title} is answered: ${answer}`, t => {
+    const decision = granted().request(claim, at).answer
+    t.is(decision.granted ? 'granted' : decision.reason, answer)
+  })
+}
+
+test('a granter that has started gives nothing until the longest grant of an earlier process is over', t => {
+  const granter = Granter.started(5000, options)
+  t.deepEqual(granter.request(claim('a'), 6009).answer, { granted: false, reason: 'starting', wait: 1 })
+  t.true(granter.request(claim('a'), 6010).answer.granted)
+})
+
+test('a release frees the resource at once; one of another term changes nothing', t => {
+  t.false(granted().release(claim('a', '0')).request(claim('b'), 2100).answer.granted)
+  t.true(granted().release(claim('a')).request(claim('b'), 2100).answer.granted)
+})
+
+test('a grant counts from when its request was sent, and a late or doubled answer does not shorten it', t => {
+  const holding = Holding.empty(claim('a'), ['x', 'y'], 'all').granted('x', 100).granted('y', 300).granted('x', 50)
+  t.is(holding.until, 1100)
+  t.true(holding.valid(1099))
+  t.false(holding.valid(1100))
+  t.deepEqual(holding.missing(1200), ['x'])
+})
+
+test('a majority is more than half, and strangers do not count', t => {
+  const holding = Holding.empty(claim('a'), ['x', 'y', 'z'], 'majority').granted('x', 0).granted('q', 0)
+  t.false(holding.valid(1))
+  t.true(holding.granted('z', 0).valid(1))
+  t.false(Holding.empty(claim('a'), [], 'majority').valid(0))
+})
--- a/packages/run/src/book.ts
+++ b/packages/run/src/book.ts
@@ -46,6 +46,8 @@
  * be another skew ahead of this one. It forgets a key only when the key is older than `keep`, and refuses older keys.
  */
 export class Book {
+  /** One stretch of being the home, as the home counts them. */
+  readonly tenure: number
   readonly #skew: number
   readonly #keep: number
   readonly #limit: number
@@ -54,8 +56,12 @@
   #held = 0
   #floor: number
 
-  /** @param openedAt wall time at which the slot was taken over */
-  constructor (openedAt: number, options: BookOptions = {}) {
+  /**
+   * @param openedAt wall time at which the slot was taken over
+   * @param tenure a number that the worker uses for this stretch only
+   */
+  constructor (openedAt: number, tenure: number, options: BookOptions = {}) {
+    this.tenure = tenure
     this.#skew = options.skew ?? 2000
     this.#keep = options.keep ?? 600_000
     this.#limit = options.limit ?? 50_000
@@ -78,13 +84,14 @@
    * Decides on a request and, where it may run, notes it as running.
    *
    * @param request a digest of the request, so that a key used for two requests is found out
-   * @param fresh whether the entry has just minted the key itself, so that it cannot have run before
+   * @param fresh the tenure for which the entry has just minted the key itself, so that it cannot have run before. An
+   * attempt that comes late, in another tenure, gets no credit for it: its key may have run elsewhere meanwhile.
    */
-  begin (key: Key, request: number, wall: number, fresh: boolean): Verdict {
+  begin (key: Key, request: number, wall: number, fresh?: number): Verdict {
     const known = this.#entries.get(key.text)
     if (known !== undefined) return known.run.request === request ? judge(known.run) : refuse('key-reused')
     if (key.minted > wall + this.#skew) return refuse('key-in-future')
-    if (!fresh && key.minted <= this.floor(wall)) return refuse('key-before-home')
+    if (fresh !== this.tenure && key.minted <= this.floor(wall)) return refuse('key-before-home')
     this.#forget(wall)
     if (this.#entries.size >= this.#limit) return refuse('busy')
     this.#entries.set(key.text, { key, run: { state: 'running', request } })
--- a/packages/run/src/home.ts
+++ b/packages/run/src/home.ts
@@ -29,6 +29,13 @@
   readonly listener?: HomeListener
 }
 
+/** A slot that a worker is the home of. */
+export interface HeldSlot {
+  readonly slot: number
+  /** The stretch of being its home, as the worker counts them. */
+  readonly tenure: number
+}
+
 interface Slot {
   readonly lease: Lease
   book: Book | undefined
@@ -45,6 +52,7 @@
   readonly #slots = new Map<number, Slot>()
   readonly #vacantSince = new Map<number, number>()
   #voters: readonly string[]
+  #tenures = 0
   #stopped = false
 
   constructor (options: HomesOptions) {
@@ -55,8 +63,12 @@
   }
 
   /** The slots that this worker is the home of now. */
-  get held (): number[] {
-    return [...this.#slots].filter(([, { lease, book }]) => book !== undefined && lease.valid).map(([slot]) => slot)
+  get held (): HeldSlot[] {
+    const held: HeldSlot[] = []
+    for (const [slot, { lease, book }] of this.#slots) {
+      if (book !== undefined && lease.valid) held.push({ slot, tenure: book.tenure })
+    }
+    return held
   }
 
   /** The book of a slot, while this worker is its home. */
@@ -121,7 +133,7 @@
     const { clock, book, listener } = this.#options
     const held = this.#slots.get(slot)
     if (held === undefined) return
-    held.book = new Book(clock.wall(), book)
+    held.book = new Book(clock.wall(), ++this.#tenures, book)
     listener?.held?.(slot)
   }
 
--- /dev/null
+++ b/packages/run/test/once.test.ts
@@ -0,0 +1,195 @@
+/**
+ * A key runs at most once: property tests over the homes of three workers with random pauses, restarts with lost
+ * memory, cuts, delays, skewed clocks of callers and workers, and requests sent to any worker at any time.
+ */
+import test from 'ava'
+import fc from 'fast-check'
+import { ManualClock, ViewClock, seeded, type Random } from '@eiderwind/clock'
+import { Channel, Granter, type Answer, type Claim } from '@eiderwind/lease'
+import { Homes, mintKey, readKey, type Key } from '../src/index.js'
+
+const seed = 20261203
+const runs = 120
+const period = 600
+const skew = 200
+const names = ['w1', 'w2', 'w3']
+const slot = 0
+
+/** What the service and the callers have seen of one key. */
+interface Trace {
+  readonly key: Key
+  fresh: boolean
+  executions: number
+  sent: number
+  readonly words: string[]
+}
+
+/** One worker with its votes and homes. */
+class WorkerProcess {
+  readonly name: string
+  readonly clock: ViewClock
+  readonly cut = new Set<string>()
+  readonly #fleet: ReadonlyMap<string, WorkerProcess>
+  readonly #random: Random
+  readonly #base: ManualClock
+  #granter!: Granter
+  homes!: Homes
+  /** An attempt names the incarnation that it is meant for; another one refuses it. */
+  incarnation = 0
+
+  constructor (name: string, base: ManualClock, random: Random, fleet: ReadonlyMap<string, WorkerProcess>) {
+    this.name = name
+    this.#base = base
+    this.#random = random
+    this.#fleet = fleet
+    this.clock = new ViewClock(base, 1 + (random() - 0.5) * 0.009, (random() - 0.5) * skew)
+    this.begin()
+  }
+
+  /** Starts with no memory. */
+  begin (): void {
+    this.incarnation++
+    this.#granter = Granter.started(this.clock.now(), { longest: period })
+    let term = 0
+    this.homes = new Homes({
+      clock: this.clock,
+      channel: new WorkerChannel(this, this.#fleet, this.#base, this.#random),
+      service: 's',
+      worker: this.name,
+      voters: names,
+      period,
+      interval: 150,
+      nonce: () => `${this.name}/${this.incarnation}/${++term}`,
+      preferred: () => names,
+      book: { skew, keep: 20_000 }
+    })
+  }
+
+  restart (): void {
+    this.homes.stop()
+    this.begin()
+  }
+
+  handle (kind: 'request' | 'release', claim: Claim, answer: (answer: Answer) => void): void {
+    this.clock.run(() => {
+      if (kind === 'release') {
+        this.#granter = this.#granter.release(claim)
+        return
+      }
+      const decision = this.#granter.request(claim, this.clock.now())
+      this.#granter = decision.granter
+      answer(decision.answer)
+    })
+  }
+
+  /** Takes a request as it comes out of a socket, perhaps long after it was sent. */
+  serve (trace: Trace, incarnation: number, fresh: number | undefined): void {
+    this.clock.run(() => {
+      const book = this.homes.book(slot)
+      if (book === undefined || incarnation !== this.incarnation) {
+        trace.words.push('not-run')
+        return
+      }
+      const verdict = book.begin(trace.key, 1, this.clock.wall(), fresh)
+      if (verdict.type === 'refuse') trace.words.push(verdict.fault.outcome)
+      if (verdict.type !== 'run') return
+      trace.executions++
+      this.#base.after(300 * this.#random(), () => this.clock.run(() => book.finish(trace.key, { status: 200, headers: {}, body: Buffer.alloc(1) })))
+    })
+  }
+}
+
+/** A network between workers that loses, delays and doubles. */
+class WorkerChannel extends Channel {
+  readonly #from: WorkerProcess
+  readonly #fleet: ReadonlyMap<string, WorkerProcess>
+  readonly #base: ManualClock
+  readonly #random: Random
+
+  constructor (from: WorkerProcess, fleet: ReadonlyMap<string, WorkerProcess>, base: ManualClock, random: Random) {
+    super()
+    this.#from = from
+    this.#fleet = fleet
+    this.#base = base
+    this.#random = random
+  }
+
+  request (granter: string, claim: Claim): Promise<Answer> {
+    return new Promise(resolve => {
+      this.#later(granter, () => this.#fleet.get(granter)?.handle('request', claim, answer => {
+        this.#later(granter, () => this.#from.clock.run(() => resolve(answer)))
+      }))
+    })
+  }
+
+  async release (granter: string, claim: Claim): Promise<void> {
+    for (let copy = 0; copy < 2; copy++) this.#later(granter, () => this.#fleet.get(granter)?.handle('release', claim, () => {}))
+  }
+
+  #later (granter: string, task: () => void): void {
+    if (granter !== this.#from.name && (this.#from.cut.has(granter) || this.#random() < 0.05)) return
+    this.#base.after(this.#random() < 0.05 ? 2 * period * this.#random() : 20 * this.#random(), task)
+  }
+}
+
+const step = fc.record({
+  action: fc.constantFrom('pause', 'resume', 'resume', 'restart', 'cut', 'mend', 'new', 'new', 'again', 'again', 'again'),
+  who: fc.nat(2),
+  which: fc.nat(50),
+  span: fc.integer({ min: 1, max: 900 })
+})
+
+type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never
+
+async function play (steps: readonly Step[], randomSeed: number): Promise<Trace[]> {
+  const base = new ManualClock(1_700_000_000_000)
+  const random = seeded(randomSeed)
+  const fleet = new Map<string, WorkerProcess>()
+  for (const name of names) fleet.set(name, new WorkerProcess(name, base, random, fleet))
+  const traces: Trace[] = []
+  const pass = async (span: number): Promise<void> => {
+    for (let passed = 0; passed < span; passed += 25) {
+      base.advance(25)
+      await new Promise(resolve => setImmediate(resolve))
+      for (const worker of fleet.values()) worker.clock.run(() => worker.homes.update())
+    }
+  }
+  await pass(2 * period)
+  for (const { action, who, which, span } of steps) {
+    const worker = fleet.get(names[who]) as WorkerProcess
+    if (action === 'pause') worker.clock.pause()
+    if (action === 'resume') for (const each of fleet.values()) each.clock.resume()
+    if (action === 'restart') worker.restart()
+    if (action === 'cut') worker.cut.add(names[which % 3])
+    if (action === 'mend') worker.cut.clear()
+    if (action === 'new') traces.push({ key: readKey(mintKey(base.wall() + (random() - 0.5) * skew)).unwrap(), fresh: span % 3 === 0, executions: 0, sent: 0, words: [] })
+    if ((action === 'new' || action === 'again') && traces.length > 0) {
+      const trace = action === 'new' ? traces[traces.length - 1] : traces[which % traces.length]
+      const fresh = trace.fresh ? worker.homes.held.find(each => each.slot === slot)?.tenure : undefined
+      trace.fresh = false
+      trace.sent++
+      const { incarnation } = worker
+      worker.serve(trace, incarnation, fresh)
+      base.after(2000 * random(), () => worker.serve(trace, incarnation, fresh))
+    }
+    await pass(span)
+  }
+  for (const each of fleet.values()) each.clock.resume()
+  await pass(period)
+  for (const each of fleet.values()) each.homes.stop()
+  return traces
+}
+
+test('a key runs at most once, whatever happens to its homes, and "not run" alone means that it did not', async t => {
+  t.log(`seed ${seed}, ${runs} runs`)
+  let executed = 0
+  let keys = 0
+  await fc.assert(fc.asyncProperty(fc.array(step, { minLength: 10, maxLength: 40 }), fc.nat(), async (steps, randomSeed) => {
+    const traces = await play(steps, randomSeed)
+    keys += traces.length
+    executed += traces.filter(each => each.executions > 0).length
+    return traces.every(each => each.executions <= 1)
+  }), { seed, numRuns: runs, endOnFailure: true })
+  t.log(`${keys} keys, ${executed} executed`)
+  t.true(executed > 100, 'the runs are of use only where requests ran')
+})
--- a/packages/schema/src/report.ts
+++ b/packages/schema/src/report.ts
@@ -21,7 +21,7 @@
   queued: z.int(),
   concurrency: z.int(),
   /** Slots of keys that this worker is the home of. */
-  slots: z.array(z.int()),
+  slots: z.array(z.object({ slot: z.int(), tenure: z.int() })),
   /** The version and generation that the engine last took, where there is an engine. */
   loaded: z.object({ version: z.string(), generation: z.int() }).optional(),
   /** Revision of the list of voters that a plain worker goes by. */
--- a/packages/wire/src/headers.ts
+++ b/packages/wire/src/headers.ts
@@ -20,7 +20,7 @@
   team: 'eiderwind-team',
   service: 'eiderwind-service',
   key: 'eiderwind-key',
-  /** `1` where the entry has just minted the key. */
+  /** The home's tenure, where the entry has just minted the key for this very attempt. */
   fresh: 'eiderwind-fresh',
   /** `1` on an answer that an earlier attempt with the same key got. */
   replayed: 'eiderwind-replayed'
--- a/packages/worker/src/facts.ts
+++ b/packages/worker/src/facts.ts
@@ -1,4 +1,5 @@
 import { Board } from '@eiderwind/board'
+import { type HeldSlot } from '@eiderwind/run'
 import { type Assignment } from '@eiderwind/schema'
 
 /** What the upstream beside this worker says of itself. */
@@ -40,7 +41,7 @@
   /** Whether new requests are taken. */
   readonly serving: boolean
   /** Slots of keys whose home this worker is. */
-  readonly slots: readonly number[]
+  readonly slots: readonly HeldSlot[]
 }
 
 /** The blackboard of a worker. */
--- a/packages/worker/src/homekeeper.ts
+++ b/packages/worker/src/homekeeper.ts
@@ -109,6 +109,6 @@
   #note (): void {
     const { board } = this.#options
     const slots = this.#homes?.held ?? []
-    if (slots.join() !== board.read('slots').join()) board.write('slots', slots)
+    if (JSON.stringify(slots) !== JSON.stringify(board.read('slots'))) board.write('slots', slots)
   }
 }
--- a/packages/worker/src/inbound.ts
+++ b/packages/worker/src/inbound.ts
@@ -18,12 +18,14 @@
   /** On `Clock.now`. */
   readonly deadline: number
   readonly key: string | undefined
-  readonly fresh: boolean
+  /** The tenure of the home for which the entry has minted the key; undefined where the key may have been sent before. */
+  readonly fresh: number | undefined
 }
 
 /** Reads what the entry says of a request. */
 export function inbound (request: IncomingMessage, response: ServerResponse, body: Buffer, clock: Clock): Inbound {
   const left = Number(header(request, wireHeaders.deadline) ?? defaultLeft)
+  const fresh = header(request, wireHeaders.fresh)
   return {
     request,
     response,
@@ -34,7 +36,7 @@
     team: header(request, wireHeaders.team) ?? '',
     deadline: clock.now() + left,
     key: header(request, wireHeaders.key),
-    fresh: header(request, wireHeaders.fresh) === '1'
+    fresh: fresh === undefined ? undefined : Number(fresh)
   }
 }
 
--- /dev/null
+++ b/prove/breakages.js
@@ -0,0 +1,119 @@
+/**
+ * Deliberate breakages: each changes one rule of the built code, in memory only, and names the test that must turn
+ * red. `find` must stand exactly once in the file.
+ */
+export const breakages = [
+  {
+    name: 'grant-after-restart',
+    point: 1,
+    rule: 'a granter that has just started waits out the longest grant',
+    file: 'packages/lease/dist/src/granter.js',
+    find: 'now < this.#openAt',
+    replace: 'false',
+    test: 'packages/lease/dist/test/exclusion.test.js',
+    title: 'by majority of the granters*'
+  },
+  {
+    name: 'grant-from-receipt',
+    point: 1,
+    rule: 'a holder counts a grant from when its request was sent',
+    file: 'packages/lease/dist/src/lease.js',
+    find: 'this.#holding.granted(granter, sent)',
+    replace: 'this.#holding.granted(granter, clock.holderNow())',
+    test: 'packages/lease/dist/test/exclusion.test.js',
+    title: 'a grant whose answer came late*'
+  },
+  {
+    name: 'grant-two-holders',
+    point: 2,
+    rule: 'a granter gives a resource to one holder and term at a time',
+    file: 'packages/lease/dist/src/granter.js',
+    find: '!free && !same',
+    replace: 'false',
+    test: 'packages/lease/dist/test/exclusion.test.js',
+    title: 'by majority of the granters*'
+  },
+  {
+    name: 'grant-reused-term',
+    point: 2,
+    rule: 'a release ends only the grant of its own term',
+    file: 'packages/lease/dist/src/granter.js',
+    find: 'grant.holder !== claim.holder || grant.term !== claim.term',
+    replace: 'grant.holder !== claim.holder',
+    test: 'packages/lease/dist/test/granter.test.js',
+    title: 'a release frees*'
+  },
+  {
+    name: 'grant-less-than-all',
+    point: 1,
+    rule: 'a head needs the grant of every member',
+    file: 'packages/lease/dist/src/holding.js',
+    find: "quorum === 'all' ? granters.length",
+    replace: "quorum === 'all' ? granters.length - 1",
+    test: 'packages/lease/dist/test/exclusion.test.js',
+    title: 'a holder whose member was lost*'
+  }
+]
+
+breakages.push(
+  {
+    name: 'run-without-floor',
+    point: 5,
+    rule: 'a home refuses keys minted before it took its slot over',
+    file: 'packages/run/dist/src/book.js',
+    find: 'fresh !== this.tenure && key.minted <= this.floor(wall)',
+    replace: 'false',
+    test: 'packages/run/dist/test/once.test.js',
+    title: 'a key runs at most once*'
+  },
+  {
+    name: 'run-one-skew',
+    point: 5,
+    rule: 'the floor is the take-over plus both skews, the callers\' and the workers\'',
+    file: 'packages/run/dist/src/book.js',
+    find: 'openedAt + 2 * this.#skew',
+    replace: 'openedAt + this.#skew',
+    test: 'packages/run/dist/test/book.test.js',
+    title: 'a key minted at the take-over*'
+  },
+  {
+    name: 'run-fresh-late',
+    point: 5,
+    rule: 'a key minted by the entry is taken as new only in the tenure of the home that it was minted for',
+    file: 'packages/run/dist/src/book.js',
+    find: 'fresh !== this.tenure && ',
+    replace: 'fresh === undefined && ',
+    test: 'packages/run/dist/test/once.test.js',
+    title: 'a key runs at most once*'
+  },
+  {
+    name: 'run-without-lease',
+    point: 5,
+    rule: 'a worker runs keyed requests only while its lease of the slot stands',
+    file: 'packages/run/dist/src/home.js',
+    find: 'held?.lease.valid === true ? held.book : undefined',
+    replace: 'held?.book',
+    test: 'packages/run/dist/test/once.test.js',
+    title: 'a key runs at most once*'
+  },
+  {
+    name: 'run-forgets',
+    point: 5,
+    rule: 'a forgotten key is refused also after the wall clock stepped back',
+    file: 'packages/run/dist/src/book.js',
+    find: 'this.#floor = Math.max(this.#floor, wall - this.#keep)',
+    replace: 'this.#floor = wall - this.#keep',
+    test: 'packages/run/dist/test/book.test.js',
+    title: 'a full book*'
+  },
+  {
+    name: 'not-run-without-tombstone',
+    point: 4,
+    rule: 'an attempt reported as not started is tombstoned, so that it never starts',
+    file: 'packages/run/dist/src/attempts.js',
+    find: 'this.#tombstones.set(attempt, now)',
+    replace: 'undefined',
+    test: 'packages/run/dist/test/book.test.js',
+    title: 'an attempt that has not started*'
+  }
+)
