--- a/packages/clock/src/random.ts
+++ b/packages/clock/src/random.ts
@@ -1,10 +1,10 @@
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { mersenne } from 'pure-rand/generator/mersenne'
 
 /** A source of numbers in [0, 1). */
 export type Random = () => number
 
-/** A random source that gives the same numbers for the same seed on every run. */
+/** A random source that gives the same numbers for the same seed on every run. Neighbouring seeds give unlike numbers from the first on. */
 export function seeded (seed: number): Random {
-  const generator = xoroshiro128plus(seed)
+  const generator = mersenne(seed)
   return () => (generator.next() >>> 0) / 2 ** 32
 }
--- a/packages/clock/test/clock.test.ts
+++ b/packages/clock/test/clock.test.ts
@@ -50,3 +50,9 @@
   t.deepEqual(first, Array.from({ length: 100 }, b))
   t.true(first.every(each => each >= 0 && each < 1))
 })
+
+test('neighbouring seeds give unlike numbers from the first on', t => {
+  const firsts = Array.from({ length: 100 }, (_each, index) => seeded(index)())
+  t.true(firsts.filter(each => each < 0.5).length > 30)
+  t.true(firsts.filter(each => each >= 0.5).length > 30)
+})
