--- a/packages/schema/src/report.ts
+++ b/packages/schema/src/report.ts
@@ -12,6 +12,8 @@
   service: z.string().optional(),
   replica: z.string().optional(),
   generation: z.int().optional(),
+  /** Members of the replica that this worker is the head of. */
+  members: z.int().optional(),
   /** Whether it takes requests: a head with every grant, or a plain worker with its service up. */
   serving: z.boolean(),
   leaving: z.boolean(),
@@ -20,6 +22,8 @@
   running: z.int(),
   queued: z.int(),
   concurrency: z.int(),
+  /** Members whose grant this head has lacked for long. */
+  missing: z.array(z.string()),
   /** Slots of keys that this worker is the home of. */
   slots: z.array(z.object({ slot: z.int(), tenure: z.int() })),
   /** The version and generation that the engine last took, where there is an engine. */
--- a/packages/worker/src/facts.ts
+++ b/packages/worker/src/facts.ts
@@ -40,6 +40,8 @@
   readonly upstream: UpstreamState
   /** Whether new requests are taken. */
   readonly serving: boolean
+  /** Members whose grant this head has lacked for long. */
+  readonly missing: readonly string[]
   /** Slots of keys whose home this worker is. */
   readonly slots: readonly HeldSlot[]
 }
@@ -58,6 +60,7 @@
     stopping: false,
     upstream: { healthy: false, loaded: undefined },
     serving: false,
+    missing: [],
     slots: []
   })
 }
--- a/packages/worker/src/head.ts
+++ b/packages/worker/src/head.ts
@@ -10,6 +10,9 @@
 import { type WorkerBoard } from './facts.js'
 import { nodeResource, replicaHolder } from './grants.js'
 
+/** Periods for which a member's grant has to be missing before it is reported: more than a restart takes to give one again. */
+const missingPeriods = 3
+
 /** What a head stands on. */
 export interface HeadOptions {
   readonly clock: Clock
@@ -31,6 +34,8 @@
   readonly lease: Lease
   /** What each member last said of its engine. */
   readonly ready: Map<string, boolean>
+  /** Since when each member's grant has been missing, on `Clock.now`. */
+  readonly missingSince: Map<string, number>
   /** No new requests any more; released when the last one is done. */
   draining: boolean
 }
@@ -69,6 +74,7 @@
     } else if (tenure.draining || !same(tenure.assignment, wanted)) {
       await this.#drain(tenure)
     }
+    this.#watch()
     this.#note()
   }
 
@@ -113,7 +119,7 @@
         refused: (member, answer) => log.write('grant-refused', { member, reason: answer.granted ? '' : answer.reason })
       }
     })
-    const tenure: Tenure = { assignment, lease, ready, draining: false }
+    const tenure: Tenure = { assignment, lease, ready, missingSince: new Map(), draining: false }
     this.#tenure = tenure
     queue.open()
     lease.start()
@@ -133,6 +139,18 @@
     this.#note()
   }
 
+  /** Writes to the board which members have been missing for longer than a granter that restarts needs. */
+  #watch (): void {
+    const { clock, board, period } = this.#options
+    const tenure = this.#tenure
+    const now = clock.now()
+    const absent = new Set(tenure?.lease.missing)
+    for (const id of tenure?.missingSince.keys() ?? []) if (!absent.has(id)) tenure?.missingSince.delete(id)
+    for (const id of absent) if (tenure?.missingSince.has(id) === false) tenure.missingSince.set(id, now)
+    const long = [...absent].filter(id => now - (tenure?.missingSince.get(id) ?? now) > missingPeriods * period)
+    if (long.join() !== board.read('missing').join()) board.write('missing', long)
+  }
+
   /** Writes whether this head serves to the board, and tells it when that has changed. */
   #note (): void {
     const { board, log, metric, queue, cut } = this.#options
