Prove at most once, configuration and leaving with the real daemons; say 'not run' of a caller's key only on its home's word

Cause 1: a caller's retry with its own key that met no home, a full queue or a dead worker was told 'not-run', although an earlier try with that key had run: the attempt had not, the request had (once.test.ts, a home killed in the middle). Cause 2: a request at a frozen worker waited until its own deadline (600 s by default), and the home of a slot could be looked up from the old holder's last report; the test of the frozen home hung. Ruled out: the homes (no key ran twice in any run), the network of the test, the platform (up in both cases). Change: a home says 'judged' where it would know of a run; without that word a caller's key ends as unknown. A key up to two skews ahead is unknown, since an earlier home may have taken it. Attempts at a worker that has gone silent are given up within lost_after; of several holders of a slot the one that reported last is taken; status shows no slots of lost nodes. Homes do not move back after a restart.

--- a/packages/entry/src/attempting.ts
+++ b/packages/entry/src/attempting.ts
@@ -14,13 +14,14 @@
 
 /** Sends a request to a target and collects the whole answer. Gives up at the deadline, and when the caller goes away. */
 export function tryWhole (context: Context, exchange: Exchange, target: Target, options: TryOptions = {}): Promise<AttemptEnd> {
-  const { clock, targets, dispatcher } = context
+  const { clock, targets, flights, dispatcher } = context
   const attempt = attemptAt(target, clock)
   options.begun?.(attempt)
   targets.open(target.worker)
   return new Promise(resolve => {
     const finish = (end: AttemptEnd): void => {
       timer.cancel()
+      landed()
       exchange.response.off('close', gone)
       targets.close(target.worker)
       resolve(end)
@@ -30,6 +31,7 @@
       failed: ({ sent }) => finish(broken(sent, left(exchange, clock) <= 0))
     }))
     const timer = clock.after(left(exchange, clock), () => cancel(new Error('The deadline has passed.')))
+    const landed = flights.add(target, cancel)
     const gone = (): void => cancel(new Error('The caller went away.'))
     exchange.response.once('close', gone)
   })
@@ -56,7 +58,7 @@
 
 function judge (context: Context, attempt: Attempt, answer: Collected): AttemptEnd {
   const fault = workerFault(answer.status, answer.headers, answer.body)
-  if (fault !== undefined) return { type: 'failed', failure: failure(fault) }
+  if (fault !== undefined) return { type: 'failed', failure: failure(fault, answer.headers[wireHeaders.judged] === '1') }
   if (!ownAnswer(context, attempt, answer.headers[wireHeaders.attempt])) return { type: 'failed', failure: failure(new Fault('lost')) }
   return { type: 'answered', answer }
 }
--- a/packages/entry/src/context.ts
+++ b/packages/entry/src/context.ts
@@ -4,6 +4,7 @@
 import { type Log, type Metric } from '@eiderwind/log'
 import { type Affinity, type Budget, type Policy } from '@eiderwind/route'
 import { type Clients } from '@eiderwind/wire'
+import { type Flights } from './flights.js'
 import { type Targets } from './targets.js'
 
 /** What the path of a request through an entry stands on. */
@@ -11,6 +12,7 @@
   readonly clock: Clock
   readonly current: Current
   readonly targets: Targets
+  readonly flights: Flights
   readonly policy: Policy
   readonly affinity: Affinity
   readonly budget: Budget
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -17,6 +17,7 @@
 import { Calls } from './calls.js'
 import { type Context } from './context.js'
 import { entryBoard, type EntryBoard } from './facts.js'
+import { Flights } from './flights.js'
 import { DualListener } from './listener.js'
 import { NodeReader } from './nodereader.js'
 import { OperatorCalls, operatorCheck } from './operators.js'
@@ -161,12 +162,14 @@
   }
 
   async #startCallers (board: EntryBoard, self: EntryAddress): Promise<string> {
-    const { clock, log, metric, bodyLimit, deadline, callers: address } = this.#options
+    const { clock, log, metric, bodyLimit, deadline, lostAfter, callers: address } = this.#options
     const current = this.#current
+    const targets = new Targets({ board, clock, current, reports: this.#reports, self, nearAge: lostAfter })
     const context: Context = {
       clock,
       current,
-      targets: new Targets({ board, clock, current, reports: this.#reports, self }),
+      targets,
+      flights: new Flights(clock, targets),
       policy: new Balanced({ random: seeded(digest(self.id)) }),
       affinity: new Affinity(),
       budget: new Budget(clock),
--- /dev/null
+++ b/packages/entry/src/flights.ts
@@ -0,0 +1,38 @@
+import { type Clock } from '@eiderwind/clock'
+import { type Cancel } from '@eiderwind/wire'
+import { type Target, type Targets } from './targets.js'
+
+/** Time between two looks at the workers of what is in flight, in ms. */
+const lookInterval = 500
+
+interface Flight {
+  readonly target: Target
+  readonly cancel: Cancel
+}
+
+/**
+ * The attempts in flight. A worker that freezes keeps its connections open, so an attempt there would wait until its
+ * deadline; once the worker has been silent for too long, its attempts are given up and go on elsewhere, or are answered.
+ */
+export class Flights {
+  readonly #targets: Targets
+  readonly #flights = new Set<Flight>()
+
+  constructor (clock: Clock, targets: Targets) {
+    this.#targets = targets
+    clock.every(lookInterval, () => this.#look())
+  }
+
+  /** Notes an attempt in flight. The returned function takes it out again. */
+  add (target: Target, cancel: Cancel): () => void {
+    const flight: Flight = { target, cancel }
+    this.#flights.add(flight)
+    return () => { this.#flights.delete(flight) }
+  }
+
+  #look (): void {
+    for (const { target, cancel } of [...this.#flights]) {
+      if (!this.#targets.alive(target)) cancel(new Error('The worker went silent.'))
+    }
+  }
+}
--- a/packages/entry/src/keyedpath.ts
+++ b/packages/entry/src/keyedpath.ts
@@ -20,6 +20,9 @@
  * Serves one request that may not be repeated. It goes to the home of its key. When the connection to the home is
  * lost, the same key is sent to the home again: it gives the first answer, or says that the request still runs, and
  * never runs it twice. The answer is final at once when the home can no longer tell.
+ *
+ * A key that the caller gave may have been used in an earlier try, at any entry. So "not run" is said of it only on the
+ * home's word that no try of it has run; a refusal without that word ends as "unknown".
  */
 export async function serveKeyed (context: Context, exchange: Exchange): Promise<void> {
   const { clock, targets, log } = context
@@ -29,6 +32,7 @@
   const key = read.value
   let last = new Fault('not-home', { detail: 'No worker is the home of this key now.' })
   let doubt = false
+  let judged = false
   let unanswered = 0
   let moves = 0
   while (left(exchange, clock) > 0) {
@@ -37,6 +41,7 @@
     const end = await tryWhole(context, exchange, target, { headers: keyHeaders(key, minted && !doubt ? target.tenure : undefined) })
     if (end.type === 'answered') return pass(exchange, end.answer)
     const { fault, outcome } = end.failure
+    judged = end.failure.judged === true
     log.write('attempt-failed', { service: exchange.service, worker: target.worker, code: fault.code, outcome })
     last = fault
     if (outcome !== 'not-run') doubt = true
@@ -46,7 +51,8 @@
     await clock.wait(Math.min(askAgain, left(exchange, clock)))
   }
   const late = left(exchange, clock) <= 0
-  answerFault(exchange.response, finalFault(late ? new Fault(doubt ? 'deadline-running' : 'deadline') : last, doubt))
+  const fault = finalFault(late ? new Fault(doubt ? 'deadline-running' : 'deadline') : last, doubt)
+  answerFault(exchange.response, minted || (judged && !late) ? fault : withoutWord(fault))
 }
 
 /** Whether asking once more can bring a better answer. */
@@ -54,6 +60,12 @@
   return code === 'lost' || code === 'still-running' || code === 'not-home' || code === 'not-serving' || code === 'leaving'
 }
 
+/** The fault for a key of the caller's of which no home has said that it has not run. */
+function withoutWord (fault: Fault): Fault {
+  if (fault.outcome !== 'not-run' || fault.code === 'key-invalid') return fault
+  return new Fault(fault.code, { outcome: 'unknown', retryAfter: fault.retryAfter, detail: 'An earlier try with this key may have run; keep the key.' })
+}
+
 function keyHeaders (key: Key, fresh: number | undefined): Record<string, string> {
   return { [wireHeaders.key]: key.text, ...(fresh === undefined ? {} : { [wireHeaders.fresh]: String(fresh) }) }
 }
--- a/packages/entry/src/outcome.ts
+++ b/packages/entry/src/outcome.ts
@@ -7,6 +7,8 @@
   readonly fault: Fault
   /** Whether this attempt may have run. */
   readonly outcome: Outcome
+  /** Whether the home of a key said that no earlier try with it has run either. */
+  readonly judged?: boolean
 }
 
 /** How one attempt ended. */
@@ -15,8 +17,8 @@
   | { readonly type: 'failed', readonly failure: Failure }
 
 /** A failure with the outcome of its fault. */
-export function failure (fault: Fault): Failure {
-  return { fault, outcome: fault.outcome }
+export function failure (fault: Fault, judged = false): Failure {
+  return { fault, outcome: fault.outcome, judged }
 }
 
 /** The fault that a worker answered with, or undefined where the answer is the upstream's own. */
--- a/packages/entry/src/plainpath.ts
+++ b/packages/entry/src/plainpath.ts
@@ -46,12 +46,13 @@
 
 /** Passes a request to a worker and its answer back as it comes. Undefined once an answer was begun. */
 function tryRelay (context: Context, exchange: Exchange, target: Target): Promise<Failure | undefined> {
-  const { clock, targets, dispatcher } = context
+  const { clock, targets, flights, dispatcher } = context
   const attempt = attemptAt(target, clock)
   targets.open(target.worker)
   return new Promise(resolve => {
     const finish = (failed: Failure | undefined): void => {
       timer.cancel()
+      landed()
       exchange.response.off('close', gone)
       targets.close(target.worker)
       resolve(failed)
@@ -59,6 +60,7 @@
     const relay = new PlainRelay(context, exchange, attempt, finish)
     const cancel = send(dispatcher, attemptCall(context, exchange, attempt), relay)
     const timer = clock.after(left(exchange, clock), () => cancel(new Error('The deadline has passed.')))
+    const landed = flights.add(target, cancel)
     const gone = (): void => cancel(new Error('The caller went away.'))
     exchange.response.once('close', gone)
   })
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -57,6 +57,6 @@
     replica: replicas.find(each => each.members.includes(node.id))?.id ?? '',
     accelerators: node.accelerators,
     age: BigInt(age === undefined ? -1 : Math.round(age)),
-    slots: reports.of(node.id)?.report.slots.map(each => each.slot) ?? []
+    slots: health === 'lost' ? [] : reports.of(node.id)?.report.slots.map(each => each.slot) ?? []
   }
 }
--- a/packages/entry/src/stream.ts
+++ b/packages/entry/src/stream.ts
@@ -85,7 +85,7 @@
 
   /** Streams from one replica until the end mark or a break. */
   #part (target: Target): Promise<PartEnd> {
-    const { clock, dispatcher } = this.#context
+    const { clock, flights, dispatcher } = this.#context
     const exchange = this.#exchange
     const progress = this.#transcript.resume()
     if (progress.finished) return Promise.resolve(this.#end())
@@ -93,6 +93,7 @@
     return new Promise(resolve => {
       const finish = (end: PartEnd): void => {
         timer.cancel()
+        landed()
         exchange.response.off('close', gone)
         resolve(end)
       }
@@ -104,6 +105,7 @@
       }, this.#exchange.response)
       const cancel = send(dispatcher, attemptCall(this.#context, exchange, attempt, {}, this.#body(progress.offset, progress.text)), part)
       const timer = clock.after(left(exchange, clock), () => cancel(new Error('The deadline has passed.')))
+      const landed = flights.add(target, cancel)
       const gone = (): void => {
         this.#context.log.write('caller-gone', { service: exchange.service })
         cancel(new Error('The caller went away.'))
--- a/packages/entry/src/targets.ts
+++ b/packages/entry/src/targets.ts
@@ -5,8 +5,7 @@
 import { type Heard, type Reports } from '@eiderwind/spread'
 import { type EntryBoard } from './facts.js'
 
-/** Age at which a report is too old to send anything by it, in ms: near workers, and those of other data centres. */
-const nearAge = 5000
+/** Age at which a report of a worker in another data centre is too old to send anything by it, in ms. */
 const farAge = 15_000
 
 /** Weight of the newest time to the first byte in the running mean. */
@@ -41,6 +40,8 @@
   readonly current: Current
   readonly reports: Reports
   readonly self: EntryAddress
+  /** Age at which a report of a worker in the own data centre is too old, in ms. */
+  readonly nearAge: number
 }
 
 /** The workers that requests can be sent to, with their load as this entry can tell. */
@@ -78,15 +79,17 @@
     return targets
   }
 
-  /** The worker of a plain service that is the home of a slot of keys. */
+  /** The worker of a plain service that is the home of a slot of keys: of several that say so, the one that said it last. */
   home (service: string, slot: number): HomeTarget | undefined {
+    let latest: Heard | undefined
     for (const heard of this.#options.reports.all) {
-      const { report } = heard
-      if (report.service !== service || !this.#usable(heard)) continue
-      const held = report.slots.find(each => each.slot === slot)
-      if (held !== undefined) return { ...this.#target(heard, report.worker), tenure: held.tenure }
+      const { report, madeAt } = heard
+      if (report.service !== service || !this.#usable(heard) || madeAt <= (latest?.madeAt ?? -Infinity)) continue
+      if (report.slots.some(each => each.slot === slot)) latest = heard
     }
-    return undefined
+    const held = latest?.report.slots.find(each => each.slot === slot)
+    if (latest === undefined || held === undefined) return undefined
+    return { ...this.#target(latest, latest.report.worker), tenure: held.tenure }
   }
 
   /** The nearest of `targets` with a place free: own data centre, own region, anywhere; all of them where none has. */
@@ -98,6 +101,12 @@
     return free.length > 0 ? free : [...targets]
   }
 
+  /** Whether a worker still is the process that a request was sent to, and not silent. */
+  alive ({ worker, incarnation }: Target): boolean {
+    const heard = this.#options.reports.of(worker)
+    return heard !== undefined && heard.report.incarnation === incarnation && this.#fresh(heard)
+  }
+
   /** Notes that a request goes to a worker. */
   open (worker: string): void {
     const tally = this.#tally(worker)
@@ -122,10 +131,14 @@
     return this.#target(heard, replica.id)
   }
 
-  #usable ({ report, madeAt }: Heard): boolean {
-    const { self, clock } = this.#options
+  #usable (heard: Heard): boolean {
+    return heard.report.serving && !heard.report.leaving && this.#fresh(heard)
+  }
+
+  #fresh ({ report, madeAt }: Heard): boolean {
+    const { self, clock, nearAge } = this.#options
     const limit = report.dataCentre === self.dataCentre ? nearAge : farAge
-    return report.serving && !report.leaving && clock.now() - madeAt < limit
+    return clock.now() - madeAt < limit
   }
 
   #target ({ report, madeAt }: Heard, id: string): Target {
--- a/packages/run/src/book.ts
+++ b/packages/run/src/book.ts
@@ -90,7 +90,7 @@
   begin (key: Key, request: number, wall: number, fresh?: number): Verdict {
     const known = this.#entries.get(key.text)
     if (known !== undefined) return known.run.request === request ? judge(known.run) : refuse('key-reused')
-    if (key.minted > wall + this.#skew) return refuse('key-in-future')
+    if (key.minted > wall + this.#skew) return this.#early(key, wall)
     if (fresh !== this.tenure && key.minted <= this.floor(wall)) return refuse('key-before-home')
     this.#forget(wall)
     if (this.#entries.size >= this.#limit) return refuse('busy')
@@ -98,6 +98,11 @@
     return { type: 'run' }
   }
 
+  /** Whether this book can tell that the request of `key` has not run, here or at an earlier home. */
+  unrun (key: Key, wall: number): boolean {
+    return !this.#entries.has(key.text) && key.minted > this.floor(wall)
+  }
+
   /** Notes that the request of `key` was never handed to the service, so that it may still run. */
   abandon (key: Key): void {
     this.#entries.delete(key.text)
@@ -122,6 +127,12 @@
     if (entry !== undefined) entry.run = { state: 'unknown', request: entry.run.request }
   }
 
+  /** Refuses a key from the future. An earlier home, whose clock was ahead by a skew, may have taken one that is less than two ahead. */
+  #early (key: Key, wall: number): Verdict {
+    const outcome = key.minted > wall + 2 * this.#skew ? 'not-run' : 'unknown'
+    return { type: 'refuse', fault: new Fault('key-in-future', { outcome }) }
+  }
+
   #forget (wall: number): void {
     const floor = this.floor(wall)
     for (const [text, { key, run }] of this.#entries) {
@@ -142,6 +153,6 @@
   }
 }
 
-function refuse (code: 'key-reused' | 'key-in-future' | 'key-before-home' | 'busy' | 'still-running' | 'answer-too-large' | 'lost'): Verdict {
+function refuse (code: 'key-reused' | 'key-before-home' | 'busy' | 'still-running' | 'answer-too-large' | 'lost'): Verdict {
   return { type: 'refuse', fault: new Fault(code) }
 }
--- a/packages/trial/test/replica.test.ts
+++ b/packages/trial/test/replica.test.ts
@@ -120,6 +120,18 @@
   })
 })
 
+test.serial('a head that freezes and stays frozen keeps no caller waiting: the stream goes on whole elsewhere', async t => {
+  await withFleet(async fleet => {
+    const [head] = await members(fleet)
+    const stream = await open(fleet.entries[0].callers)
+    await stream.begun()
+    fleet.worker(head).child.signal('SIGSTOP')
+    t.is(await stream.ended, 'end')
+    t.log(`the caller's stream stood still for ${stream.gap} ms`)
+    whole(t, stream.text)
+  })
+})
+
 test.serial('a replica whose member is cut from the head alone stops, and gets another member', async t => {
   await withFleet(async fleet => {
     const [head, member] = await members(fleet)
--- a/packages/wire/src/headers.ts
+++ b/packages/wire/src/headers.ts
@@ -22,6 +22,8 @@
   key: 'eiderwind-key',
   /** The home's tenure, where the entry has just minted the key for this very attempt. */
   fresh: 'eiderwind-fresh',
+  /** `1` on a refusal by the home of a key that knows that the key's request has not run in any earlier try either. */
+  judged: 'eiderwind-judged',
   /** `1` on an answer that an earlier attempt with the same key got. */
   replayed: 'eiderwind-replayed'
 } as const
--- a/packages/worker/src/plain.ts
+++ b/packages/worker/src/plain.ts
@@ -31,12 +31,21 @@
   /** Serves one request; it answers the response in every case. */
   async serve (inbound: Inbound): Promise<void> {
     const { board, queue } = this.#options
-    if (!board.read('serving')) return answerFault(inbound.response, new Fault('not-serving'))
+    if (!board.read('serving')) return this.#refuse(inbound, new Fault('not-serving'))
     const admission = await queue.enter(inbound)
-    if (admission.isErr()) return answerFault(inbound.response, admission.error)
+    if (admission.isErr()) return this.#refuse(inbound, admission.error)
     const fault = inbound.key === undefined ? this.#runPlain(inbound, admission.value) : this.#runKeyed(inbound, inbound.key, admission.value)
     if (fault === undefined) return
     admission.value.done()
+    this.#refuse(inbound, fault)
+  }
+
+  /** Refuses an attempt, and says whether the request of its key has not run in any earlier try either. */
+  #refuse (inbound: Inbound, fault: Fault): void {
+    const { book, clock } = this.#options
+    const key = inbound.key === undefined ? undefined : readKey(inbound.key).unwrapOr(undefined)
+    const unrun = key !== undefined && book(key)?.unrun(key, clock.wall()) === true
+    if (unrun || fault.code === 'key-in-future') inbound.response.setHeader(wireHeaders.judged, '1')
     answerFault(inbound.response, fault)
   }
 
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -83,8 +83,8 @@
     file: 'packages/run/dist/src/book.js',
     find: 'fresh !== this.tenure && ',
     replace: 'fresh === undefined && ',
-    test: 'packages/run/dist/test/once.test.js',
-    title: 'a key runs at most once*'
+    test: 'packages/run/dist/test/book.test.js',
+    title: 'a key minted by the entry for an earlier*'
   },
   {
     name: 'run-without-lease',
@@ -93,8 +93,8 @@
     file: 'packages/run/dist/src/home.js',
     find: 'held?.lease.valid === true ? held.book : undefined',
     replace: 'held?.book',
-    test: 'packages/run/dist/test/once.test.js',
-    title: 'a key runs at most once*'
+    test: 'packages/run/dist/test/home.test.js',
+    title: 'a home looks at its lease*'
   },
   {
     name: 'run-forgets',
@@ -106,6 +106,16 @@
     test: 'packages/run/dist/test/book.test.js',
     title: 'a full book*'
   },
+  {
+    name: 'not-run-without-word',
+    point: 4,
+    rule: 'of a key of the caller\'s, "not run" is said only on its home\'s word',
+    file: 'packages/entry/dist/src/keyedpath.js',
+    find: "fault.outcome !== 'not-run' || ",
+    replace: 'true || ',
+    test: 'packages/trial/dist/test/once.test.js',
+    title: 'a home killed in the middle*'
+  },
   {
     name: 'not-run-without-tombstone',
     point: 4,
