--- a/packages/entry/src/attempting.ts
+++ b/packages/entry/src/attempting.ts
@@ -1,5 +1,5 @@
 import { type Context } from './context.js'
-import { attemptAt, attemptHeaders, left, type Attempt, type Exchange } from './exchange.js'
+import { attemptAt, attemptHeaders, late, left, type Attempt, type Exchange } from './exchange.js'
 import { failure, workerFault, type AttemptEnd } from './outcome.js'
 import { type Target } from './targets.js'
 import { Fault } from '@eiderwind/fault'
@@ -28,7 +28,7 @@
     }
     const cancel = send(dispatcher, attemptCall(context, exchange, attempt, options.headers), new Collect({
       whole: answer => finish(judge(context, attempt, answer)),
-      failed: ({ sent }) => finish(broken(sent, left(exchange, clock) <= 0))
+      failed: ({ sent }) => finish(broken(sent, late(exchange, clock)))
     }))
     const timer = clock.after(left(exchange, clock), () => cancel(new Error('The deadline has passed.')))
     const landed = flights.add(target, cancel)
@@ -63,7 +63,7 @@
   return { type: 'answered', answer }
 }
 
-function broken (sent: boolean, late: boolean): AttemptEnd {
-  const code = sent ? (late ? 'deadline-running' : 'lost') : (late ? 'deadline' : 'upstream-down')
+function broken (sent: boolean, expired: boolean): AttemptEnd {
+  const code = sent ? (expired ? 'deadline-running' : 'lost') : (expired ? 'deadline' : 'upstream-down')
   return { type: 'failed', failure: failure(new Fault(code)) }
 }
--- a/packages/entry/src/calls.ts
+++ b/packages/entry/src/calls.ts
@@ -1,6 +1,6 @@
 import { type Current } from '@eiderwind/config'
 import { type Configuration, type Report, type ReportAnswer } from '@eiderwind/schema'
-import { reportTargets, type Reports } from '@eiderwind/spread'
+import { beatsOf, reportTargets, type Reports } from '@eiderwind/spread'
 import { EntryCalls, type Exchange, type ExchangeAnswer, type Known } from '@eiderwind/wire'
 import { assignment } from './assignment.js'
 import { knownDigest, type EntryBoard } from './facts.js'
@@ -12,6 +12,8 @@
   readonly current: Current
   readonly reports: Reports
   readonly peers: Peers
+  /** Data centre of this entry. */
+  readonly dataCentre: string
   /** Fetches what another entry has and this one lacks. */
   readonly fetch: (address: string, revision: number, known: number) => Promise<void>
 }
@@ -27,7 +29,7 @@
 
   async report (report: Report): Promise<ReportAnswer> {
     const { board, current, reports } = this.#options
-    reports.accept({ report, age: 0 }, true)
+    reports.accept({ report, age: 0 }, 'worker')
     const { configuration } = current
     const nodes = board.read('nodes')?.nodes ?? []
     const node = nodes.find(each => each.id === report.worker)
@@ -40,11 +42,13 @@
     }
   }
 
-  async exchange ({ from, revision, known, reports }: Exchange): Promise<ExchangeAnswer> {
+  async exchange ({ from, revision, known, reports, beats }: Exchange): Promise<ExchangeAnswer> {
     const { board, current, peers, fetch } = this.#options
     peers.heard(from.id)
-    for (const aged of reports) this.#options.reports.accept(aged, false)
-    const mine = { revision: current.revision, known: knownDigest(board) }
+    const source = from.dataCentre === this.#options.dataCentre ? 'near' : 'far'
+    for (const aged of reports) this.#options.reports.accept(aged, source)
+    const lacking = beatsOf(beats).filter(beat => this.#options.reports.beat(beat, source) === 'lacking').map(each => each.worker)
+    const mine = { revision: current.revision, known: knownDigest(board), lacking }
     if (revision > mine.revision || known !== mine.known) fetch(from.peer, revision, known).catch(() => {})
     return mine
   }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -106,6 +106,7 @@
       current: this.#current,
       reports: this.#reports,
       peers,
+      dataCentre,
       fetch: (from, revision, known) => spreader.fetch(from, revision, known)
     })
     serve(peerServer, { router: entryRouter(calls) })
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -42,6 +42,14 @@
   return exchange.deadline - clock.now()
 }
 
+/** How early a timer may be, in ms. */
+const timerSlack = 5
+
+/** Whether a request has no time left. A timer that is set to its deadline may be a little early. */
+export function late (exchange: Exchange, clock: Clock): boolean {
+  return left(exchange, clock) < timerSlack
+}
+
 /** How much earlier a worker gives up than the entry, in ms, so that its own word on whether the request ran comes in time. */
 const answerTime = 25
 
--- a/packages/entry/src/health.ts
+++ b/packages/entry/src/health.ts
@@ -1,4 +1,4 @@
-import { type Configuration, type Node } from '@eiderwind/schema'
+import { type Configuration, type Node, type Replica } from '@eiderwind/schema'
 import { type Health, type NodeFact } from '@eiderwind/plan'
 import { type Reports } from '@eiderwind/spread'
 
@@ -9,9 +9,14 @@
   readonly reports: Reports
   /** Silence after which a node counts as lost, in ms. */
   readonly lostAfter: number
+  /** Data centre of this entry: of others it hears later, and of heads and plain workers only. */
+  readonly dataCentre: string
 }
 
-/** What is believed of each node. */
+/** How much later than in its own data centre a node is heard of in others, in ms, at the most. */
+const farDelay = 12_000
+
+/** What is believed of each node. Nodes of other data centres that nobody tells of are as the platform lists them. */
 export function nodeFacts (facts: HealthFacts): NodeFact[] {
   const leaving = new Set(facts.configuration.leaving)
   const cut = cutOff(facts)
@@ -23,6 +28,16 @@
   })
 }
 
+/** Ids of the replicas whose present head, in the present generation, says that it serves and is not lost. */
+export function servingReplicas (replicas: readonly Replica[], nodes: readonly NodeFact[], reports: Reports): Set<string> {
+  const lost = new Set(nodes.filter(each => each.health === 'lost').map(each => each.node.id))
+  const serving = replicas.filter(({ id, generation, members: [head] }) => {
+    const report = reports.of(head)?.report
+    return !lost.has(head) && report?.serving === true && report.replica === id && report.generation === generation
+  })
+  return new Set(serving.map(each => each.id))
+}
+
 /**
  * Nodes that answer the entries but whose replica's head has no grant of them for long: cut from the head alone. Where
  * a head lacks most of its members, it is the head that is cut off.
@@ -44,10 +59,11 @@
   return cut ? Infinity : Math.max(0, (age ?? 0) - lostAfter)
 }
 
-function nodeHealth (node: Node, age: number | undefined, leaving: ReadonlySet<string>, { reports, lostAfter }: HealthFacts): Health {
-  if (age === undefined) return 'unheard'
+function nodeHealth (node: Node, age: number | undefined, leaving: ReadonlySet<string>, { reports, lostAfter, dataCentre }: HealthFacts): Health {
+  const far = node.dataCentre !== dataCentre
+  if (age === undefined && !far) return 'unheard'
   const report = reports.of(node.id)?.report
-  if (age > lostAfter || report?.healthy === false) return 'lost'
+  if ((age ?? 0) > lostAfter + (far ? farDelay : 0) || report?.healthy === false) return 'lost'
   const told = node.state === 'leaving' || leaving.has(node.id) || report?.leaving === true
   return told ? 'leaving' : 'live'
 }
--- a/packages/entry/src/keyedpath.ts
+++ b/packages/entry/src/keyedpath.ts
@@ -3,7 +3,7 @@
 import { answerFault, wireHeaders } from '@eiderwind/wire'
 import { tryWhole } from './attempting.js'
 import { type Context } from './context.js'
-import { left, type Exchange } from './exchange.js'
+import { late, left, type Exchange } from './exchange.js'
 import { pass } from './modelpath.js'
 import { finalFault } from './outcome.js'
 
@@ -35,7 +35,7 @@
   let judged = false
   let unanswered = 0
   let moves = 0
-  while (left(exchange, clock) > 0) {
+  while (!late(exchange, clock)) {
     const target = targets.home(exchange.service, key.slot)
     if (target === undefined) break
     const end = await tryWhole(context, exchange, target, { headers: keyHeaders(key, minted && !doubt ? target.tenure : undefined) })
@@ -50,9 +50,9 @@
     if (outcome === 'not-run' && ++moves > mostMoves) break
     await clock.wait(Math.min(askAgain, left(exchange, clock)))
   }
-  const late = left(exchange, clock) <= 0
-  const fault = finalFault(late ? new Fault(doubt ? 'deadline-running' : 'deadline') : last, doubt)
-  answerFault(exchange.response, minted || (judged && !late) ? fault : withoutWord(fault))
+  const expired = late(exchange, clock)
+  const fault = finalFault(expired ? new Fault(doubt ? 'deadline-running' : 'deadline') : last, doubt)
+  answerFault(exchange.response, minted || (judged && !expired) ? fault : withoutWord(fault))
 }
 
 /** Whether asking once more can bring a better answer. */
--- a/packages/entry/src/plainpath.ts
+++ b/packages/entry/src/plainpath.ts
@@ -3,7 +3,7 @@
 import { Relay, answerFault, send, wireHeaders, type AnswerHeaders, type Flow } from '@eiderwind/wire'
 import { attemptCall, ownAnswer } from './attempting.js'
 import { type Context } from './context.js'
-import { attemptAt, left, type Attempt, type Exchange } from './exchange.js'
+import { attemptAt, late, left, type Attempt, type Exchange } from './exchange.js'
 import { serveKeyed } from './keyedpath.js'
 import { failure, finalFault, workerFault, type Failure } from './outcome.js'
 import { type Target } from './targets.js'
@@ -79,7 +79,7 @@
       response: exchange.response,
       done: () => finish(undefined),
       failed: ({ sent }) => {
-        if (sent && left(exchange, context.clock) <= 0) return finish(failure(new Fault('deadline-running')))
+        if (sent && late(exchange, context.clock)) return finish(failure(new Fault('deadline-running')))
         settle(context, attempt, sent).then(finish, () => finish(failure(new Fault('lost'))))
       }
     })
--- a/packages/entry/src/planning.ts
+++ b/packages/entry/src/planning.ts
@@ -7,7 +7,7 @@
 import { type Store } from '@eiderwind/store'
 import { actor, type Reports } from '@eiderwind/spread'
 import { takePlacement, type EntryBoard } from './facts.js'
-import { nodeFacts } from './health.js'
+import { nodeFacts, servingReplicas } from './health.js'
 
 /** What the planning stands on. */
 export interface PlanningOptions {
@@ -84,12 +84,12 @@
   }
 
   #facts (): Facts {
-    const { board, current, reports, lostAfter } = this.#options
+    const { board, current, reports, lostAfter, self } = this.#options
     const { configuration } = current
     const services = configuration.services.filter((each): each is ModelService => each.kind === 'model')
-    const nodes = nodeFacts({ nodes: board.read('nodes')?.nodes ?? [], configuration, reports, lostAfter })
-    const serving = new Set<string>()
-    for (const { report } of reports.all) if (report.serving && report.replica !== undefined) serving.add(report.replica)
-    return { services, nodes, placements: [...board.read('placements').values()], serving }
+    const nodes = nodeFacts({ nodes: board.read('nodes')?.nodes ?? [], configuration, reports, lostAfter, dataCentre: self.dataCentre })
+    const placements = [...board.read('placements').values()]
+    const serving = servingReplicas(placements.flatMap(each => each.replicas), nodes, reports)
+    return { services, nodes, placements, serving }
   }
 }
--- a/packages/entry/src/spreader.ts
+++ b/packages/entry/src/spreader.ts
@@ -2,13 +2,19 @@
 import { type Clock } from '@eiderwind/clock'
 import { type Current } from '@eiderwind/config'
 import { Configuration, type EntryAddress } from '@eiderwind/schema'
-import { duties, type AgedReport, type Heard, type Reports } from '@eiderwind/spread'
+import { Telling, columns, duties, reportTargets, type Heard, type Reports } from '@eiderwind/spread'
 import { type Clients } from '@eiderwind/wire'
 import { type EntryBoard, knownDigest, takeEntries, takeHomes, takeNodes, takePlacement } from './facts.js'
 import { type Peers } from './peers.js'
 
 /** Updates between two tellings of another data centre. */
-const farEvery = 3
+const farEvery = 5
+
+/** Entries of the own data centre that are told in one update; where there are more, they take turns. */
+const nearAtOnce = 10
+
+/** Silence of the entry that should tell of a worker after which the other one that the worker reports to does, in ms. */
+const relaySilence = 3000
 
 /** Silence after which a worker is forgotten, in ms. */
 const forgetAfter = 600_000
@@ -31,21 +37,26 @@
   readonly name = 'spreader'
   readonly interval = 1000
   readonly #options: SpreaderOptions
-  readonly #toldAt = new Map<string, number>()
+  readonly #telling: Telling
   #turn = 0
 
   constructor (options: SpreaderOptions) {
     super()
     this.#options = options
+    this.#telling = new Telling(options.clock)
   }
 
   async update (): Promise<void> {
     const { board, peers, self, reports } = this.#options
     reports.forget(forgetAfter)
     board.write('live', same(board.read('live'), peers.live(board.read('entries'))))
-    const { near, far } = duties(self, board.read('entries'))
-    const tasks: Promise<unknown>[] = near.map(peer => this.#tell(peer, heard => heard.direct || heard.report.dataCentre !== self.dataCentre))
-    if (this.#turn++ % farEvery === 0) {
+    const { near } = duties(self, board.read('entries'))
+    const { far } = duties(self, board.read('live'))
+    const rounds = Math.max(1, Math.ceil(near.length / nearAtOnce))
+    const turn = this.#turn++
+    const due = turn === 0 ? near : near.filter((_peer, index) => index % rounds === turn % rounds)
+    const tasks: Promise<unknown>[] = due.map(peer => this.#tell(peer, heard => this.#tellsNear(heard)))
+    if (turn % farEvery === 0) {
       for (const { counterparts } of far) tasks.push(this.#tellFirst(counterparts))
     }
     if (near.length === 0) tasks.push(this.#askSeeds())
@@ -74,22 +85,36 @@
   async #tellFirst (counterparts: readonly EntryAddress[]): Promise<void> {
     const { self } = this.#options
     for (const peer of counterparts.slice(0, 2)) {
-      if (await this.#tell(peer, heard => heard.report.dataCentre === self.dataCentre && heard.report.service !== undefined)) return
+      if (await this.#tell(peer, heard => heard.report.dataCentre === self.dataCentre && takesRequests(heard))) return
     }
   }
 
+  /**
+   * Whether this entry tells its own data centre of a worker: those of other data centres that it heard of from there,
+   * and those that report to it. Of the two entries that a worker reports to the first tells, and the second while
+   * the first is silent about it.
+   */
+  #tellsNear ({ report, source, relayedAt }: Heard): boolean {
+    const { board, self, clock } = this.#options
+    if (source !== 'worker') return source === 'far'
+    const [first] = reportTargets(report.worker, report.dataCentre, board.read('live'))
+    return first?.id === self.id || clock.now() - relayedAt > relaySilence
+  }
+
   async #tell (peer: EntryAddress, chosen: (heard: Heard) => boolean): Promise<boolean> {
     const { clock, reports, peers, clients, board, current, self } = this.#options
     const now = clock.now()
-    const news: AgedReport[] = reports.after(this.#toldAt.get(peer.id) ?? -Infinity, chosen)
-    const message = { from: self, revision: current.revision, known: knownDigest(board), reports: news }
+    const heard = reports.after(this.#telling.since(peer.id), chosen)
+    const news = this.#telling.news(peer.id, heard)
+    const message = { from: self, revision: current.revision, known: knownDigest(board), reports: [...news.reports], beats: columns(news.beats) }
     try {
-      const { revision, known } = await clients.entry(peer.peer).exchange(message)
-      this.#toldAt.set(peer.id, now)
+      const { revision, known, lacking } = await clients.entry(peer.peer).exchange(message)
+      this.#telling.arrived(peer.id, now, heard, lacking)
       peers.heard(peer.id)
       await this.fetch(peer.peer, revision, known)
       return true
     } catch {
+      this.#telling.failed(peer.id)
       return false
     }
   }
@@ -102,6 +127,11 @@
   }
 }
 
+/** Whether a worker takes requests by itself: one of a plain service, or the head of a replica. Others concern their own data centre only. */
+function takesRequests ({ report }: Heard): boolean {
+  return report.service !== undefined && (report.replica === undefined || report.members !== undefined)
+}
+
 /** The old list where the new one holds the same entries, so that nobody is told of a change that is none. */
 function same (before: readonly EntryAddress[], after: readonly EntryAddress[]): readonly EntryAddress[] {
   return JSON.stringify(before) === JSON.stringify(after) ? before : after
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -2,10 +2,10 @@
 import { type Current } from '@eiderwind/config'
 import { type NodeFact } from '@eiderwind/plan'
 import { type StatusSchema } from '@eiderwind/rpc'
-import { type Replica } from '@eiderwind/schema'
+import { type EntryAddress, type Replica } from '@eiderwind/schema'
 import { type Reports } from '@eiderwind/spread'
 import { type EntryBoard } from './facts.js'
-import { nodeFacts } from './health.js'
+import { nodeFacts, servingReplicas } from './health.js'
 
 /** What a status is made from. */
 export interface StatusFacts {
@@ -14,24 +14,26 @@
   readonly reports: Reports
   /** Silence after which a node counts as lost, in ms. */
   readonly lostAfter: number
+  readonly self: EntryAddress
 }
 
 /** What every node, replica and entry does now, as far as this entry has heard. */
 export function status (facts: StatusFacts): MessageInitShape<typeof StatusSchema> {
-  const { board, current, reports, lostAfter } = facts
+  const { board, current, reports, lostAfter, self } = facts
   const replicas = [...board.read('placements').values()].flatMap(each => each.replicas)
-  const nodes = nodeFacts({ nodes: board.read('nodes')?.nodes ?? [], configuration: current.configuration, reports, lostAfter })
+  const nodes = nodeFacts({ nodes: board.read('nodes')?.nodes ?? [], configuration: current.configuration, reports, lostAfter, dataCentre: self.dataCentre })
+  const serving = servingReplicas(replicas, nodes, reports)
   const live = new Set(board.read('live').map(each => each.id))
   return {
     revision: BigInt(current.revision),
     platform: board.read('platform'),
-    replicas: replicas.map(replica => replicaStatus(replica, reports)),
+    replicas: replicas.map(replica => replicaStatus(replica, serving.has(replica.id), reports)),
     nodes: nodes.map(fact => nodeStatus(fact, replicas, reports)),
     entries: board.read('entries').map(({ id, dataCentre }) => ({ id, dataCentre, live: live.has(id) }))
   }
 }
 
-function replicaStatus ({ id, service, generation, members, version }: Replica, reports: Reports) {
+function replicaStatus ({ id, service, generation, members, version }: Replica, serving: boolean, reports: Reports) {
   const report = reports.of(members[0])?.report
   const current = report?.replica === id ? report : undefined
   return {
@@ -40,7 +42,7 @@
     generation: BigInt(generation),
     members,
     version,
-    serving: current?.serving ?? false,
+    serving,
     running: current?.running ?? 0,
     queued: current?.queued ?? 0
   }
--- /dev/null
+++ b/packages/spread/src/beat.ts
@@ -0,0 +1,46 @@
+/** The counts of one report, for a receiver that knows its other parts. */
+export interface Beat {
+  readonly worker: string
+  /** Digest of the other parts. */
+  readonly stamp: number
+  readonly sequence: number
+  readonly running: number
+  readonly queued: number
+  /** Time since the worker made the report, in ms. */
+  readonly age: number
+}
+
+/** Many beats by columns, so that a message names each field once. All columns are of the same length. */
+export interface Beats {
+  readonly workers: string[]
+  readonly stamps: number[]
+  readonly sequences: number[]
+  readonly running: number[]
+  readonly queued: number[]
+  readonly ages: number[]
+}
+
+/** Beats as columns. */
+export function columns (beats: readonly Beat[]): Beats {
+  return {
+    workers: beats.map(each => each.worker),
+    stamps: beats.map(each => each.stamp),
+    sequences: beats.map(each => each.sequence),
+    running: beats.map(each => each.running),
+    queued: beats.map(each => each.queued),
+    ages: beats.map(each => Math.round(each.age))
+  }
+}
+
+/** Beats from columns. Missing values end the list: a message cut short tells nothing wrong. */
+export function beatsOf ({ workers, stamps, sequences, running, queued, ages }: Beats): Beat[] {
+  const count = Math.min(...[workers, stamps, sequences, running, queued, ages].map(each => each.length))
+  return workers.slice(0, count).map((worker, index) => ({
+    worker,
+    stamp: stamps[index],
+    sequence: sequences[index],
+    running: running[index],
+    queued: queued[index],
+    age: ages[index]
+  }))
+}
--- a/packages/spread/src/heard.ts
+++ b/packages/spread/src/heard.ts
@@ -1,15 +1,23 @@
 import { type Clock } from '@eiderwind/clock'
+import { digest } from '@eiderwind/hash'
 import { type Report } from '@eiderwind/schema'
+import { type Beat } from './beat.js'
+
+/** Who told this process of a report: the worker itself, an entry of the own data centre, or one of another. */
+export type Source = 'worker' | 'near' | 'far'
 
 /** A report with what this process knows about its age. */
 export interface Heard {
   readonly report: Report
+  /** Digest of all in the report that seldom changes; a beat names it in place of that. */
+  readonly stamp: number
   /** When the worker made it, on this process's `Clock.now`, as far as the hops told. */
   readonly madeAt: number
   /** When it came to this process, on `Clock.now`. */
   readonly cameAt: number
-  /** Whether the worker told this process itself. */
-  readonly direct: boolean
+  readonly source: Source
+  /** When another entry last told of this worker, newer or not, on `Clock.now`. */
+  readonly relayedAt: number
 }
 
 /** A report on its way between entries. Ages add up over the hops, so no clocks are compared. */
@@ -18,6 +26,9 @@
   readonly age: number
 }
 
+/** What became of a beat: `lacking` where the report that it refers to is not known here. */
+export type BeatResult = 'taken' | 'old' | 'lacking'
+
 /** The latest report of each worker. Older reports and those of earlier incarnations are dropped. */
 export class Reports {
   readonly #clock: Clock
@@ -28,14 +39,24 @@
   }
 
   /** Takes a report if it is newer, and says whether it was. */
-  accept ({ report, age }: AgedReport, direct: boolean): boolean {
-    const known = this.#heard.get(report.worker)?.report
-    if (known !== undefined && !newer(report, known)) return false
-    const now = this.#clock.now()
-    this.#heard.set(report.worker, { report, madeAt: now - age, cameAt: now, direct })
+  accept ({ report, age }: AgedReport, source: Source): boolean {
+    const known = this.#heard.get(report.worker)
+    if (known !== undefined && source !== 'worker') this.#heard.set(report.worker, { ...known, relayedAt: this.#clock.now() })
+    if (known !== undefined && !newer(report, known.report)) return false
+    this.#take(report, stampOf(report), age, source)
     return true
   }
 
+  /** Takes a beat: the counts of a report whose other parts are known here. */
+  beat ({ worker, stamp, sequence, running, queued, age }: Beat, source: Source): BeatResult {
+    const known = this.#heard.get(worker)
+    if (known === undefined || known.stamp !== stamp) return 'lacking'
+    this.#heard.set(worker, { ...known, relayedAt: this.#clock.now() })
+    if (sequence <= known.report.sequence) return 'old'
+    this.#take({ ...known.report, sequence, running, queued }, stamp, age, source)
+    return 'taken'
+  }
+
   /** The latest of a worker. */
   of (worker: string): Heard | undefined {
     return this.#heard.get(worker)
@@ -52,12 +73,11 @@
     return heard === undefined ? undefined : this.#clock.now() - heard.madeAt
   }
 
-  /** The reports that came at `since` or later that `chosen` picks, as they are told on. */
-  after (since: number, chosen: (heard: Heard) => boolean): AgedReport[] {
-    const now = this.#clock.now()
-    const found: AgedReport[] = []
+  /** The latest reports that came at `since` or later and that `chosen` picks. */
+  after (since: number, chosen: (heard: Heard) => boolean): Heard[] {
+    const found: Heard[] = []
     for (const heard of this.#heard.values()) {
-      if (heard.cameAt >= since && chosen(heard)) found.push({ report: heard.report, age: now - heard.madeAt })
+      if (heard.cameAt >= since && chosen(heard)) found.push(heard)
     }
     return found
   }
@@ -67,6 +87,16 @@
     const oldest = this.#clock.now() - span
     for (const [worker, { madeAt }] of this.#heard) if (madeAt < oldest) this.#heard.delete(worker)
   }
+
+  #take (report: Report, stamp: number, age: number, source: Source): void {
+    const now = this.#clock.now()
+    const relayedAt = source === 'worker' ? this.#heard.get(report.worker)?.relayedAt ?? -Infinity : now
+    this.#heard.set(report.worker, { report, stamp, madeAt: now - age, cameAt: now, source, relayedAt })
+  }
+}
+
+function stampOf (report: Report): number {
+  return digest(JSON.stringify({ ...report, sequence: 0, running: 0, queued: 0 }))
 }
 
 /** Incarnations are UUIDs of version 7, so that a later start compares greater. */
--- a/packages/spread/src/index.ts
+++ b/packages/spread/src/index.ts
@@ -1,3 +1,5 @@
 /** Who tells whom, and what a process has heard. */
 export { actor, duties, reportTargets, watchers, type Duties, type FarDuty } from './topology.js'
-export { Reports, type AgedReport, type Heard } from './heard.js'
+export { beatsOf, columns, type Beat, type Beats } from './beat.js'
+export { Reports, type AgedReport, type BeatResult, type Heard, type Source } from './heard.js'
+export { Telling, type News } from './telling.js'
--- a/packages/spread/src/topology.ts
+++ b/packages/spread/src/topology.ts
@@ -15,23 +15,24 @@
   readonly counterparts: readonly EntryAddress[]
 }
 
-/** How many entries of a data centre are responsible for each other data centre. Two, so that one may be gone. */
-const responsible = 2
+/** How many entries of a data centre keep a watch on a subject. Two, so that one may be gone. */
+const watching = 2
 
 /** How many entries a worker reports to. */
 const reportedTo = 2
 
 /**
  * The duties of `self` among the entries believed live. Within a data centre each entry tells each other one; between
- * two data centres only the responsible entries talk, chosen by rendezvous hashing. So an entry talks with its own
- * data centre and with a few others, never with all.
+ * two data centres only one responsible entry talks, chosen by rendezvous hashing. So an entry talks with its own
+ * data centre and with a few others, never with all. The responsible entry is one of those believed live, so that
+ * another takes over some seconds after it is gone.
  */
 export function duties (self: EntryAddress, entries: readonly EntryAddress[]): Duties {
   const own = entries.filter(each => each.dataCentre === self.dataCentre)
   const near = own.filter(each => each.id !== self.id)
   const names = [...new Set([self.id, ...own.map(each => each.id)])]
   const others = [...new Set(entries.map(each => each.dataCentre))].filter(each => each !== self.dataCentre)
-  const mine = others.filter(other => ranked(`${self.dataCentre}>${other}`, names).slice(0, responsible).includes(self.id))
+  const mine = others.filter(other => ranked(`${self.dataCentre}>${other}`, names)[0] === self.id)
   const far = mine.map(dataCentre => ({ dataCentre, counterparts: counterparts(self.dataCentre, dataCentre, entries) }))
   return { near, far }
 }
@@ -49,7 +50,7 @@
 
 /** The entries of a data centre that keep a watch on `subject` at the platform. */
 export function watchers (subject: string, entries: readonly EntryAddress[]): EntryAddress[] {
-  return pick(`watch/${subject}`, entries, responsible)
+  return pick(`watch/${subject}`, entries, watching)
 }
 
 function counterparts (from: string, to: string, entries: readonly EntryAddress[]): EntryAddress[] {
--- a/packages/wire/src/calls.ts
+++ b/packages/wire/src/calls.ts
@@ -13,6 +13,14 @@
 })
 const Settle = z.object({ attempt: z.string(), incarnation: z.string(), age: z.number() })
 const Aged = z.object({ report: Report, age: z.number() })
+const Beats = z.object({
+  workers: z.array(z.string()),
+  stamps: z.array(z.number()),
+  sequences: z.array(z.number()),
+  running: z.array(z.number()),
+  queued: z.array(z.number()),
+  ages: z.array(z.number())
+})
 
 /** A claim as it is sent, with what the granter needs to judge it. */
 export type ClaimMessage = z.infer<typeof Claim>
@@ -38,7 +46,10 @@
   revision: z.int(),
   /** Digest of the placements, homes, entries and nodes that the sender knows. */
   known: z.int(),
-  reports: z.array(Aged)
+  /** Whole reports. */
+  reports: z.array(Aged),
+  /** Counts of reports that the receiver was told before, by columns. */
+  beats: Beats
 })
 export type Exchange = z.infer<typeof Exchange>
 
@@ -46,6 +57,8 @@
 export interface ExchangeAnswer {
   readonly revision: number
   readonly known: number
+  /** Workers of beats whose report the receiver does not have. */
+  readonly lacking: readonly string[]
 }
 
 /** The placements, homes, entries and nodes that an entry knows. */
