--- a/packages/bench/src/figures.ts
+++ b/packages/bench/src/figures.ts
@@ -17,17 +17,24 @@
 /** Where the committed results are. */
 const resultsFile = new URL('../../../../docs/results.json', import.meta.url)
 
-/** Collects figures, prints each as a line of JSON, and writes the results file. */
+/** Collects figures, prints each as a line of JSON, and writes the results file with each, so that a run that is cut off leaves what it had. */
 export class Figures {
   readonly #all: Figure[] = []
+  readonly #writes: boolean
+
+  /** @param writes whether the results file is written */
+  constructor (writes: boolean) {
+    this.#writes = writes
+  }
 
   add (figure: Figure): void {
     this.#all.push(figure)
     process.stdout.write(`${JSON.stringify(figure)}\n`)
+    if (this.#writes) this.#write()
   }
 
   /** Replaces the figures of the same names in the results file and keeps the others. */
-  write (): void {
+  #write (): void {
     const names = new Set(this.#all.map(each => each.name))
     const kept = readResults().filter(each => !names.has(each.name))
     const all = [...kept, ...this.#all].sort((a, b) => a.name < b.name ? -1 : 1)
--- a/packages/entry/src/callers.ts
+++ b/packages/entry/src/callers.ts
@@ -86,7 +86,7 @@
   }
 
   async #route (request: IncomingMessage, response: ServerResponse): Promise<Fault | undefined> {
-    const { teams, context } = this.#options
+    const { teams } = this.#options
     if (this.#leaving) {
       response.setHeader('connection', 'close')
       return new Fault('leaving')
@@ -97,7 +97,6 @@
     if (path === modelsPath) return this.#models(response)
     if (path === completionsPath && request.method === 'POST') return await this.#complete(request, response, team)
     if (path.startsWith(servicesPrefix)) return await this.#plain(request, response, team, path.slice(servicesPrefix.length))
-    context.log.write('attempt-failed', { code: 'unknown-path', outcome: 'not-run' })
     return new Fault('unknown-path', { detail: `There is no ${request.method ?? ''} ${path}.` })
   }
 
--- a/packages/entry/src/calls.ts
+++ b/packages/entry/src/calls.ts
@@ -37,7 +37,7 @@
       revision: configuration.revision,
       assignment: assignment(report.worker, { configuration, nodes, placements: board.read('placements'), homes: board.read('homes') }),
       leaving: configuration.leaving.includes(report.worker) || node?.state === 'leaving',
-      teams: configuration.teams.map(({ name, priority }) => ({ name, priority })),
+      teams: report.revision === configuration.revision ? undefined : configuration.teams.map(({ name, priority }) => ({ name, priority })),
       entries: reportTargets(report.worker, report.dataCentre, board.read('live')).map(each => each.peer)
     }
   }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -81,13 +81,14 @@
   readonly #reports: Reports
   readonly #servers: Server[] = []
   #operators: DualListener | undefined
+  #flights: Flights | undefined
   #callers: Callers | undefined
   #board: EntryBoard | undefined
 
   constructor (options: EntryOptions) {
     this.#options = options
     this.#reports = new Reports(options.clock)
-    this.#crew = new Crew(options.clock, (controller, error) => options.log.write('store-lost', { controller, cause: String(error) }))
+    this.#crew = new Crew(options.clock, (controller, error) => options.log.write('controller-failed', { controller, cause: String(error) }))
   }
 
   /** Listens on all three addresses and starts the controllers. */
@@ -133,6 +134,7 @@
   /** Ends at once. */
   async kill (): Promise<void> {
     this.#crew.stop()
+    this.#flights?.stop()
     this.#operators?.close()
     for (const server of this.#servers) {
       server.close()
@@ -167,11 +169,12 @@
     const { clock, log, metric, bodyLimit, deadline, lostAfter, callers: address } = this.#options
     const current = this.#current
     const targets = new Targets({ board, clock, current, reports: this.#reports, self, nearAge: lostAfter })
+    this.#flights = new Flights(clock, targets)
     const context: Context = {
       clock,
       current,
       targets,
-      flights: new Flights(clock, targets),
+      flights: this.#flights,
       policy: new Balanced({ random: seeded(digest(self.id)) }),
       affinity: new Affinity(),
       budget: new Budget(clock),
--- a/packages/entry/src/flights.ts
+++ b/packages/entry/src/flights.ts
@@ -1,4 +1,4 @@
-import { type Clock } from '@eiderwind/clock'
+import { type Clock, type Subscription } from '@eiderwind/clock'
 import { type Cancel } from '@eiderwind/wire'
 import { type Target, type Targets } from './targets.js'
 
@@ -21,13 +21,14 @@
   readonly #clock: Clock
   readonly #targets: Targets
   readonly #flights = new Set<Flight>()
+  readonly #timer: Subscription
   #lookedAt: number
 
   constructor (clock: Clock, targets: Targets) {
     this.#clock = clock
     this.#targets = targets
     this.#lookedAt = clock.now()
-    clock.every(lookInterval, () => this.#look())
+    this.#timer = clock.every(lookInterval, () => this.#look())
   }
 
   /** Notes an attempt in flight. The returned function takes it out again. */
@@ -37,6 +38,11 @@
     return () => { this.#flights.delete(flight) }
   }
 
+  /** Looks no more. */
+  stop (): void {
+    this.#timer.cancel()
+  }
+
   /** Looks, unless this process itself is late: then reports wait in its own sockets, and silence says nothing about the workers. */
   #look (): void {
     const now = this.#clock.now()
--- /dev/null
+++ b/packages/entry/src/part.ts
@@ -0,0 +1,79 @@
+import { type ServerResponse } from 'node:http'
+import { Fault } from '@eiderwind/fault'
+import { Receiver, wireHeaders, type AnswerHeaders, type Break, type Flow } from '@eiderwind/wire'
+import { ownAnswer } from './attempting.js'
+import { type Context } from './context.js'
+import { type Attempt } from './exchange.js'
+import { failure, workerFault, type Failure } from './outcome.js'
+
+/** How one attempt at a stream ended. */
+export type PartEnd =
+  | { readonly type: 'done' }
+  | { readonly type: 'failed', readonly failure: Failure }
+
+/** Receives what one replica sends for a stream. */
+export class Part extends Receiver {
+  readonly #context: Context
+  readonly #attempt: Attempt
+  readonly #listener: PartListener
+  readonly #response: ServerResponse
+  readonly #other: Buffer[] = []
+  #status = 0
+  #headers: AnswerHeaders = {}
+  #flow: Flow | undefined
+  #foreign = false
+
+  constructor (context: Context, attempt: Attempt, listener: PartListener, response: ServerResponse) {
+    super()
+    this.#context = context
+    this.#attempt = attempt
+    this.#listener = listener
+    this.#response = response
+  }
+
+  head (status: number, headers: AnswerHeaders, flow: Flow): void {
+    this.#status = status
+    this.#headers = headers
+    this.#flow = flow
+    if (status !== 200) return
+    this.#foreign = !ownAnswer(this.#context, this.#attempt, headers[wireHeaders.attempt])
+    if (this.#foreign) flow.abort(new Error('The answer belongs to another attempt.'))
+    else this.#listener.begin(headers)
+  }
+
+  data (chunk: Buffer): void {
+    if (this.#foreign) return
+    if (this.#status !== 200) {
+      this.#other.push(chunk)
+      return
+    }
+    if (this.#listener.take(chunk) || this.#flow === undefined) return
+    const flow = this.#flow
+    flow.pause()
+    this.#response.once('drain', () => flow.resume())
+  }
+
+  end (): void {
+    if (this.#status === 200) return this.#failed('interrupted')
+    const body = Buffer.concat(this.#other)
+    const fault = workerFault(this.#status, this.#headers, body)
+    if (fault !== undefined) this.#listener.ended({ type: 'failed', failure: failure(fault) })
+    else this.#listener.ended(this.#listener.pass(this.#status, this.#headers, body))
+  }
+
+  fail ({ sent }: Break): void {
+    this.#failed(sent ? 'interrupted' : 'upstream-down')
+  }
+
+  #failed (code: 'interrupted' | 'upstream-down'): void {
+    this.#listener.ended({ type: 'failed', failure: failure(new Fault(code)) })
+  }
+}
+
+/** What a part tells its stream. */
+export interface PartListener {
+  readonly begin: (headers: AnswerHeaders) => void
+  readonly take: (chunk: Buffer) => boolean
+  readonly pass: (status: number, headers: AnswerHeaders, body: Buffer) => PartEnd
+  readonly ended: (end: PartEnd) => void
+}
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -16,6 +16,7 @@
   stopped: { number: 102, level: 'info', text: 'The process has finished everything and ends.' },
   'settings-refused': { number: 103, level: 'error', text: 'The settings have problems; each is listed.' },
   crashed: { number: 104, level: 'error', text: 'An error reached the top of the process; it ends.' },
+  'controller-failed': { number: 105, level: 'warn', text: 'An update of a controller failed; the next one comes as usual.' },
   'store-lost': { number: 200, level: 'warn', text: 'The platform\'s object API does not answer; the process goes on with what it knows.' },
   'store-back': { number: 201, level: 'info', text: 'The platform\'s object API answers again.' },
   'configuration-new': { number: 202, level: 'info', text: 'A new revision of the configuration is in force here.' },
--- a/packages/schema/src/report.ts
+++ b/packages/schema/src/report.ts
@@ -83,7 +83,8 @@
   assignment: Assignment.optional(),
   /** Whether an operator or the platform told this node to leave. */
   leaving: z.boolean(),
-  teams: z.array(z.object({ name: z.string(), priority: z.int() })),
+  /** Left out where the worker goes by this revision already. */
+  teams: z.array(z.object({ name: z.string(), priority: z.int() })).optional(),
   /** `host:port` of the entries to report to. */
   entries: z.array(z.string())
 })
--- a/packages/worker/src/reporter.ts
+++ b/packages/worker/src/reporter.ts
@@ -81,7 +81,7 @@
     if (answer.revision > board.read('revision')) board.write('revision', answer.revision)
     board.write('told', answer.leaving)
     if (answer.entries.join() !== board.read('entries').join()) board.write('entries', answer.entries)
-    if (JSON.stringify(answer.teams) !== JSON.stringify(board.read('teams'))) board.write('teams', answer.teams)
+    if (answer.teams !== undefined) board.write('teams', answer.teams)
     this.#assign(answer.assignment)
     return true
   }
--- a/packages/worker/src/worker.ts
+++ b/packages/worker/src/worker.ts
@@ -80,7 +80,7 @@
     this.#queue = new Queue(clock, { concurrency: 1, queue: 0 })
     this.#queue.close('not-serving')
     this.#grants = new Grants(clock, { longest: options.period })
-    this.#crew = new Crew(clock, (controller, error) => log.write('order-failed', { controller, cause: String(error) }))
+    this.#crew = new Crew(clock, (controller, error) => log.write('controller-failed', { controller, cause: String(error) }))
     this.#upstream = makeUpstream(options.upstream)
     const calls = new Calls({ clock, board: this.#board, grants: this.#grants, attempts: this.#attempts, incarnation: this.#incarnation })
     this.#server = makeServer({ router: workerRouter(calls), handler: (request, response) => { this.#handle(request, response) } })
