--- a/packages/trial/test/once.test.ts
+++ b/packages/trial/test/once.test.ts
@@ -87,6 +87,8 @@
   const answer = await first
   t.log(`answered ${Date.now() - killedAt} ms after the kill: ${answer.text}`)
   t.is(answer.outcome, 'unknown')
+  const atOnce = await ask(fleet.entries[1], body, key)
+  t.is(atOnce.outcome, 'unknown', atOnce.text)
   await fleet.status(status => new Set(status.nodes.filter(node => node.id !== worker.id).flatMap(each => each.slots)).size === 12)
   t.log(`every slot has a home again ${Date.now() - killedAt} ms after the kill`)
   for (const entry of fleet.entries) {
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -10,8 +10,8 @@
     file: 'packages/lease/dist/src/granter.js',
     find: 'now < this.#openAt',
     replace: 'false',
-    test: 'packages/lease/dist/test/exclusion.test.js',
-    title: 'by majority of the granters*'
+    test: 'packages/lease/dist/test/granter.test.js',
+    title: 'a granter that has started gives nothing*'
   },
   {
     name: 'grant-from-receipt',
