Wait for open homes before the path's test sends a key

Cause: a home refuses keys minted within two skews of its take-over, as it must; path.test.ts sent its key as soon as the homes stood. Ruled out: the home (the refusal is the rule), the clocks (one machine). Change: Fleet.opened probes until new keys are taken; path and once tests wait for it before the first key. Conclusion: the test no longer depends on when the homes were taken.

--- a/packages/trial/src/fleet.ts
+++ b/packages/trial/src/fleet.ts
@@ -3,6 +3,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { v7 } from 'uuid'
 import { createClient, type Client } from '@connectrpc/connect'
 import { createConnectTransport } from '@connectrpc/connect-node'
 import { Operators, type Status } from '@eiderwind/rpc'
@@ -170,6 +171,18 @@
     }
   }
 
+  /** Waits until every home has been open for so long that it takes callers' new keys. */
+  async opened (): Promise<void> {
+    const url = `http://${this.entries[0].callers}/services/${plainName}/topups`
+    for (let tries = 0; tries < 100; tries++) {
+      const probes = Array.from({ length: 36 }, () => fetch(url, { method: 'POST', headers: { authorization: `Bearer ${trialKey}`, 'idempotency-key': v7() }, body: 'probe' }))
+      const answers = await Promise.all(probes)
+      await Promise.all(answers.map(each => each.text()))
+      if (answers.every(each => each.status === 200)) return
+    }
+    throw new Error('The homes never took new keys.')
+  }
+
   /** Starts one more entry. */
   async addEntry (id: string): Promise<FleetEntry> {
     const settings = this.#write(id, this.#entrySettings(id))
--- a/packages/trial/test/once.test.ts
+++ b/packages/trial/test/once.test.ts
@@ -8,7 +8,7 @@
 test.before(async () => {
   fleet = new Fleet({ engines: 0, plain: 3, replicas: 0, period: 1000, interval: 250, skew: 200 })
   await fleet.start()
-  await opened()
+  await fleet.opened()
 })
 
 test.after.always(async () => {
@@ -35,15 +35,6 @@
   return lists.flat().filter(each => each.body === body).length
 }
 
-/** Waits until every home has been open for so long that it takes callers' new keys. */
-async function opened (): Promise<void> {
-  for (let tries = 0; tries < 100; tries++) {
-    const answers = await Promise.all(Array.from({ length: 36 }, () => ask(fleet.entries[0], 'probe', v7())))
-    if (answers.every(each => each.status === 200)) return
-  }
-  throw new Error('The homes never took new keys.')
-}
-
 /** Waits until the service has begun the request, and gives the worker that is its home. */
 async function home (body: string): Promise<FleetWorker> {
   for (let tries = 0; tries < 500; tries++) {
@@ -100,7 +91,7 @@
   t.is(fresh.status, 200)
   await fleet.restartWorker(worker)
   await fleet.serving()
-  await opened()
+  await fleet.opened()
   t.is((await ask(fleet.entries[0], body, key)).outcome, 'unknown')
   t.is(await executions(body), 1)
 })
@@ -140,7 +131,7 @@
 
 test.serial('with the platform down throughout, requests run once and homes still move', async t => {
   await fleet.failPlatform({ down: true })
-  await opened()
+  await fleet.opened()
   const key = v7()
   const body = 'platform down'
   const answers = await Promise.all(fleet.entries.map(entry => ask(entry, body, key)))
--- a/packages/trial/test/path.test.ts
+++ b/packages/trial/test/path.test.ts
@@ -8,6 +8,7 @@
 test.before(async () => {
   fleet = new Fleet()
   await fleet.start()
+  await fleet.opened()
 })
 
 test.after.always(async () => {
