Read a request's header by one function

Cause: entry and worker each had the same few lines for one header of a request; the worker's count of flights was unused. Ruled out: a change of behaviour: both copies were the same to the letter. Change: header stands in wire beside the header names; the two copies and the unused count are gone. Conclusion: one piece of code serves both.

--- a/packages/entry/src/callers.ts
+++ b/packages/entry/src/callers.ts
@@ -2,7 +2,7 @@
 import { Err, Ok, type Result } from 'ts-results-es'
 import { Fault, asFault } from '@eiderwind/fault'
 import { type Service, type Team } from '@eiderwind/schema'
-import { answerFault, callerHeaders, readBody } from '@eiderwind/wire'
+import { answerFault, callerHeaders, header, readBody } from '@eiderwind/wire'
 import { readCompletion, serviceOf } from './completion.js'
 import { type Context } from './context.js'
 import { type Exchange } from './exchange.js'
@@ -146,7 +146,7 @@
     const { clock } = this.#options.context
     const span = this.#deadline(request)
     if (span.isErr()) return span
-    const repeatable = text(request, callerHeaders.repeatable)
+    const repeatable = header(request, callerHeaders.repeatable)
     if (repeatable !== undefined && repeatable !== 'true' && repeatable !== 'false') {
       return Err(new Fault('bad-request', { detail: `The header ${callerHeaders.repeatable} takes true or false.` }))
     }
@@ -159,14 +159,14 @@
       service: service.name,
       deadline: now + span.value,
       startedAt: now,
-      session: text(request, callerHeaders.session),
+      session: header(request, callerHeaders.session),
       repeatable: repeatable !== 'false',
-      key: text(request, callerHeaders.key)
+      key: header(request, callerHeaders.key)
     })
   }
 
   #deadline (request: IncomingMessage): Result<number, Fault> {
-    const given = text(request, callerHeaders.deadline)
+    const given = header(request, callerHeaders.deadline)
     if (given === undefined) return Ok(this.#options.deadline)
     const span = Number(given)
     if (!Number.isFinite(span) || span <= 0) return Err(new Fault('bad-request', { detail: `The header ${callerHeaders.deadline} takes milliseconds above 0.` }))
@@ -182,8 +182,3 @@
     })
   }
 }
-
-function text (request: IncomingMessage, name: string): string | undefined {
-  const value = request.headers[name]
-  return Array.isArray(value) ? value[0] : value
-}
--- a/packages/wire/src/headers.ts
+++ b/packages/wire/src/headers.ts
@@ -1,3 +1,5 @@
+import { type IncomingMessage } from 'node:http'
+
 /** Header names between caller and entry. */
 export const callerHeaders = {
   session: 'eiderwind-session',
@@ -35,3 +37,9 @@
 
 /** Where the calls of the system's own processes are served. */
 export const callsPath = '/trpc'
+
+/** One header of a request; the first value where it came more than once. */
+export function header (request: IncomingMessage, name: string): string | undefined {
+  const value = request.headers[name]
+  return Array.isArray(value) ? value[0] : value
+}
--- a/packages/worker/src/flights.ts
+++ b/packages/worker/src/flights.ts
@@ -8,10 +8,6 @@
     return () => { this.#cuts.delete(cut) }
   }
 
-  get size (): number {
-    return this.#cuts.size
-  }
-
   /** Cuts everything that is in flight. */
   cut (): void {
     for (const cut of [...this.#cuts]) cut()
--- a/packages/worker/src/inbound.ts
+++ b/packages/worker/src/inbound.ts
@@ -1,6 +1,6 @@
 import { type IncomingMessage, type ServerResponse } from 'node:http'
 import { type Clock } from '@eiderwind/clock'
-import { hopHeaders, wireHeaders } from '@eiderwind/wire'
+import { header, hopHeaders, wireHeaders } from '@eiderwind/wire'
 
 /** Longest wait of a request whose entry gave no deadline, in ms. */
 const defaultLeft = 600_000
@@ -40,12 +40,6 @@
   }
 }
 
-/** One header of a request. */
-export function header (request: IncomingMessage, name: string): string | undefined {
-  const value = request.headers[name]
-  return Array.isArray(value) ? value[0] : value
-}
-
 /** The headers that the upstream gets: those of the request, without the hop's and without ours. */
 export function upstreamHeaders (request: IncomingMessage): Record<string, string> {
   const ours: ReadonlySet<string> = new Set(Object.values(wireHeaders))
