Give refused bodies a whole answer, cancelled calls an end at once, and known keys no false 'not run'

(2) A call cancelled while it waits for a connection was told to its path only when the connect timed out, up to 2 s after the deadline. (3) A retry with a caller's key that met an entry that leaves, a bad header or no replica was told not-run, though an earlier try may have run. (4) An entry cut off from platform and peers went by its old configuration as long as workers reported to it; one that had none yet answered bad-key.

The refusal goes out whole at once and the rest of the body is read for at most 1 s (RFC 9112, section 9.6). A cancelled call ends at once, as not sent, and is dropped before a byte is written. Outcomes of a caller's key without a home's word are unknown in every place. An entry that hears from workers of a later configuration refuses as 'behind' after 3 s, with 503 on its health path.

--- a/packages/entry/src/callers.ts
+++ b/packages/entry/src/callers.ts
@@ -2,12 +2,13 @@
 import { Err, Ok, type Result } from 'ts-results-es'
 import { Fault, asFault } from '@eiderwind/fault'
 import { type Service, type Team } from '@eiderwind/schema'
-import { answerFault, callerHeaders, header, readBody } from '@eiderwind/wire'
+import { callerHeaders, header, readBody, refuse } from '@eiderwind/wire'
 import { readCompletion, serviceOf } from './completion.js'
 import { type Context } from './context.js'
 import { type Exchange } from './exchange.js'
 import { type EntryBoard } from './facts.js'
 import { serveModel } from './modelpath.js'
+import { withoutWord } from './outcome.js'
 import { declaredOnce, servePlain } from './plainpath.js'
 import { type Teams } from './teams.js'
 
@@ -62,16 +63,14 @@
     })
     try {
       const fault = await this.#route(request, response)
-      if (fault !== undefined) this.#refuse(response, fault)
+      if (fault !== undefined) this.#refuse(request, response, fault)
     } catch (error) {
-      this.#refuse(response, asFault(error, 'lost'))
+      this.#refuse(request, response, asFault(error, 'lost'))
     }
   }
 
-  /** Answers with a fault, and closes the connection where the body was not read, so that what follows is not taken for a request. */
-  #refuse (response: ServerResponse, fault: Fault): void {
-    if (!response.headersSent && !response.req.complete) response.setHeader('connection', 'close')
-    answerFault(response, fault)
+  #refuse (request: IncomingMessage, response: ServerResponse, fault: Fault): void {
+    refuse(response, withoutWord(fault, header(request, callerHeaders.key)), this.#options.context.clock)
   }
 
   get #leaving (): boolean {
@@ -79,9 +78,14 @@
     return board.read('stopping') || context.current.configuration.leaving.includes(entry)
   }
 
+  /** Whether this entry has the present configuration, as far as it can tell. */
+  get #current (): boolean {
+    const { board, context } = this.#options
+    return context.current.revision > 0 && !board.read('behind')
+  }
+
   #health (response: ServerResponse): void {
-    const known = this.#options.context.current.revision > 0
-    response.statusCode = known && !this.#leaving ? 200 : 503
+    response.statusCode = this.#current && !this.#leaving ? 200 : 503
     response.end()
   }
 
@@ -91,6 +95,7 @@
       response.setHeader('connection', 'close')
       return new Fault('leaving')
     }
+    if (!this.#current) return new Fault('behind')
     const team = teams.find(request.headers.authorization)
     if (team === undefined) return new Fault('bad-key')
     const [path] = (request.url ?? '/').split('?')
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -17,6 +17,7 @@
 import { Calls } from './calls.js'
 import { type Context } from './context.js'
 import { entryBoard, type EntryBoard } from './facts.js'
+import { Fence } from './fence.js'
 import { Flights } from './flights.js'
 import { DualListener } from './listener.js'
 import { NodeReader } from './nodereader.js'
@@ -150,6 +151,7 @@
     const spreader = new Spreader({ board, clock, current, reports, peers, clients: this.#clients, self, seeds })
     this.#crew.add(new Registrar(board, store, self, peers))
     this.#crew.add(new Watcher(board, current, store, self))
+    this.#crew.add(new Fence({ board, clock, current, reports, log }))
     this.#crew.add(new NodeReader(board, store, clock, self))
     this.#crew.add(spreader)
     this.#crew.add(new Planning({ board, clock, current, reports, store, planner: new Repairing({ restart }), self, log, lostAfter }))
--- a/packages/entry/src/facts.ts
+++ b/packages/entry/src/facts.ts
@@ -23,6 +23,8 @@
   readonly homes: ReadonlyMap<string, Homes>
   /** Whether the platform answered last. */
   readonly platform: boolean
+  /** Whether a later configuration than this entry has been able to get is known to be in force elsewhere. */
+  readonly behind: boolean
   readonly stopping: boolean
 }
 
@@ -38,6 +40,7 @@
     placements: new Map(),
     homes: new Map(),
     platform: false,
+    behind: false,
     stopping: false
   })
 }
--- a/packages/entry/src/keyedpath.ts
+++ b/packages/entry/src/keyedpath.ts
@@ -5,7 +5,7 @@
 import { type Context } from './context.js'
 import { late, left, type Exchange } from './exchange.js'
 import { pass } from './modelpath.js'
-import { finalFault } from './outcome.js'
+import { finalFault, withoutWord } from './outcome.js'
 
 /** Pause before the home of a key is asked again, in ms. */
 const askAgain = 150
@@ -52,7 +52,7 @@
   }
   const expired = late(exchange, clock)
   const fault = finalFault(expired ? new Fault(doubt ? 'deadline-running' : 'deadline') : last, doubt)
-  answerFault(exchange.response, minted || (judged && !expired) ? fault : withoutWord(fault))
+  answerFault(exchange.response, minted || (judged && !expired) ? fault : withoutWord(fault, exchange.key))
 }
 
 /** Whether asking once more can bring a better answer. */
@@ -60,12 +60,6 @@
   return code === 'lost' || code === 'still-running' || code === 'not-home' || code === 'not-serving' || code === 'leaving'
 }
 
-/** The fault for a key of the caller's of which no home has said that it has not run. */
-function withoutWord (fault: Fault): Fault {
-  if (fault.outcome !== 'not-run' || fault.code === 'key-invalid') return fault
-  return new Fault(fault.code, { outcome: 'unknown', retryAfter: fault.retryAfter, detail: 'An earlier try with this key may have run; keep the key.' })
-}
-
 function keyHeaders (key: Key, fresh: number | undefined): Record<string, string> {
   return { [wireHeaders.key]: key.text, ...(fresh === undefined ? {} : { [wireHeaders.fresh]: String(fresh) }) }
 }
--- a/packages/entry/src/modelpath.ts
+++ b/packages/entry/src/modelpath.ts
@@ -5,7 +5,7 @@
 import { promptText, type Completion } from './completion.js'
 import { type Context } from './context.js'
 import { left, type Exchange } from './exchange.js'
-import { finalFault } from './outcome.js'
+import { finalFault, withoutWord } from './outcome.js'
 import { Stream } from './stream.js'
 import { type Target } from './targets.js'
 
@@ -76,7 +76,7 @@
     if (outcome !== 'not-run') doubt = true
     if (doubt && !exchange.repeatable) break
   }
-  answerFault(exchange.response, finalFault(last, doubt))
+  answerFault(exchange.response, withoutWord(finalFault(last, doubt), exchange.key))
 }
 
 /** Answers the caller with an upstream's whole answer. */
--- a/packages/entry/src/outcome.ts
+++ b/packages/entry/src/outcome.ts
@@ -38,3 +38,14 @@
   if (!doubt || last.outcome !== 'not-run') return last
   return new Fault('lost', { retryAfter: last.retryAfter })
 }
+
+/**
+ * What may be said of a request while no home of a key has given its word on it. Where the caller gave a key, an earlier
+ * try with it, through any entry, may have run; so "not run" is only said of a key that no home ever takes.
+ *
+ * @param key the caller's own key, if it gave one
+ */
+export function withoutWord (fault: Fault, key: string | undefined): Fault {
+  if (key === undefined || fault.outcome !== 'not-run' || fault.code === 'key-invalid') return fault
+  return fault.doubted('An earlier try with this key may have run; keep the key.')
+}
--- a/packages/entry/src/stream.ts
+++ b/packages/entry/src/stream.ts
@@ -5,7 +5,7 @@
 import { type Context } from './context.js'
 import { attemptAt, left, type Attempt, type Exchange } from './exchange.js'
 import { type Choice } from './modelpath.js'
-import { failure, finalFault, type Failure } from './outcome.js'
+import { failure, finalFault, withoutWord, type Failure } from './outcome.js'
 import { Part, type PartEnd } from './part.js'
 import { type Target } from './targets.js'
 import { Transcript } from './transcript.js'
@@ -66,7 +66,7 @@
       if (doubt && !this.#exchange.repeatable) break
       lostAt = Math.min(lostAt, clock.now())
     }
-    this.#giveUp(finalFault(last, doubt))
+    this.#giveUp(withoutWord(finalFault(last, doubt), this.#exchange.key))
   }
 
   #failed (target: Target, { fault, outcome }: Failure): void {
--- /dev/null
+++ b/packages/entry/test/harness.ts
@@ -0,0 +1,183 @@
+import { type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { Agent } from 'undici'
+import { SystemClock, seeded } from '@eiderwind/clock'
+import { Current } from '@eiderwind/config'
+import { Log, Metric } from '@eiderwind/log'
+import { Affinity, Balanced, Budget } from '@eiderwind/route'
+import { emptyConfiguration, type EntryAddress, type Report, type Service } from '@eiderwind/schema'
+import { Reports } from '@eiderwind/spread'
+import { Clients, answerFault, listen, makeServer, type SettleAnswer } from '@eiderwind/wire'
+import { Fault, type Code } from '@eiderwind/fault'
+import { Callers } from '../src/callers.js'
+import { entryBoard, type EntryBoard } from '../src/facts.js'
+import { Flights } from '../src/flights.js'
+import { Targets } from '../src/targets.js'
+import { Teams, secretDigest } from '../src/teams.js'
+
+/** The key of the harness's only team, and its services. */
+export const key = 'key'
+export const plain = 'receipts'
+export const model = 'support'
+
+const self: EntryAddress = { id: 'e1', dataCentre: 'd1', region: 'r1', peer: '127.0.0.1:1' }
+
+/** How a fake worker answers one request. */
+export type Answer = (request: IncomingMessage, response: ServerResponse) => void
+
+/** A worker of the harness. It answers with each of its `answers` in turn, the last one again and again. */
+export interface FakeWorker {
+  readonly id: string
+  readonly address: string
+  /** Paths of the requests that it has had. */
+  readonly requests: string[]
+}
+
+/** What a fake worker does. */
+export interface FakeOptions {
+  readonly answers: readonly Answer[]
+  /** Its word on the fate of attempts; undefined cuts the connection instead. */
+  readonly fate?: SettleAnswer
+}
+
+/** The callers' side of an entry, with real sockets, before workers that a test makes. */
+export class Harness {
+  readonly board: EntryBoard = entryBoard(self)
+  readonly current = new Current()
+  readonly reports: Reports
+  readonly #clock = new SystemClock()
+  readonly #servers: Server[] = []
+  readonly #clients = new Clients()
+  readonly #dispatcher = new Agent({ bodyTimeout: 0, headersTimeout: 0 })
+  readonly #flights: Flights
+  readonly #callers: Callers
+  #origin = ''
+
+  constructor () {
+    const { board, current } = this
+    this.reports = new Reports(this.#clock)
+    current.accept({
+      ...emptyConfiguration,
+      revision: 1,
+      services: [service('plain'), service('model')],
+      teams: [{ name: 'team', priority: 1, keys: [secretDigest(key)] }]
+    })
+    const targets = new Targets({ board, clock: this.#clock, current, reports: this.reports, self, nearAge: 60_000 })
+    this.#flights = new Flights(this.#clock, targets)
+    const context = {
+      clock: this.#clock,
+      current,
+      targets,
+      flights: this.#flights,
+      policy: new Balanced({ random: seeded(1) }),
+      affinity: new Affinity(),
+      budget: new Budget(this.#clock),
+      clients: this.#clients,
+      dispatcher: this.#dispatcher,
+      log: new Log({ sink: () => {} }),
+      metric: new Metric()
+    }
+    this.#callers = new Callers({ context, board, teams: new Teams(current), entry: self.id, bodyLimit: 1000, deadline: 10_000 })
+  }
+
+  async start (): Promise<void> {
+    const port = await this.#serve((request, response) => { this.#callers.handle(request, response) })
+    this.#origin = `http://127.0.0.1:${port}`
+  }
+
+  /** Adds a worker that answers over HTTP. One of the plain service is the home of every slot. */
+  async worker (id: string, options: FakeOptions, service = plain): Promise<FakeWorker> {
+    const requests: string[] = []
+    const port = await this.#serve((request, response) => {
+      if (request.url === '/trpc/settle') return options.fate === undefined ? request.socket.destroy() : response.end(JSON.stringify(options.fate))
+      const answer = options.answers[Math.min(requests.length, options.answers.length - 1)]
+      requests.push(request.url ?? '')
+      answer(request, response)
+    })
+    const worker = { id, address: `127.0.0.1:${port}`, requests }
+    this.report(id, worker.address, service)
+    return worker
+  }
+
+  /** Notes a worker of a service at any address. A worker of the model service is the head of a replica of its own. */
+  report (id: string, address: string, service: string): void {
+    const replica = service === model ? `${id}-replica` : undefined
+    this.reports.accept({ report: reportOf(id, address, service, replica), age: 0 }, 'worker')
+    if (replica === undefined) return
+    const made = { id: replica, service, generation: 1, members: [id], version: 'v1', adapters: [], state: 'serving' as const }
+    this.board.write('placements', new Map(this.board.read('placements')).set(id, { domain: id, revision: 1, generation: 1, replicas: [made] }))
+  }
+
+  /** Sends a caller's request. */
+  async ask (path: string, init: RequestInit = {}): Promise<Response> {
+    return await fetch(this.#origin + path, { ...init, headers: { authorization: `Bearer ${key}`, ...init.headers } })
+  }
+
+  async stop (): Promise<void> {
+    this.#flights.stop()
+    for (const server of this.#servers) {
+      server.close()
+      server.closeAllConnections()
+    }
+    await Promise.all([this.#clients.close(), this.#dispatcher.destroy()])
+  }
+
+  async #serve (handler: Answer): Promise<number> {
+    const server = makeServer({ handler })
+    this.#servers.push(server)
+    return await listen(server, '127.0.0.1:0')
+  }
+}
+
+/** An upstream's answer, under the id of the attempt that it belongs to. */
+export function echo (text: string): Answer {
+  return (request, response) => {
+    response.setHeader('eiderwind-attempt', request.headers['eiderwind-attempt'] ?? '')
+    response.end(text)
+  }
+}
+
+/** A worker's own refusal. */
+export function refusal (code: Code, judged = false): Answer {
+  return (_request, response) => {
+    if (judged) response.setHeader('eiderwind-judged', '1')
+    answerFault(response, new Fault(code))
+  }
+}
+
+/** Takes the request and cuts the connection. */
+export const cut: Answer = request => { request.socket.destroy() }
+
+/** Takes the request and never answers. */
+export const silence: Answer = () => {}
+
+function service (kind: 'plain' | 'model'): Service {
+  const bounds = { concurrency: 8, queue: 8 }
+  if (kind === 'plain') return { kind, name: plain, routes: [{ method: 'POST', path: '/topups', repeatable: false }], ...bounds }
+  return { kind, name: model, replicas: 1, members: 1, version: 'v1', adapters: [], checksOrders: true, ...bounds }
+}
+
+/** A report of a worker that serves. */
+export function reportOf (worker: string, address: string, name: string, replica: string | undefined): Report {
+  return {
+    worker,
+    incarnation: `${worker}-1`,
+    address,
+    dataCentre: self.dataCentre,
+    sequence: 1,
+    service: name,
+    replica,
+    generation: replica === undefined ? undefined : 1,
+    members: replica === undefined ? undefined : 1,
+    serving: true,
+    leaving: false,
+    healthy: true,
+    running: 0,
+    queued: 0,
+    concurrency: 8,
+    missing: [],
+    slots: Array.from({ length: 12 }, (_each, slot) => ({ slot, tenure: 1 })),
+    loaded: undefined,
+    votersRevision: undefined,
+    revision: 1
+  }
+}
--- a/packages/fault/src/fault.ts
+++ b/packages/fault/src/fault.ts
@@ -22,6 +22,7 @@
   readonly code: Code
   readonly outcome: Outcome
   readonly retryAfter: number | undefined
+  readonly #detail: string | undefined
 
   constructor (code: Code, options: FaultOptions = {}) {
     const kind: Kind = kinds[code]
@@ -30,12 +31,19 @@
     this.code = code
     this.outcome = options.outcome ?? kind.outcome
     this.retryAfter = options.retryAfter ?? kind.retryAfter
+    this.#detail = options.detail
   }
 
   get status (): number {
     return kinds[this.code].status
   }
 
+  /** The same fault with the outcome `unknown`, and with `reason` said after what is wrong. */
+  doubted (reason: string): Fault {
+    const detail = this.#detail === undefined ? reason : `${this.#detail} ${reason}`
+    return new Fault(this.code, { detail, outcome: 'unknown', retryAfter: this.retryAfter })
+  }
+
   /** The body that is sent to a caller. */
   get body (): FaultBody {
     return { code: this.code, message: this.message, outcome: this.outcome }
--- a/packages/fault/src/kinds.ts
+++ b/packages/fault/src/kinds.ts
@@ -25,6 +25,7 @@
   deadline: { status: 504, outcome: 'not-run', remedy: 'Give a later deadline or come back when there is less load.', retryAfter: 1 },
   'deadline-running': { status: 504, outcome: 'unknown', remedy: 'Ask again with the same Idempotency-Key to learn the answer.', retryAfter: 1 },
   leaving: { status: 503, outcome: 'not-run', remedy: 'Send the request again; another process will take it.', retryAfter: 1 },
+  behind: { status: 503, outcome: 'not-run', remedy: 'Send the request again; another entry has the present configuration.', retryAfter: 1 },
   'not-serving': { status: 503, outcome: 'not-run', remedy: 'Send the request again; this replica holds no grant now.', retryAfter: 1 },
   'not-home': { status: 503, outcome: 'not-run', remedy: 'Send the request again; another worker is the home of this key.', retryAfter: 1 },
   tombstoned: { status: 409, outcome: 'not-run', remedy: 'Use a new attempt; this one was given up before it started.' },
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -24,6 +24,8 @@
   'placement-changed': { number: 204, level: 'info', text: 'This entry changed the placement of a fabric domain.' },
   'placement-lost-race': { number: 205, level: 'debug', text: 'Another entry changed the placement first; the plan is made again.' },
   'peer-lost': { number: 206, level: 'warn', text: 'Another entry was not heard of for too long.' },
+  'entry-behind': { number: 207, level: 'warn', text: 'A later configuration than this entry can get is in force elsewhere; it takes no requests until it has it.' },
+  'entry-current': { number: 208, level: 'info', text: 'This entry has the present configuration again and takes requests.' },
   'replica-serving': { number: 300, level: 'info', text: 'The head holds a grant of every member and serves.' },
   'replica-lapsed': { number: 301, level: 'warn', text: 'The head lost a member\'s grant and stopped serving.' },
   'grant-refused': { number: 302, level: 'debug', text: 'A member refused a grant.' },
--- a/packages/wire/src/call.ts
+++ b/packages/wire/src/call.ts
@@ -39,34 +39,44 @@
 /** Errors after which a request was certainly never sent. */
 const unsent = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND'])
 
-/** Cancels a call under way. Its receiver is told of a failure, unless the call has ended. */
+/**
+ * Cancels a call under way. Its receiver is told of a failure at once, unless the call has ended. A call that still
+ * waits for a connection is never sent afterwards, so the failure says so.
+ */
 export type Cancel = (reason: Error) => void
 
 /** Sends a call through `dispatcher` and hands the answer to `receiver`. Works on undici's own events, without a stream for each answer. */
 export function send (dispatcher: Dispatcher, call: Call, receiver: Receiver): Cancel {
   let flow: Flow | undefined
-  let cancelled: Error | undefined
+  let over = false
+  const fail = (failure: Break): void => {
+    if (over) return
+    over = true
+    receiver.fail(failure)
+  }
   dispatcher.dispatch({ origin: call.origin, path: call.path, method: call.method as Dispatcher.HttpMethod, headers: call.headers, body: call.body }, {
     onRequestStart (controller) {
+      if (over) return controller.abort(new Error('The call was cancelled before it was sent.'))
       flow = controller
-      if (cancelled !== undefined) controller.abort(cancelled)
     },
     onResponseStart (controller, status, headers) {
-      receiver.head(status, headers, controller)
+      if (!over) receiver.head(status, headers, controller)
     },
     onResponseData (_controller, chunk) {
-      receiver.data(chunk)
+      if (!over) receiver.data(chunk)
     },
     onResponseEnd () {
+      if (over) return
+      over = true
       receiver.end()
     },
     onResponseError (_controller, error) {
       const code = (error as { code?: string }).code ?? ''
-      receiver.fail({ error, sent: flow !== undefined && !unsent.has(code) })
+      fail({ error, sent: flow !== undefined && !unsent.has(code) })
     }
   })
   return reason => {
-    cancelled = reason
-    flow?.abort(reason)
+    if (flow === undefined) fail({ error: reason, sent: false })
+    else flow.abort(reason)
   }
 }
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -5,7 +5,8 @@
   type ClaimAnswer, type ClaimMessage, type EntryRouter, type ExchangeAnswer, type Known, type SettleAnswer, type SettleMessage, type WorkerRouter
 } from './calls.js'
 export { Clients } from './client.js'
-export { answerFault, listen, makeServer, serve, splitAddress, type Handler, type ServeOptions } from './serve.js'
+export { answerFault, refuse } from './answer.js'
+export { listen, makeServer, serve, splitAddress, type Handler, type ServeOptions } from './serve.js'
 export { readBody } from './body.js'
 export { Receiver, send, type AnswerHeaders, type Break, type Call, type Cancel, type Flow } from './call.js'
 export { Relay, endToEnd, type RelayOptions } from './relay.js'
--- a/packages/wire/src/serve.ts
+++ b/packages/wire/src/serve.ts
@@ -1,9 +1,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { TRPCError } from '@trpc/server'
-import { type Fault } from '@eiderwind/fault'
 import { type EntryRouter, type WorkerRouter } from './calls.js'
+import { answerFault } from './answer.js'
 import { readBody } from './body.js'
-import { callerHeaders, callsPath } from './headers.js'
+import { callsPath } from './headers.js'
 
 /** Longest call between processes, in bytes: a configuration is the longest. */
 const callLimit = 8 * 2 ** 20
@@ -56,21 +56,6 @@
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) }
 }
 
-/** Answers a request with a fault. Where an answer has begun, the connection is cut, so that it cannot pass for whole. */
-export function answerFault (response: ServerResponse, fault: Fault): void {
-  if (response.headersSent) {
-    response.destroy()
-    return
-  }
-  const body = JSON.stringify({ error: fault.body })
-  response.statusCode = fault.status
-  response.setHeader('content-type', 'application/json')
-  response.setHeader('content-length', Buffer.byteLength(body))
-  response.setHeader(callerHeaders.outcome, fault.outcome)
-  if (fault.retryAfter !== undefined) response.setHeader('retry-after', fault.retryAfter)
-  response.end(body)
-}
-
 /** A procedure of a router, called by name. */
 type Procedure = (input: unknown) => Promise<unknown>
 
--- /dev/null
+++ b/packages/wire/test/call.test.ts
@@ -0,0 +1,112 @@
+/** What a receiver is told of a call that is cancelled, and of refused bodies. */
+import { connect } from 'node:net'
+import test from 'ava'
+import { Agent } from 'undici'
+import { ManualClock } from '@eiderwind/clock'
+import { Fault } from '@eiderwind/fault'
+import { Receiver, listen, makeServer, readBody, refuse, send, type Break, type Call, type Handler } from '../src/index.js'
+
+/** Notes what it is told, and how it ended. */
+class Notes extends Receiver {
+  readonly ended: Promise<Break | undefined>
+  readonly told: string[] = []
+  #settle!: (failure: Break | undefined) => void
+
+  constructor () {
+    super()
+    this.ended = new Promise(resolve => { this.#settle = resolve })
+  }
+
+  head (status: number): void {
+    this.told.push(`head ${status}`)
+  }
+
+  data (): void {}
+
+  end (): void {
+    this.told.push('end')
+    this.#settle(undefined)
+  }
+
+  fail (failure: Break): void {
+    this.told.push('fail')
+    this.#settle(failure)
+  }
+}
+
+async function serveAt (handler: Handler): Promise<{ origin: string, port: number, stop: () => void }> {
+  const server = makeServer({ handler })
+  const port = await listen(server, '127.0.0.1:0')
+  return { origin: `http://127.0.0.1:${port}`, port, stop: () => { server.close(); server.closeAllConnections() } }
+}
+
+function call (origin: string, path: string): Call {
+  return { origin, path, method: 'POST', headers: {}, body: Buffer.from('x') }
+}
+
+test('a call that is cancelled while it waits for a connection fails at once as not sent, and never is', async t => {
+  const seen: string[] = []
+  let release = (): void => {}
+  const { origin, stop } = await serveAt((request, response) => {
+    seen.push(request.url ?? '')
+    if (request.url === '/first') release = () => response.end()
+    else response.end()
+  })
+  const agent = new Agent({ connections: 1, pipelining: 1 })
+  const [first, second, third] = [new Notes(), new Notes(), new Notes()]
+  send(agent, call(origin, '/first'), first)
+  while (seen.length === 0) await new Promise(resolve => setImmediate(resolve))
+  const cancel = send(agent, call(origin, '/second'), second)
+  cancel(new Error('The deadline has passed.'))
+  t.deepEqual(second.told, ['fail'], 'told before the cancelling returns')
+  t.false((await second.ended)?.sent)
+  send(agent, call(origin, '/third'), third)
+  release()
+  await Promise.all([first.ended, third.ended])
+  cancel(new Error('once more'))
+  t.deepEqual(seen, ['/first', '/third'])
+  t.deepEqual(second.told, ['fail'], 'told once')
+  t.deepEqual(third.told, ['head 200', 'end'])
+  await agent.destroy()
+  stop()
+})
+
+test('a call that is cancelled after it was sent may have run', async t => {
+  let arrived = (): void => {}
+  const seen = new Promise<void>(resolve => { arrived = resolve })
+  const { origin, stop } = await serveAt(() => arrived())
+  const agent = new Agent()
+  const notes = new Notes()
+  const cancel = send(agent, call(origin, '/'), notes)
+  await seen
+  cancel(new Error('The deadline has passed.'))
+  t.true((await notes.ended)?.sent)
+  await agent.destroy()
+  stop()
+})
+
+test('the refusal of a body goes out whole at once, and the connection is closed when the rest was read, or after a while', async t => {
+  const clock = new ManualClock()
+  const { port, stop } = await serveAt(async (request, response) => {
+    const body = await readBody(request, 1000)
+    if (body.isErr()) refuse(response, body.error, clock)
+  })
+  const open = (head: string) => {
+    const socket = connect(port, '127.0.0.1')
+    let text = ''
+    socket.on('data', data => { text += data.toString() })
+    const closed = new Promise<boolean>(resolve => socket.once('close', resolve))
+    socket.write(`POST / HTTP/1.1\r\nhost: x\r\n${head}\r\n\r\n`)
+    return { socket, closed, answer: async () => { while (!text.endsWith('}}')) await new Promise(resolve => setImmediate(resolve)); return text } }
+  }
+  const declared = open('content-length: 500000')
+  t.regex(await declared.answer(), /^HTTP\/1\.1 413/)
+  declared.socket.write(Buffer.alloc(500_000))
+  t.false(await declared.closed, 'closed without a reset')
+  const endless = open('transfer-encoding: chunked')
+  endless.socket.write(`7d0\r\n${'y'.repeat(2000)}\r\n`)
+  t.regex(await endless.answer(), new RegExp(`"code":"${new Fault('too-large').code}"`))
+  clock.advance(1000)
+  t.false(await endless.closed, 'closed without a reset')
+  stop()
+})
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -180,3 +180,86 @@
     title: 'the revision of a process only rises*'
   }
 )
+
+breakages.push(
+  {
+    name: 'refuse-without-reading',
+    point: 3,
+    rule: 'the rest of a refused body is read before the connection is closed',
+    file: 'packages/wire/dist/src/answer.js',
+    find: 'const timer = clock.after(lingerTime, finish)',
+    replace: 'const timer = { cancel () {} }; setImmediate(finish)',
+    test: 'packages/wire/dist/test/call.test.js',
+    title: 'the refusal of a body*'
+  },
+  {
+    name: 'cancel-then-send',
+    point: 4,
+    rule: 'a call that was reported as not sent is never sent',
+    file: 'packages/wire/dist/src/call.js',
+    find: 'if (over)\n                return controller.abort',
+    replace: 'if (false)\n                return controller.abort',
+    test: 'packages/wire/dist/test/call.test.js',
+    title: 'a call that is cancelled while*'
+  },
+  {
+    name: 'not-run-of-a-known-key',
+    point: 4,
+    rule: 'without a home\'s word, "not run" is never said of a caller\'s key',
+    file: 'packages/entry/dist/src/outcome.js',
+    find: "key === undefined || fault.outcome !== 'not-run'",
+    replace: "true || fault.outcome !== 'not-run'",
+    test: 'packages/entry/dist/test/honest.test.js',
+    title: '*with a key that may have run before*'
+  },
+  {
+    name: 'not-run-after-doubt',
+    point: 4,
+    rule: 'a request of which any attempt may have run is not reported as not run',
+    file: 'packages/entry/dist/src/outcome.js',
+    find: "!doubt || last.outcome !== 'not-run'",
+    replace: 'true',
+    test: 'packages/entry/dist/test/honest.test.js',
+    title: '*after one that*'
+  },
+  {
+    name: 'settle-stranger',
+    point: 4,
+    rule: 'only the incarnation that had the attempt can say that it never starts',
+    file: 'packages/entry/dist/src/plainpath.js',
+    find: "fate === 'tombstoned'",
+    replace: "fate !== 'started'",
+    test: 'packages/entry/dist/test/honest.test.js',
+    title: '*another incarnation answers*'
+  },
+  {
+    name: 'answer-unchecked',
+    point: 3,
+    rule: 'an answer that names another attempt is dropped',
+    file: 'packages/entry/dist/src/attempting.js',
+    find: 'echoed === attempt.id',
+    replace: 'true',
+    test: 'packages/entry/dist/test/honest.test.js',
+    title: '*that names another attempt*'
+  },
+  {
+    name: 'entry-behind-serves',
+    point: 8,
+    rule: 'an entry that knows of a later configuration than it can get takes no requests',
+    file: 'packages/entry/dist/src/fence.js',
+    find: 'now - this.#since >= patience',
+    replace: 'false',
+    test: 'packages/entry/dist/test/fence.test.js',
+    title: 'an entry whose workers go by*'
+  },
+  {
+    name: 'silent-worker-chosen',
+    point: 6,
+    rule: 'a worker whose report is old gets nothing new',
+    file: 'packages/entry/dist/src/targets.js',
+    find: 'clock.now() - madeAt < limit',
+    replace: 'true',
+    test: 'packages/entry/dist/test/fence.test.js',
+    title: 'an entry that hears nothing*'
+  }
+)
