Prove racing planners and lost placement writes; give no vote before a list of voters is known

Under lists 1 {A,B,C}, 2 {A,B,C,D}, 3 {A,B,C,D,E} a holder A that is cut off from the entries goes by list 1; B restarts and votes for A, while C, D and E, a majority of list 3, give the slot to E: two homes. Ruled out: the change by one voter and the settling time, which hold as long as nobody forgets.

A worker gives no vote before an entry has told it the list. FaultyStore, which only the configuration's tests had, is a fake of the store package now. The real Planning controller runs three at once over it.

Before: no test. What is left: a voter that restarts and hears only of an entry that is itself cut off for over 20 s and takes no part in the fence.

--- a/packages/config/test/writer.test.ts
+++ b/packages/config/test/writer.test.ts
@@ -1,40 +1,13 @@
 /** The accepted configuration under races of operators, lost answers, outages and killed writers. */
 import test from 'ava'
 import fc from 'fast-check'
-import { Err, type Result } from 'ts-results-es'
 import { ManualClock } from '@eiderwind/clock'
-import { Fault } from '@eiderwind/fault'
 import { type Configuration } from '@eiderwind/schema'
-import { MemoryStore } from '@eiderwind/store'
+import { FaultyStore, MemoryStore, type Turn } from '@eiderwind/store'
 import { Current, Writer, configurationKey, type Change, type ChangeOrder } from '../src/index.js'
 
 const seed = 20261204
 
-/** How one call of the store goes. */
-type Turn = 'well' | 'lost-answer' | 'lost-call' | 'down'
-
-/** A store whose calls go as a list says, and well afterwards. */
-class FaultyStore extends MemoryStore {
-  readonly #turns: Turn[]
-
-  constructor (turns: readonly Turn[]) {
-    super()
-    this.#turns = [...turns]
-  }
-
-  override async read (key: string): ReturnType<MemoryStore['read']> {
-    return this.#turns.shift() === 'down' ? Err(new Fault('store-down')) : await super.read(key)
-  }
-
-  override async write (key: string, value: unknown, version: number): Promise<Result<number, Fault>> {
-    const turn = this.#turns.shift()
-    if (turn === 'down') return Err(new Fault('store-down'))
-    if (turn === 'lost-call') return Err(new Fault('store-unknown'))
-    const written = await super.write(key, value, version)
-    return turn === 'lost-answer' ? Err(new Fault('store-unknown')) : written
-  }
-}
-
 function leave (id: string): Change {
   return { type: 'leave', id }
 }
--- /dev/null
+++ b/packages/entry/test/planning.test.ts
@@ -0,0 +1,165 @@
+/** Planners that act for the same domain at once, with different beliefs and a platform that fails. */
+import test from 'ava'
+import fc from 'fast-check'
+import { ManualClock } from '@eiderwind/clock'
+import { Current } from '@eiderwind/config'
+import { Log } from '@eiderwind/log'
+import { Repairing, disjoint } from '@eiderwind/plan'
+import { Placement, emptyConfiguration, type EntryAddress, type Node } from '@eiderwind/schema'
+import { Reports } from '@eiderwind/spread'
+import { FaultyStore, MemoryStore, type Turn } from '@eiderwind/store'
+import { entryBoard, takeHomes, takeNodes, takePlacement, type EntryBoard } from '../src/facts.js'
+import { Planning } from '../src/planning.js'
+import { model, reportOf } from './harness.js'
+
+const seed = 20261207
+const runs = 150
+const lostAfter = 2000
+const domain = 'fabric-1'
+const object = `placement/${domain}`
+const ids = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h']
+
+const nodes: readonly Node[] = ids.map(id => ({ id, domain, dataCentre: 'd1', region: 'r1', address: 'x:1', accelerators: 4, state: 'live' }))
+
+/** One entry that believes that it alone is live, and so acts. */
+class PlanningEntry {
+  readonly board: EntryBoard
+  readonly #reports: Reports
+  readonly #planning: Planning
+  #sequence = 0
+
+  constructor (id: string, store: MemoryStore, clock: ManualClock) {
+    const self: EntryAddress = { id, dataCentre: 'd1', region: 'r1', peer: `${id}:1` }
+    const current = new Current()
+    current.accept({
+      ...emptyConfiguration,
+      revision: 1,
+      services: [{ kind: 'model', name: model, replicas: 2, members: 3, version: 'v1', adapters: [], checksOrders: true, concurrency: 1, queue: 1 }]
+    })
+    this.board = entryBoard(self)
+    this.board.write('nodes', { seen: 1, nodes })
+    this.#reports = new Reports(clock)
+    this.#planning = new Planning({ board: this.board, clock, current, reports: this.#reports, store, planner: new Repairing({ restart: 1000 }), self, log: new Log({ sink: () => {} }), lostAfter })
+  }
+
+  /** Hears of every node; those in `lost` say that their engine is gone. */
+  hear (lost: ReadonlySet<string>): void {
+    this.#sequence++
+    for (const id of ids) {
+      const report = { ...reportOf(id, 'x:1', model, undefined), sequence: this.#sequence, healthy: !lost.has(id) }
+      this.#reports.accept({ report, age: 0 }, 'worker')
+    }
+  }
+
+  async plan (): Promise<void> {
+    await this.#planning.update()
+  }
+
+  get known (): Placement | undefined {
+    return this.board.read('placements').get(domain)
+  }
+}
+
+interface Made {
+  readonly store: FaultyStore
+  readonly clock: ManualClock
+  readonly entries: readonly PlanningEntry[]
+}
+
+function make (): Made {
+  const store = new FaultyStore()
+  const clock = new ManualClock()
+  const entries = ['e1', 'e2', 'e3'].map(id => new PlanningEntry(id, store, clock))
+  clock.advance(lostAfter)
+  return { store, clock, entries }
+}
+
+/** What is at the platform, whatever faults are planned. */
+async function stored (store: FaultyStore): Promise<Placement | undefined> {
+  const { version, value } = (await MemoryStore.prototype.read.call(store, object)).unwrap()
+  return version === 0 ? undefined : Placement.parse(value)
+}
+
+const turn = fc.constantFrom<Turn>('well', 'well', 'well', 'lost-answer', 'lost-call', 'down')
+
+const step = fc.record({
+  /** Which entries plan at once. */
+  who: fc.subarray([0, 1, 2], { minLength: 1 }),
+  /** What the first of them believes lost from now on. */
+  lost: fc.subarray(ids, { maxLength: 3 }),
+  turns: fc.array(turn, { maxLength: 4 })
+})
+
+test('whoever plans at once and whatever becomes of the writes, no node is in two replicas and no generation names two sets of members', async t => {
+  let changes = 0
+  t.log(`seed ${seed}, ${runs} runs`)
+  await fc.assert(fc.asyncProperty(fc.array(step, { minLength: 4, maxLength: 20 }), async steps => {
+    const { store, clock, entries } = make()
+    const members = new Map<string, string>()
+    let generation = 0
+    for (const entry of entries) entry.hear(new Set())
+    for (const { who, lost, turns } of steps) {
+      entries[who[0]].hear(new Set(lost))
+      store.plan(turns)
+      const before = entries.map(each => each.known?.revision ?? 0)
+      await Promise.all(who.map(index => entries[index].plan()))
+      clock.advance(500)
+      if (entries.some((each, index) => (each.known?.revision ?? 0) < before[index])) return false
+      const placement = await stored(store)
+      if (placement === undefined) continue
+      if (!disjoint(placement) || placement.generation < generation) return false
+      if (placement.generation > generation) changes++
+      generation = placement.generation
+      for (const replica of placement.replicas) {
+        const name = `${replica.id}#${replica.generation}`
+        const list = replica.members.join()
+        if (members.has(name) && members.get(name) !== list) return false
+        members.set(name, list)
+      }
+    }
+    return true
+  }), { seed, numRuns: runs })
+  t.log(`${changes} changes`)
+  t.true(changes > runs)
+})
+
+interface Case {
+  readonly title: string
+  readonly turns: readonly Turn[]
+  /** Revision at the platform and at the entry after one plan, and after the next. */
+  readonly first: readonly [number, number]
+  readonly second: readonly [number, number]
+}
+
+const cases: readonly Case[] = [
+  { title: 'all goes well', turns: [], first: [1, 1], second: [1, 1] },
+  { title: 'the platform is down at the first look', turns: ['down'], first: [0, 0], second: [1, 1] },
+  { title: 'the platform is down at the write', turns: ['well', 'down', 'down'], first: [0, 0], second: [1, 1] },
+  { title: 'the write is lost', turns: ['well', 'lost-call'], first: [0, 0], second: [1, 1] },
+  { title: 'the answer to the write is lost', turns: ['well', 'lost-answer'], first: [1, 1], second: [1, 1] },
+  { title: 'the answer is lost and the platform is down afterwards', turns: ['well', 'lost-answer', 'down'], first: [1, 0], second: [1, 1] }
+]
+
+for (const { title, turns, first, second } of cases) {
+  test(`a change of the placement where ${title} takes effect once, and the entry ends with what the platform has`, async t => {
+    const { store, entries: [entry] } = make()
+    entry.hear(new Set())
+    store.plan(turns)
+    await entry.plan()
+    t.deepEqual([(await stored(store))?.revision ?? 0, entry.known?.revision ?? 0], [...first])
+    await entry.plan()
+    t.deepEqual([(await stored(store))?.revision ?? 0, entry.known?.revision ?? 0], [...second])
+  })
+}
+
+test('placements and lists that come late never replace newer ones', t => {
+  const board = entryBoard({ id: 'e1', dataCentre: 'd1', region: 'r1', peer: 'e1:1' })
+  for (const revision of [2, 1, 2]) {
+    takePlacement(board, { domain, revision, generation: revision, replicas: [] })
+    takeHomes(board, { service: 's', revision, voters: [] })
+    takeNodes(board, { seen: revision, nodes: revision === 1 ? nodes : [] })
+  }
+  t.is(board.read('placements').get(domain)?.revision, 2)
+  t.is(board.read('homes').get('s')?.revision, 2)
+  t.deepEqual(board.read('nodes'), { seen: 2, nodes: [] })
+})
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -2,3 +2,4 @@
 export { Store, type Stored } from './store.js'
 export { HttpStore, type HttpStoreOptions } from './http.js'
 export { MemoryStore } from './memory.js'
+export { FaultyStore, type Turn } from './faulty.js'
--- a/packages/worker/src/calls.ts
+++ b/packages/worker/src/calls.ts
@@ -51,11 +51,13 @@
   /**
    * Whether a claim of a home goes by an older list of voters than this voter has ever heard of. Such a claim is
    * refused, so that a majority of an outdated list can no longer be found once a majority of the next one knows it.
+   * A voter that has started has forgotten which lists it knew, so it gives no vote before an entry has told it one.
    */
   #outdated ({ resource, revision }: ClaimMessage): boolean {
     if (resource === nodeResource) return false
     const assignment = this.#options.board.read('assignment')
-    this.#votersSeen = Math.max(this.#votersSeen, revision, assignment?.kind === 'plain' ? assignment.revision : 0)
+    if (assignment?.kind !== 'plain') return true
+    this.#votersSeen = Math.max(this.#votersSeen, revision, assignment.revision)
     return revision < this.#votersSeen
   }
 
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -316,3 +316,46 @@
     title: 'the keys of a plain worker*'
   }
 )
+
+breakages.push(
+  {
+    name: 'vote-without-list',
+    point: 5,
+    rule: 'a voter that has started gives no vote before it was told the list of voters',
+    file: 'packages/worker/dist/src/calls.js',
+    find: "if (assignment?.kind !== 'plain')\n            return true",
+    replace: "if (assignment?.kind !== 'plain')\n            return false",
+    test: 'packages/worker/dist/test/calls.test.js',
+    title: 'a voter that has just started*'
+  },
+  {
+    name: 'vote-by-old-list',
+    point: 5,
+    rule: 'a voter gives no vote by an earlier list than it knows',
+    file: 'packages/worker/dist/src/calls.js',
+    find: 'return revision < this.#votersSeen',
+    replace: 'return false',
+    test: 'packages/worker/dist/test/calls.test.js',
+    title: 'a voter that knows a later list*'
+  },
+  {
+    name: 'placement-unconditional',
+    point: 2,
+    rule: 'a placement is written only over the version that it was planned on',
+    file: 'packages/entry/dist/src/planning.js',
+    find: 'placement.revision - 1)',
+    replace: '(await store.read('placement/' + domain)).unwrapOr({ version: 0 }).version)',
+    test: 'packages/entry/dist/test/planning.test.js',
+    title: 'whoever plans at once*'
+  },
+  {
+    name: 'placement-falls',
+    point: 2,
+    rule: 'an entry takes newer placements only',
+    file: 'packages/entry/dist/src/facts.js',
+    find: 'found.revision > known.revision',
+    replace: 'true',
+    test: 'packages/entry/dist/test/planning.test.js',
+    title: 'placements and lists that come late*'
+  }
+)
