--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -344,7 +344,7 @@
     rule: 'a placement is written only over the version that it was planned on',
     file: 'packages/entry/dist/src/planning.js',
     find: 'placement.revision - 1)',
-    replace: '(await store.read('placement/' + domain)).unwrapOr({ version: 0 }).version)',
+    replace: "(await store.read('placement/' + domain)).unwrapOr({ version: 0 }).version)",
     test: 'packages/entry/dist/test/planning.test.js',
     title: 'whoever plans at once*'
   },
