Choose replicas by what is open, and sessions by rendezvous hashing; measure the router against its baselines

The router had no figure. Ruled out by variants: the guard's numbers, the number of choices, the tie-break.

Least open at this entry, of equals the one picked longest ago; a session's three replicas by rendezvous hashing in the region, the first within a guard. Reports only say which replicas are crowded, for going to another data centre. The time to the first byte and the sessions' table have no use any more and are gone.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -4,11 +4,13 @@
 import { measureDays } from './days.js'
 import { Figures } from './figures.js'
 import { measurePath } from './path.js'
+import { measureRouting } from './routing.js'
 import { measureStreams } from './streams.js'
 
 const parts: Readonly<Record<string, (figures: Figures) => void | Promise<void>>> = {
   decisions: measureDecisions,
   days: measureDays,
+  routing: measureRouting,
   path: measurePath,
   control: measureControl,
   streams: measureStreams
--- a/packages/entry/src/plainpath.ts
+++ b/packages/entry/src/plainpath.ts
@@ -1,4 +1,5 @@
 import { Fault } from '@eiderwind/fault'
+import { noPreference } from '@eiderwind/route'
 import { type PlainService } from '@eiderwind/schema'
 import { Relay, answerFault, send, wireHeaders, type AnswerHeaders, type Flow } from '@eiderwind/wire'
 import { attemptCall, ownAnswer } from './attempting.js'
@@ -31,7 +32,7 @@
     if (usable.length === 0 || (tried.size > 0 && !budget.withdraw())) break
     if (tried.size > 0) metric.count('request.retry')
     const near = targets.nearest(usable)
-    const picked = policy.pick(near.map(each => each.candidate), { session: undefined, prefix: [] })
+    const picked = policy.pick(near.map(each => each.candidate), noPreference)
     const target = near.find(each => each.candidate === picked) as Target
     tried.add(target.worker)
     const failed = await tryRelay(context, exchange, target)
--- a/packages/entry/src/stream.ts
+++ b/packages/entry/src/stream.ts
@@ -3,7 +3,7 @@
 import { attemptCall } from './attempting.js'
 import { type Completion } from './completion.js'
 import { type Context } from './context.js'
-import { attemptAt, left, type Attempt, type Exchange } from './exchange.js'
+import { attemptAt, left, type Exchange } from './exchange.js'
 import { type Choice } from './modelpath.js'
 import { failure, finalFault, withoutWord, type Failure } from './outcome.js'
 import { Part, type PartEnd } from './part.js'
@@ -93,7 +93,7 @@
         resolve(end)
       }
       const part = new Part(this.#context, attempt, {
-        begin: headers => this.#begin(target, headers, attempt),
+        begin: headers => this.#begin(target, headers),
         take: chunk => this.#take(chunk),
         pass: (status, headers, body) => this.#pass(status, headers, body),
         ended: end => finish(this.#transcript.done ? this.#end() : end)
@@ -115,9 +115,8 @@
     return Buffer.from(JSON.stringify({ ...this.#completion, resume: { offset, text } }))
   }
 
-  #begin (target: Target, headers: AnswerHeaders, attempt: Attempt): void {
-    const { clock, targets, metric } = this.#context
-    targets.answered(target.worker, clock.now() - attempt.sentAt)
+  #begin (target: Target, headers: AnswerHeaders): void {
+    const { clock, metric } = this.#context
     this.#choice.served(target)
     if (this.#begun) return
     this.#begun = true
--- a/packages/entry/src/targets.ts
+++ b/packages/entry/src/targets.ts
@@ -1,15 +1,15 @@
 import { type Clock } from '@eiderwind/clock'
 import { type Current } from '@eiderwind/config'
 import { load, type Candidate } from '@eiderwind/route'
-import { type EntryAddress, type Replica, type Report } from '@eiderwind/schema'
+import { type EntryAddress, type Node, type Replica, type Report } from '@eiderwind/schema'
 import { type Heard, type Reports } from '@eiderwind/spread'
 import { type EntryBoard } from './facts.js'
 
 /** Age at which a report of a worker in another data centre is too old to send anything by it, in ms. */
 const farAge = 15_000
 
-/** Weight of the newest time to the first byte in the running mean. */
-const meanWeight = 0.2
+/** Requests at a worker, in multiples of those that run at once there, from which on it is too crowded to be the nearest. */
+const crowd = 2
 
 /** A worker that requests can be sent to. */
 export interface Target {
@@ -30,7 +30,6 @@
 interface Tally {
   open: number
   sent: number[]
-  firstByte: number | undefined
 }
 
 /** What the targets stand on. */
@@ -48,6 +47,9 @@
 export class Targets {
   readonly #options: TargetsOptions
   readonly #tallies = new Map<string, Tally>()
+  /** The region of each node in the list that it was made from. */
+  #regions: ReadonlyMap<string, string> = new Map()
+  #regionsOf: readonly Node[] = []
 
   constructor (options: TargetsOptions) {
     this.#options = options
@@ -92,15 +94,27 @@
     return { ...this.#target(latest, latest.report.worker), tenure: held.tenure }
   }
 
-  /** The nearest of `targets` with a place free: own data centre, own region, anywhere; all of them where none has. */
+  /** The nearest of `targets` that are not crowded: own data centre, own region, anywhere; all of them where none is. */
   nearest (targets: readonly Target[]): Target[] {
-    const free = targets.filter(({ candidate }) => load(candidate) < candidate.concurrency)
-    const { self, reports } = this.#options
-    const near = free.filter(({ worker }) => reports.of(worker)?.report.dataCentre === self.dataCentre)
+    const free = targets.filter(({ candidate }) => load(candidate) < crowd * candidate.concurrency)
+    const near = free.filter(({ worker }) => this.#options.reports.of(worker)?.report.dataCentre === this.#options.self.dataCentre)
     if (near.length > 0) return near
+    const regional = this.regional(free)
+    if (regional.length > 0) return regional
     return free.length > 0 ? free : [...targets]
   }
 
+  /** Those of `targets` in this entry's region. */
+  regional (targets: readonly Target[]): Target[] {
+    const { board, self } = this.#options
+    const nodes = board.read('nodes')?.nodes ?? []
+    if (this.#regionsOf !== nodes) {
+      this.#regionsOf = nodes
+      this.#regions = new Map(nodes.map(each => [each.id, each.region]))
+    }
+    return targets.filter(({ worker }) => (this.#regions.get(worker) ?? self.region) === self.region)
+  }
+
   /** Whether a worker still is the process that a request was sent to, and not silent. */
   alive ({ worker, incarnation }: Target): boolean {
     const heard = this.#options.reports.of(worker)
@@ -119,12 +133,6 @@
     this.#tally(worker).open--
   }
 
-  /** Notes how long a worker took to its first byte, in ms. */
-  answered (worker: string, span: number): void {
-    const tally = this.#tally(worker)
-    tally.firstByte = tally.firstByte === undefined ? span : tally.firstByte + meanWeight * (span - tally.firstByte)
-  }
-
   #head (replica: Replica): Target | undefined {
     const heard = this.#options.reports.of(replica.members[0])
     if (heard === undefined || heard.report.replica !== replica.id || !this.#usable(heard)) return undefined
@@ -144,25 +152,23 @@
   #target ({ report, madeAt }: Heard, id: string): Target {
     const tally = this.#tally(report.worker)
     while (tally.sent.length > 0 && tally.sent[0] < madeAt) tally.sent.shift()
-    return { worker: report.worker, address: report.address, incarnation: report.incarnation, candidate: this.#candidate(report, madeAt, tally, id) }
+    return { worker: report.worker, address: report.address, incarnation: report.incarnation, candidate: this.#candidate(report, tally, id) }
   }
 
-  #candidate (report: Report, madeAt: number, { open, sent, firstByte }: Tally, id: string): Candidate {
+  #candidate (report: Report, { open, sent }: Tally, id: string): Candidate {
     return {
       id,
       reported: report.running + report.queued,
       concurrency: report.concurrency,
       open,
-      unseen: sent.length,
-      age: this.#options.clock.now() - madeAt,
-      firstByte
+      unseen: sent.length
     }
   }
 
   #tally (worker: string): Tally {
     const known = this.#tallies.get(worker)
     if (known !== undefined) return known
-    const tally: Tally = { open: 0, sent: [], firstByte: undefined }
+    const tally: Tally = { open: 0, sent: [] }
     this.#tallies.set(worker, tally)
     return tally
   }
--- a/packages/route/src/affinity.ts
+++ b/packages/route/src/affinity.ts
@@ -20,22 +20,16 @@
   return found
 }
 
-/** Which replicas served which sessions and prefixes last. Bounded; the longest unused is forgotten first. */
+/** Which replicas served which prefixes last. Bounded; the longest unused is forgotten first. */
 export class Affinity {
   readonly #limit: number
-  readonly #sessions = new Map<string, string>()
   readonly #blocks = new Map<number, string[]>()
 
-  /** @param limit sessions, and blocks, that are remembered. Default: 20,000 */
+  /** @param limit blocks that are remembered. Default: 20,000 */
   constructor (limit = 20_000) {
     this.#limit = limit
   }
 
-  /** The replica that served the session last. */
-  session (session: string | undefined): string | undefined {
-    return session === undefined ? undefined : this.#sessions.get(session)
-  }
-
   /** The replicas that served the longest known prefix, latest first. */
   prefix (blocks: readonly number[]): readonly string[] {
     for (let index = blocks.length - 1; index >= 0; index--) {
@@ -45,9 +39,8 @@
     return []
   }
 
-  /** Notes that `replica` serves a session and a prompt. */
-  served (replica: string, session: string | undefined, blocks: readonly number[]): void {
-    if (session !== undefined) refresh(this.#sessions, session, replica, this.#limit)
+  /** Notes that `replica` serves a prompt. */
+  served (replica: string, blocks: readonly number[]): void {
     for (const block of blocks) {
       const others = (this.#blocks.get(block) ?? []).filter(each => each !== replica)
       refresh(this.#blocks, block, [replica, ...others].slice(0, replicasPerBlock), this.#limit)
--- a/packages/route/src/balanced.ts
+++ b/packages/route/src/balanced.ts
@@ -3,68 +3,78 @@
 
 /** The settings of the balanced policy. */
 export interface BalancedOptions {
+  /** Has entries that start together begin with different replicas. */
   readonly random: Random
-  /** Requests by which a warm replica may be ahead of the least loaded one. Default: 2. */
+  /** Requests that this entry may have open at a warm replica beyond the least. Default: 4. */
   readonly slack?: number
-  /** Factor by which its load may be ahead. Default: 1.5. */
+  /** Factor by which they may be more. Default: 1.5. */
   readonly factor?: number
-  /** Replicas that are compared where nothing is warm. Default: 2. */
-  readonly choices?: number
 }
 
+/** Replicas of which is remembered when they were picked last. */
+const mostTurns = 10_000
+
 /**
- * The policy in use. A replica that is warm for the session or the prompt's prefix is kept while its load is within
- * a guard of the least loaded one (the guard is the one of the paper on Rolter's `cache_aware`); otherwise the least
- * loaded of a few random ones is taken, so that many entries with the same lagging reports do not all run to the
- * same replica (Mitzenmacher, 2001). Load is what the replica reported plus what this entry has sent since.
+ * The policy in use. A replica that is warm for the session or the prompt's prefix is kept while this entry has little
+ * more open there than elsewhere; otherwise the replica with least open requests of this entry is taken, and of equals
+ * the one that was picked longest ago. What replicas report is left out: it lags, and entries that go by the same old
+ * reports run to the same replicas (docs/design/routing.md has the figures). What an entry has open is exact, and
+ * grows by itself where a replica is slow.
  */
 export class Balanced extends Policy {
   readonly name = 'balanced'
   readonly #random: Random
   readonly #slack: number
   readonly #factor: number
-  readonly #choices: number
+  /** By replica: the turn in which it was picked last. */
+  readonly #turns = new Map<string, number>()
+  #turn = 0
 
   constructor (options: BalancedOptions) {
     super()
     this.#random = options.random
-    this.#slack = options.slack ?? 2
+    this.#slack = options.slack ?? 4
     this.#factor = options.factor ?? 1.5
-    this.#choices = options.choices ?? 2
   }
 
   pick (candidates: readonly Candidate[], preference: Preference): Candidate {
-    const floor = load(least(candidates, load))
-    const warm = this.#warm(candidates, preference)
-    if (warm !== undefined && load(warm) <= Math.max(floor + this.#slack, floor * this.#factor)) return warm
-    return least(this.#sample(candidates), cost)
+    const idle = this.#idle(candidates)
+    const picked = this.#warm(candidates, preference, idle.open) ?? idle
+    this.#note(picked)
+    return picked
   }
 
-  #warm (candidates: readonly Candidate[], { session, prefix }: Preference): Candidate | undefined {
-    const bySession = candidates.find(candidate => candidate.id === session)
-    if (bySession !== undefined) return bySession
-    const byPrefix = candidates.filter(candidate => prefix.includes(candidate.id))
-    return byPrefix.length === 0 ? undefined : least(byPrefix, load)
+  /** The candidate with least open; of equals the one that was picked longest ago. */
+  #idle (candidates: readonly Candidate[]): Candidate {
+    const fewest = least(candidates, each => each.open).open
+    return least(candidates.filter(each => each.open === fewest), each => this.#lastTurn(each))
   }
 
-  #sample (candidates: readonly Candidate[]): Candidate[] {
-    if (candidates.length <= this.#choices) return [...candidates]
-    const rest = [...candidates]
-    const sample: Candidate[] = []
-    while (sample.length < this.#choices) {
-      const index = Math.floor(this.#random() * rest.length)
-      sample.push(...rest.splice(index, 1))
+  /** The first of the session's replicas that is within the guard; else the least busy one that knows the prefix. */
+  #warm (candidates: readonly Candidate[], { session, prefix }: Preference, floor: number): Candidate | undefined {
+    const within = candidates.filter(each => each.open <= Math.max(floor + this.#slack, floor * this.#factor))
+    for (const id of session) {
+      const home = within.find(each => each.id === id)
+      if (home !== undefined) return home
     }
-    return sample
+    const knowing = within.filter(each => prefix.includes(each.id))
+    return knowing.length === 0 ? undefined : least(knowing, each => each.open)
   }
-}
 
-/** Requests that run or wait at a candidate, as far as this entry can tell. */
-export function load (candidate: Candidate): number {
-  return candidate.reported + candidate.unseen
-}
+  /** The turn in which a candidate was picked last; one that never was has a random place before all turns. */
+  #lastTurn ({ id }: Candidate): number {
+    const known = this.#turns.get(id)
+    if (known !== undefined) return known
+    const place = -this.#random()
+    this.#turns.set(id, place)
+    return place
+  }
 
-/** What a request would meet there: the load for its size, times how slowly it has answered. */
-function cost (candidate: Candidate): number {
-  return (load(candidate) + 1) / candidate.concurrency * ((candidate.firstByte ?? 0) + 1)
+  #note ({ id }: Candidate): void {
+    this.#turns.delete(id)
+    this.#turns.set(id, ++this.#turn)
+    if (this.#turns.size <= mostTurns) return
+    const [oldest] = this.#turns.keys()
+    this.#turns.delete(oldest)
+  }
 }
--- a/packages/route/src/policy.ts
+++ b/packages/route/src/policy.ts
@@ -11,20 +11,19 @@
   readonly open: number
   /** Requests that this entry has sent there since what it reported, and that the report cannot know. */
   readonly unseen: number
-  /** Age of the report, in ms. */
-  readonly age: number
-  /** Time to the first byte there, as this entry has seen it of late, in ms; undefined where it has seen none. */
-  readonly firstByte: number | undefined
 }
 
-/** What of a request steers the choice. Neither part is needed for correctness. */
+/** What of a request steers the choice. No part is needed for correctness. */
 export interface Preference {
-  /** The replica that served this session last. */
-  readonly session: string | undefined
+  /** The replicas that every entry prefers for this session, best first; empty where the request names none. */
+  readonly session: readonly string[]
   /** The replicas that served the longest known prefix of the prompt, latest first. */
   readonly prefix: readonly string[]
 }
 
+/** The preference of a request of which nothing is known. */
+export const noPreference: Preference = { session: [], prefix: [] }
+
 /** A way to choose. The list holds at least one candidate. */
 export abstract class Policy {
   abstract readonly name: string
@@ -65,6 +64,27 @@
   }
 }
 
+/** Baseline: the less loaded of two random ones, by what they reported and what this entry has sent since (Mitzenmacher, 2001). */
+export class TwoChoices extends Policy {
+  readonly name = 'two-choices'
+  readonly #random: Random
+
+  constructor (random: Random) {
+    super()
+    this.#random = random
+  }
+
+  pick (candidates: readonly Candidate[]): Candidate {
+    const any = (): Candidate => candidates[Math.floor(this.#random() * candidates.length)]
+    return least([any(), any()], load)
+  }
+}
+
+/** Requests that run or wait at a candidate, as far as reports that lag can tell. */
+export function load (candidate: Candidate): number {
+  return candidate.reported + candidate.unseen
+}
+
 /** The least of `candidates` by `measure`; the first of equals. */
 export function least (candidates: readonly Candidate[], measure: (candidate: Candidate) => number): Candidate {
   let best = candidates[0]
