Move the sessions of a replica that stops as planned, by export and import of their KV caches

Weighed: moving on demand, when the next request comes (the old replica has gone by then: players call between chores); entries that direct each move (each knows a part of the sessions only). Since entries choose a session's replica by rendezvous hashing now, the replica that stops can tell itself where each session goes next.

A worker takes a session only for the version its engine has loaded. Sessions carry their team, so that two teams' are never the same.

Left: a session of more than one data centre's replicas, times with real caches.

--- a/packages/entry/src/calls.ts
+++ b/packages/entry/src/calls.ts
@@ -1,5 +1,5 @@
 import { type Current } from '@eiderwind/config'
-import { type Configuration, type Report, type ReportAnswer } from '@eiderwind/schema'
+import { type Configuration, type Peer, type Report, type ReportAnswer } from '@eiderwind/schema'
 import { beatsOf, reportTargets, type Reports } from '@eiderwind/spread'
 import { EntryCalls, type Exchange, type ExchangeAnswer, type Known } from '@eiderwind/wire'
 import { assignment } from './assignment.js'
@@ -14,6 +14,8 @@
   readonly peers: Peers
   /** Data centre of this entry. */
   readonly dataCentre: string
+  /** The heads that serve a model service in this region. */
+  readonly heads: (service: string) => Peer[]
   /** Fetches what another entry has and this one lacks. */
   readonly fetch: (address: string, revision: number, known: number) => Promise<void>
 }
@@ -57,6 +59,10 @@
     return this.#options.current.configuration
   }
 
+  async heads ({ service }: { readonly service: string }): Promise<Peer[]> {
+    return this.#options.heads(service)
+  }
+
   async known (): Promise<Known> {
     const { board } = this.#options
     const nodes = board.read('nodes')
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -9,7 +9,7 @@
 import { type Log, type Metric } from '@eiderwind/log'
 import { Repairing } from '@eiderwind/plan'
 import { Affinity, Balanced, Budget } from '@eiderwind/route'
-import { type EntryAddress, type Operator } from '@eiderwind/schema'
+import { type EntryAddress, type Operator, type Peer } from '@eiderwind/schema'
 import { Reports } from '@eiderwind/spread'
 import { type Store } from '@eiderwind/store'
 import { Clients, entryRouter, listen, makeServer, serve, splitAddress } from '@eiderwind/wire'
@@ -83,6 +83,7 @@
   readonly #servers: Server[] = []
   #operators: DualListener | undefined
   #flights: Flights | undefined
+  #targets: Targets | undefined
   #callers: Callers | undefined
   #board: EntryBoard | undefined
 
@@ -109,6 +110,7 @@
       reports: this.#reports,
       peers,
       dataCentre,
+      heads: service => this.#heads(service),
       fetch: (from, revision, known) => spreader.fetch(from, revision, known)
     })
     serve(peerServer, { router: entryRouter(calls) })
@@ -167,10 +169,16 @@
     return spreader
   }
 
+  #heads (service: string): Peer[] {
+    const targets = this.#targets
+    return targets?.regional(targets.heads(service)).map(({ candidate, address }) => ({ id: candidate.id, address })) ?? []
+  }
+
   async #startCallers (board: EntryBoard, self: EntryAddress): Promise<string> {
     const { clock, log, metric, bodyLimit, deadline, lostAfter, callers: address } = this.#options
     const current = this.#current
     const targets = new Targets({ board, clock, current, reports: this.#reports, self, nearAge: lostAfter })
+    this.#targets = targets
     this.#flights = new Flights(clock, targets)
     const context: Context = {
       clock,
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -53,6 +53,11 @@
 /** How much earlier a worker gives up than the entry, in ms, so that its own word on whether the request ran comes in time. */
 const answerTime = 25
 
+/** A session as replicas know it: sessions of two teams are never the same, whatever they are called. */
+export function sessionKey ({ team, session }: Exchange): string | undefined {
+  return session === undefined ? undefined : encodeURIComponent(`${team.name}/${session}`)
+}
+
 /** Headers of a request that only concern the entry. */
 const entryOnly: ReadonlySet<string> = new Set(['authorization', 'content-length', callerHeaders.session, callerHeaders.deadline, callerHeaders.repeatable, callerHeaders.lastEvent, ...Object.values(wireHeaders)])
 
@@ -68,5 +73,7 @@
   headers[wireHeaders.deadline] = String(Math.max(1, Math.ceil(left(exchange, clock) - answerTime)))
   headers[wireHeaders.team] = exchange.team.name
   headers[wireHeaders.service] = exchange.service
+  const session = sessionKey(exchange)
+  if (session !== undefined) headers[wireHeaders.session] = session
   return headers
 }
--- a/packages/entry/src/modelpath.ts
+++ b/packages/entry/src/modelpath.ts
@@ -5,7 +5,7 @@
 import { tryWhole } from './attempting.js'
 import { promptText, type Completion } from './completion.js'
 import { type Context } from './context.js'
-import { left, type Exchange } from './exchange.js'
+import { left, sessionKey, type Exchange } from './exchange.js'
 import { finalFault, withoutWord } from './outcome.js'
 import { Stream } from './stream.js'
 import { type Target } from './targets.js'
@@ -42,7 +42,7 @@
 
   /** The replicas of this region that every entry prefers for the session, so that its requests meet whichever entry they come to. */
   #homes (targets: readonly Target[]): string[] {
-    const { session } = this.#exchange
+    const session = sessionKey(this.#exchange)
     if (session === undefined) return []
     return ranked(session, this.#context.targets.regional(targets).map(each => each.candidate.id)).slice(0, sessionHomes)
   }
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -36,6 +36,7 @@
   'engine-ordered': { number: 307, level: 'info', text: 'The worker gave its engine an order.' },
   'order-failed': { number: 308, level: 'warn', text: 'An order to the engine failed; it is given again.' },
   'home-inherits': { number: 309, level: 'info', text: 'The worker took the book of a slot of keys from a home that goes away.' },
+  'sessions-handed': { number: 310, level: 'info', text: 'A replica that stopped handed the KV caches of its sessions to others.' },
   'attempt-failed': { number: 400, level: 'info', text: 'An attempt at an upstream failed; the outcome says whether it ran.' },
   'stream-resumed': { number: 401, level: 'info', text: 'A stream was resumed on another replica.' },
   'answer-foreign': { number: 402, level: 'warn', text: 'An answer for another attempt was dropped.' },
--- a/packages/trial/src/engine.ts
+++ b/packages/trial/src/engine.ts
@@ -12,15 +12,24 @@
   readonly loadTime?: number
   /** Whether it refuses an order with a lower token than it has seen. Default: true. */
   readonly checks?: boolean
+  /** Whether it exports the KV caches of sessions. Default: true. */
+  readonly exports?: boolean
   /** Tokens of an answer that asks for no other number. Default: 24. */
   readonly tokens?: number
 }
 
+/** Where the KV caches of sessions are exported and imported. */
+const kvPath = '/kv/'
+
 /** What has happened at an engine. */
 export interface EngineRecord {
   started: number
   finished: number
   cancelled: number
+  /** Sessions whose KV cache was there when a request of theirs came. */
+  reused: number
+  exported: number
+  imported: number
   orders: { version: string, generation: number, accepted: boolean }[]
 }
 
@@ -44,24 +53,47 @@
  * given text, and takes fenced orders at `/orders/load`. `GET /record` tells what has happened.
  */
 export class EngineStandIn extends StandIn {
-  readonly record: EngineRecord = { started: 0, finished: 0, cancelled: 0, orders: [] }
+  readonly record: EngineRecord = { started: 0, finished: 0, cancelled: 0, reused: 0, exported: 0, imported: 0, orders: [] }
   readonly #options: Required<EngineOptions>
   #loaded: Order = { version: '', adapters: [], generation: 0 }
+  readonly #sessions = new Map<string, string>()
   #highest = 0
 
   constructor (options: EngineOptions = {}) {
     super()
-    this.#options = { tokenTime: 20, firstTime: 5, loadTime: 50, checks: true, tokens: 24, ...options }
+    this.#options = { tokenTime: 20, firstTime: 5, loadTime: 50, checks: true, exports: true, tokens: 24, ...options }
   }
 
   protected async serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (request.url === '/health') return answerJson(response, 200, this.#loaded)
     if (request.url === '/record') return answerJson(response, 200, this.record)
+    if (request.url?.startsWith(kvPath) === true) return await this.#kv(request, response)
+    const session = request.headers['eiderwind-session-key']
+    if (typeof session === 'string') this.#meet(session)
     const body = JSON.parse(await bodyText(request)) as unknown
     if (request.url === '/orders/load') return await this.#load(body as Order, response)
     await this.#complete(body as Completion, response)
   }
 
+  /** Exports or imports what stands for the KV cache of a session. */
+  async #kv (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const session = (request.url ?? '').slice(kvPath.length)
+    if (request.method === 'PUT') {
+      this.#sessions.set(session, await bodyText(request))
+      this.record.imported++
+      return answerJson(response, 200, null)
+    }
+    const cache = this.#sessions.get(session)
+    if (cache === undefined || !this.#options.exports) return answerJson(response, 404, null)
+    this.record.exported++
+    response.end(cache)
+  }
+
+  #meet (session: string): void {
+    if (this.#sessions.has(session)) this.record.reused++
+    this.#sessions.set(session, `cache of ${session}`)
+  }
+
   async #load (order: Order, response: ServerResponse): Promise<void> {
     const accepted = !this.#options.checks || order.generation >= this.#highest
     this.record.orders.push({ version: order.version, generation: order.generation, accepted })
--- a/packages/wire/src/calls.ts
+++ b/packages/wire/src/calls.ts
@@ -1,7 +1,7 @@
 import { initTRPC } from '@trpc/server'
 import { z } from 'zod'
 import { type Answer } from '@eiderwind/lease'
-import { Configuration, EntryAddress, Handover, Report, type Homes, type Node, type Placement, type ReportAnswer } from '@eiderwind/schema'
+import { Configuration, EntryAddress, Handover, Report, type Homes, type Node, type Peer, type Placement, type ReportAnswer } from '@eiderwind/schema'
 
 const Claim = z.object({
   resource: z.string(),
@@ -12,6 +12,7 @@
   revision: z.int()
 })
 const Settle = z.object({ attempt: z.string(), incarnation: z.string(), age: z.number() })
+const Service = z.object({ service: z.string() })
 const Aged = z.object({ report: Report, age: z.number() })
 const Beats = z.object({
   workers: z.array(z.string()),
@@ -86,6 +87,8 @@
   abstract exchange (message: Exchange): Promise<ExchangeAnswer>
   abstract configuration (): Promise<Configuration>
   abstract known (): Promise<Known>
+  /** The heads of the replicas of a model service that serve in the entry's region. Each has its replica's id. */
+  abstract heads (message: { readonly service: string }): Promise<Peer[]>
   /** Gives a configuration that was just accepted. Answers with the revision in force afterwards. */
   abstract offer (configuration: Configuration): Promise<number>
 }
@@ -109,6 +112,7 @@
     report: trpc.procedure.input(Report).mutation(({ input }) => calls.report(input)),
     exchange: trpc.procedure.input(Exchange).mutation(({ input }) => calls.exchange(input)),
     configuration: trpc.procedure.query(() => calls.configuration()),
+    heads: trpc.procedure.input(Service).mutation(({ input }) => calls.heads(input)),
     known: trpc.procedure.query(() => calls.known()),
     offer: trpc.procedure.input(Configuration).mutation(({ input }) => calls.offer(input))
   })
--- a/packages/wire/src/client.ts
+++ b/packages/wire/src/client.ts
@@ -1,5 +1,5 @@
 import { Agent, request, type Dispatcher } from 'undici'
-import { type Configuration, type Handover, type Report, type ReportAnswer } from '@eiderwind/schema'
+import { type Configuration, type Handover, type Peer, type Report, type ReportAnswer } from '@eiderwind/schema'
 import { EntryCalls, WorkerCalls, type ClaimAnswer, type ClaimMessage, type Exchange, type ExchangeAnswer, type Known, type SettleAnswer, type SettleMessage } from './calls.js'
 import { callsPath } from './headers.js'
 
@@ -115,6 +115,10 @@
     return this.#caller.call('known')
   }
 
+  heads (message: { readonly service: string }): Promise<Peer[]> {
+    return this.#caller.call('heads', message)
+  }
+
   offer (configuration: Configuration): Promise<number> {
     return this.#caller.call('offer', configuration)
   }
--- a/packages/wire/src/headers.ts
+++ b/packages/wire/src/headers.ts
@@ -26,6 +26,10 @@
   fresh: 'eiderwind-fresh',
   /** `1` on a refusal by the home of a key that knows that the key's request has not run in any earlier try either. */
   judged: 'eiderwind-judged',
+  /** The caller's session, with its team, by which the engine keeps its KV cache. Goes on to the engine. */
+  session: 'eiderwind-session-key',
+  /** The version that a session's KV cache belongs to. */
+  version: 'eiderwind-version',
   /** `1` on an answer that an earlier attempt with the same key got. */
   replayed: 'eiderwind-replayed'
 } as const
@@ -35,6 +39,9 @@
   'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'host', 'expect'
 ])
 
+/** Where a worker takes the KV cache of a session from another worker. */
+export const sessionsPath = '/sessions/'
+
 /** Where the calls of the system's own processes are served. */
 export const callsPath = '/trpc'
 
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,5 +1,5 @@
 /** The protocol between the system's own processes. */
-export { callerHeaders, callsPath, header, hopHeaders, wireHeaders } from './headers.js'
+export { callerHeaders, callsPath, header, hopHeaders, sessionsPath, wireHeaders } from './headers.js'
 export {
   EntryCalls, Exchange, WorkerCalls, entryRouter, workerRouter,
   type ClaimAnswer, type ClaimMessage, type EntryRouter, type ExchangeAnswer, type Known, type SettleAnswer, type SettleMessage, type WorkerRouter
--- a/packages/worker/src/head.ts
+++ b/packages/worker/src/head.ts
@@ -25,6 +25,8 @@
   /** Lease period and renewal interval, in ms. */
   readonly period: number
   readonly leaseInterval: number
+  /** Hands the sessions of a replica that stops as planned over to others. Takes a few seconds at the most. */
+  readonly hand: (assignment: ModelAssignment) => Promise<void>
   /** Cuts everything in flight. Called when it may not go on. */
   readonly cut: () => void
 }
@@ -129,6 +131,7 @@
     this.#close(tenure)
     if (this.#options.queue.running > 0 && tenure.lease.valid) return
     this.#tenure = undefined
+    if (tenure.lease.valid) await this.#options.hand(tenure.assignment)
     await tenure.lease.release()
   }
 
--- a/packages/worker/src/inbound.ts
+++ b/packages/worker/src/inbound.ts
@@ -18,6 +18,8 @@
   /** On `Clock.now`. */
   readonly deadline: number
   readonly key: string | undefined
+  /** The session, with its team. */
+  readonly session: string | undefined
   /** The tenure of the home for which the entry has minted the key; undefined where the key may have been sent before. */
   readonly fresh: number | undefined
 }
@@ -36,13 +38,16 @@
     team: header(request, wireHeaders.team) ?? '',
     deadline: clock.now() + left,
     key: header(request, wireHeaders.key),
+    session: header(request, wireHeaders.session),
     fresh: fresh === undefined ? undefined : Number(fresh)
   }
 }
 
+/** Headers between entry and worker that the upstream does not get: all but the session. */
+const ours: ReadonlySet<string> = new Set(Object.values(wireHeaders).filter(each => each !== wireHeaders.session))
+
 /** The headers that the upstream gets: those of the request, without the hop's and without ours. */
 export function upstreamHeaders (request: IncomingMessage): Record<string, string> {
-  const ours: ReadonlySet<string> = new Set(Object.values(wireHeaders))
   const kept: Record<string, string> = {}
   for (const [name, value] of Object.entries(request.headers)) {
     if (value === undefined || hopHeaders.has(name) || ours.has(name) || name === 'content-length') continue
--- a/packages/worker/src/model.ts
+++ b/packages/worker/src/model.ts
@@ -8,6 +8,7 @@
 import { type Head } from './head.js'
 import { upstreamHeaders, type Inbound } from './inbound.js'
 import { Numbered } from './numbered.js'
+import { type Sessions } from './sessions.js'
 import { type Upstream } from './upstream.js'
 
 /** What of a completion request matters here. */
@@ -25,6 +26,7 @@
   readonly upstream: Upstream
   readonly flights: Flights
   readonly head: Head
+  readonly sessions: Sessions
 }
 
 /** The path of a request to the engine: admission, the grants before each part that is passed on, and cancelling. */
@@ -55,7 +57,8 @@
   }
 
   #forward (inbound: Inbound, ticket: Ticket): void {
-    const { upstream, head, flights } = this.#options
+    const { upstream, head, flights, sessions } = this.#options
+    sessions.note(inbound.session)
     const { request, response, attempt } = inbound
     const finish = (): void => {
       leave()
--- a/packages/worker/src/upstream.ts
+++ b/packages/worker/src/upstream.ts
@@ -1,4 +1,5 @@
-import { Agent, request } from 'undici'
+import { type Readable } from 'node:stream'
+import { Agent, request, type Dispatcher } from 'undici'
 import { z } from 'zod'
 import { type Loaded, type UpstreamState } from './facts.js'
 
@@ -8,6 +9,9 @@
 /** How long an engine may take to load, in ms. */
 const orderTimeout = 600_000
 
+/** How long an engine may take to import a session, in ms. */
+const importTimeout = 10_000
+
 /** An order to load a version. */
 export interface LoadOrder {
   readonly version: string
@@ -60,7 +64,13 @@
 
 const EngineHealth = z.object({ version: z.string(), adapters: z.array(z.string()), generation: z.int() })
 
-/** A model engine: its health path tells what it has loaded, and it takes fenced orders at `/orders/load`. */
+/** A body on its way between engines. */
+export type Body = Dispatcher.ResponseData['body']
+
+/**
+ * A model engine: its health path tells what it has loaded, and it takes fenced orders at `/orders/load`. One that can
+ * export and import the KV cache of a session does so at `/kv/<session>`, by GET and PUT.
+ */
 export class EngineUpstream extends Upstream {
   readonly #path: string
 
@@ -89,4 +99,19 @@
     await response.body.dump()
     return response.statusCode
   }
+
+  /** The KV cache of a session, or undefined where the engine has none. */
+  async exported (session: string, timeout: number): Promise<Body | undefined> {
+    const response = await request(`${this.url}/kv/${session}`, { signal: AbortSignal.timeout(timeout) })
+    if (response.statusCode === 200) return response.body
+    await response.body.dump()
+    return undefined
+  }
+
+  /** Gives the engine the KV cache of a session. Resolves with its status. */
+  async import (session: string, body: Readable): Promise<number> {
+    const response = await request(`${this.url}/kv/${session}`, { method: 'PUT', body, signal: AbortSignal.timeout(importTimeout) })
+    await response.body.dump()
+    return response.statusCode
+  }
 }
--- a/packages/worker/src/worker.ts
+++ b/packages/worker/src/worker.ts
@@ -7,7 +7,7 @@
 import { type Log, type Metric } from '@eiderwind/log'
 import { Attempts } from '@eiderwind/run'
 import { type Handover } from '@eiderwind/schema'
-import { Clients, answerFault, header, listen, makeServer, readBody, splitAddress, wireHeaders, workerRouter } from '@eiderwind/wire'
+import { Clients, answerFault, header, listen, makeServer, readBody, sessionsPath, splitAddress, wireHeaders, workerRouter } from '@eiderwind/wire'
 import { Calls } from './calls.js'
 import { workerBoard } from './facts.js'
 import { Flights } from './flights.js'
@@ -21,6 +21,8 @@
 import { PlainPath } from './plain.js'
 import { PlainState } from './plainstate.js'
 import { Reporter } from './reporter.js'
+import { Sessions } from './sessions.js'
+import { Transfer } from './transfer.js'
 import { EngineUpstream, PlainUpstream, type Upstream } from './upstream.js'
 
 /** Longest body that a worker takes from an entry, in bytes. Entries have their own, lower limit. */
@@ -72,6 +74,7 @@
   readonly #upstream: Upstream
   readonly #crew: Crew
   readonly #server: Server
+  #receive = async (_request: IncomingMessage, response: ServerResponse): Promise<void> => answerFault(response, new Fault('not-serving'))
   #stopHead = async (): Promise<void> => {}
   #inherit = (_handover: Handover): boolean => false
   #serve: (inbound: Inbound) => Promise<void> = async ({ response }) => answerFault(response, new Fault('not-serving'))
@@ -127,6 +130,9 @@
 
   #startModel (engine: EngineUpstream): void {
     const { clock, log, metric, node, period, interval } = this.#options
+    const sessions = new Sessions(clock)
+    const transfer = new Transfer({ board: this.#board, clients: this.#clients, engine, sessions, log })
+    this.#receive = (request, response) => transfer.receive(request, response)
     const head = new Head({
       clock,
       board: this.#board,
@@ -137,9 +143,10 @@
       worker: node,
       period,
       leaseInterval: interval,
+      hand: assignment => transfer.hand(assignment),
       cut: () => this.#flights.cut()
     })
-    const path = new ModelPath({ clock, queue: this.#queue, attempts: this.#attempts, upstream: engine, flights: this.#flights, head })
+    const path = new ModelPath({ clock, queue: this.#queue, attempts: this.#attempts, upstream: engine, flights: this.#flights, head, sessions })
     this.#serve = inbound => path.serve(inbound)
     this.#stopHead = () => head.stop()
     this.#crew.add(head)
@@ -193,6 +200,7 @@
 
   async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     try {
+      if (request.url?.startsWith(sessionsPath) === true) return await this.#receive(request, response)
       const meant = header(request, wireHeaders.incarnation)
       if (meant !== undefined && meant !== this.#incarnation) return answerFault(response, new Fault('not-serving'))
       const body = await readBody(request, bodyLimit)
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -359,3 +359,26 @@
     title: 'placements and lists that come late*'
   }
 )
+
+breakages.push(
+  {
+    name: 'sessions-kept',
+    point: 7,
+    rule: 'a replica that stops as planned hands its sessions on',
+    file: 'packages/worker/dist/src/head.js',
+    find: 'await this.#options.hand(tenure.assignment)',
+    replace: 'await undefined',
+    test: 'packages/trial/dist/test/sessions.test.js',
+    title: 'a replica whose node*'
+  },
+  {
+    name: 'sessions-by-entry',
+    point: 7,
+    rule: 'every entry prefers the same replicas for a session',
+    file: 'packages/entry/dist/src/modelpath.js',
+    find: 'if (session === undefined)',
+    replace: 'if (true)',
+    test: 'packages/trial/dist/test/sessions.test.js',
+    title: 'a replica whose node*'
+  }
+)
