Refuse at once what would wait for more than half of its time

Under an overload of a third, requests of the lowest team waited in the queue for their whole time and were refused then: 95 in 100 refusals took 30 s, and the slowest served in a hundred had waited 59.8 s over two tries. Ruled out: the retry budget (0.57 refused attempts for each answered one before and after) and the choice of the replica (alike with all five policies).

The queue expects how long a request will wait (what its team has waiting, at the rate at which the team's share of the places comes free) and refuses it as busy, not-run, with a time to come back, when that is more than half of its time. Tried first: only when it is more than all of it; refusals stayed at 30 s, since the queue settles just there.

--- a/packages/admit/src/queue.ts
+++ b/packages/admit/src/queue.ts
@@ -26,6 +26,15 @@
   readonly queue: number
 }
 
+/** One of how many the newest time is in the running mean of the time that a place is held. */
+const spellWeight = 16
+
+/** The share of its time that a request may be expected to wait: the estimate is rough, and running takes time too. */
+const waitShare = 0.5
+
+/** How long a place is taken to be held before one was returned, in ms. */
+const firstSpell = 1000
+
 interface Waiter {
   readonly team: string
   readonly settle: (admission: Admission) => void
@@ -41,7 +50,8 @@
 /**
  * Admission to one upstream: so many requests run, so many wait, the rest are refused at once. A free place goes to
  * the waiting team that has least running for its priority. When the queue is full, a team below its share of the
- * queue takes the place of the newest waiter of the team furthest above its own; that one is refused at once.
+ * queue takes the place of the newest waiter of the team furthest above its own; that one is refused at once. So is
+ * a request that would, by the time that places were held of late, wait for more than half of the time that it has.
  */
 export class Queue {
   readonly #clock: Clock
@@ -51,7 +61,8 @@
   #running = 0
   #waiting = 0
   #closed: 'leaving' | 'not-serving' | undefined
-  #spell = 1000
+  /** Running mean of the time that a place is held, in ms; undefined until one was returned. */
+  #spell: number | undefined
 
   constructor (clock: Clock, bounds: Bounds) {
     this.#clock = clock
@@ -91,10 +102,24 @@
     if (this.#closed !== undefined) return settled(Err(new Fault(this.#closed)))
     if (request.deadline <= this.#clock.now()) return settled(Err(new Fault('deadline')))
     if (this.#running < this.#bounds.concurrency && this.#waiting === 0) return settled(Ok(this.#admit(request.team)))
+    if (this.#expectedWait(request.team) > waitShare * (request.deadline - this.#clock.now())) return settled(Err(this.#busy()))
     if (this.#waiting >= this.#bounds.queue && !this.#displace(request.team)) return settled(Err(this.#busy()))
     return this.#wait(request)
   }
 
+  /**
+   * How long a request of `team` that comes now will wait, in ms: what waits before it, at the rate at which the team's
+   * share of the places comes free. 0 until a place has come free, since nothing is known then.
+   */
+  #expectedWait (team: string): number {
+    if (this.#spell === undefined) return 0
+    const ahead = this.#shares.get(team)?.waiting.length ?? 0
+    const rivals = [...this.#shares].filter(([name, share]) => name === team || share.waiting.length > 0)
+    const sum = rivals.reduce((total, [name]) => total + this.#priority(name), 0)
+    const places = this.#bounds.concurrency * this.#priority(team) / Math.max(sum, this.#priority(team))
+    return ahead * this.#spell / places
+  }
+
   #wait ({ team, deadline }: Request): Promise<Admission> {
     return new Promise(resolve => {
       const expiry = this.#clock.after(deadline - this.#clock.now(), () => {
@@ -119,12 +144,16 @@
         returned = true
         share.running--
         this.#running--
-        this.#spell += (this.#clock.now() - since - this.#spell) / 16
+        this.#measure(this.#clock.now() - since)
         this.#fill()
       }
     }
   }
 
+  #measure (span: number): void {
+    this.#spell = this.#spell === undefined ? span : this.#spell + (span - this.#spell) / spellWeight
+  }
+
   #fill (): void {
     while (this.#running < this.#bounds.concurrency && this.#waiting > 0) {
       const waiter = this.#next().waiting.shift() as Waiter
@@ -169,7 +198,7 @@
 
   /** A refusal that says when the present queue should have run off. */
   #busy (): Fault {
-    const off = (this.#waiting + 1) * this.#spell / this.#bounds.concurrency
+    const off = (this.#waiting + 1) * (this.#spell ?? firstSpell) / this.#bounds.concurrency
     return new Fault('busy', { retryAfter: Math.min(30, Math.max(1, Math.ceil(off / 1000))) })
   }
 
--- a/packages/admit/test/queue.test.ts
+++ b/packages/admit/test/queue.test.ts
@@ -96,3 +96,58 @@
   made.queue.open()
   t.true((await made.queue.enter({ team: 'a', deadline: far })).isOk())
 })
+
+/** A queue of one place that was held for 1 s before, with `waiting` requests of team `a` in it. */
+async function busy (waiting: number, priorities: Readonly<Record<string, number>> = {}): Promise<Made> {
+  const made = make(1, 100, priorities)
+  const first = (await made.queue.enter({ team: 'a', deadline: far })).unwrap()
+  made.clock.advance(1000)
+  first.done()
+  for (let index = 0; index <= waiting; index++) enter(made, 'a')
+  await settle()
+  return made
+}
+
+interface Expected {
+  readonly title: string
+  readonly waiting: number
+  readonly team: string
+  /** The time that the request has, in ms. */
+  readonly left: number
+  readonly outcome: string
+}
+
+const expected: readonly Expected[] = [
+  { title: 'has time for those before it', waiting: 4, team: 'a', left: 8000, outcome: 'waits' },
+  { title: 'would wait for more than half of its time', waiting: 4, team: 'a', left: 7999, outcome: 'busy, not-run' },
+  { title: 'is the first of a team with as much priority', waiting: 4, team: 'b', left: 100, outcome: 'waits' },
+  { title: 'has nobody before it', waiting: 0, team: 'a', left: 1, outcome: 'waits' }
+]
+
+for (const { title, waiting, team, left, outcome } of expected) {
+  test(`a request that ${title}: ${outcome}`, async t => {
+    const made = await busy(waiting)
+    const entering = made.queue.enter({ team, deadline: made.clock.now() + left })
+    const now = await Promise.race([entering, settle()])
+    t.is(now === undefined ? 'waits' : `${now.unwrapErr().code}, ${now.unwrapErr().outcome}`, outcome)
+  })
+}
+
+test('a team with a small share is told at once when its own queue is too long, while another team still waits', async t => {
+  const made = await busy(0, { large: 9, small: 1, a: 1 })
+  for (let index = 0; index < 5; index++) enter(made, 'large')
+  for (let index = 0; index < 5; index++) enter(made, 'small')
+  await settle()
+  const deadline = made.clock.now() + 30_000
+  t.is(name(await made.queue.enter({ team: 'small', deadline })), 'busy')
+  enter(made, 'large', deadline)
+  await settle()
+  t.deepEqual(made.log.filter(each => each.startsWith('large')), [])
+})
+
+test('before any place has come free nothing is known, and requests wait', async t => {
+  const made = make(1, 100)
+  for (let index = 0; index < 10; index++) enter(made, 'a', 10)
+  await settle()
+  t.is(made.queue.waiting, 9)
+})
--- a/packages/bench/src/routing.ts
+++ b/packages/bench/src/routing.ts
@@ -2,7 +2,7 @@
  * The choice of a replica against its baselines: the real policies, affinity, retry budget and admission queues, with
  * fake replicas on a clock of events. Entries know of replicas by reports that lag, as in service.
  */
-import { createHistogram, type Histogram } from 'node:perf_hooks'
+import { createHistogram } from 'node:perf_hooks'
 import { seeded, type Random } from '@eiderwind/clock'
 import { Fault } from '@eiderwind/fault'
 import { ranked } from '@eiderwind/hash'
@@ -91,12 +91,14 @@
   if (scene.sessions > 0) add('reuse', '% of prompt tokens', each => each.reuse)
   if (scene.name !== 'overload') return
   add('unfairness', '% of its share that the worst team lacks', each => each.unfairness)
+  add('refused_p95', 'ms until a refusal', each => each.refusedAfter)
   add('wasted', 'refused attempts per answered request', each => each.wasted)
 }
 
 /** What one run came to. */
 class Outcome {
-  readonly #first: Histogram & { record: (value: number) => void } = createHistogram()
+  readonly #first = createHistogram()
+  readonly #refusals = createHistogram()
   readonly #served = new Map<string, number>()
   #tokens = 0
   #reused = 0
@@ -111,8 +113,15 @@
     this.#answered++
   }
 
-  refused (): void {
+  /** @param span how long it took, in ms */
+  refused (span: number): void {
     this.#refused++
+    this.#refusals.record(Math.max(1, Math.round(span * 1000)))
+  }
+
+  /** Time within which 95 of 100 refusals came, in ms. */
+  get refusedAfter (): number {
+    return this.#refusals.percentile(95) / 1000
   }
 
   /** Time to the first token, in ms. */
@@ -256,14 +265,15 @@
       tried.add(index)
       const known = entry.known[index]
       known.open++
-      known.sent.push(this.#clock.now())
+      const sentAt = this.#clock.now()
+      known.sent.push(sentAt)
       const service = await this.#replicas[index].serve(request, () => { known.open-- })
       if (!(service instanceof Fault)) {
         if (this.#counts) this.#outcome.answered(request, service, service.firstAt - startedAt)
         return
       }
       known.open--
-      if (this.#counts) this.#outcome.refused()
+      if (this.#counts) this.#outcome.refused(this.#clock.now() - sentAt)
     }
   }
 }
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -382,3 +382,14 @@
     title: 'a replica whose node*'
   }
 )
+
+breakages.push({
+  name: 'hopeless-waits',
+  point: 4,
+  rule: 'a request that would wait for more than half of its time is refused at once',
+  file: 'packages/admit/dist/src/queue.js',
+  find: 'if (this.#expectedWait(request.team) > waitShare',
+  replace: 'if (0 > waitShare',
+  test: 'packages/admit/dist/test/queue.test.js',
+  title: 'a request that would wait*'
+})
