Let slots go back to the voter preferred for them, and keep a claim for which a book waits

(1) After restarts slots stayed where they were, so one worker could end as the home of most. A claim that had won a part of the votes, because the voters heard of the release one after the other, was given up and made anew; the voters that had heard counted a second turn and the book no longer fitted.

A claim for which a book waits goes on with its term. A home offers a slot back after 30 s, keeps it where the voter refuses, and gives it up only where the answer is lost. A worker that does not serve takes no book.

--- a/packages/run/src/book.ts
+++ b/packages/run/src/book.ts
@@ -98,6 +98,12 @@
     return this.#entries.size
   }
 
+  /** Whether no key runs now. */
+  get idle (): boolean {
+    for (const { run } of this.#entries.values()) if (run.state === 'running') return false
+    return true
+  }
+
   /** The time of minting up to which this book cannot judge, at wall time `wall`. */
   floor (wall: number): number {
     return Math.max(this.#opened, this.#oldest(wall))
--- a/packages/run/src/home.ts
+++ b/packages/run/src/home.ts
@@ -16,6 +16,9 @@
 /** Most bytes of answers that are handed over with one slot; with Base64 and the rest they fit into one call. */
 const handedBytes = 4 * 2 ** 20
 
+/** How long a slot stays, unless said otherwise, in ms. */
+const usualStay = 30_000
+
 /** Periods for which a book that was handed over waits for its slot. */
 const waitPeriods = 5
 
@@ -38,6 +41,8 @@
   /** The order in which voters are preferred as home of a slot. */
   readonly preferred: (slot: number, voters: readonly string[]) => readonly string[]
   readonly book?: BookOptions
+  /** How long a slot stays before it is offered to the voter that is preferred for it, and again after a refusal, in ms. Default: 30,000. */
+  readonly stay?: number
   readonly listener?: HomeListener
 }
 
@@ -51,6 +56,16 @@
 interface Slot {
   readonly lease: Lease
   book: Book | undefined
+  /** When the book was opened, on `Clock.now`. */
+  openedAt: number
+}
+
+/** A slot whose home is not the voter that is preferred for it. */
+interface Misplaced {
+  readonly slot: number
+  readonly lease: Lease
+  readonly book: Book
+  readonly voter: string
 }
 
 /** A book that was handed over, until its slot is held. */
@@ -77,6 +92,7 @@
   readonly #inheritances = new Map<number, Inheritance>()
   #voters: readonly string[]
   #stopped = false
+  #yieldAt = -Infinity
 
   constructor (options: HomesOptions) {
     this.#options = options
@@ -85,6 +101,10 @@
     for (let slot = 0; slot < slotCount; slot++) this.#vacantSince.set(slot, now)
   }
 
+  get #stay (): number {
+    return this.#options.stay ?? usualStay
+  }
+
   /** The slots that this worker is the home of now. */
   get held (): HeldSlot[] {
     const held: HeldSlot[] = []
@@ -146,6 +166,37 @@
     }))
   }
 
+  /**
+   * Hands one slot to the voter that is preferred for it, where that voter answers, no key of the slot runs, and the slot
+   * has been here for a while, so that slots spread again after restarts. Where the voter refuses, the slot stays. Where it may have taken the book, this
+   * worker runs nothing under its lease any more: the next home goes by the book as it was then.
+   */
+  async yield (give: Give): Promise<void> {
+    const { clock } = this.#options
+    const due = this.#stopped || clock.now() < this.#yieldAt ? undefined : this.#misplaced()
+    if (due === undefined) return
+    const { slot, lease, book, voter } = due
+    this.#slots.delete(slot)
+    const taken = await give(voter, this.#handover(slot, lease, book)).catch(() => undefined)
+    this.#vacantSince.set(slot, clock.now())
+    if (taken !== false || this.#stopped || !lease.valid) return await lease.release()
+    this.#slots.set(slot, { lease, book, openedAt: clock.now() })
+    this.#yieldAt = clock.now() + this.#stay
+  }
+
+  /** A slot that another voter, which answers, is preferred for. */
+  #misplaced (): Misplaced | undefined {
+    const { preferred, worker } = this.#options
+    const latest = this.#options.clock.now() - this.#stay
+    for (const [slot, { lease, book, openedAt }] of this.#slots) {
+      if (openedAt > latest) continue
+      const [voter] = preferred(slot, this.#voters)
+      if (book === undefined || voter === worker || !lease.valid || lease.missing.includes(voter) || !book.idle) continue
+      return { slot, lease, book, voter }
+    }
+    return undefined
+  }
+
   /** Keeps a book that another home hands over, until this worker holds the slot. Says whether it does. */
   inherit (handover: Handover): boolean {
     const { clock, service, period } = this.#options
@@ -190,7 +241,7 @@
         refused: (_granter, answer) => this.#refused(slot, answer)
       }
     })
-    this.#slots.set(slot, { lease, book: undefined })
+    this.#slots.set(slot, { lease, book: undefined, openedAt: Infinity })
     lease.start()
   }
 
@@ -201,6 +252,7 @@
     const handover = this.#inheritances.get(slot)?.handover
     this.#inheritances.delete(slot)
     const tenure = count()
+    held.openedAt = clock.now()
     held.book = handover !== undefined && this.#follows(handover, held.lease)
       ? Book.inherited(handover.book, tenure, book)
       : new Book(clock.wall(), tenure, book)
@@ -226,12 +278,18 @@
     this.#options.listener?.lost?.(slot)
   }
 
-  /** A claim that did not win goes away again, so that its minority of votes does not bar the others for long. */
+  /**
+   * A claim that did not win goes away again, so that its minority of votes does not bar the others for long. One for
+   * which a book waits goes on: the voters hear of the old home's release one after the other, and a second claim
+   * would take a second turn of those that had heard, so that the book would no longer fit.
+   */
   #refused (slot: number, answer: Answer): void {
     const held = this.#slots.get(slot)
     if (held === undefined || held.lease.valid || answer.granted || answer.reason !== 'held') return
+    const now = this.#options.clock.now()
+    if (this.#awaits(slot, now)) return
     this.#slots.delete(slot)
-    this.#vacantSince.set(slot, this.#options.clock.now())
+    this.#vacantSince.set(slot, now)
     held.lease.release()
   }
 }
--- a/packages/run/test/home.test.ts
+++ b/packages/run/test/home.test.ts
@@ -23,21 +23,37 @@
     return answer
   }
 
+  /** Voters that hear of releases only when `deliver` is called. */
+  readonly slowRelease = new Set<string>()
+  readonly #held: (() => Promise<void>)[] = []
+
+  async deliver (): Promise<void> {
+    this.slowRelease.clear()
+    for (const task of this.#held.splice(0)) await task()
+  }
+
   async release (voter: string, claim: Claim): Promise<void> {
+    if (this.slowRelease.has(voter)) {
+      this.#held.push(() => this.release(voter, claim))
+      return
+    }
     this.#granters.set(voter, (this.#granters.get(voter) as Granter).release(claim))
   }
 }
 
 interface Made {
   readonly clock: ManualClock
+  readonly channel: Voters
   readonly homes: readonly Homes[]
 }
 
-function make (): Made {
+let term = 0
+
+/** The homes of three workers; of later processes of the same workers where there were some before. */
+function make (before?: Made): Made {
   const names = ['a', 'b', 'c']
-  const clock = new ManualClock(1_700_000_000_000)
-  const channel = new Voters(clock, names)
-  let term = 0
+  const clock = before?.clock ?? new ManualClock(1_700_000_000_000)
+  const channel = before?.channel ?? new Voters(clock, names)
   let tenure = 0
   const homes = names.map(worker => new Homes({
     clock,
@@ -51,10 +67,10 @@
     tenure: () => ++tenure,
     preferred: slot => [...names.slice(slot % 3), ...names.slice(0, slot % 3)]
   }))
-  return { clock, homes }
+  return { clock, channel, homes }
 }
 
-async function pass ({ clock, homes }: Made, span: number): Promise<void> {
+async function pass ({ clock, homes }: Pick<Made, 'clock' | 'homes'>, span: number): Promise<void> {
   for (let passed = 0; passed < span; passed += 50) {
     clock.advance(50)
     await new Promise(resolve => setImmediate(resolve))
@@ -91,14 +107,14 @@
 })
 
 /** A key of slot 0, minted now. */
-function freshKey ({ clock }: Made): Key {
+function freshKey ({ clock }: Pick<Made, 'clock'>): Key {
   for (;;) {
     const key = readKey(mintKey(clock.wall())).unwrap()
     if (key.slot === 0) return key
   }
 }
 
-function begin ({ clock, homes }: Made, worker: number, key: Key): Verdict | undefined {
+function begin ({ clock, homes }: Pick<Made, 'clock' | 'homes'>, worker: number, key: Key): Verdict | undefined {
   return homes[worker].book(0)?.begin(key, 1, clock.wall())
 }
 
@@ -156,6 +172,64 @@
   t.is(verdict?.type === 'refuse' ? verdict.fault.outcome : verdict?.type, 'unknown')
 })
 
+test('slots go back, one after the other, to the voter that is preferred for them, with their books', async t => {
+  const made = make()
+  await made.homes[0].stop()
+  const started = make(made)
+  const late = { clock: made.clock, homes: made.homes.slice(1) }
+  await pass(late, 10 * period)
+  const ran = freshKey(made)
+  const holder = made.homes.findIndex(each => each.book(0) !== undefined)
+  expectVerdict(begin(made, holder, ran), 'run')
+  const all = { clock: made.clock, homes: [started.homes[0], ...late.homes] }
+  const give = async (voter: string, handover: Handover): Promise<boolean> => all.homes['abc'.indexOf(voter)].inherit(handover)
+  await pass(all, 31_000)
+  for (let turn = 0; turn < slotCount; turn++) {
+    for (const each of all.homes) await each.yield(give)
+    await pass(all, period)
+  }
+  t.is(all.homes[0].book(0), undefined, 'a slot with a key that runs stays where it is')
+  made.homes[holder].book(0)?.finish(ran, answer)
+  await made.homes[holder].yield(give)
+  await pass(all, period)
+  t.deepEqual(all.homes.map(slots), [[0, 3, 6, 9], [1, 4, 7, 10], [2, 5, 8, 11]])
+  t.is(begin(all, 0, ran)?.type, 'replay')
+})
+
+test('a book fits also where the voters hear of the release one after the other', async t => {
+  const made = make()
+  await pass(made, 10 * period)
+  const ran = freshKey(made)
+  expectVerdict(begin(made, 0, ran), 'run')
+  made.homes[0].book(0)?.finish(ran, answer)
+  for (const voter of ['a', 'c']) made.channel.slowRelease.add(voter)
+  await made.homes[0].hand(async (voter, handover) => made.homes['abc'.indexOf(voter)].inherit(handover))
+  const rest = { clock: made.clock, homes: made.homes.slice(1) }
+  await pass(rest, 600)
+  t.is(made.homes[1].book(0), undefined, 'the other voters have not heard yet')
+  await made.channel.deliver()
+  await pass(rest, 600)
+  t.is(begin(made, 1, ran)?.type, 'replay')
+})
+
+test('a slot whose preferred voter refuses it stays where it is, with its book, and one whose fate is unknown is given up', async t => {
+  const made = make()
+  await made.homes[0].stop()
+  const late = { clock: made.clock, homes: made.homes.slice(1) }
+  await pass(late, 10 * period)
+  const [, holder] = made.homes
+  const before = slots(holder).length
+  await holder.yield(() => Promise.reject(new Error('not offered so soon')))
+  t.is(slots(holder).length, before)
+  await pass(late, 31_000)
+  await holder.yield(async () => false)
+  await holder.yield(() => Promise.reject(new Error('not offered again so soon')))
+  t.is(slots(holder).length, before)
+  await pass(late, 31_000)
+  await holder.yield(() => Promise.reject(new Error('cut')))
+  t.is(slots(holder).length, before - 1)
+})
+
 test('a book of other voters, or of another service, is not taken', async t => {
   const { made, handovers: [handover] } = await handed()
   t.false(made.homes[2].inherit({ ...handover, service: 'other' }))
--- a/packages/run/test/once.test.ts
+++ b/packages/run/test/once.test.ts
@@ -56,6 +56,12 @@
     this.#open()
   }
 
+  /** Hands one slot to the voter that is preferred for it. */
+  yield (): void {
+    const channel = new WorkerChannel(this, this.#fleet, this.#base, this.#random)
+    this.homes.yield((voter, handover) => channel.give(voter, handover))
+  }
+
   #open (): void {
     this.homes = new Homes({
       clock: this.clock,
@@ -68,7 +74,8 @@
       nonce: () => `${this.name}/${this.incarnation}/${++this.#terms}`,
       tenure: () => ++this.#tenures,
       preferred: () => names,
-      book: { skew, keep: 20_000 }
+      book: { skew, keep: 20_000 },
+      stay: 300
     })
   }
 
@@ -164,7 +171,7 @@
 }
 
 const step = fc.record({
-  action: fc.constantFrom('pause', 'resume', 'resume', 'restart', 'hand', 'cut', 'mend', 'new', 'new', 'again', 'again', 'again'),
+  action: fc.constantFrom('pause', 'resume', 'resume', 'restart', 'hand', 'yield', 'cut', 'mend', 'new', 'new', 'again', 'again', 'again'),
   who: fc.nat(2),
   which: fc.nat(50),
   span: fc.integer({ min: 1, max: 900 })
@@ -192,6 +199,7 @@
     if (action === 'resume') for (const each of fleet.values()) each.clock.resume()
     if (action === 'restart') worker.restart()
     if (action === 'hand') worker.hand()
+    if (action === 'yield') worker.clock.run(() => worker.yield())
     if (action === 'cut') worker.cut.add(names[which % 3])
     if (action === 'mend') worker.cut.clear()
     if (action === 'new') traces.push({ key: readKey(mintKey(base.wall() + (random() - 0.5) * skew)).unwrap(), fresh: span % 3 === 0, executions: 0, sent: 0, words: [] })
--- a/packages/worker/src/homekeeper.ts
+++ b/packages/worker/src/homekeeper.ts
@@ -30,6 +30,9 @@
 /** How long a worker that was told to leave waits for what runs before it hands its slots over, in ms. */
 const handPatience = 5000
 
+/** Updates between two slots that are handed to the voter that is preferred for them. */
+const yieldEvery = 8
+
 /** Keeps the slots of keys whose home this plain worker is, and writes them to the board. */
 export class Homekeeper extends Controller {
   readonly name = 'homes'
@@ -39,6 +42,7 @@
   #channel: WireChannel | undefined
   #revision = 0
   #tenures = 0
+  #updates = 0
   #voters: PlainAssignment['voters'] = []
   #toldAt = Infinity
 
@@ -63,6 +67,7 @@
     else if (assignment.revision !== this.#revision) this.#move(assignment, this.#homes)
     this.#watch(assignment.service)
     if (board.read('upstream').healthy) this.#homes.update()
+    if (++this.#updates % yieldEvery === 0) await this.#homes.yield((voter, handover) => this.#give(voter, handover))
     this.#note()
   }
 
@@ -74,9 +79,9 @@
     this.#note()
   }
 
-  /** Takes the book of a slot from a home that goes away. */
+  /** Takes the book of a slot from another home, unless this worker could not serve the slot's keys. */
   inherit (handover: Handover): boolean {
-    const taken = this.#homes?.inherit(handover) ?? false
+    const taken = this.#options.board.read('serving') && this.#homes?.inherit(handover) === true
     if (taken) this.#options.log.write('home-inherits', { slot: handover.slot, runs: handover.book.runs.length })
     return taken
   }
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -295,6 +295,16 @@
     test: 'packages/run/dist/test/home.test.js',
     title: 'a home that gives its slots up*'
   },
+  {
+    name: 'handover-second-claim',
+    point: 5,
+    rule: 'a claim for which a book waits goes on with its term',
+    file: 'packages/run/dist/src/home.js',
+    find: 'if (this.#awaits(slot, now))\n            return;',
+    replace: '',
+    test: 'packages/run/dist/test/home.test.js',
+    title: 'a book fits also*'
+  },
   {
     name: 'handover-unused',
     point: 5,
