--- a/packages/run/src/home.ts
+++ b/packages/run/src/home.ts
@@ -2,6 +2,7 @@
 import { Lease, type Answer, type Channel, type Claim } from '@eiderwind/lease'
 import { type Handover } from '@eiderwind/schema'
 import { Book, type BookOptions } from './book.js'
+import { follows, sameVoters, type Inheritance } from './inheritance.js'
 import { slotCount } from './key.js'
 
 /** What a home tells about itself. */
@@ -68,13 +69,6 @@
   readonly voter: string
 }
 
-/** A book that was handed over, until its slot is held. */
-interface Inheritance {
-  readonly handover: Handover
-  /** On `Clock.now`. */
-  readonly until: number
-}
-
 /**
  * The slots of keys that one worker is, or tries to be, the home of. Each slot is a lease by a majority of the
  * voters. The preferred voter claims its slots at once; the others claim a slot only after it has been vacant for
@@ -253,22 +247,12 @@
     this.#inheritances.delete(slot)
     const tenure = count()
     held.openedAt = clock.now()
-    held.book = handover !== undefined && this.#follows(handover, held.lease)
+    held.book = handover !== undefined && follows(handover, held.lease.marks, this.#voters)
       ? Book.inherited(handover.book, tenure, book)
       : new Book(clock.wall(), tenure, book)
     listener?.held?.(slot)
   }
 
-  /** Whether a majority of the same voters gave this lease the turn right after the one that handed the book over. */
-  #follows ({ voters, marks }: Handover, lease: Lease): boolean {
-    if (!sameVoters(voters, this.#voters)) return false
-    const following = marks.filter(({ voter, mark }) => {
-      const now = lease.marks.get(voter)
-      return now !== undefined && now.origin === mark.origin && now.turn === mark.turn + 1
-    })
-    return following.length > voters.length / 2
-  }
-
   #drop (slot: number): void {
     const held = this.#slots.get(slot)
     if (held === undefined) return
@@ -293,7 +277,3 @@
     held.lease.release()
   }
 }
-
-function sameVoters (some: readonly string[], others: readonly string[]): boolean {
-  return [...some].sort().join() === [...others].sort().join()
-}
