Let no claim of a slot begin while the slot is being offered

Cause: while a slot is offered it is not held, and an embedding program that calls update meanwhile could claim it anew beside the lease that still stands (the worker's own controller awaits the offer, so it does not). Change: the time of the vacancy is set before the offer instead of after it; a doc comment is wrapped.

--- a/packages/run/src/home.ts
+++ b/packages/run/src/home.ts
@@ -162,8 +162,9 @@
 
   /**
    * Hands one slot to the voter that is preferred for it, where that voter answers, no key of the slot runs, and the slot
-   * has been here for a while, so that slots spread again after restarts. Where the voter refuses, the slot stays. Where it may have taken the book, this
-   * worker runs nothing under its lease any more: the next home goes by the book as it was then.
+   * has been here for a while, so that slots spread again after restarts. Where the voter refuses, the slot stays. Where
+   * it may have taken the book, this worker runs nothing under its lease any more: the next home goes by the book as it
+   * was then.
    */
   async yield (give: Give): Promise<void> {
     const { clock } = this.#options
@@ -171,8 +172,8 @@
     if (due === undefined) return
     const { slot, lease, book, voter } = due
     this.#slots.delete(slot)
-    const taken = await give(voter, this.#handover(slot, lease, book)).catch(() => undefined)
     this.#vacantSince.set(slot, clock.now())
+    const taken = await give(voter, this.#handover(slot, lease, book)).catch(() => undefined)
     if (taken !== false || this.#stopped || !lease.valid) return await lease.release()
     this.#slots.set(slot, { lease, book, openedAt: clock.now() })
     this.#yieldAt = clock.now() + this.#stay
