--- a/packages/wire/src/connections.ts
+++ b/packages/wire/src/connections.ts
@@ -15,9 +15,12 @@
 /** A call is over `late` ms before the time that the other side tells for its idle connections. */
 const keepAliveMargin = 600
 
+/** One connection. */
 interface Lane {
   readonly client: Client
   ended: boolean
+  /** How the other side's half came to its end, if it has. */
+  over: 'closed' | 'reset' | undefined
 }
 
 /**
@@ -46,7 +49,7 @@
   /** Sends a call on an idle connection, or on a new one, always on a new one where `fresh` says so. */
   send (call: Call, receiver: Receiver, fresh = false): Cancel {
     const lane = (fresh ? undefined : this.#take(call.origin)) ?? this.#make(call.origin)
-    return send(lane.client, call, new LaneReceiver(receiver, whole => this.#done(call.origin, lane, whole)))
+    return send(lane.client, call, new LaneReceiver(receiver, lane, whole => this.#done(call.origin, lane, whole)))
   }
 
   /** Cuts every connection. */
@@ -66,9 +69,9 @@
 
   #make (origin: string): Lane {
     this.#opened++
-    const client = new Client(origin, {
+    const client: Client = new Client(origin, {
       connect: (options, done) => {
-        open({ host: options.hostname, port: Number(options.port), time: this.#connectTime, opened: socket => done(null, socket), failed: error => done(error, null) })
+        open({ host: options.hostname, port: Number(options.port), time: this.#connectTime, opened: socket => done(null, watched(socket, lane)), failed: error => done(error, null) })
       },
       pipelining: 1,
       headersTimeout: 0,
@@ -76,7 +79,7 @@
       keepAliveTimeout: this.#idleTime,
       keepAliveTimeoutThreshold: keepAliveMargin
     })
-    const lane: Lane = { client, ended: false }
+    const lane: Lane = { client, ended: false, over: undefined }
     this.#open.add(lane)
     client.on('disconnect', () => this.#end(lane))
     return lane
@@ -84,14 +87,16 @@
 
   #done (origin: string, lane: Lane, whole: boolean): void {
     if (!whole || lane.ended) return this.#end(lane)
-    // Only after this turn: bytes behind the answer that came with it end the connection first.
-    setImmediate(() => {
-      if (lane.ended) return
-      const lanes = this.#idle.get(origin) ?? []
-      if (lanes.length >= this.#mostIdle) return this.#end(lane)
-      lanes.push(lane)
-      this.#idle.set(origin, lanes)
-    })
+    // The client library reads on after a turn: bytes behind the answer that came with it end the connection first.
+    setImmediate(() => setImmediate(() => this.#park(origin, lane)))
+  }
+
+  #park (origin: string, lane: Lane): void {
+    if (lane.ended) return
+    const lanes = this.#idle.get(origin) ?? []
+    if (lanes.length >= this.#mostIdle) return this.#end(lane)
+    lanes.push(lane)
+    this.#idle.set(origin, lanes)
   }
 
   #end (lane: Lane): void {
@@ -102,18 +107,26 @@
   }
 }
 
-/** Passes everything on and tells when the call is over. */
+/**
+ * Passes everything on and tells when the call is over. The client library takes any answer of a connection that will not
+ * be kept for whole when the connection ends, be it by a reset or in the middle of a chunk; here such an answer
+ * fails (RFC 9112, section 8): only one without a length may end with its connection, and not by a reset.
+ */
 class LaneReceiver extends Receiver {
   readonly #receiver: Receiver
+  readonly #lane: Lane
   readonly #over: (whole: boolean) => void
+  #framed = false
 
-  constructor (receiver: Receiver, over: (whole: boolean) => void) {
+  constructor (receiver: Receiver, lane: Lane, over: (whole: boolean) => void) {
     super()
     this.#receiver = receiver
+    this.#lane = lane
     this.#over = over
   }
 
   head (status: number, headers: AnswerHeaders, flow: Flow): void {
+    this.#framed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
     this.#receiver.head(status, headers, flow)
   }
 
@@ -122,6 +135,10 @@
   }
 
   end (): void {
+    const { over } = this.#lane
+    if (over === 'reset' || (over === 'closed' && this.#framed)) {
+      return this.fail({ error: new Error(`The connection was ${over} before the answer was whole.`), sent: true })
+    }
     this.#over(true)
     this.#receiver.end()
   }
@@ -132,6 +149,13 @@
   }
 }
 
+/** Notes how a connection ends before the client library hears of it. */
+function watched (socket: Socket, lane: Lane): Socket {
+  socket.on('error', () => { lane.over = 'reset' })
+  socket.on('end', () => { lane.over ??= 'closed' })
+  return socket
+}
+
 interface Opening {
   readonly host: string
   readonly port: number
