--- /dev/null
+++ b/packages/ctl/src/explaining.ts
@@ -0,0 +1,36 @@
+import { readFileSync } from 'node:fs'
+import { explain, readLine, type LogLine } from './explain.js'
+import { type Print } from './session.js'
+import { statuses } from './usage.js'
+
+/** What is asked for. */
+export interface Question {
+  readonly id: string
+  readonly files: readonly string[]
+  readonly json: boolean
+}
+
+/** Reads logs and prints the story of an id and its cause. Gives the exit status. */
+export function explainFiles ({ id, files, json }: Question, { out, error }: { readonly out: Print, readonly error: Print }): number {
+  const lines: LogLine[] = []
+  for (const file of files) {
+    try {
+      lines.push(...readFileSync(file, 'utf8').split('\n').map(readLine).filter(each => each !== undefined))
+    } catch (failure) {
+      error(`${file} cannot be read (${(failure as { code?: string }).code ?? 'unknown'}). Give the path of a log.`)
+      return statuses.usage
+    }
+  }
+  const { story, cause } = explain(lines, id)
+  if (json) out(JSON.stringify({ id, cause, story }))
+  else {
+    for (const line of story) out(plain(line))
+    out(cause)
+  }
+  return statuses.ok
+}
+
+function plain ({ time, event: _event, name, level: _level, node, ...fields }: LogLine): string {
+  const rest = Object.entries(fields).map(([key, value]) => `${key}=${String(value)}`).join(' ')
+  return `${time} ${node ?? ''} ${name} ${rest}`
+}
--- a/packages/ctl/src/index.ts
+++ b/packages/ctl/src/index.ts
@@ -1,5 +1,6 @@
 /** The command `eiderwindctl`: the operators' command line. */
 import sade, { type Sade } from 'sade'
+import { explainFiles } from './explaining.js'
 import { commands, type Command, type Options } from './commands.js'
 import { Session, type Print } from './session.js'
 import { statuses, verdict } from './usage.js'
@@ -35,6 +36,14 @@
   for (const command of commands) {
     add(program, command, (options, name) => { status = runCommand(command, options, name, output) })
   }
+  program
+    .command('explain <id> <file>')
+    .describe('Tell the story of a request, a replica, an upstream or a revision from the logs in files, and its cause.')
+    .option('--json', 'Write JSON, one object a line', false)
+    .example('explain 9c41d07be2a35f68 entry-1.log entry-2.log')
+    .action((id: string, file: string, options: { _: string[], json?: boolean }) => {
+      status = explainFiles({ id, files: [file, ...options._], json: options.json === true }, output)
+    })
   const known = new Set(commands.flatMap(each => (each.options ?? []).map(option => option.flags)))
   for (const [flags] of common) known.add(flags)
   program.parse(words, {
--- /dev/null
+++ b/packages/ctl/test/explain.test.ts
@@ -0,0 +1,35 @@
+/** The story and cause of a failed request, from logs alone. */
+import test from 'ava'
+import { explain, readLine } from '../src/explain.js'
+
+const lines = [
+  ' 1.0 front-1 {"time":"2026-12-02T10:00:01.000Z","event":420,"name":"upstream-suspected","node":"entry-1","upstream":"i-1","flights":3}',
+  '{"time":"2026-12-02T10:00:01.500Z","event":442,"name":"replica-decided","node":"entry-2","domain":"d","note":"d.4 of large dissolved: i-9 missing, head i-1","epoch":5}',
+  '{"time":"2026-12-02T10:00:01.600Z","event":411,"name":"request-ended","node":"entry-1","request":"r1","outcome":"cut","took":900,"attempts":"i-1 lost (the upstream stands still) after event 4 at 500 ms; i-2 lost (reset) after event 9 at 900 ms"}',
+  '{"time":"2026-12-02T10:00:02.000Z","event":410,"name":"request-refused","node":"entry-1","request":"r2","code":"behind","status":503,"confirmed":4100}',
+  '{"time":"2026-12-02T10:00:03.000Z","event":411,"name":"request-ended","node":"entry-2","request":"r3","outcome":"busy 429","took":66,"attempts":""}',
+  'not a line',
+  '{"time":"2026-12-02T09:00:00.000Z","event":420,"name":"upstream-suspected","node":"entry-1","upstream":"i-2"}'
+].map(readLine).filter(each => each !== undefined)
+
+test('a stream that was cut: its attempts, the suspicion and what the planner found', t => {
+  const { story, cause } = explain(lines, 'r1')
+  t.deepEqual(story.map(each => each.name), ['upstream-suspected', 'replica-decided', 'request-ended'])
+  t.regex(cause, /Entry entry-1 had it for 900 ms: its stream broke off/)
+  t.regex(cause, /i-1 stood still/)
+  t.regex(cause, /d\.4 of large dissolved: i-9 missing/)
+})
+
+test('a refusal names its reason and how old the entry\'s knowledge was', t => {
+  t.regex(explain(lines, 'r2').cause, /refused it with 503: the entry had no configuration that it could trust \(its configuration was confirmed 4100 ms before\)/)
+})
+
+test('a request that was refused under load did not run', t => {
+  t.regex(explain(lines, 'r3').cause, /every replica of its model was full.*it did not run\. Attempts: none\./)
+})
+
+test('an upstream and a replica have stories too, and an unknown id says so', t => {
+  t.is(explain(lines, 'i-2').story.length, 1)
+  t.is(explain(lines, 'd.4').story.length, 1)
+  t.regex(explain(lines, 'nobody').cause, /No line speaks of nobody/)
+})
--- a/packages/direct/src/callers.ts
+++ b/packages/direct/src/callers.ts
@@ -15,6 +15,8 @@
   readonly address: string
   /** How old the newest confirmation of the configuration may be for a request with a key, in ms. */
   readonly freshness: number
+  /** Told the code of each request that is refused before anything is chosen for it. */
+  readonly refused: (code: string) => void
   /** Told of each request's end. */
   readonly ended: (exchange: Exchange, outcome: string) => void
 }
@@ -157,6 +159,7 @@
   #refuse (request: IncomingMessage, response: ServerResponse, fault: Fault): void {
     const { context } = this.#options
     const id = header(request, context.names.request)
+    this.#options.refused(fault.code)
     if (id !== undefined) response.setHeader(context.names.request, id)
     context.log.write('request-refused', { request: id, code: fault.code, status: fault.status, confirmed: Math.round(context.clock.now() - context.board.read('confirmedAt')) })
     refuse(response, fault, context.clock)
--- a/packages/direct/src/direct.ts
+++ b/packages/direct/src/direct.ts
@@ -13,6 +13,7 @@
 import { Work } from './demand.js'
 import { type Exchange } from './exchange.js'
 import { confirm, directBoard, enforce, type DirectBoard } from './facts.js'
+import { Figures, type Reading } from './figures.js'
 import { Flights } from './flights.js'
 import { Health } from './health.js'
 import { type Follower, type Platform } from './platform.js'
@@ -30,6 +31,8 @@
   readonly callers: string
   readonly health: string
   readonly peers: string
+  /** `host:port` on which the figures are told; nowhere where it is empty. */
+  readonly metrics: string
   /** How old the newest confirmation of the configuration may be for requests with keys. */
   readonly freshness: number
   /** Repeats for each request of callers, beyond which `retrySlack` more are allowed in `retryWindow`, over all entries. */
@@ -88,6 +91,7 @@
   readonly #health: Health
   readonly #stalls: Stalls
   readonly #forming: Forming
+  readonly #figures = new Figures(() => this.#reading())
   readonly #work = new Work()
   readonly #repeats = new Map<string, Repeats>()
   readonly #waiting: Waiting
@@ -122,11 +126,20 @@
       waiting: this.#waiting,
       repeats: service => this.#repeatsOf(service)
     }
-    this.#callers = new Callers({ context, address: settings.callers, freshness: settings.freshness, ended: (exchange, outcome) => this.#ended(exchange, outcome) })
+    this.#callers = new Callers({ context, address: settings.callers, freshness: settings.freshness, refused: code => this.#figures.refused(code), ended: (exchange, outcome) => this.#ended(exchange, outcome) })
     this.#confirmations = new Confirmations({ clock, board: this.#board, peers: this.#peers, connections: this.#connections, address: settings.peers, orders: platform.orders })
     this.#health = new Health(settings.health, () => this.ready)
     this.#stalls = new Stalls({
-      clock, log, roster: this.#roster, flights: this.#flights, suspects: this.#suspects, silence: settings.silence, suspected: () => this.#peers.tell()
+      clock,
+      log,
+      roster: this.#roster,
+      flights: this.#flights,
+      suspects: this.#suspects,
+      silence: settings.silence,
+      suspected: () => {
+        this.#figures.suspected()
+        this.#peers.tell()
+      }
     })
     this.#forming = new Forming({
       clock,
@@ -141,6 +154,7 @@
       decided: (domain, note, epoch) => log.write('replica-decided', { domain, note, epoch }),
       ordered: (order, result, took) => {
         const { kind, node: upstream, replica, epoch, model } = order
+        this.#figures.ordered(kind, result)
         log.write('engine-order', { kind, upstream, replica, epoch, model, result, took: Math.round(took) })
       },
       failed: error => log.write('controller-failed', { controller: 'forming', cause: String((error as Error).stack) })
@@ -156,6 +170,7 @@
   async start (): Promise<void> {
     const { clock, platform, settings } = this.#options
     await Promise.all([this.#callers.start(), this.#health.start(), this.#confirmations.start(), this.#peers.start()])
+    if (settings.metrics !== '') await this.#figures.start(settings.metrics)
     platform.follow(this.#follower())
     platform.enter({ id: settings.id, address: settings.peers })
     this.#stalls.start()
@@ -180,6 +195,7 @@
     this.#confirmations.stop()
     this.#peers.stop()
     this.#health.stop()
+    this.#figures.stop()
     platform.stop()
     this.#connections.close()
   }
@@ -224,6 +240,24 @@
     }
   }
 
+  #reading (): Reading {
+    const { clock } = this.#options
+    const replicas: Record<string, number> = {}
+    for (const { membership } of this.#roster.all) {
+      const state = membership?.state ?? 'none'
+      replicas[state] = (replicas[state] ?? 0) + 1
+    }
+    return {
+      revision: this.#board.read('inForce')?.traffic.revision ?? 0,
+      confirmationAge: (clock.now() - this.#board.read('confirmedAt')) / 1000,
+      replicas,
+      flights: Object.values(this.#flights.counts).reduce((sum, each) => sum + each, 0),
+      waiting: this.#waiting.count,
+      connections: this.#connections.opened,
+      repeatsLeft: Object.fromEntries([...this.#repeats].map(([service, each]) => [service, each.left]))
+    }
+  }
+
   #sample (): void {
     this.#work.sample([this.#flights.models, ...this.#peers.live.map(each => each.models)])
     const { log, platform, settings } = this.#options
@@ -236,6 +270,7 @@
   }
 
   #ended (exchange: Exchange, outcome: string): void {
+    this.#figures.ended(exchange, outcome, (this.#options.clock.now() - exchange.arrivedAt) / 1000)
     const good = outcome === 'answered 200' || outcome === 'answered'
     if (good && exchange.story.length < 2 && ++this.#successes % sampling !== 0) return
     const { id, route, service, team, arrivedAt } = exchange
--- a/packages/direct/src/exchange.ts
+++ b/packages/direct/src/exchange.ts
@@ -3,6 +3,7 @@
 import { Fault } from '@eiderwind/fault'
 import { type Route, type Team } from '@eiderwind/traffic'
 import { answerFault } from '@eiderwind/wire'
+import { type Ending } from './attempt.js'
 
 /** One request of a caller, read and found proper. */
 export interface ExchangeOptions {
@@ -84,6 +85,14 @@
     return this.route.kind === 'repeatable' || (this.route.kind === 'stream' && this.route.resumable)
   }
 
+  /** Notes how an attempt ended, for the log. @param event the last event of a stream that was passed on */
+  tell (upstream: string, ending: Ending, event?: number): void {
+    const at = Math.round(this.#clock.now() - this.arrivedAt)
+    const how = ending.kind === 'answered' ? String(ending.status) : ending.kind
+    const why = 'why' in ending ? ` (${ending.why})` : ''
+    this.story.push(`${upstream} ${how}${why}${event === undefined ? '' : ` after event ${event}`} at ${at} ms`)
+  }
+
   /** Sets what stops the work that is under way. */
   working (cancel: () => void): void {
     this.#cancel = cancel
--- /dev/null
+++ b/packages/direct/src/figures.ts
@@ -0,0 +1,122 @@
+import { createServer, type Server } from 'node:http'
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { listen } from '@eiderwind/wire'
+import { type Exchange } from './exchange.js'
+
+/** What is read at the moment when the figures are asked for. */
+export interface Reading {
+  readonly revision: number
+  /** Age of the newest confirmation, in s. */
+  readonly confirmationAge: number
+  /** Engines by what their replica does. */
+  readonly replicas: Readonly<Record<string, number>>
+  readonly flights: number
+  readonly waiting: number
+  readonly connections: number
+  readonly repeatsLeft: Readonly<Record<string, number>>
+}
+
+const path = '/metrics'
+
+/** Bounds of the histograms, in s. */
+const buckets = [0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8]
+
+/** Counters and latency histograms of a direct entry in Prometheus' text form. Labels are kinds, services and outcomes: few. */
+export class Figures {
+  readonly #registry = new Registry()
+  readonly #server: Server
+  readonly #read: () => Reading
+  readonly #requests: Counter<'kind' | 'service' | 'outcome'>
+  readonly #refusals: Counter<'code'>
+  readonly #times: Histogram<'kind'>
+  readonly #attempts: Counter<'kind' | 'ending'>
+  readonly #suspicions: Counter
+  readonly #resumptions: Counter
+  readonly #orders: Counter<'kind' | 'result'>
+
+  constructor (read: () => Reading) {
+    this.#read = read
+    const registers = [this.#registry]
+    this.#requests = new Counter({ name: 'eiderwind_requests_total', help: 'Requests that ended, by how.', labelNames: ['kind', 'service', 'outcome'], registers })
+    this.#refusals = new Counter({ name: 'eiderwind_refusals_total', help: 'Requests refused before any upstream was chosen, by code.', labelNames: ['code'], registers })
+    this.#times = new Histogram({ name: 'eiderwind_request_seconds', help: 'Time from a request to its end.', labelNames: ['kind'], buckets, registers })
+    this.#attempts = new Counter({ name: 'eiderwind_attempts_total', help: 'Sends to upstreams, by how they ended.', labelNames: ['kind', 'ending'], registers })
+    this.#suspicions = new Counter({ name: 'eiderwind_suspicions_total', help: 'Heads suspected to stand still.', registers })
+    this.#resumptions = new Counter({ name: 'eiderwind_resumptions_total', help: 'Streams that went on at another replica.', registers })
+    this.#orders = new Counter({ name: 'eiderwind_orders_total', help: 'Orders to engines, by answer.', labelNames: ['kind', 'result'], registers })
+    this.#gauges(registers)
+    this.#server = createServer((request, response) => {
+      if (request.url !== path) {
+        response.statusCode = 404
+        response.end()
+        return
+      }
+      this.text().then(text => {
+        response.setHeader('content-type', this.#registry.contentType)
+        response.end(text)
+      }, () => response.destroy())
+    })
+  }
+
+  async start (address: string): Promise<void> {
+    await listen(this.#server, address)
+  }
+
+  stop (): void {
+    this.#server.close()
+    this.#server.closeAllConnections()
+  }
+
+  /** All figures in text form. */
+  async text (): Promise<string> {
+    return await this.#registry.metrics()
+  }
+
+  ended ({ route: { kind }, service, story }: Exchange, outcome: string, seconds: number): void {
+    this.#requests.inc({ kind, service, outcome })
+    this.#times.observe({ kind }, seconds)
+    for (const each of story) this.#attempts.inc({ kind, ending: each.split(' ')[1] })
+    if (kind === 'stream' && story.length > 1 && outcome.startsWith('answered 2')) this.#resumptions.inc()
+  }
+
+  refused (code: string): void {
+    this.#refusals.inc({ code })
+  }
+
+  suspected (): void {
+    this.#suspicions.inc()
+  }
+
+  ordered (kind: string, result: string): void {
+    this.#orders.inc({ kind, result })
+  }
+
+  #gauges (registers: Registry[]): void {
+    const single = (name: string, help: string, value: (reading: Reading) => number): void => {
+      const read = this.#read
+      // The gauge is set when the figures are asked for.
+      const gauge: Gauge = new Gauge({ name, help, registers, collect: () => gauge.set(value(read())) })
+    }
+    const several = (name: string, help: string, label: string, values: (reading: Reading) => Readonly<Record<string, number>>): void => {
+      const read = this.#read
+      const gauge: Gauge = new Gauge({
+        name,
+        help,
+        labelNames: [label],
+        registers,
+        collect: () => {
+          gauge.reset()
+          for (const [key, value] of Object.entries(values(read()))) gauge.set({ [label]: key }, value)
+        }
+      })
+    }
+    single('eiderwind_configuration_revision', 'Revision of the configuration in force.', each => each.revision)
+    single('eiderwind_confirmation_age_seconds', 'Age of the newest confirmation of the configuration.', each => each.confirmationAge)
+    single('eiderwind_flights', 'Requests under way at upstreams.', each => each.flights)
+    single('eiderwind_waiting', 'Requests that wait for room.', each => each.waiting)
+    single('eiderwind_connections_opened_total', 'Connections opened to upstreams.', each => each.connections)
+    single('eiderwind_memory_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss())
+    several('eiderwind_engines', 'Engines by what their replica does.', 'state', each => each.replicas)
+    several('eiderwind_repeats_left', 'Repeats that are left in the running window.', 'service', each => each.repeatsLeft)
+  }
+}
--- a/packages/direct/src/plain.ts
+++ b/packages/direct/src/plain.ts
@@ -28,7 +28,7 @@
     if (upstream === undefined) break
     const ending = await attempt(context, exchange, upstream)
     if (exchange.over) return
-    exchange.story.push(`${upstream.id} ${ending.kind === 'answered' ? ending.status : ending.kind}`)
+    exchange.tell(upstream.id, ending)
     answer = best(answer, ending)
     if (!again(context, exchange, ending)) break
   }
--- a/packages/direct/src/stream.ts
+++ b/packages/direct/src/stream.ts
@@ -45,7 +45,7 @@
       if (exchange.over || upstream === undefined) break
       ending = await this.#attempt(upstream)
       if (exchange.over) return
-      exchange.story.push(`${upstream.id} ${ending.kind === 'answered' ? ending.status : ending.kind} at ${this.#progress.lastEvent ?? 0}`)
+      exchange.tell(upstream.id, ending, this.#progress.lastEvent)
     } while (this.#again(ending))
     if (!exchange.over) this.#conclude(ending)
   }
--- a/packages/settings/src/shapes.ts
+++ b/packages/settings/src/shapes.ts
@@ -110,8 +110,6 @@
     grace: time('8 s'),
     /** Time between two heartbeats of an upstream. */
     pulse: time('1200 ms'),
-    /** Time of silence after which an engine gives a standing replica up. */
-    stall: time('6 s'),
     /** Repeats for each request, and how many more all entries may make in a window. */
     retry_ratio: share('0.1'),
     retry_slack: share('20'),
--- a/packages/settings/test/settings.test.ts
+++ b/packages/settings/test/settings.test.ts
@@ -8,8 +8,8 @@
   return checkSettings('x.ini', text, role).unwrapErr().map(problemLine)
 }
 
-for (const role of ['entry', 'worker'] as const) {
-  test(`the commented example of an ${role} is in order and names every key`, t => {
+for (const role of ['entry', 'worker', 'direct'] as const) {
+  test(`the commented example of role ${role} is in order and names every key`, t => {
     const text = readFileSync(new URL(`examples/${role}.ini`, root), 'utf8')
     t.is(checkSettings('example', text).unwrap().role, role)
     for (const [section, shape] of Object.entries(shapes[role].shape)) {
