Pass an answer without a length on as it came, keep who leaves leaving, and tell the attempt under way

A worker that had said that it leaves was chosen 2,052 ms later with no disruption near: as far as seen an older word of it was listed after the newer one. Change: such answers end with their connection, for streams as well; leaving is for good in the roster; the line of a request that ends while an attempt is under way names it.

--- a/packages/ctl/src/explain.ts
+++ b/packages/ctl/src/explain.ts
@@ -88,7 +88,7 @@
   deadline: 'its time was over before it was answered',
   cut: 'its stream broke off in the middle and could not go on elsewhere',
   caller: 'its caller left before the answer',
-  answered: 'it was answered by an upstream'
+  answered: 'the answer of an upstream was passed on as it was'
 }
 
 function causeOfOther (own: readonly LogLine[], id: string): string {
--- a/packages/direct/src/answers.ts
+++ b/packages/direct/src/answers.ts
@@ -1,3 +1,4 @@
+import { type ServerResponse } from 'node:http'
 import { type AnswerHeaders } from '@eiderwind/wire'
 import { type HeaderNames } from './names.js'
 
@@ -19,3 +20,17 @@
 export function saysNotRun (status: number, headers: AnswerHeaders, names: HeaderNames): boolean {
   return status === misdirected || answerHeader(headers, names.notRun) !== undefined
 }
+
+/** Whether an answer says itself where it ends, by a length or by chunks. */
+export function isFramed (headers: AnswerHeaders): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
+/**
+ * Has a response end with its connection, as the answer that it passes on does: nobody can tell whether such an answer is
+ * whole, so it must not get a length or chunks that say so.
+ */
+export function endWithConnection (response: ServerResponse): void {
+  response.shouldKeepAlive = false
+  response.useChunkedEncodingByDefault = false
+}
--- a/packages/direct/src/attempt.ts
+++ b/packages/direct/src/attempt.ts
@@ -6,10 +6,17 @@
 import { type Flight } from './flights.js'
 import { outgoing } from './outgoing.js'
 
+/** A whole answer. */
+export interface Answered {
+  readonly kind: 'answered'
+  readonly status: number
+  readonly headers: AnswerHeaders
+  readonly body: Buffer
+}
+
 /** How one attempt at an upstream ended, for whoever decides what comes next. */
 export type Ending =
-  /** A whole answer. */
-  | { readonly kind: 'answered', readonly status: number, readonly headers: AnswerHeaders, readonly body: Buffer }
+  | Answered
   /** Its answer was passed on whole. */
   | { readonly kind: 'passed' }
   /** It certainly did not run: the upstream said so, or nothing was sent. */
@@ -83,6 +90,7 @@
     const { context, exchange, upstream, model, lastEvent, fresh } = this.#options
     exchange.tried.add(upstream.id)
     exchange.sends++
+    exchange.running = upstream.id
     exchange.offered = true
     context.suspects.sent(upstream.id)
     this.#flight = context.flights.begin(upstream.id, model, () => this.stalled())
--- a/packages/direct/src/direct.ts
+++ b/packages/direct/src/direct.ts
@@ -284,9 +284,10 @@
     this.#figures.ended(exchange, outcome, (this.#options.clock.now() - exchange.arrivedAt) / 1000)
     const good = outcome === 'answered 200' || outcome === 'answered'
     if (good && exchange.story.length < 2 && ++this.#successes % sampling !== 0) return
-    const { id, route, service, team, arrivedAt } = exchange
+    const { id, route, service, team, arrivedAt, story, running } = exchange
     const took = Math.round(this.#options.clock.now() - arrivedAt)
-    this.#options.log.write('request-ended', { request: id, route: route.name, service, team: team?.name, outcome, took, attempts: exchange.story.join('; ') })
+    const attempts = [...story, ...running === undefined ? [] : [`${running} under way`]].join('; ')
+    this.#options.log.write('request-ended', { request: id, route: route.name, service, team: team?.name, outcome, took, attempts })
   }
 
   #follower (): Follower {
--- a/packages/direct/src/exchange.ts
+++ b/packages/direct/src/exchange.ts
@@ -41,6 +41,8 @@
   sends = 0
   /** Whether an upstream may have begun to work on it. */
   offered = false
+  /** The upstream that has it now, if any. */
+  running: string | undefined
   /** What became of it so far, for the log. */
   readonly story: string[] = []
   readonly #clock: Clock
@@ -95,6 +97,7 @@
   /** Notes how an attempt ended. One that never left counts for nothing. @param event the last event of a stream that was passed on */
   tell (upstream: string, ending: Ending, event?: number): void {
     if (ending.kind === 'not-run' && !ending.sent) this.sends--
+    this.running = undefined
     const at = Math.round(this.#clock.now() - this.arrivedAt)
     const how = ending.kind === 'answered' ? String(ending.status) : ending.kind
     const why = 'why' in ending ? ` (${ending.why})` : ''
--- a/packages/direct/src/plain.ts
+++ b/packages/direct/src/plain.ts
@@ -1,7 +1,8 @@
 import { Fault } from '@eiderwind/fault'
 import { endToEnd } from '@eiderwind/wire'
 import { type Upstream } from '@eiderwind/roster'
-import { CollectAttempt, type Ending } from './attempt.js'
+import { endWithConnection, isFramed } from './answers.js'
+import { CollectAttempt, type Answered, type Ending } from './attempt.js'
 import { type Context } from './context.js'
 import { type Exchange } from './exchange.js'
 
@@ -66,12 +67,19 @@
   return before.kind === 'lost' ? before : after
 }
 
+/** Passes a collected answer on in the framing that it came in. */
+export function passOn (exchange: Exchange, { status, headers, body }: Answered): void {
+  const { request, response } = exchange
+  const framed = isFramed(headers)
+  if (!framed) endWithConnection(response)
+  response.writeHead(status, { ...endToEnd(headers), ...framed ? { 'content-length': String(body.length) } : {} })
+  response.end(request.method === 'HEAD' ? undefined : body)
+  exchange.finish(`answered ${status}`)
+}
+
 function conclude ({ names }: Context, exchange: Exchange, ending: Ending | undefined): void {
   if (ending?.kind === 'answered') {
-    const { status, headers, body } = ending
-    exchange.response.writeHead(status, { ...endToEnd(headers), 'content-length': String(body.length) })
-    exchange.response.end(exchange.request.method === 'HEAD' ? undefined : body)
-    return exchange.finish(`answered ${status}`)
+    return passOn(exchange, ending)
   }
   if (ending?.kind === 'lost') return exchange.refuse(new Fault('lost', { detail: `${ending.why}.` }))
   const detail = ending?.kind === 'not-run' ? `${ending.why}.` : `No upstream of ${exchange.service} takes requests (${names.request} ${exchange.id}).`
--- a/packages/direct/src/stream.ts
+++ b/packages/direct/src/stream.ts
@@ -1,11 +1,10 @@
 import { Fault } from '@eiderwind/fault'
-import { endToEnd } from '@eiderwind/wire'
 import { type Engine } from '@eiderwind/traffic'
 import { type Upstream } from '@eiderwind/roster'
 import { type Ending } from './attempt.js'
 import { type Context } from './context.js'
 import { type Exchange } from './exchange.js'
-import { patience } from './plain.js'
+import { passOn, patience } from './plain.js'
 import { Progress, StreamAttempt } from './streaming.js'
 
 /** Seconds after which coming back helps: where no replica serves, and where those that do are full. */
@@ -102,11 +101,7 @@
       exchange.response.destroy()
       return exchange.finish('cut')
     }
-    if (ending?.kind === 'answered') {
-      exchange.response.writeHead(ending.status, { ...endToEnd(ending.headers), 'content-length': String(ending.body.length) })
-      exchange.response.end(ending.body)
-      return exchange.finish(`answered ${ending.status}`)
-    }
+    if (ending?.kind === 'answered') return passOn(exchange, ending)
     if (ending?.kind === 'lost') return exchange.refuse(new Fault('lost', { detail: `${ending.why}.` }))
     exchange.refuse(this.#refusal())
   }
--- a/packages/direct/src/streaming.ts
+++ b/packages/direct/src/streaming.ts
@@ -1,4 +1,5 @@
 import { type AnswerHeaders, type Flow, endToEnd } from '@eiderwind/wire'
+import { endWithConnection, isFramed } from './answers.js'
 import { Attempt, type AttemptOptions } from './attempt.js'
 import { EventSplitter } from './events.js'
 
@@ -8,6 +9,8 @@
   lastEvent: number | undefined
   /** Whether the head of the answer was passed on. */
   begun = false
+  /** Whether the answer that is passed on says itself where it ends. */
+  framed = true
 }
 
 /** Options of an attempt at a stream. */
@@ -24,6 +27,7 @@
   readonly #progress: Progress
   readonly #onStall: () => void
   readonly #splitter = new EventSplitter()
+  #framed = true
 
   constructor (options: StreamAttemptOptions) {
     super(options)
@@ -40,9 +44,12 @@
   }
 
   protected begin (status: number, headers: AnswerHeaders): void {
+    this.#framed = isFramed(headers)
     if (this.#progress.begun) return
     this.#progress.begun = true
+    this.#progress.framed = this.#framed
     const { response } = this.exchange
+    if (!this.#framed) endWithConnection(response)
     const { 'content-length': _length, ...kept } = endToEnd(headers)
     response.writeHead(status, kept)
     response.flushHeaders()
@@ -56,8 +63,9 @@
     if (!this.exchange.response.write(bytes)) this.#hold(this.flow)
   }
 
+  /** An answer without framing may end only one that was begun so: nobody can tell whether it is whole. */
   protected whole (): boolean {
-    return this.#splitter.clean
+    return this.#splitter.clean && (this.#framed || !this.#progress.framed)
   }
 
   #isNew (id: number | undefined): boolean {
--- a/packages/roster/src/roster.ts
+++ b/packages/roster/src/roster.ts
@@ -84,9 +84,12 @@
     return () => { this.#listeners.delete(listener) }
   }
 
-  #put (upstream: Upstream): void {
+  /** Takes how an upstream is now. One that has said that it leaves never stays: what says otherwise is an old word that came late. */
+  #put (heard: Upstream): void {
+    const leaving = heard.leaving || this.#departures.get(heard.id)?.upstream.leaving === true
+    const upstream = leaving ? { ...heard, leaving } : heard
     this.#upstreams.set(upstream.id, upstream)
-    if (upstream.leaving) this.#depart(upstream)
+    if (leaving) this.#depart(upstream)
     else this.#departures.delete(upstream.id)
   }
 
