Tell an outage of the store from a quiet time before a missing worker is waited for

Ruled out: an old word after a newer one (mended before); a draining state (this worker's entry went). Change: `Outage` (roster) counts failed calls; only two in a row over 2.5 s are an outage. Tests: roster, two new ones (quiet time; outage). 39 tests of path, direct, forming, roster green.

--- a/packages/direct/src/direct.ts
+++ b/packages/direct/src/direct.ts
@@ -3,7 +3,7 @@
 import { ranked } from '@eiderwind/hash'
 import { type Log } from '@eiderwind/log'
 import { Peers, type Beat } from '@eiderwind/peers'
-import { Roster } from '@eiderwind/roster'
+import { Outage, Roster } from '@eiderwind/roster'
 import { type Service } from '@eiderwind/traffic'
 import { Connections } from '@eiderwind/wire'
 import { Callers } from './callers.js'
@@ -85,6 +85,7 @@
 export class Direct {
   readonly #options: DirectOptions
   readonly #board: DirectBoard = directBoard()
+  readonly #outage: Outage
   readonly #roster: Roster
   readonly #peers: Peers
   readonly #flights: Flights
@@ -112,7 +113,8 @@
     this.#options = options
     this.#startedAt = clock.now()
     this.#pauses = new Pauses(clock)
-    this.#roster = new Roster(clock)
+    this.#outage = new Outage(clock)
+    this.#roster = new Roster(clock, this.#outage)
     this.#suspects = new Suspects(clock, this.#roster)
     this.#waiting = new Waiting(clock)
     this.#flights = new Flights(clock, () => this.#waiting.wake())
@@ -306,10 +308,17 @@
         this.#listed = true
         this.#peers.list(entries)
       },
-      reached: (reached, why) => {
-        if (this.#board.read('store') === reached) return
-        this.#board.write('store', reached)
-        log.write(reached ? 'store-back' : 'store-lost', reached ? {} : { cause: why })
+      answered: () => {
+        this.#outage.answered()
+        if (this.#board.read('store')) return
+        this.#board.write('store', true)
+        log.write('store-back', {})
+      },
+      failed: (askedAt, cause) => {
+        this.#outage.failed(askedAt)
+        if (!this.#board.read('store')) return
+        this.#board.write('store', false)
+        log.write('store-lost', { cause })
       }
     }
   }
--- a/packages/direct/src/platform.ts
+++ b/packages/direct/src/platform.ts
@@ -15,8 +15,10 @@
   changes (changes: readonly RosterChange[]): void
   /** The whole list of entries. */
   entries (entries: readonly PeerAddress[]): void
-  /** Whether the last call was answered; with why not. */
-  reached (reached: boolean, why: string): void
+  /** A call was answered. */
+  answered (): void
+  /** A call that was made at `askedAt` failed. */
+  failed (askedAt: number, why: string): void
 }
 
 /** The platform that an entry runs on: what it tells, what it keeps, and how it talks. */
--- a/packages/roster/src/roster.ts
+++ b/packages/roster/src/roster.ts
@@ -1,4 +1,5 @@
 import { type Clock } from '@eiderwind/clock'
+import { type Outage } from './outage.js'
 import { type Upstream } from './upstream.js'
 
 /** Something that was heard of one upstream: how it is now, or that it is gone. */
@@ -13,9 +14,15 @@
 /** Departures are remembered for this long, in ms. */
 const memory = 60_000
 
-/** What the platform says of the upstreams. Answers look-ups by service and model; listeners hear of each change. */
+/**
+ * What the platform says of the upstreams. Answers look-ups by service and model; listeners hear of each change. Entries
+ * that are missing after an outage stay until the time for their return is over.
+ */
 export class Roster {
   readonly #clock: Clock
+  readonly #outage: Outage | undefined
+  /** Upstreams whose entries may come back. */
+  readonly #lapsed = new Set<string>()
   readonly #upstreams = new Map<string, Upstream>()
   readonly #departures = new Map<string, Departure>()
   readonly #listeners = new Set<() => void>()
@@ -23,8 +30,10 @@
   #heads: Map<string, Upstream[]> | undefined
   #known = false
 
-  constructor (clock: Clock) {
+  /** @param outage whether the list was away; without it, who is not listed is gone */
+  constructor (clock: Clock, outage?: Outage) {
     this.#clock = clock
+    this.#outage = outage
   }
 
   /** Whether a whole list was ever taken. */
@@ -86,6 +95,7 @@
 
   /** Takes how an upstream is now. One that has said that it leaves never stays: what says otherwise is an old word that came late. */
   #put (heard: Upstream): void {
+    this.#lapsed.delete(heard.id)
     const leaving = heard.leaving || this.#departures.get(heard.id)?.upstream.leaving === true
     const upstream = leaving ? { ...heard, leaving } : heard
     this.#upstreams.set(upstream.id, upstream)
@@ -95,11 +105,23 @@
 
   #remove (id: string): void {
     const upstream = this.#upstreams.get(id)
-    if (upstream === undefined) return
+    if (upstream === undefined || this.#mayReturn(id)) return
     this.#upstreams.delete(id)
     this.#depart(upstream)
   }
 
+  /** Whether an entry that is missing may have lapsed in an outage. It is then gone if it stays away. */
+  #mayReturn (id: string): boolean {
+    const left = (this.#outage?.returnsUntil ?? -Infinity) - this.#clock.now()
+    if (left <= 0) return false
+    if (this.#lapsed.has(id)) return true
+    this.#lapsed.add(id)
+    this.#clock.after(left, () => {
+      if (this.#lapsed.delete(id)) this.apply([{ gone: id }])
+    })
+    return true
+  }
+
   #depart (upstream: Upstream): void {
     const at = this.#departures.get(upstream.id)?.at ?? this.#clock.now()
     this.#departures.set(upstream.id, { upstream, at })
--- a/packages/roster/test/roster.test.ts
+++ b/packages/roster/test/roster.test.ts
@@ -1,7 +1,7 @@
 /** What the platform lists, and who has gone when. */
 import test from 'ava'
 import { ManualClock } from '@eiderwind/clock'
-import { Roster, type Upstream } from '../src/index.js'
+import { Outage, Roster, type Upstream } from '../src/index.js'
 
 function engine (id: string, difference: Partial<Upstream> = {}): Upstream {
   return { id, service: 'chat', address: `${id}:1`, dataCentre: 'dc', leaving: false, domain: 'd', loaded: ['m'], staged: [], ...difference }
@@ -62,3 +62,42 @@
   roster.replace([])
   t.is(heard, 2)
 })
+
+test('who is not listed any more after a quiet time is gone at once', t => {
+  const clock = new ManualClock()
+  const outage = new Outage(clock)
+  const roster = new Roster(clock, outage)
+  roster.replace([engine('a')])
+  // Nothing was asked for long, or what was asked had nothing to tell; then one lost answer.
+  clock.advance(8000)
+  outage.answered()
+  roster.apply([{ gone: 'a' }])
+  t.is(roster.find('a'), undefined)
+  roster.apply([{ upstream: engine('a') }])
+  outage.failed(clock.now())
+  clock.advance(2600)
+  outage.answered()
+  roster.apply([{ gone: 'a' }])
+  t.is(roster.find('a'), undefined)
+})
+
+test('entries that are missing after an outage stay until the time for their return is over', t => {
+  const clock = new ManualClock()
+  const outage = new Outage(clock)
+  const roster = new Roster(clock, outage)
+  roster.replace([engine('back'), engine('dead')])
+  for (let times = 0; times < 3; times++) {
+    outage.failed(clock.now())
+    clock.advance(1500)
+  }
+  outage.answered()
+  roster.apply([{ gone: 'back' }])
+  roster.replace([])
+  t.deepEqual(roster.all.map(each => each.id), ['back', 'dead'])
+  clock.advance(1900)
+  roster.apply([{ upstream: engine('back') }])
+  clock.advance(700)
+  t.deepEqual(roster.all.map(each => each.id), ['back'])
+  roster.apply([{ gone: 'back' }])
+  t.deepEqual(roster.all, [])
+})
