Mend replicas by need and before a dead head is certain, and act on no list that may lack what lapsed

Change: loads are ordered once; `lacking` counts whole replicas, by need (work for each whole replica); a model with none whole cuts donors off instead of waiting for them; before the first request of a first start loads heed the number at once and no rate, and crossing waits until every domain is complete; doubtful engines are asked and put into nothing; an entry that starts again acts only 2.6 s after its first list.

--- a/packages/direct/src/attempt.ts
+++ b/packages/direct/src/attempt.ts
@@ -91,7 +91,6 @@
     exchange.tried.add(upstream.id)
     exchange.sends++
     exchange.running = upstream.id
-    exchange.offered = true
     context.suspects.sent(upstream.id)
     this.#flight = context.flights.begin(upstream.id, model, () => this.stalled())
     this.#cancel = context.connections.send(outgoing(exchange, upstream, context.names, lastEvent), this, fresh)
--- a/packages/direct/src/callers.ts
+++ b/packages/direct/src/callers.ts
@@ -42,6 +42,7 @@
   readonly #server: Server
   readonly #open = new Set<Exchange>()
   #refusing = false
+  #served = false
 
   constructor (options: CallersOptions) {
     this.#options = options
@@ -50,6 +51,11 @@
     options.context.board.listen('inForce', inForce => { if (inForce !== undefined) this.#limit(inForce) })
   }
 
+  /** Whether a request ever came. */
+  get served (): boolean {
+    return this.#served
+  }
+
   /** Requests that are not answered yet. */
   get open (): number {
     return this.#open.size
@@ -92,6 +98,7 @@
   async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { context } = this.#options
     const arrivedAt = context.clock.now()
+    this.#served = true
     if (context.board.read('stopping')) response.setHeader('connection', 'close')
     const inForce = context.board.read('inForce')
     const body = await readBody(request, inForce?.traffic.limits.body ?? 0)
--- a/packages/direct/src/choice.ts
+++ b/packages/direct/src/choice.ts
@@ -1,5 +1,5 @@
 import { type Clock } from '@eiderwind/clock'
-import { type Peers } from '@eiderwind/peers'
+import { type Beat, type Peers } from '@eiderwind/peers'
 import { type Roster, type Upstream } from '@eiderwind/roster'
 import { type Engine } from '@eiderwind/traffic'
 import { type Flights } from './flights.js'
@@ -43,8 +43,10 @@
   head (service: string, model: string, engine: Engine, tried: ReadonlySet<string>): Upstream | undefined {
     const { roster, suspects } = this.#options
     const heads = roster.heads(service, model).filter(({ id }) => !tried.has(id) && suspects.passes(id))
-    const best = this.#least(heads, ({ id }) => this.#load(id))
-    return best !== undefined && this.#load(best.id) < engine.slots * (1 + overhang) ? best : undefined
+    const beats = this.#options.peers.live
+    const load = ({ id }: Upstream): number => this.#load(id, beats)
+    const best = this.#least(heads, load)
+    return best !== undefined && load(best) < engine.slots * (1 + overhang) ? best : undefined
   }
 
   /** The upstream of a plain service that will answer soonest. */
@@ -63,8 +65,8 @@
   }
 
   /** Requests under way at an upstream: this entry's, and what the others told last. */
-  #load (id: string): number {
-    const others = this.#options.peers.live.reduce((sum, { loads }) => sum + (loads[id] ?? 0), 0)
+  #load (id: string, beats: readonly Beat[]): number {
+    const others = beats.reduce((sum, { loads }) => sum + (loads[id] ?? 0), 0)
     return this.#options.flights.count(id) + others
   }
 
--- a/packages/direct/src/direct.ts
+++ b/packages/direct/src/direct.ts
@@ -28,6 +28,8 @@
 export interface DirectSettings {
   readonly id: string
   readonly dataCentre: string
+  /** Whether the whole system starts for the first time, so that no caller can have been served yet. */
+  readonly first: boolean
   /** `host:port` for callers, for the balancer's question, and for other entries. */
   readonly callers: string
   readonly health: string
@@ -161,6 +163,7 @@
       acts: service => this.#acts(service),
       suspects: () => new Set([...this.#suspects.all, ...this.#peers.live.flatMap(each => each.suspects)]),
       demand: () => this.#work.demand,
+      unserved: () => settings.first && !this.#callers.served && !this.#peers.live.some(each => each.served),
       decided: (domain, note, epoch) => log.write('replica-decided', { domain, note, epoch }),
       ordered: (order, result, took) => {
         const { kind, node: upstream, replica, epoch, model } = order
@@ -217,17 +220,24 @@
   }
 
   #acts (service: string): boolean {
-    const acts = this.#mayAct && ranked(service, this.#peers.able)[0] === this.#options.settings.id
+    const acts = this.#mayAct && ranked(service, this.#able)[0] === this.#options.settings.id
     if (acts !== this.#acting.has(service)) {
-      this.#options.log.write(acts ? 'planner-acts' : 'planner-rests', { service, able: this.#peers.able.length })
+      this.#options.log.write(acts ? 'planner-acts' : 'planner-rests', { service, able: this.#able.length })
       if (acts) this.#acting.add(service)
       else this.#acting.delete(service)
     }
     return acts
   }
 
+  /** Ids of the entries that are able to act, this one included where it is. */
+  get #able (): string[] {
+    const { id } = this.#options.settings
+    return this.#mayAct ? [id, ...this.#peers.able] : this.#peers.able
+  }
+
   get #mayAct (): boolean {
     if (!this.#board.read('store') || !this.#listed || this.#board.read('stopping')) return false
+    if (!this.#options.settings.first && !this.#outage.whole) return false
     return this.#options.clock.now() - Math.max(this.#startedAt, this.#pauses.wokeAt) > settleTime
   }
 
@@ -249,7 +259,7 @@
       loads: this.#flights.counts,
       suspects: this.#suspects.all,
       models: this.#flights.models,
-      repeats: [...this.#repeats.values()].reduce((sum, each) => sum + each.used, 0)
+      served: this.#callers.served
     }
   }
 
@@ -275,7 +285,7 @@
     this.#work.sample([this.#flights.models, ...this.#peers.live.map(each => each.models)])
     const { log, platform, settings } = this.#options
     platform.hurry(this.#acting.size > 0)
-    platform.confirms(!this.#mayAct || ranked(confirmersKey, this.#peers.able).slice(0, confirmers).includes(settings.id))
+    platform.confirms(!this.#mayAct || ranked(confirmersKey, this.#able).slice(0, confirmers).includes(settings.id))
     const unconfirmed = this.#board.read('inForce') !== undefined && !this.#callers.fresh
     if (unconfirmed === this.#unconfirmed) return
     this.#unconfirmed = unconfirmed
--- a/packages/direct/src/exchange.ts
+++ b/packages/direct/src/exchange.ts
@@ -39,8 +39,6 @@
   readonly tried = new Set<string>()
   /** How many of them may have got it. */
   sends = 0
-  /** Whether an upstream may have begun to work on it. */
-  offered = false
   /** The upstream that has it now, if any. */
   running: string | undefined
   /** What became of it so far, for the log. */
@@ -69,6 +67,11 @@
     this.response.once('close', () => this.#closed())
   }
 
+  /** Whether an upstream may have begun to work on it. */
+  get offered (): boolean {
+    return this.tried.size > 0
+  }
+
   /** Whether it is answered, or nobody waits for the answer any more. */
   get over (): boolean {
     return this.#over
--- a/packages/direct/src/names.ts
+++ b/packages/direct/src/names.ts
@@ -16,8 +16,6 @@
   readonly urgency: string
   /** Stands on an answer that says that the request was not run. */
   readonly notRun: string
-  /** An upstream's signature under its answer. */
-  readonly signature: string
 }
 
 /** The last event that the reader of a stream has (HTML, server-sent events). */
--- a/packages/forming/src/demand.ts
+++ b/packages/forming/src/demand.ts
@@ -53,9 +53,17 @@
   return targets
 }
 
-function needOf ({ name, share, pace, size }: Model, count: number, demand: Demand): number {
-  const work = demand.get(name) ?? share * pace
-  return work / Math.max(count, 0.5) / size + Math.max(0, least - count)
+function needOf (model: Model, count: number, demand: Demand): number {
+  return workOf(model, demand) / Math.max(count, 0.5) / model.size + Math.max(0, least - count)
+}
+
+/** How much each model needs one more replica: its work for each whole one that it has. */
+export function needs (models: readonly Model[], whole: Counts, demand: Demand): Record<string, number> {
+  return Object.fromEntries(models.map(model => [model.name, workOf(model, demand) / Math.max(whole[model.name] ?? 0, 0.5)]))
+}
+
+function workOf ({ name, share, pace }: Model, demand: Demand): number {
+  return demand.get(name) ?? share * pace
 }
 
 function used (models: readonly Model[], counts: Counts): number {
--- a/packages/forming/src/draft.ts
+++ b/packages/forming/src/draft.ts
@@ -7,6 +7,9 @@
 /** Spares of a domain that hold a model, the largest first, before one holds another. */
 const heldEach = 1
 
+/** A model with this many whole replicas or fewer takes engines of other models, and gives none up. */
+const direCount = 1
+
 /** The step under way in one domain: the facts, and what was decided so far. */
 export class DomainDraft {
   readonly orders: Order[] = []
@@ -81,9 +84,9 @@
     this.notes.push(`${replica.name} of ${replica.model} dissolved: ${why}`)
   }
 
-  /** Models of which the domain has fewer replicas than it should, the largest first. */
+  /** Models of which the domain has fewer replicas than it should, those that need one most first. */
   get lacking (): Model[] {
-    const models = [...this.#facts.engine.models].sort((a, b) => b.size - a.size)
+    const models = [...this.#facts.engine.models].sort((a, b) => this.#need(b.name) - this.#need(a.name) || b.size - a.size)
     return models.filter(({ name }) => this.#placed(name) < (this.#placement.targets[name] ?? 0))
   }
 
@@ -96,15 +99,20 @@
     const ready = free.filter(each => holds(each, model))
     const empty = free.filter(each => isEmpty(each) && this.#loads.loading(each.id) === undefined)
     const from = ready.length >= model.size ? ready : empty
-    if (from.length < model.size || (ready.length > 0 && from === empty)) return false
+    if (from.length < model.size || (from === empty && this.#coming(model).length > 0)) return false
     const members = from.sort((a, b) => readiness(a, model) - readiness(b, model) || (a.id < b.id ? -1 : 1)).slice(0, model.size)
     this.#add(model, members)
     return true
   }
 
+  /** Whether a model has no whole replica anywhere. */
+  get unserved (): boolean {
+    return this.lacking.some(({ name }) => (this.#facts.whole[name] ?? 0) === 0)
+  }
+
   /** Whether a model has so few replicas that those of others give engines up for it, and none does already. */
   dire (model: Model): boolean {
-    return this.#facts.dire.has(model.name) && !this.#placement.replicas.some(each => each.retiring === true)
+    return (this.#facts.whole[model.name] ?? 0) <= direCount && !this.#placement.replicas.some(each => each.retiring === true)
   }
 
   /**
@@ -112,8 +120,8 @@
    * without a load. None where that cannot be.
    */
   donors (model: Model): Placed[] {
-    let lacking = model.size - this.#freeFor(model).filter(each => holds(each, model)).length
-    const givers = this.#placement.replicas.filter(each => !this.#facts.dire.has(each.model) && each.model !== model.name && this.#serving(each))
+    let lacking = model.size - this.#coming(model).length
+    const givers = this.#placement.replicas.filter(each => each.model !== model.name && this.#spares(each.model, model.name) && this.#serving(each))
     const given = (replica: Placed): number => replica.members.filter(({ id }) => holds(this.#upstreams.get(id) as Upstream, model)).length
     const chosen: Placed[] = []
     for (const giver of givers.sort((a, b) => given(b) - given(a))) {
@@ -149,7 +157,7 @@
     const used = new Set<string>()
     return this.lacking.flatMap(model => {
       const free = this.#freeFor(model)
-      const coming = free.filter(each => holds(each, model) || this.#loads.loading(each.id) === model.name).length
+      const coming = this.#coming(model).length + free.filter(each => !holds(each, model) && this.#loads.loading(each.id) === model.name).length
       const others = spares.filter(each => !holds(each, model) && !used.has(each.id) && free.includes(each))
       const chosen = others.sort((a, b) => Number(isEmpty(b)) - Number(isEmpty(a))).slice(0, Math.max(0, model.size - coming))
       for (const { id } of chosen) used.add(id)
@@ -183,8 +191,29 @@
     this.notes.push(`${replica.name} of ${model.name} formed: ${members.map(each => each.id).join(' ')}`)
   }
 
+  /** Whether a model can give a replica up for another one, which needs it more. */
+  #spares (giver: string, taker: string): boolean {
+    return (this.#facts.whole[giver] ?? 0) > direCount && this.#need(giver) < this.#need(taker)
+  }
+
+  #need (model: string): number {
+    return this.#facts.needs[model] ?? 0
+  }
+
   #placed (model: string): number {
-    return this.#placement.replicas.filter(each => each.model === model).length
+    return this.#placement.replicas.filter(each => each.model === model && !this.#doomed(each)).length
+  }
+
+  /** Whether a replica lacks a member: it is to be dissolved as soon as its head is known not to serve. */
+  #doomed ({ members }: Placed): boolean {
+    return members.some(({ id }) => this.missing(id))
+  }
+
+  /** Engines that hold a model's weights and are free for it now, or as soon as the doomed replica that they are in is dissolved. */
+  #coming (model: Model): Upstream[] {
+    const doomed = this.#placement.replicas.filter(each => this.#doomed(each)).flatMap(each => each.members)
+    const survivors = doomed.filter(({ id }) => !this.missing(id)).map(({ id }) => this.#upstreams.get(id) as Upstream)
+    return [...this.#freeFor(model), ...survivors].filter(each => holds(each, model))
   }
 
   #serving (replica: Placed): boolean {
@@ -199,7 +228,7 @@
 
   get #free (): Upstream[] {
     const used = new Set(this.#placement.replicas.flatMap(each => each.members.map(member => member.id)))
-    return this.#facts.upstreams.filter(each => !used.has(each.id) && !this.missing(each.id) && this.movable(each))
+    return this.#facts.upstreams.filter(each => !used.has(each.id) && !this.#facts.doubtful.has(each.id) && !this.missing(each.id) && this.movable(each))
   }
 }
 
--- a/packages/forming/src/facts.ts
+++ b/packages/forming/src/facts.ts
@@ -1,9 +1,10 @@
 import { type Engine } from '@eiderwind/traffic'
 import { type Upstream } from '@eiderwind/roster'
+import { type Counts } from './demand.js'
 import { type Placement } from './placement.js'
 
 /** What an engine can be told. */
-export type OrderKind = 'join' | 'open' | 'close' | 'leave' | 'stage'
+export type OrderKind = 'join' | 'open' | 'close' | 'stage'
 
 /** An order to one engine. */
 export interface Order {
@@ -30,20 +31,26 @@
 
 /** What is known of one fabric domain at one moment. */
 export interface DomainFacts {
-  /** On `Clock.now`. */
-  readonly now: number
   readonly engine: Engine
   readonly placement: Placement
   /** The listed engines of the domain. */
   readonly upstreams: readonly Upstream[]
   /** Ids of engines that do not answer calls, listed or not. */
   readonly silent: ReadonlySet<string>
+  /** Ids of engines that may be gone: they stay where they are and are put into no other replica. */
+  readonly doubtful: ReadonlySet<string>
   /** Ids of former heads that certainly serve no more. */
   readonly ended: ReadonlySet<string>
   /** How many replicas of each model the domain should have now. */
-  readonly targets: Readonly<Record<string, number>>
-  /** Models of which the fleet has so few replicas that others give engines up for them. */
-  readonly dire: ReadonlySet<string>
+  readonly targets: Counts
+  /** How many replicas of each model the fleet has that lack no member. */
+  readonly whole: Counts
+  /** How much each model needs one more replica: the work for each whole one that it has, on any one scale. */
+  readonly needs: Readonly<Record<string, number>>
+  /** Whether no caller was ever served, so that loads disturb nobody and have no rate. */
+  readonly unserved: boolean
+  /** Whether every domain has what it should have, open. */
+  readonly complete: boolean
 }
 
 /** What to do next in a domain: first write the placement, where it changed, then give the orders. */
--- a/packages/forming/src/former.ts
+++ b/packages/forming/src/former.ts
@@ -35,11 +35,15 @@
     return { placement, orders: orders.filter(order => this.#allowed(facts, order)), notes: draft.notes }
   }
 
-  #allowed ({ engine }: DomainFacts, order: Order): boolean {
+  #allowed ({ engine, unserved, complete }: DomainFacts, order: Order): boolean {
     if (!this.#ledger.due(order)) return false
     if (!order.loads) return true
-    const model = engine.models.find(each => each.name === order.model)
-    return this.#loads.take(engine, order.node, order.model ?? '', model?.load ?? 0, order.spare === true ? Math.ceil(engine.loadsAtOnce / 2) : 0)
+    if (this.#loads.loading(order.node) === order.model && this.#ledger.taken(order)) return false
+    if (order.spare === true && unserved && !complete) return false
+    const model = order.model ?? ''
+    const time = engine.models.find(each => each.name === model)?.load ?? 0
+    const room = order.spare === true && !unserved ? Math.ceil(engine.loadsAtOnce / 2) : 0
+    return this.#loads.take({ engine, node: order.node, model, time, room, unrated: unserved })
   }
 
   #keep (draft: DomainDraft, replica: Placed): void {
@@ -76,9 +80,9 @@
     else draft.order(closing(replica, 'cut'))
   }
 
-  /** Empties a replica whose engines are wanted elsewhere. */
+  /** Empties a replica whose engines are wanted elsewhere; its streams go on elsewhere at once where a model is not served at all. */
   #retire (draft: DomainDraft, replica: Placed, head: Upstream | undefined): void {
-    if (head?.membership?.state === 'open') return draft.order(closing(replica, 'finish'))
+    if (head?.membership?.state === 'open') return draft.order(closing(replica, draft.unserved ? 'cut' : 'finish'))
     if (head?.membership?.state === 'closing') return
     if (this.#ledger.mayOpen(replica.members[0].id, replica.name)) draft.order(closing(replica, 'finish'))
     else draft.remove(replica, 'retired')
--- a/packages/forming/src/forming.ts
+++ b/packages/forming/src/forming.ts
@@ -2,7 +2,7 @@
 import { type Clock, type Subscription } from '@eiderwind/clock'
 import { type Roster, type Upstream } from '@eiderwind/roster'
 import { type Engine, type Service } from '@eiderwind/traffic'
-import { retarget, type Counts, type Demand } from './demand.js'
+import { needs, retarget, type Counts, type Demand } from './demand.js'
 import { type DomainFacts, type Order, type Step } from './facts.js'
 import { Former } from './former.js'
 import { Ledger, type OrderResult } from './ledger.js'
@@ -41,6 +41,8 @@
   /** Heads whose streams stand still, as any entry sees it. */
   readonly suspects: () => ReadonlySet<string>
   readonly demand: (service: string) => Demand
+  /** Whether no caller was ever served anywhere. */
+  readonly unserved: () => boolean
   /** Time between two changes of an upstream's pulse. */
   readonly pulseTime: number
   /** When this process last woke from standing still itself, on `Clock.now`. */
@@ -66,6 +68,9 @@
 const pulses = 1.4
 const pulseInterval = 350
 
+/** What is so of all domains together. */
+type Fleet = Pick<DomainFacts, 'whole' | 'needs' | 'complete' | 'unserved'>
+
 interface Domain {
   readonly key: string
   readonly service: Service
@@ -130,7 +135,7 @@
   async look (): Promise<void> {
     const { roster, services, acts } = this.#options
     if (!roster.known) return
-    this.#ledger.sweep()
+    this.#sweep()
     this.#loads.settle(roster.all)
     for (const service of services()) {
       if (service.engine === undefined) continue
@@ -139,6 +144,18 @@
     }
   }
 
+  /** Forgets what was judged of engines that are long gone and placed nowhere. */
+  #sweep (): void {
+    const { roster } = this.#options
+    this.#ledger.sweep()
+    const placed = new Set([...this.#domains.values()].flatMap(({ placement }) => placement.replicas.flatMap(each => each.members.map(({ id }) => id))))
+    for (const judged of [this.#silent, this.#ended, this.#unanswered, this.#pulses, this.#askedAt]) {
+      for (const id of judged.keys()) {
+        if (!placed.has(id) && roster.find(id) === undefined && roster.departure(id) === undefined) judged.delete(id)
+      }
+    }
+  }
+
   /** Forgets what another process may change from now on. */
   #drop (service: string): void {
     for (const [key, domain] of this.#domains) if (domain.service.name === service) this.#domains.delete(key)
@@ -148,32 +165,46 @@
     const domains = await this.#read(service)
     if (domains === undefined) return
     const sizes = domains.map(({ key, placement, upstreams }) => ({ key, nodes: upstreams.filter(each => this.#stays(each)).length, targets: placement.targets }))
-    const targets = retarget(engine.models, sizes, this.#options.demand(service.name))
-    const dire = this.#dire(engine, domains)
+    const demand = this.#options.demand(service.name)
+    const targets = retarget(engine.models, sizes, demand)
+    const whole = this.#whole(domains)
+    const fleet = { whole, needs: needs(engine.models, whole, demand), complete: this.#complete(domains), unserved: this.#options.unserved() }
     for (const domain of domains) {
       this.#suspect(domain)
       this.#bury(domain)
-      const step = this.#former.step(this.#facts(domain, engine, targets.get(domain.key) as Counts, dire))
+      const step = this.#former.step(this.#facts(domain, engine, targets.get(domain.key) as Counts, fleet))
       if (step.placement !== domain.placement && !await this.#write(domain, step)) continue
       for (const order of step.orders) this.#give(order)
     }
   }
 
-  #facts ({ placement, upstreams }: Domain, engine: Engine, targets: Counts, dire: ReadonlySet<string>): DomainFacts {
-    return { now: this.#options.clock.now(), engine, placement, upstreams, silent: this.#silent, ended: this.#ended, targets, dire }
+  #facts ({ placement, upstreams }: Domain, engine: Engine, targets: Counts, fleet: Fleet): DomainFacts {
+    return { engine, placement, upstreams, silent: this.#silent, doubtful: this.#options.roster.lapsed, ended: this.#ended, targets, ...fleet }
   }
 
   #stays ({ id, leaving }: Upstream): boolean {
     return !leaving && !this.#silent.has(id)
   }
 
-  /** Models with one replica or none that has all its members. */
-  #dire (engine: Engine, domains: readonly Domain[]): Set<string> {
-    const whole = domains.flatMap(({ placement, upstreams }) => {
+  /** Replicas by model that have all their members. */
+  #whole (domains: readonly Domain[]): Counts {
+    const counts: Record<string, number> = {}
+    for (const { placement, upstreams } of domains) {
       const there = new Set(upstreams.filter(each => this.#stays(each)).map(each => each.id))
-      return placement.replicas.filter(({ members }) => members.every(({ id }) => there.has(id))).map(each => each.model)
+      for (const { model, members } of placement.replicas) {
+        if (members.every(({ id }) => there.has(id))) counts[model] = (counts[model] ?? 0) + 1
+      }
+    }
+    return counts
+  }
+
+  /** Whether every domain has the replicas that it should have, open. */
+  #complete (domains: readonly Domain[]): boolean {
+    return domains.every(({ placement: { targets, replicas }, upstreams }) => {
+      const open = new Set(upstreams.filter(each => each.membership?.state === 'open').map(each => each.membership?.replica))
+      const wanted = Object.values(targets).reduce((sum, each) => sum + each, 0)
+      return wanted > 0 && replicas.filter(each => open.has(each.name)).length >= wanted
     })
-    return new Set(engine.models.map(each => each.name).filter(name => whole.filter(each => each === name).length <= 1))
   }
 
   /** The domains of a service, each with the placement in force. Undefined while the store does not tell. */
@@ -266,7 +297,7 @@
       const doubtful = suspects.has(replica.members[0].id) || replica.members.some(({ id }) => this.#silent.has(id))
       if (doubtful) for (const each of replica.members) this.#ask(each)
     }
-    for (const id of this.#silent) {
+    for (const id of [...this.#silent, ...this.#options.roster.lapsed]) {
       const address = this.#options.roster.find(id)?.address
       if (address === undefined) this.#silent.delete(id)
       else this.#ask({ id, address })
--- a/packages/forming/src/ledger.ts
+++ b/packages/forming/src/ledger.ts
@@ -54,6 +54,11 @@
     else if (order.kind === 'open' || order.kind === 'close') this.#opens.delete(place(order))
   }
 
+  /** Whether an engine has taken an order. */
+  taken (order: Order): boolean {
+    return this.#entries.get(key(order))?.result === 'taken'
+  }
+
   /** Whether an engine refused to join since it has seen a higher epoch. */
   stale (node: string, replica: string): boolean {
     return this.#entries.get(`${node} join ${replica}`)?.result === 'stale'
--- a/packages/forming/src/loadrate.ts
+++ b/packages/forming/src/loadrate.ts
@@ -8,6 +8,19 @@
 /** A load that is not seen to end is no longer counted after this many times its own time. */
 const patience = 3
 
+/** A load that is asked for. */
+export interface LoadRequest {
+  readonly engine: Engine
+  readonly node: string
+  readonly model: string
+  /** How long it takes alone, in ms. */
+  readonly time: number
+  /** Loads that must be able to begin beside it. Default: none. */
+  readonly room?: number
+  /** Whether the rate does not count now. Default: it does. */
+  readonly unrated?: boolean
+}
+
 interface Load {
   readonly model: string
   readonly until: number
@@ -28,17 +41,14 @@
     this.#at = clock.now()
   }
 
-  /**
-   * Takes leave for one load at an engine, if there is any. `time` is how long it takes alone, in ms.
-   * @param room loads that must be able to begin beside it
-   */
-  take (engine: Engine, node: string, model: string, time: number, room = 0): boolean {
+  /** Takes leave for one load at an engine, if there is any. */
+  take ({ engine, node, model, time, room = 0, unrated = false }: LoadRequest): boolean {
     const now = this.#clock.now()
-    this.#tokens = Math.min(burst, this.#tokens + (now - this.#at) / 1000 * engine.loadRate)
+    this.#tokens = unrated ? 0 : Math.min(burst, this.#tokens + (now - this.#at) / 1000 * engine.loadRate)
     this.#at = now
     const running = this.#running.size - Number(this.#running.has(node))
-    if (this.#tokens < 1 || running >= engine.loadsAtOnce - room) return false
-    this.#tokens--
+    if ((this.#tokens < 1 && !unrated) || running >= engine.loadsAtOnce - room) return false
+    if (!unrated) this.#tokens--
     this.#running.set(node, { model, until: now + patience * time })
     return true
   }
--- a/packages/forming/test/forming.test.ts
+++ b/packages/forming/test/forming.test.ts
@@ -43,6 +43,15 @@
   forming.stop()
 })
 
+test('an engine that has taken an order to load is not told again while it loads', async t => {
+  const made = world(3)
+  const forming = await formed(made)
+  const stages = made.given.filter(each => each.kind === 'stage').map(each => `${each.node} ${each.model ?? ''}`)
+  t.true(stages.length >= 6)
+  t.deepEqual(stages.filter((each, index) => stages.indexOf(each) < index), [])
+  forming.stop()
+})
+
 test('a member that dies is replaced by a spare that holds the weights, and the others are kept', async t => {
   const made = world(3)
   const suspects = new Set<string>()
@@ -77,6 +86,59 @@
   }
 })
 
+test('a model that is hardly served gets engines of others before the dead head of its replica is certain', async t => {
+  const made = world(3)
+  const suspects = new Set<string>()
+  const forming = await formed(made, new MemoryPlacements(), suspects)
+  const domainOf = (id: string): string | undefined => made.upstream(id).domain
+  const smallIn = (domain: string | undefined): string[] => made.open.filter(each => each.model === 'small' && domainOf(each.head) === domain).map(each => each.head)
+  const large = made.open.filter(each => each.model === 'large')
+  const doomed = large.find(each => smallIn(domainOf(each.head)).length > 0) as World['open'][number]
+  const lost = large.find(each => domainOf(each.head) !== domainOf(doomed.head)) as World['open'][number]
+  const domain = domainOf(doomed.head)
+  const small = smallIn(domain)
+  const spare = made.roster.all.find(each => each.domain === domain && each.membership === undefined && each.staged.includes('large'))
+  for (const id of [...lost.members, spare?.id as string]) made.kill(id)
+  suspects.add(lost.head)
+  await pass(made, 5000)
+  made.kill(doomed.head)
+  suspects.add(doomed.head)
+  const before = made.given.length
+  await pass(made, 1000)
+  t.true(made.given.slice(before).some(each => each.kind === 'close' && small.includes(each.node)))
+  await pass(made, 4000)
+  t.true(made.open.filter(each => each.model === 'large').length >= 2)
+  sound(t, made)
+  forming.stop()
+})
+
+test('an engine whose entry is missing since an outage is put into no replica', async t => {
+  const made = world(3)
+  const suspects = new Set<string>()
+  const forming = await formed(made, new MemoryPlacements(), suspects)
+  const victim = made.open.find(each => each.model === 'small') as World['open'][number]
+  const wanted = count(made, 'small')
+  const { domain } = made.upstream(victim.head)
+  const spare = made.roster.all.find(each => each.domain === domain && each.membership === undefined && each.staged.includes('small'))?.id as string
+  for (let times = 0; times < 3; times++) {
+    made.outage.failed(made.clock.now())
+    await pass(made, 1400)
+  }
+  made.outage.answered()
+  made.roster.apply([{ gone: spare }])
+  made.kill(victim.members[1])
+  suspects.add(victim.head)
+  const before = made.given.length
+  await pass(made, 700)
+  t.is(count(made, 'small'), wanted - 1)
+  t.false(made.given.slice(before).some(each => each.node === spare))
+  made.roster.apply([{ upstream: made.upstream(spare) }])
+  await pass(made, 1500)
+  t.true(made.open.some(each => each.members.includes(spare)))
+  sound(t, made)
+  forming.stop()
+})
+
 test('the members of a dead head are free only once its pulse has stopped and it leaves orders unanswered', async t => {
   const made = world(3)
   const suspects = new Set<string>()
@@ -238,3 +300,22 @@
     forming.stop()
   })
 }
+
+test('before any caller is served loads heed the number at once and no rate, and engines of the small model hold the large one when callers come', async t => {
+  const made = world(3)
+  let served = false
+  const forming = planner(made, new MemoryPlacements(), { unserved: () => !served })
+  forming.start()
+  await pass(made, 16_000)
+  served = true
+  const members = new Set(made.open.flatMap(each => each.members))
+  t.is(count(made, 'large'), 3)
+  t.is(count(made, 'small'), 6)
+  const small = made.roster.all.filter(each => members.has(each.id) && each.loaded[0] === 'small')
+  t.true(small.every(each => each.staged.includes('large')))
+  const begun = made.loadsAt.length
+  for (const at of made.loadsAt) t.true(made.loadsAt.filter(each => each > at - 1200 && each <= at).length <= 6)
+  await pass(made, 3000)
+  t.is(made.loadsAt.length, begun)
+  forming.stop()
+})
--- a/packages/forming/test/world.ts
+++ b/packages/forming/test/world.ts
@@ -1,5 +1,5 @@
 import { ManualClock } from '@eiderwind/clock'
-import { Roster, type Membership, type Upstream } from '@eiderwind/roster'
+import { Outage, Roster, type Membership, type Upstream } from '@eiderwind/roster'
 import { type Engine, type Service } from '@eiderwind/traffic'
 import { Err, Ok, type Result } from 'ts-results-es'
 import { Forming, Orders, Placements, emptyPlacement, type Order, type OrderResult, type Placement, type WriteFailure } from '../src/index.js'
@@ -41,6 +41,7 @@
 /** Engines that take orders as the platform's do, on a manual clock, and note each broken rule. */
 export class World extends Orders {
   readonly clock: ManualClock
+  readonly outage: Outage
   readonly roster: Roster
   readonly broken: Broken[] = []
   readonly given: Order[] = []
@@ -59,7 +60,8 @@
   constructor (clock: ManualClock) {
     super()
     this.clock = clock
-    this.roster = new Roster(clock)
+    this.outage = new Outage(clock)
+    this.roster = new Roster(clock, this.outage)
   }
 
   /** Adds an engine that holds nothing. */
@@ -129,7 +131,6 @@
       case 'join': return this.#join(node, order)
       case 'open': return this.#open(node, order)
       case 'close': return this.#close(node, order)
-      case 'leave': return this.#fits(node, order) ? this.#gone(node) : 'refused'
       case 'stage': return this.#stage(node, order)
     }
   }
@@ -177,11 +178,6 @@
     return 'taken'
   }
 
-  #gone (node: Node): OrderResult {
-    this.#change(node, { membership: undefined })
-    return 'taken'
-  }
-
   #stage (node: Node, order: Order): OrderResult {
     const model = order.model as string
     if (node.upstream.staged.includes(model)) return 'taken'
@@ -249,7 +245,7 @@
 }
 
 /** A planner over a world. */
-export function planner (world: World, placements: Placements, options: { suspects?: Set<string>, acts?: () => boolean, wokeAt?: () => number } = {}): Forming {
+export function planner (world: World, placements: Placements, options: { suspects?: Set<string>, acts?: () => boolean, wokeAt?: () => number, unserved?: () => boolean } = {}): Forming {
   return new Forming({
     clock: world.clock,
     roster: world.roster,
@@ -259,6 +255,7 @@
     acts: options.acts ?? (() => true),
     suspects: () => options.suspects ?? new Set(),
     demand: () => new Map(),
+    unserved: options.unserved ?? (() => false),
     pulseTime: 1200,
     wokeAt: options.wokeAt ?? (() => -Infinity),
     decided: () => {},
--- a/packages/peers/src/beat.ts
+++ b/packages/peers/src/beat.ts
@@ -13,7 +13,7 @@
   suspects: z.array(z.string()),
   /** Its requests in flight or waiting, by model. */
   models: z.record(z.string(), z.int()),
-  /** Its repeated sends in the running budget window. */
-  repeats: z.int()
+  /** Whether it has ever had a request of a caller. */
+  served: z.boolean()
 })
 export type Beat = z.infer<typeof Beat>
--- a/packages/peers/src/peers.ts
+++ b/packages/peers/src/peers.ts
@@ -1,6 +1,7 @@
 import { createSocket, type Socket } from 'node:dgram'
 import { type Clock, type Subscription } from '@eiderwind/clock'
 import { ranked } from '@eiderwind/hash'
+import { splitAddress } from '@eiderwind/wire'
 import { Beat } from './beat.js'
 
 /** Another entry: its id and the address of its datagrams. */
@@ -55,10 +56,9 @@
     return this.#addresses
   }
 
-  /** Ids of the entries that are there and able to act, this one included where it is. */
+  /** Ids of the other entries that are there and able to act. */
   get able (): string[] {
-    const own = this.#options.beat()
-    return [own, ...this.live].filter(each => each.able).map(each => each.id)
+    return this.live.filter(each => each.able).map(each => each.id)
   }
 
   /** Takes the list of all entries. */
@@ -71,7 +71,7 @@
   async start (): Promise<void> {
     const { clock, address, interval } = this.#options
     const socket = createSocket('udp4')
-    const { host, port } = split(address)
+    const { host, port } = splitAddress(address)
     await new Promise<void>((resolve, reject) => {
       socket.once('error', reject)
       socket.bind(port, host, resolve)
@@ -86,7 +86,7 @@
   tell (): void {
     const message = JSON.stringify(this.#options.beat())
     for (const { address } of this.#told) {
-      const { host, port } = split(address)
+      const { host, port } = splitAddress(address)
       this.#socket?.send(message, port, host, () => {})
     }
   }
@@ -110,8 +110,3 @@
     return undefined
   }
 }
-
-function split (address: string): { host: string, port: number } {
-  const colon = address.lastIndexOf(':')
-  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) }
-}
--- a/packages/roster/src/outage.ts
+++ b/packages/roster/src/outage.ts
@@ -19,6 +19,7 @@
   #since: number | undefined
   #failures = 0
   #backAt = -Infinity
+  #firstAt = Infinity
 
   constructor (clock: Clock) {
     this.#clock = clock
@@ -30,9 +31,18 @@
     return this.#backAt + returnTime
   }
 
+  /**
+   * Whether the list can be taken for whole: a process that began to read it just after an outage, which it cannot know
+   * of, lacks what is not back yet.
+   */
+  get whole (): boolean {
+    return this.#clock.now() - this.#firstAt >= returnTime
+  }
+
   /** Notes that a call was answered. */
   answered (): void {
     const now = this.#clock.now()
+    this.#firstAt = Math.min(this.#firstAt, now)
     if (this.#since !== undefined && this.#failures >= leastFailures && now - this.#since > awayTime) this.#backAt = now
     this.#answeredAt = now
     this.#since = undefined
--- a/packages/roster/src/roster.ts
+++ b/packages/roster/src/roster.ts
@@ -46,6 +46,11 @@
     return [...this.#upstreams.values()]
   }
 
+  /** Ids of upstreams whose entries are missing since an outage: they may come back or be gone. */
+  get lapsed (): ReadonlySet<string> {
+    return this.#lapsed
+  }
+
   find (id: string): Upstream | undefined {
     return this.#upstreams.get(id)
   }
--- a/packages/roster/test/roster.test.ts
+++ b/packages/roster/test/roster.test.ts
@@ -101,3 +101,15 @@
   roster.apply([{ gone: 'back' }])
   t.deepEqual(roster.all, [])
 })
+
+test('a list that was first read a moment ago is not taken for whole', t => {
+  const clock = new ManualClock()
+  const outage = new Outage(clock)
+  clock.advance(5000)
+  t.false(outage.whole)
+  outage.answered()
+  clock.advance(2500)
+  t.false(outage.whole)
+  clock.advance(200)
+  t.true(outage.whole)
+})
--- a/packages/settings/src/shapes.ts
+++ b/packages/settings/src/shapes.ts
@@ -91,7 +91,10 @@
 
 /** An entry before upstreams that it calls directly. */
 export const DirectSettings = z.strictObject({
-  process: Process,
+  process: Process.extend({
+    /** Whether the whole system starts for the first time. */
+    first: z.union([z.literal('').transform(() => false), Flag]).default(false)
+  }),
   listen: z.strictObject({
     /** Address for callers, and the one at which the balancer asks whether this entry takes them. */
     callers: Address,
