Send a replica a tenth more than its slots, not half more

Ruled out: fewer served (the engine works through the same number a second). Change: the overhang is 0.1 of the slots. What finds no room waits at the entry as before, then is refused at once with a time. Test: direct, `a replica is sent as many requests as it has slots …`, red with 0.5.

--- a/packages/direct/src/choice.ts
+++ b/packages/direct/src/choice.ts
@@ -17,7 +17,7 @@
 }
 
 /** Requests that a replica is sent beyond its slots, in parts of these: they wait there rather than be refused. */
-const overhang = 0.5
+const overhang = 0.1
 
 /** Weight of the newest observation in what is known of a plain upstream. */
 const weight = 0.2
--- a/packages/direct/src/index.ts
+++ b/packages/direct/src/index.ts
@@ -2,6 +2,7 @@
 export { Direct, type DirectOptions, type DirectSettings } from './direct.js'
 export { Platform, type Follower } from './platform.js'
 export { type HeaderNames } from './names.js'
+export { Choice, type ChoiceOptions } from './choice.js'
 export { EventSplitter, type StreamEvent } from './events.js'
 export { Repeats, type RepeatOptions } from './repeats.js'
 export { Waiting } from './waiting.js'
--- a/packages/direct/test/parts.test.ts
+++ b/packages/direct/test/parts.test.ts
@@ -3,7 +3,8 @@
 import { ManualClock } from '@eiderwind/clock'
 import { Roster, type Upstream } from '@eiderwind/roster'
 import { Log } from '@eiderwind/log'
-import { EventSplitter, Flights, Pauses, Repeats, Stalls, Suspects, Waiting } from '../src/index.js'
+import { Peers } from '@eiderwind/peers'
+import { Choice, EventSplitter, Flights, Pauses, Repeats, Stalls, Suspects, Waiting } from '../src/index.js'
 
 test('a stream is cut into whole events, whatever pieces it comes in', t => {
   const text = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: comment\n\nid: 31\ndata: c\n\n'
@@ -101,6 +102,24 @@
   t.deepEqual(flights.quiet(() => 400), [])
 })
 
+test('a replica is sent as many requests as it has slots, and a tenth more that wait there', t => {
+  const clock = new ManualClock()
+  const roster = new Roster(clock)
+  roster.replace([{
+    id: 'a', service: 's', address: 'a:1', dataCentre: 'dc', leaving: false, loaded: ['m'], staged: [], membership: { replica: 'r', epoch: 1, rank: 0, state: 'open' }
+  }])
+  const flights = new Flights(clock, () => {})
+  const beat = { id: 'e', revision: 0, able: false, loads: {}, suspects: [], models: {}, served: false }
+  const peers = new Peers({ clock, id: 'e', address: '127.0.0.1:1', beat: () => beat, interval: 250, patience: 1000 })
+  const choice = new Choice({ clock, roster, flights, peers, suspects: new Suspects(clock, roster), dataCentre: 'dc' })
+  const engine = { slots: 20, models: [], step: 8, stepPerRequest: 0.1, readRate: 45_000, prompt: 900, answer: 130, loadRate: 3, loadsAtOnce: 6, formTime: 300 }
+  for (let count = 0; count < 22; count++) {
+    t.is(choice.head('s', 'm', engine, new Set())?.id, 'a', String(count))
+    flights.begin('a', 'm')
+  }
+  t.is(choice.head('s', 'm', engine, new Set()), undefined)
+})
+
 test('a suspected head is tried with one request now and then, and trusted again once it is heard or forms another replica', t => {
   const clock = new ManualClock()
   const roster = new Roster(clock)
