Mend the quote of a breakage and add four

Cause: the quote of loads-at-will fitted no more; repeats-at-will made its test loop for ever, so no test was counted as red. Ruled out: a test that does not see it (with a milder breakage it is red). Change: the quotes; four new breakages (quiet-is-outage, doubtful-used, act-on-half-a-list, load-again).

--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -430,7 +430,7 @@
     point: 2,
     rule: 'loads stay under the rate of the weight store (CEILING)',
     file: 'packages/forming/dist/src/loadrate.js',
-    find: 'this.#tokens < 1 || running >= engine.loadsAtOnce - room',
+    find: '(this.#tokens < 1 && !unrated) || running >= engine.loadsAtOnce - room',
     replace: 'false',
     test: 'packages/forming/dist/test/forming.test.js',
     title: 'engines that hold nothing become*'
@@ -481,7 +481,7 @@
     rule: 'repeats stay within ratio and slack (BUDGET)',
     file: 'packages/direct/dist/src/repeats.js',
     find: 'if (this.left < 1)',
-    replace: 'if (false)',
+    replace: 'if (this.left < -20)',
     test: 'packages/direct/dist/test/parts.test.js',
     title: 'repeats are a share*'
   },
@@ -494,5 +494,45 @@
     replace: 'false',
     test: 'platform/dist/test/path.test.js',
     title: 'a stream that may not be resumed*'
+  },
+  {
+    name: 'quiet-is-outage',
+    point: 6,
+    rule: 'who is not listed after a quiet time is gone at once (DRAIN)',
+    file: 'packages/roster/dist/src/outage.js',
+    find: 'this.#since !== undefined && this.#failures >= leastFailures && ',
+    replace: '',
+    test: 'packages/roster/dist/test/roster.test.js',
+    title: 'who is not listed any more*'
+  },
+  {
+    name: 'doubtful-used',
+    point: 2,
+    rule: 'an engine that may be gone is put into no replica',
+    file: 'packages/forming/dist/src/draft.js',
+    find: '!this.#facts.doubtful.has(each.id) && ',
+    replace: '',
+    test: 'packages/forming/dist/test/forming.test.js',
+    title: 'an engine whose entry is missing*'
+  },
+  {
+    name: 'act-on-half-a-list',
+    point: 2,
+    rule: 'an entry that starts again acts only on a list that is surely whole',
+    file: 'packages/direct/dist/src/direct.js',
+    find: '!this.#options.settings.first && !this.#outage.whole',
+    replace: 'false',
+    test: 'platform/dist/test/path.test.js',
+    title: 'an entry that starts again acts*'
+  },
+  {
+    name: 'load-again',
+    point: 2,
+    rule: 'an engine that loads is not told to load again (CEILING)',
+    file: 'packages/forming/dist/src/former.js',
+    find: 'this.#loads.loading(order.node) === order.model && this.#ledger.taken(order)',
+    replace: 'false',
+    test: 'packages/forming/dist/test/forming.test.js',
+    title: 'an engine that has taken an order to load*'
   }
 )
