Feel a head's pulse from the first suspicion on

Change: the pulse is felt while a head is suspected, each 0.25 s. What proves its end stays the same: silence, orders unanswered, and a pulse that stands still. Test: forming, `the pulse of a head is felt from the first suspicion on, and a suspicion alone ends nothing`.

--- a/packages/forming/src/forming.ts
+++ b/packages/forming/src/forming.ts
@@ -66,7 +66,7 @@
 
 /** A pulse that stands still for this many of its times has stopped, and how often it is looked at, in ms. */
 const pulses = 1.4
-const pulseInterval = 350
+const pulseInterval = 250
 
 /** What is so of all domains together. */
 type Fleet = Pick<DomainFacts, 'whole' | 'needs' | 'complete' | 'unserved'>
@@ -264,11 +264,12 @@
     if (result !== 'unanswered' && this.#options.roster.find(node) === undefined) this.#ended.add(node)
   }
 
-  /** Heads that answer nobody and of which the platform hears nothing have ended. */
+  /** Heads that answer nobody and of which the platform hears nothing have ended. Their pulse is felt from the first suspicion on. */
   #bury ({ placement }: Domain): void {
+    const suspects = this.#options.suspects()
     for (const { members: [{ id }] } of placement.replicas) {
       const unanswered = this.#unanswered.get(id) ?? 0
-      if (unanswered === 0 && !this.#silent.has(id)) this.#pulses.delete(id)
+      if (unanswered === 0 && !this.#silent.has(id) && !suspects.has(id)) this.#pulses.delete(id)
       else if (this.#options.roster.find(id) !== undefined) this.#feel(id)
       else if (unanswered >= mostUnanswered || (unanswered > 0 && this.#silent.has(id))) this.#ended.add(id)
     }
--- a/packages/forming/test/forming.test.ts
+++ b/packages/forming/test/forming.test.ts
@@ -112,6 +112,21 @@
   forming.stop()
 })
 
+test('the pulse of a head is felt from the first suspicion on, and a suspicion alone ends nothing', async t => {
+  const made = world(3)
+  const suspects = new Set<string>()
+  const forming = await formed(made, new MemoryPlacements(), suspects)
+  const [{ head }] = made.open
+  t.false(made.felt.has(head))
+  suspects.add(head)
+  await pass(made, 100)
+  t.true(made.felt.has(head))
+  const before = made.given.length
+  await pass(made, 4000)
+  t.deepEqual(made.given.slice(before), [])
+  forming.stop()
+})
+
 test('an engine whose entry is missing since an outage is put into no replica', async t => {
   const made = world(3)
   const suspects = new Set<string>()
--- a/packages/forming/test/world.ts
+++ b/packages/forming/test/world.ts
@@ -48,6 +48,8 @@
   readonly loadsAt: number[] = []
   /** Time until the platform lists a change of an engine, in ms. */
   lag = 0
+  /** Engines whose pulse was looked at. */
+  readonly felt = new Set<string>()
   /** Engines that take orders but answer no question. */
   readonly mute = new Set<string>()
   /** Orders that are left unanswered and carried out late, by their place in the order in which they are given. */
@@ -121,6 +123,7 @@
   }
 
   async pulse (id: string): Promise<number | undefined> {
+    this.felt.add(id)
     const node = this.#nodes.get(id)
     if (node === undefined || this.roster.find(id) === undefined) return undefined
     return node.alive ? ++node.pulse : node.pulse
