Load the engines that come first, and compose replicas once all are there

Ruled out: load slots (all 54 engines had loaded 3.5 s before traffic). Change: while nothing was ever decided, nobody served and engines still come (none for 0.6 s ends it), each engine loads the first model of which its domain lacks a replica and a spare, and nothing is formed; then all is composed at once from engines that hold it.

--- a/packages/forming/src/draft.ts
+++ b/packages/forming/src/draft.ts
@@ -24,7 +24,7 @@
     this.#loads = loads
     this.#upstreams = new Map(facts.upstreams.map(each => [each.id, each]))
     this.#placement = facts.placement
-    if (!sameCounts(facts.placement.targets, facts.targets)) {
+    if (!facts.arriving && !sameCounts(facts.placement.targets, facts.targets)) {
       this.#placement = { ...facts.placement, targets: facts.targets }
       this.notes.push(`targets ${JSON.stringify(facts.targets)}`)
     }
@@ -165,13 +165,25 @@
     })
   }
 
+  /** What the engines that have come so far load: a replica and a spare of each model, the largest first, then the smallest. */
+  get first (): Array<{ upstream: Upstream, model: Model }> {
+    const empty = this.#free.filter(each => isEmpty(each) && this.#loads.loading(each.id) === undefined)
+    const models = [...this.#facts.engine.models].sort((a, b) => b.size - a.size)
+    return this.#shared(empty, models, model => model.size + heldEach, models[models.length - 1])
+  }
+
   #protect (empty: readonly Upstream[]): Array<{ upstream: Upstream, model: Model, spare: boolean }> {
     const models = [...this.#facts.engine.models].sort((a, b) => b.size - a.size)
+    return this.#shared(empty, models, () => heldEach, models[0]).map(each => ({ ...each, spare: false }))
+  }
+
+  /** Gives each engine the first model of which fewer free ones than `wanted` hold or load it, and then `last`. */
+  #shared (engines: readonly Upstream[], models: readonly Model[], wanted: (model: Model) => number, last: Model): Array<{ upstream: Upstream, model: Model }> {
     const held = new Map(models.map(model => [model, this.#free.filter(each => holds(each, model) || this.#loads.loading(each.id) === model.name).length]))
-    return empty.map(upstream => {
-      const model = models.find(each => held.get(each) as number < heldEach) ?? models[0]
+    return engines.map(upstream => {
+      const model = models.find(each => held.get(each) as number < wanted(each)) ?? last
       held.set(model, held.get(model) as number + 1)
-      return { upstream, model, spare: false }
+      return { upstream, model }
     })
   }
 
--- a/packages/forming/src/facts.ts
+++ b/packages/forming/src/facts.ts
@@ -49,6 +49,8 @@
   readonly needs: Readonly<Record<string, number>>
   /** Whether no caller was ever served, so that loads disturb nobody and have no rate. */
   readonly unserved: boolean
+  /** Whether engines still come to a system that starts, so that nobody can tell yet what its domains can hold. */
+  readonly arriving: boolean
   /** Whether every domain has what it should have, open. */
   readonly complete: boolean
 }
--- a/packages/forming/src/former.ts
+++ b/packages/forming/src/former.ts
@@ -1,4 +1,5 @@
 import { type Upstream } from '@eiderwind/roster'
+import { type Model } from '@eiderwind/traffic'
 import { DomainDraft } from './draft.js'
 import { type DomainFacts, type Order, type Step } from './facts.js'
 import { type Ledger } from './ledger.js'
@@ -29,7 +30,8 @@
   step (facts: DomainFacts): Step {
     const draft = new DomainDraft(facts, this.#loads)
     for (const replica of facts.placement.replicas) this.#keep(draft, replica)
-    this.#form(draft)
+    if (facts.arriving) for (const { upstream, model } of draft.first) draft.order(staging(upstream, model, false))
+    else this.#form(draft)
     const placement = draft.placement
     const orders = placement === facts.placement ? draft.orders : draft.orders.filter(each => each.kind === 'close')
     return { placement, orders: orders.filter(order => this.#allowed(facts, order)), notes: draft.notes }
@@ -105,11 +107,15 @@
       if (donors.length > 0) draft.retire(donors, model)
     }
     for (const { upstream, model, spare } of draft.unstaged()) {
-      draft.order({ kind: 'stage', node: upstream.id, address: upstream.address, replica: '', epoch: 0, model: model.name, loads: true, spare })
+      draft.order(staging(upstream, model, spare))
     }
   }
 }
 
+function staging ({ id, address }: Upstream, { name }: Model, spare: boolean): Omit<Order, 'fence'> {
+  return { kind: 'stage', node: id, address, replica: '', epoch: 0, model: name, loads: true, spare }
+}
+
 function closing ({ name, epoch, members: [{ id, address }] }: Placed, manner: 'finish' | 'cut'): Omit<Order, 'fence'> {
   return { kind: 'close', node: id, address, replica: name, epoch, manner, loads: false }
 }
--- a/packages/forming/src/forming.ts
+++ b/packages/forming/src/forming.ts
@@ -58,6 +58,9 @@
 const interval = 100
 const repeatAfter = 900
 
+/** A system that starts has all its engines once none has come for this long, in ms. */
+const arrivalTime = 600
+
 /** An engine that is suspected is asked this often, in ms. */
 const askInterval = 600
 
@@ -69,7 +72,7 @@
 const pulseInterval = 250
 
 /** What is so of all domains together. */
-type Fleet = Pick<DomainFacts, 'whole' | 'needs' | 'complete' | 'unserved'>
+type Fleet = Pick<DomainFacts, 'whole' | 'needs' | 'complete' | 'unserved' | 'arriving'>
 
 interface Domain {
   readonly key: string
@@ -94,6 +97,8 @@
   readonly #unanswered = new Map<string, number>()
   readonly #pulses = new Map<string, { readonly value: number | undefined, readonly since: number, readonly lookedAt: number }>()
   readonly #askedAt = new Map<string, number>()
+  /** The most engines that were ever listed, and when the last of them came. */
+  #arrived = { count: 0, at: -Infinity }
   #busy = false
   #again = false
   #timer: Subscription | undefined
@@ -168,7 +173,9 @@
     const demand = this.#options.demand(service.name)
     const targets = retarget(engine.models, sizes, demand)
     const whole = this.#whole(domains)
-    const fleet = { whole, needs: needs(engine.models, whole, demand), complete: this.#complete(domains), unserved: this.#options.unserved() }
+    const unserved = this.#options.unserved()
+    const arriving = unserved && this.#arriving(domains)
+    const fleet = { whole, needs: needs(engine.models, whole, demand), complete: this.#complete(domains), unserved, arriving }
     for (const domain of domains) {
       this.#suspect(domain)
       this.#bury(domain)
@@ -198,6 +205,14 @@
     return counts
   }
 
+  /** Whether more engines were listed a moment ago, while nothing was ever decided. */
+  #arriving (domains: readonly Domain[]): boolean {
+    const { clock } = this.#options
+    const count = domains.reduce((sum, each) => sum + each.upstreams.length, 0)
+    if (count > this.#arrived.count) this.#arrived = { count, at: clock.now() }
+    return domains.every(each => each.placement.epoch === 0) && clock.now() - this.#arrived.at < arrivalTime
+  }
+
   /** Whether every domain has the replicas that it should have, open. */
   #complete (domains: readonly Domain[]): boolean {
     return domains.every(({ placement: { targets, replicas }, upstreams }) => {
--- a/packages/forming/test/forming.test.ts
+++ b/packages/forming/test/forming.test.ts
@@ -43,6 +43,27 @@
   forming.stop()
 })
 
+test('a system whose engines come one by one gets replicas of every model, as if they had come at once', async t => {
+  const made = new World(new ManualClock())
+  const forming = planner(made, new MemoryPlacements(), { unserved: () => true })
+  forming.start()
+  for (let index = 0; index < 18; index++) {
+    for (let domain = 0; domain < 3; domain++) made.add(`n${domain}-${index}`, `d${domain}`)
+    await pass(made, 160)
+  }
+  await pass(made, 18_000)
+  const atOnce = world(3, 18)
+  const other = await formed(atOnce)
+  other.stop()
+  for (const model of ['large', 'small']) {
+    t.true(count(made, model) > 0)
+    t.is(count(made, model), count(atOnce, model), model)
+  }
+  t.deepEqual(made.loadsAt.filter((at, index) => made.loadsAt.filter(each => each > at - 1200 && each <= at).length > 6), [])
+  t.deepEqual(made.broken.filter(each => each !== 'loads'), [])
+  forming.stop()
+})
+
 test('an engine that has taken an order to load is not told again while it loads', async t => {
   const made = world(3)
   const forming = await formed(made)
