--- a/packages/direct/src/direct.ts
+++ b/packages/direct/src/direct.ts
@@ -12,11 +12,12 @@
 import { type Context } from './context.js'
 import { Work } from './demand.js'
 import { type Exchange } from './exchange.js'
-import { confirm, directBoard, enforce, type DirectBoard } from './facts.js'
+import { directBoard, type DirectBoard } from './facts.js'
 import { Figures, type Reading } from './figures.js'
 import { Flights } from './flights.js'
 import { Health } from './health.js'
-import { type Follower, type Platform } from './platform.js'
+import { following } from './following.js'
+import { type Platform } from './platform.js'
 import { RelayedOrders } from './relayed.js'
 import { Pauses } from './pauses.js'
 import { Repeats } from './repeats.js'
@@ -105,7 +106,6 @@
   readonly #waiting: Waiting
   readonly #acting = new Set<string>()
   readonly #startedAt: number
-  #listed = false
   #timer: Subscription | undefined
   #successes = 0
   #unconfirmed = false
@@ -181,10 +181,10 @@
   }
 
   async start (): Promise<void> {
-    const { clock, platform, settings } = this.#options
+    const { clock, log, platform, settings } = this.#options
     await Promise.all([this.#callers.start(), this.#health.start(), this.#confirmations.start(), this.#peers.start()])
     if (settings.metrics !== '') await this.#figures.start(settings.metrics)
-    platform.follow(this.#follower())
+    platform.follow(following({ clock, log, board: this.#board, roster: this.#roster, outage: this.#outage, peers: this.#peers }))
     platform.enter({ id: settings.id, address: settings.peers })
     this.#pauses.start()
     this.#stalls.start()
@@ -236,7 +236,7 @@
   }
 
   get #mayAct (): boolean {
-    if (!this.#board.read('store') || !this.#listed || this.#board.read('stopping')) return false
+    if (!this.#board.read('store') || !this.#board.read('listed') || this.#board.read('stopping')) return false
     if (!this.#options.settings.first && !this.#outage.whole) return false
     return this.#options.clock.now() - Math.max(this.#startedAt, this.#pauses.wokeAt) > settleTime
   }
@@ -245,7 +245,7 @@
     const known = this.#repeats.get(service)
     if (known !== undefined) return known
     const { clock, settings } = this.#options
-    const entries = (): number => this.#listed ? this.#peers.addresses.length + 1 : unknownEntries
+    const entries = (): number => this.#board.read('listed') ? this.#peers.addresses.length + 1 : unknownEntries
     const made = new Repeats(clock, { ratio: settings.retryRatio, slack: settings.retrySlack, window: settings.retryWindow, entries })
     this.#repeats.set(service, made)
     return made
@@ -301,35 +301,4 @@
     const attempts = [...story, ...running === undefined ? [] : [`${running} under way`]].join('; ')
     this.#options.log.write('request-ended', { request: id, route: route.name, service, team: team?.name, outcome, took, attempts })
   }
-
-  #follower (): Follower {
-    const { clock, log } = this.#options
-    return {
-      traffic: (traffic, askedAt) => {
-        if (enforce(this.#board, traffic, clock.now())) {
-          log.write('configuration-new', { revision: traffic.revision, age: Math.round(clock.now() - askedAt) })
-        }
-        if (this.#board.read('inForce')?.traffic.revision === traffic.revision) confirm(this.#board, askedAt)
-      },
-      confirmed: askedAt => confirm(this.#board, askedAt),
-      upstreams: all => this.#roster.replace(all),
-      changes: changes => this.#roster.apply(changes),
-      entries: entries => {
-        this.#listed = true
-        this.#peers.list(entries)
-      },
-      answered: () => {
-        this.#outage.answered()
-        if (this.#board.read('store')) return
-        this.#board.write('store', true)
-        log.write('store-back', {})
-      },
-      failed: (askedAt, cause) => {
-        this.#outage.failed(askedAt)
-        if (!this.#board.read('store')) return
-        this.#board.write('store', false)
-        log.write('store-lost', { cause })
-      }
-    }
-  }
 }
--- a/packages/direct/src/facts.ts
+++ b/packages/direct/src/facts.ts
@@ -18,6 +18,8 @@
   readonly confirmedAt: number
   /** Whether the store answered the last call. */
   readonly store: boolean
+  /** Whether the list of entries was ever told. */
+  readonly listed: boolean
   readonly stopping: boolean
 }
 
@@ -25,7 +27,7 @@
 
 /** The board of a process that knows nothing yet. */
 export function directBoard (): DirectBoard {
-  return new Board<DirectFacts>({ inForce: undefined, confirmedAt: -Infinity, store: false, stopping: false })
+  return new Board<DirectFacts>({ inForce: undefined, confirmedAt: -Infinity, store: false, listed: false, stopping: false })
 }
 
 /** Puts a configuration into force, unless it is older than the one in force. Says whether it did. */
