Name what a domain's draft asks for otherwise than what the fleet is told

Cause: `unserved` meant two things in one package: no caller was ever served (facts), and a model has no whole replica (draft). Change: the latter is `withoutReplica`; behaviour as it is.

--- a/packages/forming/src/draft.ts
+++ b/packages/forming/src/draft.ts
@@ -106,7 +106,7 @@
   }
 
   /** Whether a model has no whole replica anywhere. */
-  get unserved (): boolean {
+  get withoutReplica (): boolean {
     return this.lacking.some(({ name }) => (this.#facts.whole[name] ?? 0) === 0)
   }
 
--- a/packages/forming/src/former.ts
+++ b/packages/forming/src/former.ts
@@ -84,7 +84,7 @@
 
   /** Empties a replica whose engines are wanted elsewhere; its streams go on elsewhere at once where a model is not served at all. */
   #retire (draft: DomainDraft, replica: Placed, head: Upstream | undefined): void {
-    if (head?.membership?.state === 'open') return draft.order(closing(replica, draft.unserved ? 'cut' : 'finish'))
+    if (head?.membership?.state === 'open') return draft.order(closing(replica, draft.withoutReplica ? 'cut' : 'finish'))
     if (head?.membership?.state === 'closing') return
     if (this.#ledger.mayOpen(replica.members[0].id, replica.name)) draft.order(closing(replica, 'finish'))
     else draft.remove(replica, 'retired')
