Spread each model evenly over the domains

Ruled out: too few spares. Change: the domain with fewest of the model, then the one with most room. Test: forming, `each model is spread evenly over the domains` (before it the same world had one domain with two large and no small).

--- a/packages/forming/src/demand.ts
+++ b/packages/forming/src/demand.ts
@@ -24,7 +24,8 @@
 /**
  * How many replicas of each model each domain should have. Targets stay as they are while the domain has the engines for
  * them, so that repairs find what was there before; what no longer fits goes, least needed first, and what fits beside
- * the reserve is added where it helps most: the work for each replica of a model, by the nodes that one more takes.
+ * the reserve is added where it helps most: the work for each replica of a model, by the nodes that one more takes. It goes to
+ * the domain with fewest of the model, so that a domain that is lost takes few replicas of any one model with it.
  */
 export function retarget (models: readonly Model[], domains: readonly DomainSize[], demand: Demand): Map<string, Counts> {
   const targets = new Map(domains.map(({ key, targets }) => [key, { ...targets }]))
@@ -42,8 +43,9 @@
     for (const model of [...models].sort((a, b) => need(b, 0) - need(a, 0))) {
       const kept = need(model, 0) >= 1 ? 0 : reserve
       const room = ({ key, nodes }: DomainSize): number => nodes - used(models, targets.get(key) as Counts) - model.size - kept
-      const best = domains.reduce<DomainSize | undefined>((a, b) => a === undefined || room(b) > room(a) ? b : a, undefined)
-      if (best === undefined || room(best) < 0) continue
+      const has = ({ key }: DomainSize): number => targets.get(key)?.[model.name] ?? 0
+      const best = domains.filter(each => room(each) >= 0).sort((a, b) => has(a) - has(b) || room(b) - room(a))[0]
+      if (best === undefined) continue
       const own = targets.get(best.key) as Record<string, number>
       own[model.name] = (own[model.name] ?? 0) + 1
       added = true
--- a/packages/forming/test/forming.test.ts
+++ b/packages/forming/test/forming.test.ts
@@ -43,6 +43,14 @@
   forming.stop()
 })
 
+test('each model is spread evenly over the domains', async t => {
+  const made = world(3)
+  const forming = await formed(made)
+  const places = made.open.map(each => `${made.upstream(each.head).domain ?? ''} ${each.model}`).sort()
+  t.deepEqual(places, ['d0 large', 'd0 small', 'd0 small', 'd1 large', 'd1 small', 'd1 small', 'd2 large', 'd2 small', 'd2 small'])
+  forming.stop()
+})
+
 test('a system whose engines come one by one gets replicas of every model, as if they had come at once', async t => {
   const made = new World(new ManualClock())
   const forming = planner(made, new MemoryPlacements(), { unserved: () => true })
