End in time also where the reader of the log has stopped reading

Cause: standard output is a blocking pipe or socket; the log's write waits in a thread of the library, and the exit waits for that thread. Ruled out: opening the pipe anew without blocking through /proc (a socket cannot be, and the test's is one). Change: the descriptor is made non-blocking; a full pipe is tried again while the process serves, and not at its end.

--- a/packages/log/src/linewriter.ts
+++ b/packages/log/src/linewriter.ts
@@ -2,6 +2,8 @@
  * Writes log lines for a process that must not wait for the reader of its log while it serves. It owns a token bucket and a
  * bounded buffer; lines beyond either are dropped and counted, and the process reports the count as `lines-dropped`.
  */
+import { fstatSync } from 'node:fs'
+import { Socket } from 'node:net'
 import sonic, { type SonicBoom } from 'sonic-boom'
 import { type Sink } from './log.js'
 
@@ -33,9 +35,12 @@
   /** When the tokens were last counted. */
   #at: number
   #dropped = 0
+  #ending = false
 
   constructor ({ fd = standardOutput, now }: LineWriterOptions) {
-    this.#stream = new sonic.SonicBoom({ fd, sync: false, maxLength: bufferSize })
+    unblock(fd)
+    // Full pipes are tried again later while the process serves, and never at its end.
+    this.#stream = new sonic.SonicBoom({ fd, sync: false, maxLength: bufferSize, retryEAGAIN: () => !this.#ending })
     this.#stream.on('drop', () => { this.#dropped++ })
     // There is no better place to report it: this is the log. A process serves on also when its log has lost its reader.
     this.#stream.on('error', () => {})
@@ -63,15 +68,23 @@
     return dropped
   }
 
-  /**
-   * Writes what is buffered; for the end of the process. Where a reader holds a pipe open and has stopped reading, this and
-   * the exit itself wait for it: the write blocks in the system.
-   */
+  /** Writes what is buffered, as far as the reader takes it at once; for the end of the process. */
   end (): void {
+    this.#ending = true
     try {
       this.#stream.flushSync()
     } catch {
-      // A reader that is gone loses the last lines. There is nowhere else to report it.
+      // A reader that is gone, or has stopped reading, loses the last lines. There is nowhere else to report it.
     }
   }
 }
+
+/**
+ * Has writes to a pipe or socket return at once where it is full: a write that waits for a reader that has stopped reading would
+ * hold up the exit of the process. A socket object sets the descriptor to non-blocking when it is made, and does nothing else
+ * here. Files never wait, so they stay as they are.
+ */
+function unblock (fd: number): void {
+  const kind = fstatSync(fd)
+  if (kind.isFIFO() || kind.isSocket()) new Socket({ fd, readable: false, writable: true }).unref()
+}
