Serve through an outage of the store where keys are not strict, and start without the store by what peers know

Change: [bounds] strict_keys, filled from the platform's bound; unknown keys and paths still get 503 without a fresh confirmation. Without a configuration the answer is 503 before the body is read. A gateway that restarts hears the heartbeats that its peers go on sending to its address, asks them for the configuration (every 100 ms until it has one) and for the list of upstreams with its age, and plans nothing before it has the store's own list. Weighed: seeds in the settings, which name three machines that may be gone and need the role for control; heartbeats need nothing, but a machine at a new address hears nobody while the store is away.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -24,8 +24,10 @@
   readonly inForce: InForce | undefined
   /** Whether the list of upstreams was ever read. */
   readonly listed: boolean
-  /** Whether the configuration was confirmed lately enough to trust a key, or the absence of a route. */
+  /** Whether the configuration was confirmed lately enough to trust that a route or a key is not in it. */
   readonly fresh: boolean
+  /** Whether it also has to be that fresh for a key that is in it. */
+  readonly strictKeys: boolean
   /** Whether the gateway ends soon and takes nothing new. */
   readonly refusing: boolean
   /** The header that holds a key, for the remedy. */
@@ -40,7 +42,7 @@
 }
 
 /** Admits a request, or gives the fault to refuse it with. */
-export function admit ({ host, target, headSize, key }: Arrival, { inForce, listed, fresh, refusing, keyHeader }: AdmissionFacts): Admission | Fault {
+export function admit ({ host, target, headSize, key }: Arrival, { inForce, listed, fresh, strictKeys, refusing, keyHeader }: AdmissionFacts): Admission | Fault {
   if (inForce === undefined || !listed) return refusals.behind()
   if (refusing) return refusals.leaving()
   if (headSize > inForce.traffic.limits.header) return refusals.headerTooLarge()
@@ -50,7 +52,7 @@
     return fresh ? refusals.unknownPath() : refusals.behind()
   }
   if (route.open || inForce.teams === undefined) return { route, team: undefined }
-  if (!fresh) return refusals.behind('The configuration was not confirmed lately, so no key can be trusted.')
   const team = inForce.teams.find(key)
+  if (!fresh && (strictKeys || team === undefined)) return refusals.behind('The configuration was not confirmed lately, so this key cannot be judged.')
   return team === undefined ? refusals.badKey(keyHeader) : { route, team }
 }
--- a/packages/gateway/src/callers.ts
+++ b/packages/gateway/src/callers.ts
@@ -19,8 +19,10 @@
   readonly board: GatewayBoard
   /** `host:port` for callers. */
   readonly address: string
-  /** How old the newest confirmation of the configuration may be for a request with a key, in ms. */
+  /** How old the newest confirmation of the configuration may be where a fresh one is needed, in ms. */
   readonly freshness: number
+  /** Whether requests with keys need a fresh confirmation. */
+  readonly strictKeys: boolean
   /** Draws the service of a request whose route is split between several. */
   readonly random: Random
   /** Called with the code of each request that is refused before anything is chosen for it. */
@@ -63,8 +65,12 @@
     return this.#open.size
   }
 
-  /** Whether the newest confirmation is young enough for requests with keys. */
-  get fresh (): boolean {
+  /** Whether requests with keys are served now. */
+  get servesKeys (): boolean {
+    return !this.#options.strictKeys || this.#fresh
+  }
+
+  get #fresh (): boolean {
     const { context, board, freshness } = this.#options
     return context.clock.now() - board.read('confirmedAt') <= freshness
   }
@@ -103,7 +109,8 @@
     this.#served = true
     if (board.read('stopping')) response.setHeader('connection', 'close')
     const inForce = board.read('inForce')
-    const body = await readBody(incoming, inForce?.traffic.limits.body ?? 0)
+    if (inForce === undefined) return this.#refuse(incoming, response, refusals.behind())
+    const body = await readBody(incoming, inForce.traffic.limits.body)
     if (response.destroyed) return
     if (body.isErr()) return this.#refuse(incoming, response, body.error)
     const admission = this.#admit(incoming, inForce)
@@ -112,19 +119,19 @@
     if (request instanceof Fault) return this.#refuse(incoming, response, request)
     this.#open.add(request)
     context.retryBudget(request.service).request()
-    await this.#serve(request, inForce as InForce)
+    await this.#serve(request, inForce)
   }
 
   /** @param inForce the configuration of the moment at which the request arrived */
-  #admit (incoming: IncomingMessage, inForce: InForce | undefined): Admission | Fault {
-    const { context } = this.#options
+  #admit (incoming: IncomingMessage, inForce: InForce): Admission | Fault {
+    const { context, strictKeys } = this.#options
     const arrival = {
       host: incoming.headers.host ?? '',
       target: incoming.url ?? '/',
       headSize: headSize(incoming),
       key: header(incoming, context.names.key) ?? ''
     }
-    return admit(arrival, { inForce, listed: context.roster.hasList, fresh: this.fresh, refusing: this.#refusing, keyHeader: context.names.key })
+    return admit(arrival, { inForce, listed: context.roster.hasList, fresh: this.#fresh, strictKeys, refusing: this.#refusing, keyHeader: context.names.key })
   }
 
   /** The request of an admitted caller; a fault where its own headers are not in order. */
--- a/packages/gateway/src/confirmations.ts
+++ b/packages/gateway/src/confirmations.ts
@@ -22,8 +22,11 @@
 /** Age of the newest confirmation from which others are asked, in ms: those that poll get one each second. Chosen, not measured. */
 const oldAge = 1100
 
-/** Time between two checks, in ms. Chosen, not measured. */
-const checkInterval = 400
+/** Time between two checks, in ms. Chosen, not measured: well below the second within which a gateway without configuration should serve. */
+const checkInterval = 100
+
+/** Time between two times that others are asked by a gateway that has a configuration, in ms. Chosen, not measured. */
+const askInterval = 400
 
 /** Gateways that are asked at each check: two, so that one that hangs delays nothing. Chosen, not measured. */
 const askedPeers = 2
@@ -35,6 +38,7 @@
 export class Confirmations {
   readonly #options: ConfirmationsOptions
   #timer: Subscription | undefined
+  #askedAt = -Infinity
 
   constructor (options: ConfirmationsOptions) {
     this.#options = options
@@ -54,6 +58,8 @@
     const old = clock.now() - board.read('confirmedAt') > oldAge
     const ahead = this.#peersAhead(revision)
     if (!old && ahead.size === 0) return
+    if (board.read('inForce') !== undefined && clock.now() - this.#askedAt < askInterval) return
+    this.#askedAt = clock.now()
     for (const peer of this.#livePeers(ahead).slice(0, askedPeers)) {
       // Without an answer others are asked at the next check; that none answers shows as configuration-unconfirmed.
       this.#ask(peer, revision).catch(() => {})
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,6 +22,7 @@
 import { PeerServer } from './peerserver.js'
 import { makeReconciler } from './planning.js'
 import { RequestLog } from './requestlog.js'
+import { RosterCopy } from './rostercopy.js'
 import { Sampling } from './sampling.js'
 import { type GatewayOptions } from './settings.js'
 
@@ -53,6 +54,7 @@
   readonly #budgets: Budgets
   readonly #callers: Callers
   readonly #confirmations: Confirmations
+  readonly #rosterCopy: RosterCopy
   readonly #peerServer: PeerServer
   readonly #health: Health
   readonly #stalls: Stalls
@@ -76,7 +78,8 @@
     this.#metrics = new Metrics({ clock, board, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, connections: this.#connections, budgets: this.#budgets })
     this.#callers = this.#makeCallers()
     this.#confirmations = new Confirmations({ clock, board, peers, connections: this.#connections })
-    this.#peerServer = new PeerServer({ clock, board, address: settings.peers, orders: platform.orders })
+    this.#rosterCopy = new RosterCopy({ clock, board, roster: this.#roster, peers, connections: this.#connections })
+    this.#peerServer = new PeerServer({ clock, board, roster: this.#roster, outage: this.#outage, address: settings.peers, orders: platform.orders })
     this.#health = new Health(settings.health, () => this.ready)
     this.#stalls = this.#makeStalls()
     this.#reconciler = makeReconciler({
@@ -92,13 +95,13 @@
       metrics: this.#metrics,
       served: () => this.#callers.served
     })
-    this.#sampling = new Sampling({ clock, log, board, platform, peers, inFlight: this.#inFlight, modelLoad: this.#modelLoad, leadership: this.#leadership, fresh: () => this.#callers.fresh })
+    this.#sampling = new Sampling({ clock, log, board, platform, peers, inFlight: this.#inFlight, modelLoad: this.#modelLoad, leadership: this.#leadership, servesKeys: () => this.#callers.servesKeys })
     this.#roster.listen(() => this.#queue.wake())
   }
 
   /** Whether the balancer should send callers here. */
   get ready (): boolean {
-    return this.#board.read('inForce') !== undefined && this.#roster.hasList && !this.#board.read('stopping') && this.#callers.fresh
+    return this.#board.read('inForce') !== undefined && this.#roster.hasList && !this.#board.read('stopping') && this.#callers.servesKeys
   }
 
   /** Listens everywhere, then follows the platform. Rejects where an address cannot be taken. */
@@ -106,6 +109,7 @@
     const { clock, log, platform, settings } = this.#options
     await Promise.all([this.#callers.start(), this.#health.start(), this.#peerServer.start(), this.#peers.start()])
     this.#confirmations.start()
+    this.#rosterCopy.start()
     if (settings.metrics !== '') await this.#metrics.start(settings.metrics)
     platform.watch(platformListener({ clock, log, board: this.#board, roster: this.#roster, outage: this.#outage, peers: this.#peers }))
     platform.register({ id: settings.id, address: settings.peers })
@@ -129,12 +133,12 @@
       await clock.wait(stopInterval)
     }
     this.#callers.close()
-    for (const part of [this.#sampling, this.#reconciler, this.#stalls, this.#pauses, this.#confirmations, this.#peerServer, this.#peers, this.#health, this.#metrics, this.#options.platform]) part.stop()
+    for (const part of [this.#sampling, this.#reconciler, this.#stalls, this.#pauses, this.#confirmations, this.#rosterCopy, this.#peerServer, this.#peers, this.#health, this.#metrics, this.#options.platform]) part.stop()
     this.#connections.close()
   }
 
   #makeCallers (): Callers {
-    const { clock, log, platform: { names }, settings: { dataCentre, callers: address, freshness } } = this.#options
+    const { clock, log, platform: { names }, settings: { dataCentre, callers: address, freshness, strictKeys } } = this.#options
     const shared = { clock, roster: this.#roster, inFlight: this.#inFlight, suspects: this.#suspects }
     const choice = new Choice({ ...shared, peers: this.#peers, dataCentre, random: Math.random })
     const context: Context = { ...shared, log, names, connections: this.#connections, choice, queue: this.#queue, retryBudget: service => this.#budgets.of(service) }
@@ -144,6 +148,7 @@
       board: this.#board,
       address,
       freshness,
+      strictKeys,
       random: Math.random,
       refused: code => this.#metrics.refused(code),
       ended: (request, outcome) => requests.ended(request, outcome)
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -58,6 +58,7 @@
   get eligible (): boolean {
     const { clock, board, outage, pauses, firstStart } = this.#options
     if (!board.read('store') || !board.read('listed') || board.read('stopping')) return false
+    if (board.read('upstreamsRead')?.from !== 'store') return false
     // It cannot know whether an outage of the store has just ended: upstreams that lapsed may still be missing from its first list.
     if (!firstStart && !outage.listComplete) return false
     return clock.now() - Math.max(this.#startedAt, pauses.resumedAt) > settleTime
--- a/packages/gateway/src/listener.ts
+++ b/packages/gateway/src/listener.ts
@@ -30,7 +30,10 @@
       if (board.read('inForce')?.traffic.revision === traffic.revision) confirm(board, askedAt)
     },
     confirmed: askedAt => confirm(board, askedAt),
-    upstreams: all => roster.replace(all),
+    upstreams: all => {
+      board.write('upstreamsRead', { from: 'store', asOf: clock.now() })
+      roster.replace(all)
+    },
     upstreamChanges: changes => roster.apply(changes),
     gateways: all => {
       board.write('listed', true)
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -1,14 +1,16 @@
 /**
- * The HTTP messages between gateways: confirmations of the configuration, and orders to engines that are relayed. This is
+ * The HTTP messages between gateways: confirmations of the configuration, the list of upstreams for a gateway that cannot
+ * read it, and orders to engines that are relayed. This is
  * their only encoder and decoder; names and values here are read by gateways of other builds and never change. Fields that
  * a later build adds are ignored. (Heartbeats, the datagrams between gateways, are in `peers`.)
  */
 import { type Order, type OrderResult } from '@eiderwind/forming'
+import { Upstream } from '@eiderwind/roster'
 import { Traffic } from '@eiderwind/traffic'
 import { z } from 'zod'
 
 /** Paths of the messages. Every other path is answered like `confirmation`. */
-export const paths = { confirmation: '/confirmation', order: '/order' } as const
+export const paths = { confirmation: '/confirmation', order: '/order', upstreams: '/upstreams' } as const
 
 /** Longest relayed order, in bytes; an order names at most 32 nodes. Chosen, not measured. */
 export const orderLimit = 65_536
@@ -27,6 +29,16 @@
 /** How another gateway answers: its revision, the age of its newest confirmation in ms, and its configuration where newer. */
 export type Confirmation = z.infer<typeof ConfirmationMessage>
 
+const UpstreamsMessage = z.object({
+  /** Ms since the state that the list shows. */
+  age: z.number(),
+  /** Every upstream that the answering gateway knows; none of them is gone. Its own schema names its fields (`roster`). */
+  upstreams: z.array(Upstream)
+})
+
+/** The upstreams that another gateway knows, and the age of that knowledge in ms. */
+export type UpstreamList = z.infer<typeof UpstreamsMessage>
+
 const OrderMessage = z.object({
   kind: z.enum(['join', 'open', 'close', 'stage']),
   /** Id and address of the engine that is ordered. */
@@ -64,6 +76,16 @@
   return ConfirmationMessage.parse(JSON.parse(text))
 }
 
+/** The upstreams that this gateway knows. */
+export function encodeUpstreams (list: UpstreamList): string {
+  return JSON.stringify(list)
+}
+
+/** Throws where the text is no list of upstreams. */
+export function decodeUpstreams (text: string): UpstreamList {
+  return UpstreamsMessage.parse(JSON.parse(text))
+}
+
 /** An order for another gateway to relay. */
 export function encodeOrder ({ kind, node, address, replica, epoch, model, members, manner, loads, spare, fence }: Order): string {
   return JSON.stringify({ kind, node, address, replica, epoch, model, members, manner, loads, spare, fence })
--- a/packages/gateway/src/peerserver.ts
+++ b/packages/gateway/src/peerserver.ts
@@ -1,19 +1,22 @@
 /**
  * Answers other gateways over HTTP: with the age of this gateway's newest confirmation and, where the asker's is older,
- * the whole configuration; and gives engines the orders that other gateways relay.
+ * the whole configuration; with the upstreams that it knows; and gives engines the orders that other gateways relay.
  * Owns the TCP listener of the peers' address. The messages are in `messages.ts`.
  */
 import { type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type Clock } from '@eiderwind/clock'
 import { type OrderResult, type Orders } from '@eiderwind/forming'
+import { type Outage, type Roster } from '@eiderwind/roster'
 import { listen, makeServer, readBody } from '@eiderwind/wire'
 import { type GatewayBoard } from './facts.js'
-import { askedRevision, decodeOrder, encodeConfirmation, encodeResult, orderLimit, paths } from './messages.js'
+import { askedRevision, decodeOrder, encodeConfirmation, encodeResult, encodeUpstreams, orderLimit, paths } from './messages.js'
 
 /** Dependencies of `PeerServer`. */
 export interface PeerServerOptions {
   readonly clock: Clock
   readonly board: GatewayBoard
+  readonly roster: Roster
+  readonly outage: Outage
   /** `host:port` on which other gateways ask. */
   readonly address: string
   /** Gives engines the orders that others relay. */
@@ -42,6 +45,7 @@
   #handle (request: IncomingMessage, response: ServerResponse): void {
     if (request.url === paths.order) return this.#answerOrder(request, response)
     response.setHeader('content-type', 'application/json')
+    if (request.url === paths.upstreams) return this.#answerUpstreams(response)
     response.end(this.#confirmation(askedRevision(request.url ?? '/')))
   }
 
@@ -52,6 +56,18 @@
     })
   }
 
+  /** A gateway that has no list itself cuts the connection: the asker asks another one. */
+  #answerUpstreams (response: ServerResponse): void {
+    const { clock, board, roster, outage } = this.#options
+    const read = board.read('upstreamsRead')
+    if (read === undefined) {
+      response.destroy()
+      return
+    }
+    const asOf = read.from === 'store' ? outage.answeredAt : read.asOf
+    response.end(encodeUpstreams({ age: clock.now() - asOf, upstreams: roster.upstreams }))
+  }
+
   async #give (request: IncomingMessage): Promise<OrderResult> {
     const body = await readBody(request, orderLimit)
     if (body.isErr()) return 'unanswered'
--- a/packages/gateway/src/sampling.ts
+++ b/packages/gateway/src/sampling.ts
@@ -21,8 +21,8 @@
   readonly inFlight: InFlight
   readonly modelLoad: ModelLoad
   readonly leadership: Leadership
-  /** Whether the newest confirmation is young enough for requests with keys. */
-  readonly fresh: () => boolean
+  /** Whether requests with keys are served now. */
+  readonly servesKeys: () => boolean
 }
 
 /** Time between two samples, in ms. The weights in `demand.ts` are chosen for it. Chosen, not measured. */
@@ -55,9 +55,9 @@
   }
 
   #logFreshness (): void {
-    const { log, board, fresh } = this.#options
+    const { log, board, servesKeys } = this.#options
     const inForce = board.read('inForce')
-    const unconfirmed = inForce !== undefined && !fresh()
+    const unconfirmed = inForce !== undefined && !servesKeys()
     if (unconfirmed === this.#unconfirmed) return
     this.#unconfirmed = unconfirmed
     log.write(unconfirmed ? 'configuration-unconfirmed' : 'configuration-confirmed', { revision: inForce?.traffic.revision })
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -27,8 +27,10 @@
   readonly peers: string
   /** `host:port` that serves the metrics; empty: none are served. */
   readonly metrics: string
-  /** How old the newest confirmation of the configuration may be for requests that need a key. */
+  /** How old the newest confirmation of the configuration may be for what needs a fresh one (`admission.ts`). */
   readonly freshness: number
+  /** Whether requests with keys need a fresh confirmation. Without it they are served by what is known. */
+  readonly strictKeys: boolean
   /** Retries per request of callers; `retrySlack` more are allowed to all gateways together in any `retryWindow`. */
   readonly retryRatio: number
   readonly retrySlack: number
--- a/packages/peers/src/peers.ts
+++ b/packages/peers/src/peers.ts
@@ -2,8 +2,10 @@
  * Membership of the gateways by heartbeats over UDP, without a reply or a retry. `Peers` owns the socket, the newest
  * heartbeat of each peer and the list of addresses; it relies on the caller for that list (the store's) and for what
  * to say. What peers say only steers choices: no decision that must be safe depends on it.
+ * A gateway that restarts while the store is away has no list, but hears its peers within one interval, since they go on
+ * sending to its address; until it gets a list it answers those that it hears.
  */
-import { createSocket, type Socket } from 'node:dgram'
+import { createSocket, type RemoteInfo, type Socket } from 'node:dgram'
 import { type Clock, type Subscription } from '@eiderwind/clock'
 import { ranked } from '@eiderwind/hash'
 import { splitAddress } from '@eiderwind/wire'
@@ -41,6 +43,8 @@
   readonly heartbeat: Heartbeat
   /** When it arrived, on `Clock.now`. */
   readonly at: number
+  /** `host:port` that it came from, which is also where its sender listens. */
+  readonly address: string
 }
 
 /** Sends this gateway's heartbeat to its peers and keeps the newest one of each peer. */
@@ -49,6 +53,7 @@
   readonly #received = new Map<string, Receipt>()
   #addresses: readonly PeerAddress[] = []
   #recipients: readonly PeerAddress[] = []
+  #hasList = false
   #socket: Socket | undefined
   #timer: Subscription | undefined
 
@@ -67,10 +72,12 @@
     return this.#addresses
   }
 
-  /** Addresses of the listed gateways that are live, in the order of the list. */
+  /** Addresses of the gateways that are live: listed ones in the order of the list, then those that were only heard. */
   get liveAddresses (): PeerAddress[] {
     const live = new Set(this.live.map(each => each.id))
-    return this.addresses.filter(({ id }) => live.has(id))
+    const listed = new Set(this.addresses.map(each => each.id))
+    const unlisted = [...live].filter(id => !listed.has(id)).map(id => ({ id, address: this.#received.get(id)?.address as string }))
+    return [...this.addresses.filter(({ id }) => live.has(id)), ...unlisted]
   }
 
   /** Ids of the live peers that may plan replicas. */
@@ -80,6 +87,7 @@
 
   /** Takes the store's list of all gateways, this one included or not. */
   setAddresses (gateways: readonly PeerAddress[]): void {
+    this.#hasList = true
     this.#addresses = gateways.filter(each => each.id !== this.#options.id)
     const byId = new Map(this.#addresses.map(each => [each.id, each]))
     this.#recipients = ranked(this.#options.id, [...byId.keys()]).slice(0, fanOut).map(id => byId.get(id) as PeerAddress)
@@ -96,7 +104,7 @@
     })
     // A lost datagram needs no handling: the next follows within `interval`, and `timeout` decides who is alive.
     socket.on('error', () => {})
-    socket.on('message', message => this.#receive(message))
+    socket.on('message', (message, sender) => this.#receive(message, sender))
     this.#socket = socket
     this.#timer = clock.every(interval, () => this.send())
   }
@@ -104,7 +112,7 @@
   /** Sends a heartbeat now, in addition to the regular ones. */
   send (): void {
     const message = encode(this.#options.heartbeat())
-    for (const { address } of this.#recipients) {
+    for (const { address } of this.#hasList ? this.#recipients : this.liveAddresses.slice(0, fanOut)) {
       const { host, port } = splitAddress(address)
       // Failures are ignored for the same reason as the socket's errors in `start`.
       this.#socket?.send(message, port, host, () => {})
@@ -121,9 +129,9 @@
    * Keeps a heartbeat as its sender's newest. A datagram that does not fit the schema is dropped without a line: anything
    * may reach the port, and a sender whose heartbeats never fit counts as not alive, as it would if it sent none.
    */
-  #receive (message: Buffer): void {
+  #receive (message: Buffer, { address, port }: RemoteInfo): void {
     const heartbeat = decode(message)
     if (heartbeat === undefined || heartbeat.id === this.#options.id) return
-    this.#received.set(heartbeat.id, { heartbeat, at: this.#options.clock.now() })
+    this.#received.set(heartbeat.id, { heartbeat, at: this.#options.clock.now(), address: `${address}:${port}` })
   }
 }
--- a/packages/roster/src/upstream.ts
+++ b/packages/roster/src/upstream.ts
@@ -1,6 +1,7 @@
 /**
  * An upstream as the store lists it, in the project's words. The adapter (`platform/src/upstreams.ts`) makes these
- * from the store's records; they are neither stored nor sent in this form.
+ * from the store's records. A gateway sends them in this form to one that cannot read the store's list, so field names are
+ * names on the wire: never rename, drop or retype one, and make new ones optional.
  */
 import { z } from 'zod'
 
--- a/packages/settings/src/shapes.ts
+++ b/packages/settings/src/shapes.ts
@@ -123,6 +123,8 @@
   bounds: z.strictObject({
     /** How long after its removal a key may still be served. */
     revoke: time('5 s'),
+    /** Whether `revoke` holds also while the store is away: keys then need a confirmation of the configuration that is younger. */
+    strict_keys: z.union([z.literal('').transform(() => true), Flag]).default(true),
     /** Time from SIGTERM until the platform kills the process. */
     grace: time('8 s'),
     /** Time between two heartbeats of an upstream. */
