Account for what engines do by second, and find unlisted heads dead by probes of all domains

Change: an unreachable engine is forgotten only where no domain has it. New event 444 engines-surveyed, one line a second and domain by the planner: how many engines serve, form, load, are idle, broken, empty, missing; 'eiderwindctl capacity' prints it by second with the refusals for lack of room. A placement is read again once for each later epoch that an engine shows, not at each look.

--- a/packages/ctl/src/explaining.ts
+++ b/packages/ctl/src/explaining.ts
@@ -1,6 +1,6 @@
 /** `eiderwindctl explain`: reads log files, prints the explanation as text or JSON, and gives the exit status. */
-import { readFileSync } from 'node:fs'
-import { explain, readLine, type LogLine } from './explain.js'
+import { explain, type LogLine } from './explain.js'
+import { readLogs } from './logfiles.js'
 import { type Print } from './session.js'
 import { statuses } from './usage.js'
 
@@ -13,15 +13,8 @@
 
 /** Prints the lines about an id and the cause. Returns the exit status: bad usage where a file cannot be read. */
 export function explainFiles ({ id, files, json }: Question, { out, error }: { readonly out: Print, readonly error: Print }): number {
-  const lines: LogLine[] = []
-  for (const file of files) {
-    try {
-      lines.push(...readFileSync(file, 'utf8').split('\n').map(readLine).filter(each => each !== undefined))
-    } catch (failure) {
-      error(`${file} cannot be read (${(failure as { code?: string }).code ?? 'unknown'}). Give the path of a log.`)
-      return statuses.usage
-    }
-  }
+  const lines = readLogs(files, error)
+  if (lines === undefined) return statuses.usage
   const { story, cause } = explain(lines, id)
   if (json) out(JSON.stringify({ id, cause, story }))
   else {
--- a/packages/ctl/src/index.ts
+++ b/packages/ctl/src/index.ts
@@ -1,5 +1,6 @@
 /** The command `eiderwindctl`: the operators' command line. */
 import sade, { type Sade } from 'sade'
+import { accountFiles } from './accounting.js'
 import { explainFiles } from './explaining.js'
 import { commands, type Command, type Options } from './commands.js'
 import { Session, type Print } from './session.js'
@@ -44,6 +45,14 @@
     .action((id: string, file: string, options: { _: string[], json?: boolean }) => {
       status = explainFiles({ id, files: [file, ...options._], json: options.json === true }, output)
     })
+  program
+    .command('capacity <file>')
+    .describe('Print, for each second of the logs in files, what the engines did and how many requests found no room.')
+    .option('--json', 'Write JSON, one object a line', false)
+    .example('capacity entry-1.log entry-2.log')
+    .action((file: string, options: { _: string[], json?: boolean }) => {
+      status = accountFiles({ files: [file, ...options._], json: options.json === true }, output)
+    })
   const known = new Set(commands.flatMap(each => (each.options ?? []).map(option => option.flags)))
   for (const [flags] of common) known.add(flags)
   program.parse(words, {
--- a/packages/detect/src/liveness.ts
+++ b/packages/detect/src/liveness.ts
@@ -119,16 +119,13 @@
   /** All members of a replica with a suspected head or an unreachable member, and engines unreachable or lapsed themselves. */
   #probeDoubtful (replicas: readonly ReplicaNodes[], suspects: ReadonlySet<string>): void {
     const { roster } = this.#options
-    const placed = new Set<string>()
     for (const { members } of replicas) {
-      for (const { id } of members) placed.add(id)
       const doubtful = suspects.has(members[0].id) || members.some(({ id }) => this.#unreachable.has(id) || roster.find(id) === undefined)
       if (doubtful) for (const each of members) this.#probe(each)
     }
     for (const id of [...this.#unreachable, ...roster.lapsed]) {
       const address = roster.find(id)?.address
       if (address !== undefined) this.#probe({ id, address })
-      else if (!placed.has(id)) this.#unreachable.delete(id)
     }
   }
 
--- a/packages/forming/src/domains.ts
+++ b/packages/forming/src/domains.ts
@@ -29,6 +29,8 @@
 export class Domains {
   readonly #options: DomainsOptions
   readonly #known = new Map<string, Domain>()
+  /** The epoch that an engine showed when a domain's placement was read again for it, by domain. */
+  readonly #readFor = new Map<string, number>()
   #unreadable = false
 
   constructor (options: DomainsOptions) {
@@ -45,10 +47,8 @@
     const found: Domain[] = []
     for (const [name, upstreams] of this.#group(service.name)) {
       const key = `${service.name}.${name}`
-      const cached = this.#known.get(key)
-      // An engine in a later replica than any that is known here was ordered by another planner.
-      const outdated = cached !== undefined && upstreams.some(each => (each.membership?.epoch ?? 0) > cached.placement.epoch)
-      const known = outdated ? await this.#load(key) : cached ?? await this.#load(key)
+      const shown = Math.max(0, ...upstreams.map(each => each.membership?.epoch ?? 0))
+      const known = this.#isOutdated(key, shown) ? await this.#load(key) : this.#known.get(key) ?? await this.#load(key)
       if (known === undefined) return undefined
       const domain = { key, service: service.name, upstreams, placement: known.placement, version: known.version }
       this.#known.set(key, domain)
@@ -75,6 +75,17 @@
     for (const [key, domain] of this.#known) if (domain.service === service) this.#known.delete(key)
   }
 
+  /**
+   * Whether a cached placement has been replaced by another planner: an engine is in a later replica than any that it holds. True
+   * once for each epoch, since engines may also be in replicas that nobody planned.
+   */
+  #isOutdated (key: string, shown: number): boolean {
+    const known = this.#known.get(key)
+    if (known === undefined || shown <= known.placement.epoch || shown === this.#readFor.get(key)) return false
+    this.#readFor.set(key, shown)
+    return true
+  }
+
   /** The engines of a service by domain. */
   #group (service: string): Map<string, Upstream[]> {
     const groups = new Map<string, Upstream[]>()
--- a/packages/forming/src/facts.ts
+++ b/packages/forming/src/facts.ts
@@ -3,6 +3,7 @@
 import { type Engine } from '@eiderwind/traffic'
 import { type Order } from './orders.js'
 import { type Placement } from './placement.js'
+import { type Survey } from './survey.js'
 import { type Counts } from './targets.js'
 
 /** What holds for all domains of a service together. */
@@ -42,4 +43,6 @@
   readonly orders: readonly Order[]
   /** The decisions, in words for the log. */
   readonly notes: readonly string[]
+  /** What the engines did before the step. */
+  readonly survey: Survey
 }
--- a/packages/forming/src/planner.ts
+++ b/packages/forming/src/planner.ts
@@ -14,6 +14,7 @@
 import { Pool } from './pool.js'
 import { Snapshot } from './snapshot.js'
 import { stagingFor } from './staging.js'
+import { surveyOf } from './survey.js'
 
 /** Dependencies of `Planner`. */
 export interface PlannerOptions {
@@ -40,6 +41,7 @@
   step (facts: DomainFacts): Step {
     const draft = new PlacementDraft(new Snapshot(facts))
     const pool = new Pool(draft, this.#loads)
+    const survey = surveyOf(pool)
     const orders = this.#maintain(draft)
     if (!facts.arriving) compose(pool)
     orders.push(...stagingFor(pool).map(stageOrder))
@@ -49,7 +51,7 @@
     const fence = facts.placement.epoch
     // The order of the list decides which loads get the permits: those of replicas that form before staging.
     const permitted = valid.map(each => ({ ...each, fence })).filter(each => mayGive(each, facts, this.#history, this.#loads))
-    return { placement: draft.placement, orders: permitted, notes: draft.notes }
+    return { placement: draft.placement, orders: permitted, notes: draft.notes, survey }
   }
 
   /** Looks after the replicas of the stored placement, in its order. */
--- a/packages/forming/src/reconciler.ts
+++ b/packages/forming/src/reconciler.ts
@@ -14,6 +14,7 @@
 import { type Order, type OrderResult, type Orders } from './orders.js'
 import { type Placements } from './placement.js'
 import { Planner } from './planner.js'
+import { type Survey } from './survey.js'
 import { repairNeeds, retarget, type Counts, type Demand } from './targets.js'
 
 /**
@@ -22,6 +23,9 @@
  */
 const lookInterval = 100
 
+/** Time between two reports of what the engines of a domain do, in ms: one line a second and domain. Chosen, not measured. */
+const surveyInterval = 1000
+
 /** Dependencies of `Reconciler`. */
 export interface ReconcilerOptions extends Omit<LivenessOptions, 'changed'> {
   readonly orders: Orders
@@ -36,6 +40,8 @@
   readonly beforeTraffic: () => boolean
   /** Called after each decision, once it is stored. */
   readonly decided: (domain: string, note: string, epoch: number) => void
+  /** Called with what the engines of a domain do, about once a second. */
+  readonly surveyed: (domain: string, survey: Survey) => void
   /** Called when an order has ended, with the time that it took in ms. */
   readonly ordered: (order: Order, result: OrderResult, took: number) => void
 }
@@ -49,6 +55,8 @@
   readonly #domains: Domains
   readonly #arrivals: Arrivals
   readonly #liveness: Liveness
+  /** When the engines of each domain were last reported on, on `Clock.now`. */
+  readonly #surveyedAt = new Map<string, number>()
   #looking = false
   #lookAgain = false
   #timer: Subscription | undefined
@@ -115,6 +123,7 @@
     for (const domain of domains) {
       this.#liveness.check(domain.placement.replicas)
       const step = this.#planner.step(this.#domainFacts(domain, engine, targets.get(domain.key) as Counts, fleet))
+      this.#survey(domain.key, step)
       // What was decided is stored before any order is given. Nothing else is awaited here, so that all domains see the same facts.
       if (step.placement !== domain.placement) {
         if (!await this.#domains.write(domain, step.placement)) continue
@@ -124,6 +133,14 @@
     }
   }
 
+  /** Reports what the engines of a domain do, at an interval. */
+  #survey (domain: string, { survey }: Step): void {
+    const { clock, surveyed } = this.#options
+    if (clock.now() - (this.#surveyedAt.get(domain) ?? -Infinity) < surveyInterval) return
+    this.#surveyedAt.set(domain, clock.now())
+    surveyed(domain, survey)
+  }
+
   /** Reports what was stored, and has the steps that follow from it made at once. */
   #decided (domain: string, { placement, notes }: Step): void {
     for (const note of notes) this.#options.decided(domain, note, placement.epoch)
--- /dev/null
+++ b/packages/forming/src/survey.ts
@@ -0,0 +1,41 @@
+/**
+ * What the engines of a domain do: the account of its capacity, for the log. Pure. Where requests find no room, it says whether
+ * engines are missing, or are there and serve nobody, and why.
+ */
+import { type Upstream } from '@eiderwind/roster'
+import { isEmpty } from './engines.js'
+import { type PlannedReplica } from './placement.js'
+import { type Pool } from './pool.js'
+
+/**
+ * What an engine does. `serving`: in an open replica that has all its members. `forming`: in a replica that is not open yet. `broken`: in
+ * one that lacks a member or gives its engines up. `loading`: loads weights by this planner's order. `empty`: holds none. `idle`: holds
+ * weights and is in no replica. `missing`: leaves, or does not answer.
+ */
+export type EngineWork = 'serving' | 'forming' | 'broken' | 'loading' | 'empty' | 'idle' | 'missing'
+
+/** How many engines of a domain do what; work that none does is left out. */
+export type Survey = Readonly<Partial<Record<EngineWork, number>>>
+
+/** What the engines of a domain do now. */
+export function surveyOf (pool: Pool): Survey {
+  const { placement, snapshot } = pool.draft
+  const replicas = new Map(placement.replicas.flatMap(replica => replica.members.map(({ id }) => [id, replica] as const)))
+  const counts: Partial<Record<EngineWork, number>> = {}
+  for (const upstream of snapshot.facts.upstreams) {
+    const work = workOf(upstream, replicas.get(upstream.id), pool)
+    counts[work] = (counts[work] ?? 0) + 1
+  }
+  return counts
+}
+
+function workOf (upstream: Upstream, replica: PlannedReplica | undefined, pool: Pool): EngineWork {
+  const { snapshot } = pool.draft
+  if (snapshot.isMissing(upstream.id)) return 'missing'
+  if (replica !== undefined) {
+    if (!snapshot.isIntact(replica) || replica.retiring === true) return 'broken'
+    return snapshot.headState(replica) === 'open' ? 'serving' : 'forming'
+  }
+  if (pool.isLoading(upstream)) return 'loading'
+  return isEmpty(upstream) ? 'empty' : 'idle'
+}
--- a/packages/forming/test/digest.test.ts
+++ b/packages/forming/test/digest.test.ts
@@ -67,11 +67,11 @@
 }
 
 const expected: ReadonlyArray<readonly [number, boolean, string]> = [
-  [21, false, '6aed2a1b7b4cc480'],
-  [22, false, 'cb9af5fd928e3af4'],
-  [23, false, 'be620788b41d2474'],
+  [21, false, '2583f4e1ef57d121'],
+  [22, false, '03a47fd58a338790'],
+  [23, false, '1ab4f91190ee729f'],
   [24, true, '73bd3eb0d25a83ee'],
-  [25, true, '58865bceb26def53']
+  [25, true, '1decd8f0fb9cb42c']
 ]
 
 for (const [seed, first, digested] of expected) {
--- a/packages/forming/test/forming.test.ts
+++ b/packages/forming/test/forming.test.ts
@@ -391,3 +391,19 @@
   sound(t, made)
   forming.stop()
 })
+
+test('a dead head that is not listed any more is dissolved, though other domains are looked at between two probes of it', async t => {
+  const made = world(3)
+  made.probeTime = 280
+  const suspects = new Set<string>()
+  const forming = await formed(made, new MemoryPlacements(), suspects)
+  const wanted = count(made, 'small')
+  const victim = made.open.filter(each => each.model === 'small').at(-1) as World['open'][number]
+  made.kill(victim.head)
+  made.roster.apply([{ gone: victim.head }])
+  suspects.add(victim.head)
+  await pass(made, 6000)
+  t.is(count(made, 'small'), wanted)
+  sound(t, made)
+  forming.stop()
+})
--- a/packages/forming/test/schedules.ts
+++ b/packages/forming/test/schedules.ts
@@ -33,6 +33,7 @@
   const lateShare = random() < 0.5 ? 0 : 0.1 + random() * 0.25
   made.late = order => order.kind !== 'stage' && random() < lateShare ? 1000 + random() * 9000 : undefined
   made.lag = random() < 0.5 ? 0 : random() * 200
+  made.probeTime = random() * 280
   const placements = new MemoryPlacements()
   const suspects = new Set<string>()
   const start = (): ReturnType<typeof planner> => {
--- a/packages/forming/test/world.ts
+++ b/packages/forming/test/world.ts
@@ -49,6 +49,8 @@
   readonly loadsAt: number[] = []
   /** Time until the platform lists a change of an engine, in ms. */
   lag = 0
+  /** Time until a probe of an engine that does not answer is given up, in ms. */
+  probeTime = 0
   /** Engines whose pulse was looked at. */
   readonly felt = new Set<string>()
   /** Engines that take orders but answer no question. */
@@ -122,7 +124,9 @@
   readonly probes: Probes = new WorldProbes({
     isReachable: async address => {
       const node = this.#node(address.split(':')[0])
-      return node.alive && node.reachable && !this.mute.has(address.split(':')[0])
+      const reachable = node.alive && node.reachable && !this.mute.has(address.split(':')[0])
+      if (!reachable && this.probeTime > 0) await new Promise<void>(resolve => { this.clock.after(this.probeTime, resolve) })
+      return reachable
     },
     heartbeatOf: async id => {
       this.felt.add(id)
@@ -292,6 +296,7 @@
     heartbeatInterval: 1200,
     resumedAt: options.wokeAt ?? (() => -Infinity),
     decided: () => {},
+    surveyed: () => {},
     ordered: () => {},
     failed: error => { throw error }
   })
--- a/packages/gateway/src/planning.ts
+++ b/packages/gateway/src/planning.ts
@@ -46,6 +46,7 @@
     demand: () => modelLoad.demand,
     beforeTraffic: () => settings.first && !served() && !peers.live.some(each => each.served),
     decided: (domain, note, epoch) => log.write('replica-decided', { domain, note, epoch }),
+    surveyed: (domain, survey) => log.write('engines-surveyed', { domain, ...survey }),
     ordered: (order, result, took) => report(options, order, result, took),
     failed: error => log.write('controller-failed', { controller: 'forming', cause: String((error as Error).stack) })
   })
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -57,6 +57,7 @@
   'planner-rests': { number: 441, level: 'info', text: 'This gateway no longer plans the replicas of a service.' },
   'replica-decided': { number: 442, level: 'info', text: 'The planner decided to form or dissolve a replica and wrote the placement; orders follow.' },
   'engine-order': { number: 443, level: 'info', text: 'An order was sent to an engine; includes the result.' },
+  'engines-surveyed': { number: 444, level: 'info', text: 'What the engines of a domain do, by number of engines; written once a second by the planner.' },
   'lines-dropped': { number: 450, level: 'warn', text: 'Log lines were dropped because there were too many or the reader is too slow.' }
 } as const satisfies Record<string, Event>
 
--- a/packages/log/test/forms.test.ts
+++ b/packages/log/test/forms.test.ts
@@ -43,6 +43,7 @@
   '441 planner-rests info',
   '442 replica-decided info',
   '443 engine-order info',
+  '444 engines-surveyed info',
   '450 lines-dropped warn'
 ]
 
