--- a/packages/admit/src/queue.ts
+++ b/packages/admit/src/queue.ts
@@ -1,3 +1,8 @@
+/**
+ * The queue before an engine: which request runs next, and which is refused. Owns the places that are taken and the requests
+ * that wait; relies on its caller to return each ticket once. Order and bounds are decided here, the time at the engine is only
+ * observed.
+ */
 import { Err, Ok, type Result } from 'ts-results-es'
 import { type Clock, type Subscription } from '@eiderwind/clock'
 import { Fault } from '@eiderwind/fault'
--- a/packages/entry/src/assignment.ts
+++ b/packages/entry/src/assignment.ts
@@ -1,3 +1,7 @@
+/**
+ * What a worker has to do, worked out from the configuration, the placements and the list of voters. Pure; an entry sends the
+ * result to the worker in its answer to a report.
+ */
 import { type Assignment, type Configuration, type Homes, type Node, type Peer, type Placement, type PlainService } from '@eiderwind/schema'
 
 /** What an assignment is made from. */
--- a/packages/entry/src/attempting.ts
+++ b/packages/entry/src/attempting.ts
@@ -1,3 +1,7 @@
+/**
+ * One whole attempt of a request at a worker: sends it, collects the answer, and gives up at the deadline. Owns nothing; the
+ * paths decide what follows from how an attempt ended (`outcome.ts`).
+ */
 import { type Context } from './context.js'
 import { attemptAt, attemptHeaders, late, left, type Attempt, type Exchange } from './exchange.js'
 import { failure, workerFault, type AttemptEnd } from './outcome.js'
--- a/packages/entry/src/callers.ts
+++ b/packages/entry/src/callers.ts
@@ -1,3 +1,7 @@
+/**
+ * The callers' side of an entry: reads and checks each request and hands it to the path of its service. Owns the HTTP server
+ * and the count of open requests; relies on the board for the configuration.
+ */
 import { type IncomingMessage, type ServerResponse } from 'node:http'
 import { Err, Ok, type Result } from 'ts-results-es'
 import { Fault, asFault } from '@eiderwind/fault'
--- a/packages/entry/src/calls.ts
+++ b/packages/entry/src/calls.ts
@@ -1,3 +1,7 @@
+/**
+ * What an entry answers to workers and to other entries over HTTP: reports, news, the configuration. Owns no state of its own;
+ * it reads and writes the board.
+ */
 import { type Current } from '@eiderwind/config'
 import { type Configuration, type Peer, type Report, type ReportAnswer } from '@eiderwind/schema'
 import { beatsOf, reportTargets, type Reports } from '@eiderwind/spread'
--- a/packages/entry/src/completion.ts
+++ b/packages/entry/src/completion.ts
@@ -1,3 +1,7 @@
+/**
+ * Completion requests of the usual protocol, as far as an entry looks at them. Pure; what is not named here goes to the engine
+ * as it came.
+ */
 import { Err, Ok, type Result } from 'ts-results-es'
 import { z } from 'zod'
 import { Fault } from '@eiderwind/fault'
--- a/packages/entry/src/context.ts
+++ b/packages/entry/src/context.ts
@@ -1,3 +1,7 @@
+/**
+ * What all requests of an entry share on their way: the dependencies of its paths and attempts. Made once, when the entry
+ * starts.
+ */
 import { type Dispatcher } from 'undici'
 import { type Clock } from '@eiderwind/clock'
 import { type Current } from '@eiderwind/config'
--- a/packages/entry/src/convert.ts
+++ b/packages/entry/src/convert.ts
@@ -1,3 +1,6 @@
+/**
+ * Translates between the configuration and the messages of the operators' schema. Pure; the shapes are checked by `schema`.
+ */
 import { create } from '@bufbuild/protobuf'
 import { type Result, Err, Ok } from 'ts-results-es'
 import { Change } from '@eiderwind/config'
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,3 +1,7 @@
+/**
+ * The entry process: makes the parts, connects them, starts and stops them. Owns every part and the board that they share; it
+ * holds no rule of its own but the steps of a planned stop.
+ */
 import { type Server } from 'node:http'
 import { Server as TcpServer } from 'node:net'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -1,3 +1,6 @@
+/**
+ * One caller's request and its attempts, as values. Owns nothing; relies on the clock for what is left of a deadline.
+ */
 import { type IncomingMessage, type ServerResponse } from 'node:http'
 import { type Clock } from '@eiderwind/clock'
 import { type Team } from '@eiderwind/schema'
--- a/packages/entry/src/facts.ts
+++ b/packages/entry/src/facts.ts
@@ -1,3 +1,7 @@
+/**
+ * The board of an entry: what it has heard of the configuration, nodes, workers and other entries. Controllers write it,
+ * requests read it.
+ */
 import { Board } from '@eiderwind/board'
 import { digest } from '@eiderwind/hash'
 import { type EntryAddress, type Homes, type Node, type Placement } from '@eiderwind/schema'
--- a/packages/entry/src/fence.ts
+++ b/packages/entry/src/fence.ts
@@ -1,3 +1,7 @@
+/**
+ * Takes an entry out of service whose configuration is older than one that it has heard of. Owns the time since when it knows;
+ * relies on the revisions in workers' reports.
+ */
 import { Controller } from '@eiderwind/board'
 import { type Clock } from '@eiderwind/clock'
 import { type Current } from '@eiderwind/config'
--- a/packages/entry/src/flights.ts
+++ b/packages/entry/src/flights.ts
@@ -1,3 +1,7 @@
+/**
+ * Attempts in flight, by worker, so that those at a worker that has gone silent are given up. Owns their list and a timer;
+ * relies on the board for when each worker was last heard.
+ */
 import { type Clock, type Subscription } from '@eiderwind/clock'
 import { type Cancel } from '@eiderwind/wire'
 import { type Target, type Targets } from './targets.js'
--- a/packages/entry/src/health.ts
+++ b/packages/entry/src/health.ts
@@ -1,3 +1,7 @@
+/**
+ * What an entry believes of nodes and replicas, from what it has heard. Pure; the lease of a head, and no belief, decides
+ * whether it may serve.
+ */
 import { type Configuration, type Node, type Replica } from '@eiderwind/schema'
 import { type Health, type NodeFact } from '@eiderwind/plan'
 import { type Reports } from '@eiderwind/spread'
--- a/packages/entry/src/keyedpath.ts
+++ b/packages/entry/src/keyedpath.ts
@@ -1,3 +1,7 @@
+/**
+ * The way of a request that may not be repeated: to the home of its key, where it runs at most once. Relies on `run` for the
+ * rule and on `targets.ts` for the home.
+ */
 import { Fault } from '@eiderwind/fault'
 import { mintKey, type Key, readKey } from '@eiderwind/run'
 import { answerFault, wireHeaders } from '@eiderwind/wire'
--- a/packages/entry/src/listener.ts
+++ b/packages/entry/src/listener.ts
@@ -1,3 +1,6 @@
+/**
+ * One port for HTTP/1.1 and HTTP/2 without TLS. Owns the listening socket; the two servers behind it are its caller's.
+ */
 import { createServer as createHttp, type RequestListener, type Server as HttpServer } from 'node:http'
 import { createServer as createHttp2, type Http2Server, type ServerHttp2Session } from 'node:http2'
 import { createServer as createTcp, type Server, type Socket } from 'node:net'
--- a/packages/entry/src/modelpath.ts
+++ b/packages/entry/src/modelpath.ts
@@ -1,3 +1,7 @@
+/**
+ * The way of a completion to a replica: which replicas are tried, and in what order. Owns the choice for one request; relies on
+ * `route` for the policy and on `stream.ts` for streamed answers.
+ */
 import { Fault } from '@eiderwind/fault'
 import { ranked } from '@eiderwind/hash'
 import { prefixes } from '@eiderwind/route'
--- a/packages/entry/src/nodereader.ts
+++ b/packages/entry/src/nodereader.ts
@@ -1,3 +1,7 @@
+/**
+ * Reads the platform's node list for the entries of a data centre. Owns nothing that lasts; relies on `spread` for which
+ * entries read.
+ */
 import { Controller } from '@eiderwind/board'
 import { type Clock } from '@eiderwind/clock'
 import { type EntryAddress } from '@eiderwind/schema'
--- a/packages/entry/src/operators.ts
+++ b/packages/entry/src/operators.ts
@@ -1,3 +1,7 @@
+/**
+ * The operators' calls: each change is checked, made at the platform under a revision, and told to other entries before it is
+ * accepted. Relies on `config` for changes and on the store for agreement.
+ */
 import { create, type MessageInitShape } from '@bufbuild/protobuf'
 import { Code, ConnectError, createContextKey, type ConnectRouter, type HandlerContext, type Interceptor } from '@connectrpc/connect'
 import { type Result } from 'ts-results-es'
--- a/packages/entry/src/outcome.ts
+++ b/packages/entry/src/outcome.ts
@@ -1,3 +1,7 @@
+/**
+ * How an attempt without an answer ended, and which fault the caller gets for it. Pure: this is where "not run" is told from
+ * "unknown".
+ */
 import { Fault, type Outcome } from '@eiderwind/fault'
 import { wireHeaders, type AnswerHeaders, type Collected } from '@eiderwind/wire'
 
--- a/packages/entry/src/part.ts
+++ b/packages/entry/src/part.ts
@@ -1,3 +1,7 @@
+/**
+ * One part of a streamed completion: what a single replica sends for it. Owns the bytes of the event that is not complete;
+ * `stream.ts` joins parts.
+ */
 import { type ServerResponse } from 'node:http'
 import { Fault } from '@eiderwind/fault'
 import { Receiver, wireHeaders, type AnswerHeaders, type CallFailure, type Flow } from '@eiderwind/wire'
--- a/packages/entry/src/peers.ts
+++ b/packages/entry/src/peers.ts
@@ -1,3 +1,6 @@
+/**
+ * Which other entries are believed live. Owns when each was last heard; it only steers who is told and asked first.
+ */
 import { type Clock } from '@eiderwind/clock'
 import { type EntryAddress } from '@eiderwind/schema'
 
--- a/packages/entry/src/plainpath.ts
+++ b/packages/entry/src/plainpath.ts
@@ -1,3 +1,7 @@
+/**
+ * The way of a request to a plain service that may be repeated, or declares nothing. Relies on `targets.ts` for workers; asks a
+ * worker whose answer was lost what became of the attempt.
+ */
 import { Fault } from '@eiderwind/fault'
 import { noPreference } from '@eiderwind/route'
 import { type PlainService } from '@eiderwind/schema'
--- a/packages/entry/src/planning.ts
+++ b/packages/entry/src/planning.ts
@@ -1,3 +1,7 @@
+/**
+ * Plans the replicas of the domains that this entry acts for. Owns nothing that lasts: placements are objects of the store,
+ * written under the version that was planned on.
+ */
 import { Controller } from '@eiderwind/board'
 import { type Clock } from '@eiderwind/clock'
 import { type Current } from '@eiderwind/config'
--- a/packages/entry/src/registrar.ts
+++ b/packages/entry/src/registrar.ts
@@ -1,3 +1,7 @@
+/**
+ * Registers this entry at the platform and reads what is there. Owns the time of the last full reading; changes come by other
+ * ways in between.
+ */
 import { Controller } from '@eiderwind/board'
 import { EntryList, Homes, Placement, type EntryAddress } from '@eiderwind/schema'
 import { type Store } from '@eiderwind/store'
--- a/packages/entry/src/spreader.ts
+++ b/packages/entry/src/spreader.ts
@@ -1,3 +1,7 @@
+/**
+ * Spreads what this entry has heard to other entries, and fetches what it lacks. Owns what each was told last; relies on
+ * `spread` for who tells whom.
+ */
 import { Controller } from '@eiderwind/board'
 import { type Clock } from '@eiderwind/clock'
 import { type Current } from '@eiderwind/config'
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -1,3 +1,6 @@
+/**
+ * The status of the system for operators, from what this entry has heard. Pure.
+ */
 import { type MessageInitShape } from '@bufbuild/protobuf'
 import { type Current } from '@eiderwind/config'
 import { type NodeFact } from '@eiderwind/plan'
--- a/packages/entry/src/stream.ts
+++ b/packages/entry/src/stream.ts
@@ -1,3 +1,7 @@
+/**
+ * One streamed completion over all the replicas that serve parts of it. Owns what the caller has received (`transcript.ts`); a
+ * stream is complete only with its end mark.
+ */
 import { Fault } from '@eiderwind/fault'
 import { answerFault, callerHeaders, endToEnd, send, wireHeaders, type AnswerHeaders } from '@eiderwind/wire'
 import { attemptCall } from './attempting.js'
--- a/packages/entry/src/targets.ts
+++ b/packages/entry/src/targets.ts
@@ -1,3 +1,7 @@
+/**
+ * The workers to which requests can be sent, and where a key has its home. Owns what this entry counts of each worker; relies
+ * on the board for reports and leases.
+ */
 import { type Clock } from '@eiderwind/clock'
 import { type Current } from '@eiderwind/config'
 import { load, type Candidate } from '@eiderwind/route'
--- a/packages/entry/src/teams.ts
+++ b/packages/entry/src/teams.ts
@@ -1,3 +1,6 @@
+/**
+ * Teams by the key in an Authorization header. Owns a table of digests; no key is kept.
+ */
 import { createHash } from 'node:crypto'
 import { type Current } from '@eiderwind/config'
 import { type Configuration, type Team } from '@eiderwind/schema'
--- a/packages/entry/src/transcript.ts
+++ b/packages/entry/src/transcript.ts
@@ -1,3 +1,6 @@
+/**
+ * What the caller of a stream has received, so that it can be resumed elsewhere without a part twice. Owns whole events only.
+ */
 import { createParser } from 'eventsource-parser'
 import { z } from 'zod'
 
--- a/packages/entry/src/voting.ts
+++ b/packages/entry/src/voting.ts
@@ -1,3 +1,7 @@
+/**
+ * Keeps the list of workers that vote on the homes of keys. The list is an object of the store; a new one differs by one voter
+ * and comes only when no older list can hold a majority.
+ */
 import { Controller } from '@eiderwind/board'
 import { type Clock } from '@eiderwind/clock'
 import { type Current } from '@eiderwind/config'
--- a/packages/entry/src/watcher.ts
+++ b/packages/entry/src/watcher.ts
@@ -1,3 +1,7 @@
+/**
+ * Watches the configuration at the platform for the entries of a data centre. Owns nothing that lasts; relies on `spread` for
+ * which entries watch.
+ */
 import { Controller } from '@eiderwind/board'
 import { configurationKey, type Current } from '@eiderwind/config'
 import { Configuration, type EntryAddress } from '@eiderwind/schema'
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -97,6 +97,7 @@
   return pathname === paths.upstreams ? { life: searchParams.get('life') ?? '', after: Number(searchParams.get('after') ?? 0) } : undefined
 }
 
+/** The answer to a gateway that follows this one. */
 export function encodeUpstreamChanges (changes: UpstreamChanges): string {
   return JSON.stringify(changes)
 }
--- a/packages/roster/src/outage.ts
+++ b/packages/roster/src/outage.ts
@@ -49,10 +49,6 @@
     return this.#clock.now() - this.#firstAnswerAt >= relistTime
   }
 
-  /** When the last call was answered, on `Clock.now`; before the first answer, when the process started. */
-  get answeredAt (): number {
-    return this.#answeredAt
-  }
 
   /** Notes that a call was answered. */
   answered (): void {
--- a/packages/worker/src/calls.ts
+++ b/packages/worker/src/calls.ts
@@ -1,3 +1,7 @@
+/**
+ * What a worker answers to heads, entries and other workers: claims of its node, votes, and what became of an attempt. Relies
+ * on `grants.ts` for what was given.
+ */
 import { type Clock } from '@eiderwind/clock'
 import { type Attempts } from '@eiderwind/run'
 import { WorkerCalls, type ClaimAnswer, type ClaimMessage, type SettleAnswer, type SettleMessage } from '@eiderwind/wire'
--- a/packages/worker/src/channel.ts
+++ b/packages/worker/src/channel.ts
@@ -1,3 +1,6 @@
+/**
+ * Carries claims of leases to granters over the calls between processes. Owns nothing; the rules of leases are in `lease`.
+ */
 import { Channel, type Answer, type Claim } from '@eiderwind/lease'
 import { type Peer } from '@eiderwind/schema'
 import { type ClaimAnswer, type Clients } from '@eiderwind/wire'
--- a/packages/worker/src/facts.ts
+++ b/packages/worker/src/facts.ts
@@ -1,3 +1,6 @@
+/**
+ * The board of a worker: its assignment, its upstream, its grants and reports. Controllers write it, requests read it.
+ */
 import { Board } from '@eiderwind/board'
 import { type HeldSlot } from '@eiderwind/run'
 import { type Assignment } from '@eiderwind/schema'
--- a/packages/worker/src/grants.ts
+++ b/packages/worker/src/grants.ts
@@ -1,3 +1,7 @@
+/**
+ * The grants that a worker has given: its node to one head, and its votes for homes of keys. Owns them in memory; after a
+ * restart it waits a lease before it gives any.
+ */
 import { type Clock } from '@eiderwind/clock'
 import { Granter, type Answer, type GranterOptions } from '@eiderwind/lease'
 import { type ClaimMessage } from '@eiderwind/wire'
--- a/packages/worker/src/head.ts
+++ b/packages/worker/src/head.ts
@@ -1,3 +1,7 @@
+/**
+ * The head of a replica: holds a grant of every member while it serves. Owns the lease over all of them; a request runs only
+ * while it is held.
+ */
 import { v7 } from 'uuid'
 import { Controller } from '@eiderwind/board'
 import { type Clock } from '@eiderwind/clock'
--- a/packages/worker/src/health.ts
+++ b/packages/worker/src/health.ts
@@ -1,3 +1,6 @@
+/**
+ * Reads the state of the upstream beside this worker. Owns the last reading, which goes to the board.
+ */
 import { Controller } from '@eiderwind/board'
 import { type Log } from '@eiderwind/log'
 import { type WorkerBoard } from './facts.js'
--- a/packages/worker/src/homekeeper.ts
+++ b/packages/worker/src/homekeeper.ts
@@ -1,3 +1,6 @@
+/**
+ * Holds the slots of keys whose home this plain worker is. Owns the leases on them; relies on a majority of the voters.
+ */
 import { v7 } from 'uuid'
 import { Controller } from '@eiderwind/board'
 import { type Clock } from '@eiderwind/clock'
--- a/packages/worker/src/inbound.ts
+++ b/packages/worker/src/inbound.ts
@@ -1,3 +1,6 @@
+/**
+ * A request as an entry sends it to a worker, and the headers that its upstream gets. Pure.
+ */
 import { type IncomingMessage, type ServerResponse } from 'node:http'
 import { type Clock } from '@eiderwind/clock'
 import { header, hopHeaders, wireHeaders } from '@eiderwind/wire'
--- a/packages/worker/src/model.ts
+++ b/packages/worker/src/model.ts
@@ -1,3 +1,7 @@
+/**
+ * The path of a request to the engine: admission, the grants before each part that is passed on, cancelling. Relies on `admit`
+ * and `head.ts`.
+ */
 import { type Clock } from '@eiderwind/clock'
 import { Fault } from '@eiderwind/fault'
 import { type Queue, type Ticket } from '@eiderwind/admit'
--- a/packages/worker/src/numbered.ts
+++ b/packages/worker/src/numbered.ts
@@ -1,3 +1,6 @@
+/**
+ * Numbers the events of a stream by their offset, so that it can be resumed. Owns the event that is not complete yet.
+ */
 import { Relay, type RelayOptions } from '@eiderwind/wire'
 
 /** The end of a server-sent event (HTML, section 9.2). */
--- a/packages/worker/src/orders.ts
+++ b/packages/worker/src/orders.ts
@@ -1,3 +1,7 @@
+/**
+ * Gives the engine beside this worker the orders that the placement asks for. Owns the order under way; relies on the grants of
+ * the head, so that an engine which does not check its orders is safe too.
+ */
 import { Controller } from '@eiderwind/board'
 import { type Log } from '@eiderwind/log'
 import { type ModelAssignment } from '@eiderwind/schema'
--- a/packages/worker/src/plain.ts
+++ b/packages/worker/src/plain.ts
@@ -1,3 +1,7 @@
+/**
+ * The path of a request to a plain service: queue, book of the key, upstream. Relies on `run` for the rule that a request with
+ * a key runs at most once.
+ */
 import { digest } from '@eiderwind/hash'
 import { type Clock } from '@eiderwind/clock'
 import { Fault } from '@eiderwind/fault'
--- a/packages/worker/src/plainstate.ts
+++ b/packages/worker/src/plainstate.ts
@@ -1,3 +1,6 @@
+/**
+ * Decides whether a plain worker takes new requests. Owns nothing; writes the answer to the board.
+ */
 import { Controller } from '@eiderwind/board'
 import { type Queue } from '@eiderwind/admit'
 import { type WorkerBoard } from './facts.js'
--- a/packages/worker/src/reporter.ts
+++ b/packages/worker/src/reporter.ts
@@ -1,3 +1,7 @@
+/**
+ * Reports what this worker does to the entries that it was told to report to. Owns which those are; their answers bring the
+ * assignment and news.
+ */
 import { Controller } from '@eiderwind/board'
 import { type Queue } from '@eiderwind/admit'
 import { type Metric } from '@eiderwind/log'
--- a/packages/worker/src/sessions.ts
+++ b/packages/worker/src/sessions.ts
@@ -1,3 +1,7 @@
+/**
+ * Which sessions an engine holds, and their hand-over at a planned stop. Owns the list in memory; a session that is not moved
+ * costs its reader time and nothing else.
+ */
 import { type Clock } from '@eiderwind/clock'
 import { ranked } from '@eiderwind/hash'
 import { type Peer } from '@eiderwind/schema'
--- a/packages/worker/src/transfer.ts
+++ b/packages/worker/src/transfer.ts
@@ -1,3 +1,6 @@
+/**
+ * Carries the KV caches of sessions between engines of one version. Owns nothing; limits how long each move takes.
+ */
 import { type IncomingMessage, type ServerResponse } from 'node:http'
 import { request as send } from 'undici'
 import { Fault } from '@eiderwind/fault'
--- a/packages/worker/src/upstream.ts
+++ b/packages/worker/src/upstream.ts
@@ -1,3 +1,7 @@
+/**
+ * The clients of what stands beside a worker: an engine or a plain service. They own their connections and time-outs; what an
+ * answer means is decided by their callers.
+ */
 import { type Readable } from 'node:stream'
 import { Agent, request, type Dispatcher } from 'undici'
 import { z } from 'zod'
--- a/packages/worker/src/worker.ts
+++ b/packages/worker/src/worker.ts
@@ -1,3 +1,6 @@
+/**
+ * The worker process: makes the parts, connects them, starts and stops them. Owns every part and the board that they share.
+ */
 import { type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { v7 } from 'uuid'
 import { Queue } from '@eiderwind/admit'
