Tell other gateways which loads have begun, so that a planner that takes over lets them go on

Change: heartbeats carry the loads that engines have taken; they count as in progress for 16 s after the last heartbeat.

--- a/packages/forming/src/history.ts
+++ b/packages/forming/src/history.ts
@@ -17,6 +17,9 @@
 /** Entries are forgotten after this, in ms. Chosen, not measured: far above the time that a replica takes to be dissolved. */
 const memory = 26_000
 
+/** What tells orders apart. */
+type OrderName = Pick<Order, 'kind' | 'node' | 'model' | 'manner'> & Partial<Pick<Order, 'replica'>>
+
 interface Entry {
   /** When the order was given last, on `Clock.now`. */
   readonly at: number
@@ -67,7 +70,7 @@
   }
 
   /** Whether an engine accepted an order. */
-  wasTaken (order: Order): boolean {
+  wasTaken (order: OrderName): boolean {
     return this.#entries.get(orderKey(order))?.result === 'taken'
   }
 
@@ -97,7 +100,7 @@
 }
 
 /** Orders with the same key are repetitions of each other. */
-function orderKey ({ kind, node, replica, model, manner }: Pick<Order, 'kind' | 'node' | 'replica' | 'model' | 'manner'>): string {
+function orderKey ({ kind, node, replica = '', model, manner }: OrderName): string {
   return kind === 'stage' ? `${node} stage ${model ?? ''}` : `${node} ${kind}${manner ?? ''} ${replica}`
 }
 
--- a/packages/forming/src/loadlimit.ts
+++ b/packages/forming/src/loadlimit.ts
@@ -42,13 +42,16 @@
  */
 export class LoadLimit {
   readonly #clock: Clock
+  readonly #othersLoads: () => ReadonlyMap<string, string>
   /** Loads in progress, by node. */
   readonly #running = new Map<string, Load>()
   #tokens = 0
   #filledAt: number
 
-  constructor (clock: Clock) {
+  /** @param othersLoads the loads in progress by orders of other planners: the model, by node */
+  constructor (clock: Clock, othersLoads: () => ReadonlyMap<string, string> = () => new Map()) {
     this.#clock = clock
+    this.#othersLoads = othersLoads
     this.#filledAt = clock.now()
   }
 
@@ -65,9 +68,19 @@
     return true
   }
 
-  /** The model whose weights an engine loads by this planner's order. */
+  /** The model whose weights an engine loads by this planner's order, or by that of one before it. */
   loading (node: string): string | undefined {
-    return this.#running.get(node)?.model
+    return this.#running.get(node)?.model ?? this.#othersLoads().get(node)
+  }
+
+  /** Whether a load in progress is by another planner's order. */
+  isOthers (node: string): boolean {
+    return !this.#running.has(node) && this.#othersLoads().has(node)
+  }
+
+  /** Loads in progress by this planner's orders. */
+  get running (): ReadonlyArray<{ readonly node: string, readonly model: string }> {
+    return [...this.#running].map(([node, { model }]) => ({ node, model }))
   }
 
   /** Releases the permits of loads that have ended, and of engines that are gone. */
--- a/packages/forming/src/permits.ts
+++ b/packages/forming/src/permits.ts
@@ -15,7 +15,7 @@
   if (!history.isDue(order)) return false
   if (!order.loads) return true
   // A load in progress is not ordered again, which would take a permit from another one (docs/INCIDENTS.md, rdp quiet-1).
-  if (loads.loading(order.node) === order.model && history.wasTaken(order)) return false
+  if (loads.loading(order.node) === order.model && (loads.isOthers(order.node) || history.wasTaken(order))) return false
   return acquireLoad(order, facts, loads)
 }
 
--- a/packages/forming/src/reconciler.ts
+++ b/packages/forming/src/reconciler.ts
@@ -7,6 +7,7 @@
 import { Liveness, type LivenessOptions } from '@eiderwind/detect'
 import { type Engine, type Service } from '@eiderwind/traffic'
 import { Domains, type Domain } from './domains.js'
+import { holds } from './engines.js'
 import { type DomainFacts, type FleetFacts, type Step } from './facts.js'
 import { Arrivals, domainSize, intactReplicas, targetsMet } from './fleet.js'
 import { OrderHistory } from './history.js'
@@ -36,6 +37,8 @@
   readonly leads: (service: string) => boolean
   /** The work of each model of a service. */
   readonly demand: (service: string) => Demand
+  /** Loads that engines have begun by orders of other gateways, also of such as died within the time of a load: the model, by node. */
+  readonly othersLoads: () => ReadonlyMap<string, string>
   /** Whether no caller was ever served, by any gateway. */
   readonly beforeTraffic: () => boolean
   /** Called after each decision, once it is stored. */
@@ -66,7 +69,7 @@
     const { clock } = options
     this.#options = options
     this.#history = new OrderHistory(clock)
-    this.#loads = new LoadLimit(clock)
+    this.#loads = new LoadLimit(clock, () => this.#othersLoads())
     this.#planner = new Planner({ history: this.#history, loads: this.#loads })
     this.#domains = new Domains(options)
     this.#arrivals = new Arrivals(clock)
@@ -84,6 +87,21 @@
     this.#unsubscribe?.()
   }
 
+  /** Loads that engines have begun by this planner's orders: the model, by node. */
+  get loads (): Record<string, string> {
+    const begun = this.#loads.running.filter(({ node, model }) => this.#history.wasTaken({ kind: 'stage', node, model }))
+    return Object.fromEntries(begun.map(({ node, model }) => [node, model]))
+  }
+
+  /** Other planners' loads that have not ended: engines that hold the weights by now are done, and others are gone. */
+  #othersLoads (): ReadonlyMap<string, string> {
+    const { roster, othersLoads } = this.#options
+    return new Map([...othersLoads()].filter(([node, model]) => {
+      const upstream = roster.find(node)
+      return upstream !== undefined && !holds(upstream, model)
+    }))
+  }
+
   /** Looks at the domains now, or once more after the look in progress. */
   wake (): void {
     if (this.#looking) {
--- a/packages/forming/test/world.ts
+++ b/packages/forming/test/world.ts
@@ -281,7 +281,7 @@
 }
 
 /** A planner over a world. */
-export function planner (world: World, placements: Placements, options: { suspects?: Set<string>, acts?: () => boolean, wokeAt?: () => number, unserved?: () => boolean } = {}): Reconciler {
+export function planner (world: World, placements: Placements, options: { suspects?: Set<string>, acts?: () => boolean, wokeAt?: () => number, unserved?: () => boolean, others?: () => Reconciler | undefined } = {}): Reconciler {
   return new Reconciler({
     clock: world.clock,
     roster: world.roster,
@@ -292,6 +292,7 @@
     leads: options.acts ?? (() => true),
     suspects: () => options.suspects ?? new Set(),
     demand: () => new Map(),
+    othersLoads: () => new Map(Object.entries(options.others?.()?.loads ?? {})),
     beforeTraffic: options.unserved ?? (() => false),
     heartbeatInterval: 1200,
     resumedAt: options.wokeAt ?? (() => -Infinity),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -183,7 +183,8 @@
       inFlight: this.#inFlight.counts,
       suspects: this.#suspects.all,
       inFlightByModel: this.#inFlight.models,
-      served: this.#callers.served
+      served: this.#callers.served,
+      loads: this.#reconciler.loads
     }
   }
 }
--- a/packages/gateway/src/planning.ts
+++ b/packages/gateway/src/planning.ts
@@ -29,6 +29,9 @@
   readonly served: () => boolean
 }
 
+/** How long the loads of a planner that is no longer heard still count, in ms: the longest load of the deployments (16 s). */
+const loadMemory = 16_000
+
 /** The reconciler of this gateway, not started. */
 export function makeReconciler (options: PlanningOptions): Reconciler {
   const { clock, log, platform, settings, board, roster, suspects, pauses, peers, connections, leadership, modelLoad, served } = options
@@ -44,6 +47,7 @@
     leads: service => leadership.plans(service),
     suspects: () => new Set([...suspects.all, ...peers.live.flatMap(each => each.suspects)]),
     demand: () => modelLoad.demand,
+    othersLoads: () => new Map(peers.heardWithin(loadMemory).flatMap(each => Object.entries(each.loads))),
     beforeTraffic: () => settings.first && !served() && !peers.live.some(each => each.served),
     decided: (domain, note, epoch) => log.write('replica-decided', { domain, note, epoch }),
     surveyed: (domain, survey) => log.write('engines-surveyed', { domain, ...survey }),
--- a/packages/peers/src/heartbeat.ts
+++ b/packages/peers/src/heartbeat.ts
@@ -21,6 +21,8 @@
   readonly inFlightByModel: Readonly<Record<string, number>>
   /** Whether it has ever received a request from a caller. */
   readonly served: boolean
+  /** Loads of weights that engines have begun by its orders: the model, by engine. None from builds that do not say. */
+  readonly loads: Readonly<Record<string, string>>
 }
 
 /** The datagram: JSON with these keys. Unknown keys are dropped, so that a newer gateway may send more. */
@@ -34,20 +36,23 @@
   suspects: z.array(z.string()),
   /** `inFlightByModel`. */
   models: z.record(z.string(), z.int()),
-  served: z.boolean()
+  served: z.boolean(),
+  /** `loads` of the inner type; its name on the wire was taken. Absent where there are none. */
+  weights: z.record(z.string(), z.string()).optional()
 })
 
 /** The datagram of a heartbeat. */
-export function encode ({ id, revision, canPlan, inFlight, suspects, inFlightByModel, served }: Heartbeat): string {
-  return JSON.stringify({ id, revision, able: canPlan, loads: inFlight, suspects, models: inFlightByModel, served })
+export function encode ({ id, revision, canPlan, inFlight, suspects, inFlightByModel, served, loads }: Heartbeat): string {
+  const weights = Object.keys(loads).length === 0 ? undefined : loads
+  return JSON.stringify({ id, revision, able: canPlan, loads: inFlight, suspects, models: inFlightByModel, served, weights })
 }
 
 /** The heartbeat in a datagram, or undefined where the datagram is not one. */
 export function decode (message: Buffer): Heartbeat | undefined {
   const { data } = Datagram.safeParse(parsed(message))
   if (data === undefined) return undefined
-  const { id, revision, able: canPlan, loads: inFlight, suspects, models: inFlightByModel, served } = data
-  return { id, revision, canPlan, inFlight, suspects, inFlightByModel, served }
+  const { id, revision, able: canPlan, loads: inFlight, suspects, models: inFlightByModel, served, weights: loads = {} } = data
+  return { id, revision, canPlan, inFlight, suspects, inFlightByModel, served, loads }
 }
 
 function parsed (message: Buffer): unknown {
--- a/packages/peers/src/peers.ts
+++ b/packages/peers/src/peers.ts
@@ -63,7 +63,12 @@
 
   /** The peers that are alive, each as its newest heartbeat. */
   get live (): Heartbeat[] {
-    const since = this.#options.clock.now() - this.#options.timeout
+    return this.heardWithin(this.#options.timeout)
+  }
+
+  /** The newest heartbeat of each peer that was heard within a time, alive or not. @param time in ms */
+  heardWithin (time: number): Heartbeat[] {
+    const since = this.#options.clock.now() - time
     return [...this.#received.values()].filter(each => each.at >= since).map(each => each.heartbeat)
   }
 
--- a/packages/peers/test/peers.test.ts
+++ b/packages/peers/test/peers.test.ts
@@ -13,9 +13,17 @@
 const datagram = '{"id":"self","revision":7,"able":true,"loads":{"u":3},"suspects":["h"],"models":{"m":2},"served":true}'
 
 function heartbeat (difference: Partial<Heartbeat> = {}): Heartbeat {
-  return { id: 'self', revision: 7, canPlan: true, inFlight: { u: 3 }, suspects: ['h'], inFlightByModel: { m: 2 }, served: true, ...difference }
+  return { id: 'self', revision: 7, canPlan: true, inFlight: { u: 3 }, suspects: ['h'], inFlightByModel: { m: 2 }, served: true, loads: {}, ...difference }
 }
 
+test('loads that engines have begun are sent under a key of their own, and a datagram without it has none', t => {
+  const loads = { e1: 'large' }
+  const text = encode(heartbeat({ loads }))
+  t.is(text, datagram.replace('"served":true}', '"served":true,"weights":{"e1":"large"}}'))
+  t.deepEqual(decode(Buffer.from(text))?.loads, loads)
+  t.deepEqual(decode(Buffer.from(datagram))?.loads, {})
+})
+
 /** A socket that notes what it receives. */
 interface Peer {
   readonly id: string
--- a/packages/roster/src/outage.ts
+++ b/packages/roster/src/outage.ts
@@ -49,7 +49,6 @@
     return this.#clock.now() - this.#firstAnswerAt >= relistTime
   }
 
-
   /** Notes that a call was answered. */
   answered (): void {
     const now = this.#clock.now()
