Refuse at once where nothing serves what is asked for

A request for a model without an open replica waited 0.22 of its objective (66 to 110 ms) and was refused with the same Retry-After. Change: no wait before the first attempt where no upstream serves; a stream that has begun waits as before, since its caller can do nothing better.

--- a/packages/dispatch/src/waiting.ts
+++ b/packages/dispatch/src/waiting.ts
@@ -22,6 +22,8 @@
   readonly path: 'plain' | 'stream'
   /** Whether an attempt was started before. */
   readonly offered: boolean
+  /** Upstreams that serve what is asked for, whether they have room or not. */
+  readonly upstreams: number
   /** The route's latency objective. */
   readonly objective: number
   /** Time until the request's deadline. */
@@ -29,10 +31,11 @@
 }
 
 /**
- * Longest wait for an upstream with room, in ms. A plain request that was offered before does not wait: if no other
- * upstream has room now, its caller gets the result of the last attempts at once. Chosen, not measured.
+ * Longest wait for an upstream with room, in ms. Where none serves what is asked for, room cannot appear in a wait as short as the
+ * first one: the caller is refused at once and told when to come back. A plain request that was offered before does not wait: if no
+ * other upstream has room now, its caller gets the result of the last attempts at once. Chosen, not measured.
  */
-export function waitForRoom ({ path, offered, objective, timeLeft }: WaitInputs): number {
-  if (!offered) return Math.min(firstWaitShare * objective, timeLeft)
+export function waitForRoom ({ path, offered, upstreams, objective, timeLeft }: WaitInputs): number {
+  if (!offered) return upstreams === 0 ? 0 : Math.min(firstWaitShare * objective, timeLeft)
   return path === 'stream' ? Math.min(resumeWait, timeLeft) : 0
 }
--- a/packages/dispatch/test/decisions.test.ts
+++ b/packages/dispatch/test/decisions.test.ts
@@ -4,15 +4,20 @@
 
 test('a request waits for 0.22 of its objective before its first attempt, never past its deadline', t => {
   for (const path of ['plain', 'stream'] as const) {
-    t.is(waitForRoom({ path, offered: false, objective: 500, timeLeft: 6000 }), 110)
-    t.is(waitForRoom({ path, offered: false, objective: 500, timeLeft: 30 }), 30)
+    t.is(waitForRoom({ path, offered: false, upstreams: 2, objective: 500, timeLeft: 6000 }), 110)
+    t.is(waitForRoom({ path, offered: false, upstreams: 2, objective: 500, timeLeft: 30 }), 30)
   }
 })
 
+test('a request for which nothing serves is refused at once, and one that was offered before is not', t => {
+  for (const path of ['plain', 'stream'] as const) t.is(waitForRoom({ path, offered: false, upstreams: 0, objective: 500, timeLeft: 6000 }), 0)
+  t.is(waitForRoom({ path: 'stream', offered: true, upstreams: 0, objective: 500, timeLeft: 6000 }), 1500)
+})
+
 test('once offered, a plain request does not wait, and a stream waits for 1500 ms, never past its deadline', t => {
-  t.is(waitForRoom({ path: 'plain', offered: true, objective: 500, timeLeft: 6000 }), 0)
-  t.is(waitForRoom({ path: 'stream', offered: true, objective: 500, timeLeft: 6000 }), 1500)
-  t.is(waitForRoom({ path: 'stream', offered: true, objective: 500, timeLeft: 30 }), 30)
+  t.is(waitForRoom({ path: 'plain', offered: true, upstreams: 2, objective: 500, timeLeft: 6000 }), 0)
+  t.is(waitForRoom({ path: 'stream', offered: true, upstreams: 2, objective: 500, timeLeft: 6000 }), 1500)
+  t.is(waitForRoom({ path: 'stream', offered: true, upstreams: 2, objective: 500, timeLeft: 30 }), 30)
 })
 
 test('a stalled stream may be moved only if it may run again, and attempts and retries are left', t => {
--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -42,6 +42,9 @@
   /** Id of the last event that the caller has, on a stream. */
   protected abstract readonly lastEvent: number | undefined
 
+  /** How many upstreams serve what is asked for, whether they have room or not. */
+  protected abstract get upstreams (): number
+
   /** An upstream that has room now. */
   protected abstract choose (): Upstream | undefined
 
@@ -63,9 +66,9 @@
   }
 
   #findUpstream (): Promise<Upstream | undefined> {
-    const { request, kind } = this
+    const { request, kind, upstreams } = this
     const { priority, offered, timeLeft, route: { objective } } = request
-    const time = waitForRoom({ path: kind, offered, objective, timeLeft })
+    const time = waitForRoom({ path: kind, offered, upstreams, objective, timeLeft })
     return this.context.queue.wait(priority, time, () => this.choose(), cancel => request.cancelWith(cancel))
   }
 
--- a/packages/forward/src/plainpath.ts
+++ b/packages/forward/src/plainpath.ts
@@ -13,6 +13,10 @@
   protected readonly kind = 'plain'
   protected readonly lastEvent = undefined
 
+  protected get upstreams (): number {
+    return this.context.roster.available(this.request.service).length
+  }
+
   protected choose (): Upstream | undefined {
     const { service, tried } = this.request
     return this.context.choice.plain(service, tried)
--- a/packages/forward/src/streampath.ts
+++ b/packages/forward/src/streampath.ts
@@ -38,6 +38,13 @@
     return this.#progress.lastEvent
   }
 
+  protected get upstreams (): number {
+    const { roster } = this.context
+    const { service } = this.request
+    const { model, engine } = this.#target
+    return (engine === undefined ? roster.available(service) : roster.heads(service, model)).length
+  }
+
   protected choose (): Upstream | undefined {
     const { choice } = this.context
     const { service, tried } = this.request
@@ -85,8 +92,7 @@
   }
 
   protected refusal (): Fault {
-    const heads = this.context.roster.heads(this.request.service, this.#target.model)
-    return refusals.noRoom(heads.length)
+    return refusals.noRoom(this.upstreams)
   }
 
   /** Whether a stream whose upstream is suspected of having stalled is moved: it may be, and another upstream has room. */
--- a/packages/forward/test/retry.test.ts
+++ b/packages/forward/test/retry.test.ts
@@ -95,6 +95,8 @@
     this.#first = first
   }
 
+  protected readonly upstreams = 1
+
   protected choose (): Upstream {
     return { id: `u${this.attempts}` } as unknown as Upstream
   }
