--- a/packages/detect/src/inflight.ts
+++ b/packages/detect/src/inflight.ts
@@ -11,13 +11,16 @@
   readonly model: string
   /** When it was sent, on `Clock.now`. */
   readonly sentAt: number
-  /** Called when the upstream is suspected of having stalled. */
+  /** When anything was last received for it, or when it was sent, on `Clock.now`. */
+  receivedAt: number
+  /** Called when the upstream is suspected of having stalled, or this request alone has. */
   readonly stalled: (() => void) | undefined
 
   constructor (upstream: string, model: string, sentAt: number, stalled?: () => void) {
     this.upstream = upstream
     this.model = model
     this.sentAt = sentAt
+    this.receivedAt = sentAt
     this.stalled = stalled
   }
 }
@@ -71,10 +74,11 @@
     return request
   }
 
-  /** Records that something was received from the request's upstream. */
-  received ({ upstream }: InFlightRequest): void {
-    const load = this.#loads.get(upstream)
-    if (load !== undefined) load.receivedAt = this.#clock.now()
+  /** Records that something was received for a request, and so from its upstream. */
+  received (request: InFlightRequest): void {
+    request.receivedAt = this.#clock.now()
+    const load = this.#loads.get(request.upstream)
+    if (load !== undefined) load.receivedAt = request.receivedAt
   }
 
   /** Removes a request that has ended. A second call does nothing. */
@@ -86,6 +90,12 @@
     this.#ended()
   }
 
+  /** Requests in flight for which nothing was received for longer than `limit` ms, whatever else their upstream sends. */
+  silentRequests (limit: number): InFlightRequest[] {
+    const before = this.#clock.now() - limit
+    return [...this.#loads.values()].flatMap(({ requests }) => [...requests].filter(each => each.receivedAt < before))
+  }
+
   /** The requests in flight at an upstream. */
   at (upstream: string): InFlightRequest[] {
     return [...this.#loads.get(upstream)?.requests ?? []]
--- a/packages/detect/src/stalls.ts
+++ b/packages/detect/src/stalls.ts
@@ -1,6 +1,7 @@
 /**
  * The stall detector: a replica that lost a member keeps its connections open and sends nothing. A head all of whose
- * streams are silent for `silence` ms is suspected, and each request in flight there is given the chance to move.
+ * streams are silent for `silence` ms is suspected, and each request in flight there is given the chance to move. So is a single
+ * stream that is silent for longer while its head serves others: its connection may have gone silent for good.
  * Owns only its timer. Relies on `InFlight` for silence, `Suspects` to remember, `Pauses` to distrust its own clock.
  */
 import { type Clock, type Subscription } from '@eiderwind/clock'
@@ -27,6 +28,12 @@
 /** Time between two checks, in ms: an eighth of the silence that is looked for. Chosen, not measured. */
 const checkInterval = 50
 
+/**
+ * How long a single stream may be silent before it may move, in ms: well above what a first event takes at a full replica, and early
+ * enough that the stream goes on elsewhere before its caller leaves, after 2,000 ms or more (a bound of the deployments).
+ */
+const streamSilence = 1200
+
 /** Suspects heads whose streams have all stalled, and lets those streams move. */
 export class Stalls {
   readonly #options: StallsOptions
@@ -49,6 +56,7 @@
     // What arrived while this process was paused still waits unread in its own sockets.
     if (clock.now() - pauses.resumedAt < silence) return
     for (const id of inFlight.silent(upstream => this.#isHead(upstream) ? silence : Infinity)) this.#suspect(id)
+    for (const { upstream, stalled } of inFlight.silentRequests(streamSilence)) if (this.#isHead(upstream)) stalled?.()
   }
 
   #suspect (id: string): void {
--- a/packages/detect/test/detect.test.ts
+++ b/packages/detect/test/detect.test.ts
@@ -68,3 +68,32 @@
   clock.advance(500)
   t.true(suspects.has('a'))
 })
+
+test('a single stream that stays silent while its head serves others may move, and the head stays trusted', t => {
+  const clock = new ManualClock()
+  const roster = new Roster(clock)
+  roster.replace([{
+    id: 'a', service: 's', address: 'a:1', dataCentre: 'dc', leaving: false, loaded: [], staged: [], membership: { replica: 'r', epoch: 1, rank: 0, state: 'open' }
+  }])
+  const suspects = new Suspects(clock, roster)
+  const flights = new InFlight(clock, () => {})
+  const stalls = new Stalls({ clock, log: new Log({ sink: () => {} }), roster, inFlight: flights, suspects, silence: 400, pauses: new Pauses(clock), suspected: () => {} })
+  stalls.start()
+  let stalled = 0
+  const silent = flights.begin('a', 'm', () => { stalled++ })
+  const other = flights.begin('a', 'm', () => t.fail())
+  for (let time = 0; time < 1150; time += 50) {
+    clock.advance(50)
+    flights.received(other)
+  }
+  t.is(stalled, 0)
+  for (let time = 0; time < 200; time += 50) {
+    clock.advance(50)
+    flights.received(other)
+  }
+  t.true(stalled > 0)
+  t.false(suspects.has('a'))
+  flights.end(silent)
+  flights.end(other)
+  stalls.stop()
+})
--- a/packages/forming/test/schedules.ts
+++ b/packages/forming/test/schedules.ts
@@ -1,12 +1,14 @@
 /** Random schedules of what happens to a fleet of engines and its planners, by a seed. */
 import { ManualClock, seeded } from '@eiderwind/clock'
-import { MemoryPlacements, World, pass, planner, type Broken } from './world.js'
+import { MemoryPlacements, World, engine, pass, planner, type Broken } from './world.js'
 
 /** What a schedule showed. */
 export interface ScheduleResult {
   readonly broken: readonly Broken[]
   /** Replicas that served at the end, once nothing had happened for a while. */
   readonly open: number
+  /** Whether some domain had enough engines for a replica then. */
+  readonly servable: boolean
 }
 
 /** Domains and engines in each at the start. */
@@ -63,5 +65,8 @@
   await pass(made, 40_000)
   for (const each of planners) each.stop()
   // Two planners that act at once each keep to the limit of loads by themselves; the limit of both together is not held.
-  return { broken: made.broken.filter(each => each !== 'loads'), open: made.open.length }
+  const smallest = Math.min(...engine.models.map(each => each.size))
+  const staying = made.roster.upstreams.filter(each => !each.leaving)
+  const servable = staying.some(({ domain }) => staying.filter(each => each.domain === domain).length >= smallest)
+  return { broken: made.broken.filter(each => each !== 'loads'), open: made.open.length, servable }
 }
