--- a/packages/gateway/src/upstreamfeed.ts
+++ b/packages/gateway/src/upstreamfeed.ts
@@ -22,6 +22,8 @@
   readonly connections: Connections
   /** The gateways to follow, the best first; none where this one should watch the store itself. */
   readonly sources: () => readonly PeerAddress[]
+  /** Called with an error that nothing else handles. */
+  readonly failed: (error: unknown) => void
 }
 
 /** Pause before sources are looked for again, in ms. Chosen, not measured: a start should take well under a second. */
@@ -43,7 +45,7 @@
   }
 
   start (): void {
-    this.#run().catch(error => { throw error })
+    this.#run().catch(this.#options.failed)
   }
 
   stop (): void {
