Go on sending to whoever was heard where a gateway has no list of the others

Change: without a list heartbeats go to all that were ever heard. Result: the new test never ends on the code before, and passes now.

--- a/packages/peers/src/peers.ts
+++ b/packages/peers/src/peers.ts
@@ -114,10 +114,15 @@
     this.#timer = clock.every(interval, () => this.send())
   }
 
+  /** Whoever was heard, also long ago: one that restarts just now has nobody else to hear of it. */
+  get #heard (): PeerAddress[] {
+    return [...this.#received].slice(0, fanOut).map(([id, { address }]) => ({ id, address }))
+  }
+
   /** Sends a heartbeat now, in addition to the regular ones. */
   send (): void {
     const message = encode(this.#options.heartbeat())
-    for (const { address } of this.#hasList ? this.#recipients : this.liveAddresses.slice(0, fanOut)) {
+    for (const { address } of this.#hasList ? this.#recipients : this.#heard) {
       const { host, port } = splitAddress(address)
       // Failures are ignored for the same reason as the socket's errors in `start`.
       this.#socket?.send(message, port, host, () => {})
--- a/packages/peers/test/peers.test.ts
+++ b/packages/peers/test/peers.test.ts
@@ -41,6 +41,15 @@
   return { id, address: `127.0.0.1:${socket.address().port}`, socket, received }
 }
 
+/** A port that was free a moment ago. */
+async function freePort (): Promise<number> {
+  const socket = createSocket('udp4')
+  await new Promise<void>(resolve => socket.bind(0, '127.0.0.1', resolve))
+  const { port } = socket.address()
+  await new Promise<void>(resolve => socket.close(() => resolve()))
+  return port
+}
+
 async function startedPeers (t: ExecutionContext, clock: ManualClock): Promise<Peers> {
   const peers = new Peers({ clock, id: 'self', address: '127.0.0.1:0', heartbeat, interval, timeout })
   await peers.start()
@@ -152,3 +161,22 @@
   await until(() => other.received.length === 1)
   t.is(other.received[0].text, datagram)
 })
+
+test('a gateway without a list sends to whoever it has heard, also to one that has been silent for long', async t => {
+  const clock = new ManualClock()
+  const other = await peer(t, 'other')
+  const port = await freePort()
+  const peers = new Peers({ clock, id: 'self', address: `127.0.0.1:${port}`, heartbeat, interval, timeout })
+  await peers.start()
+  t.teardown(() => peers.stop())
+  await new Promise(resolve => other.socket.send(encode(heartbeat({ id: 'other' })), port, '127.0.0.1', resolve))
+  await until(() => peers.live.length === 1)
+  peers.send()
+  await until(() => other.received.length === 1)
+  clock.advance(20 * timeout)
+  t.deepEqual(peers.live, [])
+  const before = other.received.length
+  peers.send()
+  await until(() => other.received.length > before)
+  t.pass()
+})
