--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -80,15 +80,7 @@
     this.#metrics = new Metrics({ clock, board, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, connections: this.#connections, budgets: this.#budgets })
     this.#callers = this.#makeCallers()
     this.#confirmations = new Confirmations({ clock, board, peers, connections: this.#connections })
-    this.#upstreamFeed = new UpstreamFeed({
-      clock,
-      board,
-      roster: this.#roster,
-      platform,
-      connections: this.#connections,
-      sources: () => this.#leadership.sources,
-      failed: error => log.write('controller-failed', { controller: 'upstreams', cause: String((error as Error).stack) })
-    })
+    this.#upstreamFeed = this.#makeUpstreamFeed()
     this.#peerServer = new PeerServer({ clock, board, changes: new ChangeLog({ clock, roster: this.#roster, life: randomUUID() }), address: settings.peers, orders: platform.orders })
     this.#health = new Health(settings.health, () => this.ready)
     this.#stalls = this.#makeStalls()
@@ -165,6 +157,19 @@
     })
   }
 
+  #makeUpstreamFeed (): UpstreamFeed {
+    const { clock, log, platform } = this.#options
+    return new UpstreamFeed({
+      clock,
+      board: this.#board,
+      roster: this.#roster,
+      platform,
+      connections: this.#connections,
+      sources: () => this.#leadership.sources,
+      failed: error => log.write('controller-failed', { controller: 'upstreams', cause: String((error as Error).stack) })
+    })
+  }
+
   #makeStalls (): Stalls {
     const { clock, log, settings: { silence } } = this.#options
     return new Stalls({
