Follow another gateway's upstreams only where the store cannot be reached

A follower depends on the way from another gateway to the store, and that this has failed shows after 2.5 s. Ruled out for now: an age in each answer and shorter waits of the two that watch; both need their own measurement.

--- a/packages/gateway/src/changelog.ts
+++ b/packages/gateway/src/changelog.ts
@@ -1,5 +1,5 @@
 /**
- * The changes of this gateway's list of upstreams, for gateways that take them from here instead of watching the store. Each
+ * The changes of this gateway's list of upstreams, for gateways that cannot reach the store and take them from here. Each
  * change has a number; an asker says the last one that it has, and waits until there are later ones. Owns the newest changes, in
  * memory only. One that asks for more than is kept, or for those of an earlier life of this process, gets the whole list.
  */
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -82,13 +82,14 @@
   }
 
   /**
-   * The gateways whose changes of the upstreams this one takes, the best first: those that poll. None where it polls or plans itself;
-   * any that lives where this one has no list yet.
+   * The gateways whose changes of the upstreams this one takes, the best first: those that poll the store, or any that lives where this
+   * one has no list yet. None where it reaches the store itself: through another gateway, whose own way to the store may just have
+   * failed unnoticed, it would hear too late which upstreams leave.
    */
   get sources (): PeerAddress[] {
     const { id, board, peers } = this.#options
-    if (this.planning || (this.eligible && this.polls)) return []
-    const polling = ranked(pollingKey, this.#candidates).slice(0, pollers)
+    if (board.read('store')) return []
+    const polling = ranked(pollingKey, peers.planners).slice(0, pollers)
     const sources = board.read('upstreamsFrom') === undefined ? [...polling, ...peers.live.map(each => each.id)] : polling
     const addresses = new Map(peers.liveAddresses.map(each => [each.id, each]))
     return ranked(id, [...new Set(sources)].filter(each => addresses.has(each))).map(each => addresses.get(each) as PeerAddress)
--- a/packages/gateway/src/upstreamfeed.ts
+++ b/packages/gateway/src/upstreamfeed.ts
@@ -1,7 +1,6 @@
 /**
- * Takes the list of upstreams and its changes from another gateway. In a fleet two gateways watch the store's list, and those that
- * plan; the others follow one of them, so that calls to the store do not grow with the fleet. A gateway that cannot reach the store
- * follows too, also from its start: it then serves within a second by what the others know.
+ * Takes the list of upstreams and its changes from another gateway while the store cannot be reached from here, also from the start of
+ * the process: it then serves within a second by what the others know.
  * Owns which gateway is followed and the last change taken from it. Relies on `Leadership` for whom to follow, on `Peers` for who
  * lives, and on the platform to pause its own watch while this one follows.
  */
