--- a/packages/forming/src/lifecycle.ts
+++ b/packages/forming/src/lifecycle.ts
@@ -56,8 +56,7 @@
 
 /**
  * Dissolves a replica whose head is listed and does not serve, once the head has left it: an order to open that was not answered, or
- * one of another planner, may be carried out seconds later, when the other members are in other replicas already. Without it 2 to 6
- * in 30 random schedules with late orders broke the rule that no engine serves in two replicas; with it none of 60.
+ * one of another planner, may be carried out seconds later, when the other members are in other replicas already.
  */
 function dissolveOnceLeft (replica: PlannedReplica, dissolved: string, history: OrderHistory): ReplicaStep {
   return history.hasLeft(replica.members[0].id, replica.name) ? { dissolved } : { orders: [leaveOrder(replica)] }
