Have two gateways of a large fleet watch the store for all, and each hear every other one

Change: heartbeats go to all, more slowly in large fleets (160 a second each); above 6 gateways the two that rank first watch the store, the others follow them by long polls whose answers say up to when they lack nothing, and watch for themselves where that is older than half of the time in which a leaving upstream may get requests ([bounds] drain, new). Gateways that others watch for call the store seldom, and with growing pauses while it fails. Heartbeat counts are read three times instead of seven. Datagrams have a class of their own, so that membership is tested as a model of 35, 100 and 300 gateways without a network. Ruled out: following two watchers without the age of their word, which broke DRAIN by 50 ms (docs/design/scarcity.md, 2b).

--- a/packages/detect/src/liveness.ts
+++ b/packages/detect/src/liveness.ts
@@ -52,8 +52,12 @@
  */
 const missedIntervals = 1.4
 
-/** Time between two readings of one heartbeat count, in ms: about a fifth of the interval (1200 ms). Chosen, not measured. */
-const readInterval = 250
+/**
+ * Readings of a heartbeat count within the time after which it has stopped, beside the first: each is a call of the store, which is paid
+ * for. A head that dies has written its last heartbeat before its silence is noticed, so the first and the last reading decide; one
+ * between them costs less time where a heartbeat came late. Chosen, not measured alone.
+ */
+const readings = 2
 
 /** Readings of one heartbeat count. */
 interface HeartbeatReading {
@@ -155,7 +159,9 @@
     const { clock, probes, changed, failed } = this.#options
     const known = this.#heartbeats.get(head)
     const askedAt = clock.now()
-    if (known !== undefined && askedAt - known.askedAt < readInterval) return
+    if (known !== undefined && askedAt - known.askedAt < missedIntervals * this.#options.heartbeatInterval / readings) return
+    // One that answers its probes and orders is read once, since it may fall silent; the replica it leads is closed meanwhile.
+    if (known !== undefined && !this.#unreachable.has(head) && (this.#unanswered.get(head) ?? 0) === 0) return
     this.#heartbeats.set(head, { count: known?.count, since: known?.since ?? Infinity, askedAt })
     probes.heartbeatOf(head).then(count => {
       const since = count !== undefined && count === known?.count ? Math.min(known.since, askedAt) : clock.now()
--- a/packages/gateway/src/changelog.ts
+++ b/packages/gateway/src/changelog.ts
@@ -13,14 +13,13 @@
   readonly roster: Roster
   /** Names the life of this process among all: numbers of changes mean nothing to another one. */
   readonly life: string
+  /** How long an asker waits for a change, in ms. It learns by each answer that this gateway lives, and how young its list is. */
+  readonly wait: number
 }
 
 /** Changes that are kept: those of many seconds, so that only an asker that was away gets the whole list. Chosen, not measured. */
 const kept = 500
 
-/** How long an asker waits for a change, in ms. It learns by each answer that this gateway lives. Chosen, not measured. */
-const longestWait = 1000
-
 /** The newest changes of the list of upstreams. */
 export class ChangeLog {
   readonly #options: ChangeLogOptions
@@ -64,7 +63,7 @@
         this.#waiting.delete(wake)
         resolve()
       }
-      const timer = this.#options.clock.after(longestWait, wake)
+      const timer = this.#options.clock.after(this.#options.wait, wake)
       this.#waiting.add(wake)
     })
   }
--- a/packages/gateway/src/confirmations.ts
+++ b/packages/gateway/src/confirmations.ts
@@ -17,6 +17,8 @@
   readonly board: GatewayBoard
   readonly peers: Peers
   readonly connections: Connections
+  /** Ids of the gateways that learn from the store itself what is new. */
+  readonly informed: () => readonly string[]
 }
 
 /** Age of the newest confirmation from which others are asked, in ms: those that poll get one each second. Chosen, not measured. */
@@ -71,9 +73,10 @@
     return new Set(this.#options.peers.live.filter(each => each.revision > revision).map(each => each.id))
   }
 
-  /** Live gateways, those with a later configuration first. */
+  /** Live gateways, those with a later configuration first, then those that learn from the store itself. */
   #livePeers (ahead: ReadonlySet<string>): PeerAddress[] {
-    const rank = ({ id }: PeerAddress): number => ahead.has(id) ? 0 : 1
+    const informed = new Set(this.#options.informed())
+    const rank = ({ id }: PeerAddress): number => ahead.has(id) ? 0 : informed.has(id) ? 1 : 2
     return this.#options.peers.liveAddresses.sort((a, b) => rank(a) - rank(b))
   }
 
--- a/packages/gateway/src/facts.ts
+++ b/packages/gateway/src/facts.ts
@@ -24,6 +24,10 @@
   readonly store: boolean
   /** Where the list of upstreams came from last; undefined before there is one. */
   readonly upstreamsFrom: 'store' | 'peer' | undefined
+  /** The list of upstreams lacks nothing that happened before this time, on `Clock.now`. */
+  readonly upstreamsAt: number
+  /** Whether the list came from another gateway last although the store could be reached: outages of the store may have gone unnoticed. */
+  readonly followed: boolean
   /** Whether the list of gateways was ever read. */
   readonly listed: boolean
   /** Whether the process has got the signal to stop. */
@@ -35,7 +39,7 @@
 
 /** The board of a process that knows nothing yet. */
 export function gatewayBoard (): GatewayBoard {
-  return new Board<GatewayFacts>({ inForce: undefined, confirmedAt: -Infinity, upstreamsFrom: undefined, store: false, listed: false, stopping: false })
+  return new Board<GatewayFacts>({ inForce: undefined, confirmedAt: -Infinity, upstreamsFrom: undefined, upstreamsAt: -Infinity, followed: false, store: false, listed: false, stopping: false })
 }
 
 /** Puts a configuration into force, unless one as new is in force. Returns whether it did. Nothing older ever replaces it. */
@@ -52,6 +56,11 @@
   if (askedAt > board.read('confirmedAt')) board.write('confirmedAt', askedAt)
 }
 
+/** Records that the list of upstreams lacks nothing that happened before `at`. */
+export function complete (board: GatewayBoard, at: number): void {
+  if (at > board.read('upstreamsAt')) board.write('upstreamsAt', at)
+}
+
 /** Revision of the configuration in force; 0 before there is one. */
 export function revisionInForce (board: GatewayBoard): number {
   return board.read('inForce')?.traffic.revision ?? 0
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -35,6 +35,13 @@
 /** How long a new connection to an upstream may take, in ms: over 100 times the way there and back (1.4 ms each). */
 const connectTime = 350
 
+/**
+ * How long a gateway that follows this one waits for a change of the upstreams: a share of the age that it accepts, so that it hears
+ * several times within that time, and at most this long, in ms. Chosen, not measured.
+ */
+const changeWaitShare = 0.2
+const longestChangeWait = 1000
+
 /** Time between two looks whether all requests have ended, at a stop, in ms. */
 const stopInterval = 50
 
@@ -79,9 +86,9 @@
     this.#budgets = new Budgets({ clock, board, peers, settings })
     this.#metrics = new Metrics({ clock, board, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, connections: this.#connections, budgets: this.#budgets })
     this.#callers = this.#makeCallers()
-    this.#confirmations = new Confirmations({ clock, board, peers, connections: this.#connections })
+    this.#confirmations = new Confirmations({ clock, board, peers, connections: this.#connections, informed: () => this.#leadership.informed })
     this.#upstreamFeed = this.#makeUpstreamFeed()
-    this.#peerServer = new PeerServer({ clock, board, changes: new ChangeLog({ clock, roster: this.#roster, life: randomUUID() }), address: settings.peers, orders: platform.orders })
+    this.#peerServer = new PeerServer({ clock, board, changes: new ChangeLog({ clock, roster: this.#roster, life: randomUUID(), wait: Math.min(longestChangeWait, changeWaitShare * settings.patience) }), address: settings.peers, orders: platform.orders })
     this.#health = new Health(settings.health, () => this.ready)
     this.#stalls = this.#makeStalls()
     this.#reconciler = makeReconciler({
@@ -166,6 +173,7 @@
       platform,
       connections: this.#connections,
       sources: () => this.#leadership.sources,
+      patience: this.#options.settings.patience,
       failed: error => log.write('controller-failed', { controller: 'upstreams', cause: String((error as Error).stack) })
     })
   }
@@ -193,6 +201,7 @@
       id: this.#options.settings.id,
       revision: revisionInForce(this.#board),
       canPlan: this.#leadership.eligible,
+      canWatch: this.#leadership.canWatch,
       inFlight: this.#inFlight.counts,
       suspects: this.#suspects.all,
       inFlightByModel: this.#inFlight.models,
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -1,8 +1,8 @@
 /**
- * Which gateway plans the replicas of a service, and which ones poll the store for confirmations of the configuration.
- * Nothing is agreed: each gateway ranks the ids it has heard lately by rendezvous hashing, so two may act while their
- * views differ: for a moment in fleets of up to 13 gateways, lastingly in larger ones, where each sends its heartbeat to 12 others.
- * That is safe, because a placement is written under its version and engines refuse lower
+ * Which gateway plans the replicas of a service, which ones poll the store for confirmations of the configuration, and, in
+ * a large fleet, which two watch the store's upstreams for all others.
+ * Nothing is agreed: each gateway ranks the ids it has heard lately by rendezvous hashing, so for a moment two may act while their
+ * views differ. That is safe, because a placement is written under its version and engines refuse lower
  * epochs; it is only wasteful, hence the waits below.
  * Owns which services this gateway plans, for the log. Relies on heartbeats (`Peers`) and on the board.
  */
@@ -29,17 +29,31 @@
 }
 
 /**
- * How long a gateway that has started, or resumed after a pause, waits before it plans, in ms: the 1000 ms (`heartbeatTimeout` in gateway.ts) after which a silent
- * gateway counts as gone, and a margin, so that it has heard every other one. Raised after soak 140 (docs/INCIDENTS.md).
+ * A gateway that has started, or resumed after a pause, plans once it has heard every other one: after the silence for which a peer
+ * counts as alive (`Peers.timeout`), and this margin, in ms. Without the wait two planned at once after a restart (docs/INCIDENTS.md,
+ * soak 140). The margin was chosen, not measured.
  */
-const settleTime = 1100
+const settleMargin = 100
 
 /**
- * Gateways that poll the store for confirmations; the others ask these. Two, so that the loss of one delays no confirmation. Calls to
- * confirm stay at two a second for the whole fleet (docs/design/platform.md, "Freshness").
+ * Gateways that poll the store for confirmations, and in a large fleet also watch its upstreams; the others ask these. Two, so that the
+ * loss of one delays nothing. Calls to confirm stay at two a second for the whole fleet (docs/design/platform.md, "Freshness").
  */
 const pollers = 2
 
+/**
+ * Gateways up to which each watches the store's upstreams for itself. In larger fleets two watch, and the others follow them. Two
+ * watchers have to ask some 5 to 10 times a second each, so that followers know soon that the watchers' own way to the store has
+ * failed; a gateway for itself asks 0.7 to 3 times. So up to about 6 gateways following saves no calls.
+ */
+const smallFleet = 6
+
+/**
+ * How long a gateway that is no longer heard counts for the size of the fleet, in ms: a fleet is not small because many restart, or because
+ * this process was paused. Chosen, not measured.
+ */
+const fleetMemory = 10_000
+
 /** The key under which gateways are ranked for polling. Part of the behaviour: gateways of all builds must rank alike. */
 const pollingKey = 'confirmers'
 
@@ -56,11 +70,51 @@
 
   /** Whether this gateway may plan at all; other gateways read it in its heartbeat. */
   get eligible (): boolean {
-    const { clock, board, outage, pauses, firstStart } = this.#options
+    const { board, outage, firstStart } = this.#options
     if (!board.read('store') || !board.read('listed') || board.read('stopping')) return false
     // It cannot know whether an outage of the store has just ended: upstreams that lapsed may still be missing from its first list.
-    if (!firstStart && !outage.listComplete) return false
-    return clock.now() - Math.max(this.#startedAt, pauses.resumedAt) > settleTime
+    const isFirstList = firstStart && !outage.resumed
+    if (!isFirstList && !outage.listComplete) return false
+    return this.#isSettled && !this.follows
+  }
+
+  /** Whether this gateway could watch the store for others, as far as it knows; other gateways read it in its heartbeat. */
+  get canWatch (): boolean {
+    const { board } = this.#options
+    return this.#isLarge && this.#isSettled && board.read('store') && board.read('listed') && !board.read('stopping')
+  }
+
+  /**
+   * Whether this gateway takes the upstreams from those that watch the store, although it reaches the store itself. A pause of its own
+   * does not end that: only one that watched and may be behind leaves it to the others for a while.
+   */
+  get follows (): boolean {
+    const { clock, board, id, peers } = this.#options
+    if (!this.#isLarge || clock.now() - this.#startedAt <= peers.timeout + settleMargin) return false
+    if (!board.read('store') || !board.read('listed') || board.read('upstreamsFrom') === undefined) return false
+    return !(this.canWatch && this.#watchers.includes(id))
+  }
+
+  /** Whether other gateways take the upstreams from this one. */
+  get isFollowed (): boolean {
+    return this.canWatch && this.#watchers.includes(this.#options.id)
+  }
+
+  /** Whether others watch the store for this gateway, be it that it follows them or that it cannot reach the store. */
+  get isSpared (): boolean {
+    const { clock, board, peers } = this.#options
+    if (!this.#isLarge || clock.now() - this.#startedAt <= peers.timeout + settleMargin) return false
+    return board.read('listed') && !this.isFollowed
+  }
+
+  /** Gateways that were heard lately, this one included. */
+  get fleet (): number {
+    return this.#options.peers.heardWithin(fleetMemory).length + 1
+  }
+
+  /** Ids of the gateways that other ones should ask first: they learn from the store itself what is new. */
+  get informed (): string[] {
+    return this.#isLarge ? this.#watchers : ranked(pollingKey, this.#options.peers.planners).slice(0, pollers)
   }
 
   /** Whether this gateway plans any service now. */
@@ -82,24 +136,44 @@
   }
 
   /**
-   * The gateways whose changes of the upstreams this one takes, the best first: those that poll the store, or any that lives where this
-   * one has no list yet. None where it reaches the store itself: through another gateway, whose own way to the store may just have
-   * failed unnoticed, it would hear too late which upstreams leave.
+   * The gateways whose changes of the upstreams this one takes, the best first: those that watch or poll the store, or any that lives
+   * where this one has no list yet. None in a small fleet where it reaches the store itself, and none where it watches for others.
    */
   get sources (): PeerAddress[] {
     const { id, board, peers } = this.#options
-    if (board.read('store')) return []
-    const polling = ranked(pollingKey, peers.planners).slice(0, pollers)
-    const sources = board.read('upstreamsFrom') === undefined ? [...polling, ...peers.live.map(each => each.id)] : polling
+    if (board.read('store') && !this.follows) return []
+    const informed = this.informed.filter(each => each !== id)
+    const sources = board.read('upstreamsFrom') === undefined ? [...informed, ...peers.live.map(each => each.id)] : informed
     const addresses = new Map(peers.liveAddresses.map(each => [each.id, each]))
     return ranked(id, [...new Set(sources)].filter(each => addresses.has(each))).map(each => addresses.get(each) as PeerAddress)
   }
 
-  /** Whether this gateway polls the store for confirmations. One that is not eligible is in no ranking, so it polls for itself. */
+  /**
+   * Whether this gateway polls the store for confirmations. One that is not eligible is in no ranking, so it polls for itself, unless
+   * others watch the store for it.
+   */
   get polls (): boolean {
+    if (this.#isLarge) return !this.isSpared
     return !this.eligible || ranked(pollingKey, this.#candidates).slice(0, pollers).includes(this.#options.id)
   }
 
+  get #isLarge (): boolean {
+    return this.fleet > smallFleet
+  }
+
+  /** Whether this gateway has had the time to hear every other one since it started or resumed after a pause. */
+  get #isSettled (): boolean {
+    const { clock, pauses, peers } = this.#options
+    return clock.now() - Math.max(this.#startedAt, pauses.resumedAt) > peers.timeout + settleMargin
+  }
+
+  /** Ids of the gateways that watch the store for all others, this one included where it is one of them. */
+  get #watchers (): string[] {
+    const { id, peers } = this.#options
+    const candidates = this.canWatch ? [id, ...peers.watchCandidates] : peers.watchCandidates
+    return ranked(pollingKey, candidates).slice(0, pollers)
+  }
+
   /** Ids of the gateways that may plan, as far as this one has heard lately. */
   get #candidates (): string[] {
     const { id, peers } = this.#options
--- a/packages/gateway/src/listener.ts
+++ b/packages/gateway/src/listener.ts
@@ -6,7 +6,7 @@
 import { type Log } from '@eiderwind/log'
 import { type Peers } from '@eiderwind/peers'
 import { type Outage, type Roster } from '@eiderwind/roster'
-import { confirm, enforce, type GatewayBoard } from './facts.js'
+import { complete, confirm, enforce, type GatewayBoard } from './facts.js'
 import { type PlatformListener } from './platform.js'
 
 /** Dependencies of a platform's listener. */
@@ -30,11 +30,15 @@
       if (board.read('inForce')?.traffic.revision === traffic.revision) confirm(board, askedAt)
     },
     confirmed: askedAt => confirm(board, askedAt),
-    upstreams: all => {
+    upstreams: (all, askedAt) => {
+      if (board.read('followed')) outage.resume()
+      board.write('followed', false)
       board.write('upstreamsFrom', 'store')
       roster.replace(all)
+      complete(board, askedAt)
     },
     upstreamChanges: changes => roster.apply(changes),
+    upstreamsComplete: at => complete(board, at),
     gateways: all => {
       board.write('listed', true)
       peers.setAddresses(all)
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -36,6 +36,11 @@
   newest: z.number(),
   /** Every upstream that the answering gateway knows, where the asker lacks more changes than are kept. */
   upstreams: z.array(Upstream).optional(),
+  /**
+   * Ms from the time before which the answer lacks nothing until the question arrived; negative where the answer waited for that time.
+   * Absent from builds that do not say.
+   */
+  age: z.number().optional(),
   /** What changed since, in order. The schema of an upstream names its fields (`roster`). */
   changes: z.array(z.union([z.object({ upstream: Upstream }), z.object({ gone: z.string() })])).optional()
 })
--- a/packages/gateway/src/peerserver.ts
+++ b/packages/gateway/src/peerserver.ts
@@ -59,13 +59,14 @@
 
   /** A gateway that has no list itself cuts the connection: the asker asks another one. */
   #answerUpstreams (asked: UpstreamsAsked, response: ServerResponse): void {
-    const { board, changes } = this.#options
+    const { clock, board, changes } = this.#options
+    const arrivedAt = clock.now()
     if (board.read('upstreamsFrom') === undefined) {
       response.destroy()
       return
     }
     // It never rejects: it waits for a change, or for its own timer.
-    changes.after(asked).then(answer => response.end(encodeUpstreamChanges(answer)), () => response.destroy())
+    changes.after(asked).then(answer => response.end(encodeUpstreamChanges({ ...answer, age: arrivedAt - board.read('upstreamsAt') })), () => response.destroy())
   }
 
   async #give (request: IncomingMessage): Promise<OrderResult> {
--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -16,10 +16,12 @@
   configuration (traffic: Traffic, askedAt: number): void
   /** The newest configuration that was delivered was still the newest at `askedAt`. */
   confirmed (askedAt: number): void
-  /** The whole list of upstreams. */
-  upstreams (all: readonly Upstream[]): void
+  /** The whole list of upstreams, which lacks nothing that happened before `askedAt`. */
+  upstreams (all: readonly Upstream[], askedAt: number): void
   /** Changes of that list, in the order in which they happened. */
   upstreamChanges (changes: readonly RosterChange[]): void
+  /** All changes of that list that happened before `at` have been delivered. */
+  upstreamsComplete (at: number): void
   /** The whole list of gateways, this one included. */
   gateways (all: readonly PeerAddress[]): void
   /** A call of a watch was answered. */
@@ -33,6 +35,20 @@
   taskFailed (task: string, cause: string): void
 }
 
+/** What a gateway uses the store for. Calls are paid for, so it makes no more of them than this needs. */
+export interface StoreUse {
+  /** It plans replicas: it needs changes of the upstreams soon, the one call for each; for others several come together a little later. */
+  readonly planning: boolean
+  /** It asks often whether the configuration is still the newest, and passes that on to the others. */
+  readonly confirming: boolean
+  /** Other gateways take the upstreams from it: it has to know often that nothing has changed. */
+  readonly followed: boolean
+  /** Other gateways tell it all that is new: it calls the store only to see whether it could. */
+  readonly spared: boolean
+  /** Gateways that live: all that are spared call more seldom, the more there are. */
+  readonly fleet: number
+}
+
 /** The platform of one gateway. */
 export abstract class Platform {
   /** Names of the headers by which callers, gateways and upstreams understand each other. */
@@ -44,18 +60,13 @@
   abstract watch (listener: PlatformListener): void
   /** Writes this gateway into the list of gateways; tries again until that is done or `stop` is called. */
   abstract register (gateway: PeerAddress): void
-  /**
-   * Whether this gateway plans replicas: it then needs changes of the upstreams within milliseconds; for others several come
-   * together a little later, which takes fewer calls.
-   */
-  abstract setPlanning (planning: boolean): void
+  /** What this gateway uses the store for from now on. */
+  abstract setUse (use: StoreUse): void
   /**
    * Whether this gateway takes the upstreams from another one, so that it need not watch them. Where that ends, the whole list is
    * delivered anew before any change.
    */
   abstract setFollowing (following: boolean): void
-  /** Whether this gateway asks the store for confirmations of the configuration often, and passes them on to the others. */
-  abstract setConfirming (confirming: boolean): void
   /** Ends all watches and cuts all connections; calls under way fail. */
   abstract stop (): void
 }
--- a/packages/gateway/src/sampling.ts
+++ b/packages/gateway/src/sampling.ts
@@ -33,6 +33,7 @@
   readonly #options: SamplingOptions
   #timer: Subscription | undefined
   #unconfirmed = false
+  #use = 'for itself'
 
   constructor (options: SamplingOptions) {
     this.#options = options
@@ -49,11 +50,19 @@
   #sample (): void {
     const { platform, peers, inFlight, modelLoad, leadership } = this.#options
     modelLoad.sample([inFlight.models, ...peers.live.map(each => each.inFlightByModel)])
-    platform.setPlanning(leadership.planning)
-    platform.setConfirming(leadership.polls)
+    const { planning, polls: confirming, isFollowed: followed, isSpared: spared, fleet } = leadership
+    platform.setUse({ planning, confirming, followed, spared, fleet })
+    this.#logUse(followed, spared)
     this.#logFreshness()
   }
 
+  #logUse (followed: boolean, spared: boolean): void {
+    const use = followed ? 'for others' : spared ? 'told by others' : 'for itself'
+    if (use === this.#use) return
+    this.#use = use
+    this.#options.log.write('store-use', { use })
+  }
+
   #logFreshness (): void {
     const { log, board, servesKeys } = this.#options
     const inForce = board.read('inForce')
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -37,6 +37,8 @@
   readonly retryWindow: number
   /** How long all streams of a replica's head may be silent before it is suspected. */
   readonly silence: number
+  /** Age of what another gateway says of the upstreams from which this one watches the store itself (`upstreamfeed.ts`). */
+  readonly patience: number
   /** Time between two heartbeats of an upstream at the platform. */
   readonly pulse: number
   /** Times since the signal to stop: when the balancer has noticed, when new requests are refused, when the process ends. */
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -58,6 +58,7 @@
   'replica-decided': { number: 442, level: 'info', text: 'The planner decided to form or dissolve a replica and wrote the placement; orders follow.' },
   'engine-order': { number: 443, level: 'info', text: 'An order was sent to an engine; includes the result.' },
   'engines-surveyed': { number: 444, level: 'info', text: 'What the engines of a domain do, by number of engines; written once a second by the planner.' },
+  'store-use': { number: 445, level: 'info', text: 'Whether this gateway watches the store for other gateways, or is told by others what is new there.' },
   'lines-dropped': { number: 450, level: 'warn', text: 'Log lines were dropped because there were too many or the reader is too slow.' }
 } as const satisfies Record<string, Event>
 
--- a/packages/log/test/forms.test.ts
+++ b/packages/log/test/forms.test.ts
@@ -44,6 +44,7 @@
   '442 replica-decided info',
   '443 engine-order info',
   '444 engines-surveyed info',
+  '445 store-use info',
   '450 lines-dropped warn'
 ]
 
--- /dev/null
+++ b/packages/peers/src/datagrams.ts
@@ -0,0 +1,54 @@
+/**
+ * How datagrams reach other gateways, so that membership can be tested without a network: the abstract class, and UDP. Owns the socket.
+ * Nothing is repeated: a lost datagram is followed by the next one.
+ */
+import { createSocket, type Socket } from 'node:dgram'
+import { splitAddress } from '@eiderwind/wire'
+
+/** Called with each datagram and the `host:port` that it came from. */
+export type Receiver = (message: Buffer, from: string) => void
+
+/** Sends and receives datagrams at one address. */
+export abstract class Datagrams {
+  /** Rejects where the address cannot be bound. */
+  abstract start (receive: Receiver): Promise<void>
+  /** @param address `host:port` */
+  abstract send (message: string, address: string): void
+  abstract stop (): void
+}
+
+/** Datagrams over UDP. */
+export class UdpDatagrams extends Datagrams {
+  readonly #address: string
+  #socket: Socket | undefined
+
+  /** @param address `host:port` on which datagrams are received */
+  constructor (address: string) {
+    super()
+    this.#address = address
+  }
+
+  async start (receive: Receiver): Promise<void> {
+    const socket = createSocket('udp4')
+    const { host, port } = splitAddress(this.#address)
+    await new Promise<void>((resolve, reject) => {
+      socket.once('error', reject)
+      socket.bind(port, host, resolve)
+    })
+    // A lost datagram needs no handling: the next one follows soon, and silence decides who is alive.
+    socket.on('error', () => {})
+    socket.on('message', (message, { address, port }) => receive(message, `${address}:${port}`))
+    this.#socket = socket
+  }
+
+  send (message: string, address: string): void {
+    const { host, port } = splitAddress(address)
+    // Failures are ignored for the same reason as the socket's errors in `start`.
+    this.#socket?.send(message, port, host, () => {})
+  }
+
+  stop (): void {
+    this.#socket?.close()
+    this.#socket = undefined
+  }
+}
--- a/packages/peers/src/heartbeat.ts
+++ b/packages/peers/src/heartbeat.ts
@@ -13,6 +13,8 @@
   readonly revision: number
   /** Whether the sender reaches the store and may plan replicas. */
   readonly canPlan: boolean
+  /** Whether the sender could watch the store for others, although it may take the upstreams from another gateway now. Absent: no. */
+  readonly canWatch?: boolean
   /** Its requests in flight, by upstream id. */
   readonly inFlight: Readonly<Record<string, number>>
   /** Ids of the upstreams that it suspects: heads that have stalled, and upstreams that took no connection. */
@@ -31,6 +33,8 @@
   revision: z.int(),
   /** `canPlan`. */
   able: z.boolean(),
+  /** `canWatch`. Absent where it is not so, and from builds that do not say. */
+  watch: z.literal(true).optional(),
   /** `inFlight`. */
   loads: z.record(z.string(), z.int()),
   suspects: z.array(z.string()),
@@ -42,17 +46,18 @@
 })
 
 /** The datagram of a heartbeat. */
-export function encode ({ id, revision, canPlan, inFlight, suspects, inFlightByModel, served, loads }: Heartbeat): string {
+export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads }: Heartbeat): string {
   const weights = Object.keys(loads).length === 0 ? undefined : loads
-  return JSON.stringify({ id, revision, able: canPlan, loads: inFlight, suspects, models: inFlightByModel, served, weights })
+  return JSON.stringify({ id, revision, able: canPlan, watch: canWatch === true ? true : undefined, loads: inFlight, suspects, models: inFlightByModel, served, weights })
 }
 
 /** The heartbeat in a datagram, or undefined where the datagram is not one. */
 export function decode (message: Buffer): Heartbeat | undefined {
   const { data } = Datagram.safeParse(parsed(message))
   if (data === undefined) return undefined
-  const { id, revision, able: canPlan, loads: inFlight, suspects, models: inFlightByModel, served, weights: loads = {} } = data
-  return { id, revision, canPlan, inFlight, suspects, inFlightByModel, served, loads }
+  const { id, revision, able: canPlan, watch: canWatch, loads: inFlight, suspects, models: inFlightByModel, served, weights: loads = {} } = data
+  const heartbeat = { id, revision, canPlan, inFlight, suspects, inFlightByModel, served, loads }
+  return canWatch === undefined ? heartbeat : { ...heartbeat, canWatch }
 }
 
 function parsed (message: Buffer): unknown {
--- a/packages/peers/src/peers.ts
+++ b/packages/peers/src/peers.ts
@@ -1,14 +1,14 @@
 /**
- * Membership of the gateways by heartbeats over UDP, without a reply or a retry. `Peers` owns the socket, the newest
+ * Membership of the gateways by heartbeats over UDP, without a reply or a retry. `Peers` owns the newest
  * heartbeat of each peer and the list of addresses; it relies on the caller for that list (the store's) and for what
  * to say. What peers say only steers choices: no decision that must be safe depends on it.
+ * Each sends to all others, so that all have the same view but for a moment: who plans and who watches the store is ranked over
+ * it. In large fleets each sends less often, so that what one sends and receives in a second stays bounded; the time-out grows alike.
  * A gateway that restarts while the store is away has no list, but hears its peers within one interval, since they go on
- * sending to its address; until it gets a list it answers those that it hears.
+ * sending to its address; it answers those that it hears. So one that joins needs to read the list only once.
  */
-import { createSocket, type RemoteInfo, type Socket } from 'node:dgram'
 import { type Clock, type Subscription } from '@eiderwind/clock'
-import { ranked } from '@eiderwind/hash'
-import { splitAddress } from '@eiderwind/wire'
+import { UdpDatagrams, type Datagrams } from './datagrams.js'
 import { decode, encode, type Heartbeat } from './heartbeat.js'
 
 /** Where a gateway listens for other gateways, under the id that it has in the store. */
@@ -25,19 +25,27 @@
   readonly id: string
   /** `host:port` on which heartbeats are received. */
   readonly address: string
+  /** Default: UDP at that address. */
+  readonly datagrams?: Datagrams
   /** Gives the heartbeat to send now. */
   readonly heartbeat: () => Heartbeat
-  /** Time between two heartbeats. */
+  /** Time between two heartbeats, in a fleet in which `sendRate` allows it. */
   readonly interval: number
-  /** Silence after which a peer no longer counts as alive. */
+  /** Silence after which a peer no longer counts as alive, where heartbeats come each `interval`. */
   readonly timeout: number
 }
 
 /**
- * Peers that one gateway sends its heartbeats to at most, so that the messages of a large fleet grow with its size and
- * not with its square. Chosen, not measured; in a fleet of up to 13 gateways each sends to all others.
+ * Heartbeats that one gateway sends in a second at most, and so receives: what bounds processor time and bytes in fleets of any size.
+ * Fleets of up to 41 gateways send at the full rate with an interval of 250 ms. Chosen, not measured alone.
  */
-const fanOut = 12
+const sendRate = 160
+
+/**
+ * Peers that were heard but are not listed are sent to for this many time-outs of silence: the list may be read before they enter it.
+ * A gateway that never got a list goes on for ever: one that restarts just now has nobody else to hear of it.
+ */
+const unlistedTimeouts = 20
 
 interface Receipt {
   readonly heartbeat: Heartbeat
@@ -50,20 +58,27 @@
 /** Sends this gateway's heartbeat to its peers and keeps the newest one of each peer. */
 export class Peers {
   readonly #options: PeersOptions
+  readonly #datagrams: Datagrams
   readonly #received = new Map<string, Receipt>()
   #addresses: readonly PeerAddress[] = []
-  #recipients: readonly PeerAddress[] = []
   #hasList = false
-  #socket: Socket | undefined
+  /** Intervals since the last regular heartbeat. */
+  #skipped = 0
   #timer: Subscription | undefined
 
   constructor (options: PeersOptions) {
     this.#options = options
+    this.#datagrams = options.datagrams ?? new UdpDatagrams(options.address)
   }
 
   /** The peers that are alive, each as its newest heartbeat. */
   get live (): Heartbeat[] {
-    return this.heardWithin(this.#options.timeout)
+    return this.heardWithin(this.timeout)
+  }
+
+  /** Silence after which a peer no longer counts as alive, in a fleet of this size, in ms. */
+  get timeout (): number {
+    return this.#options.timeout * this.#slowness
   }
 
   /** The newest heartbeat of each peer that was heard within a time, alive or not. @param time in ms */
@@ -90,58 +105,63 @@
     return this.live.filter(each => each.canPlan).map(each => each.id)
   }
 
+  /** Ids of the live peers that could watch the store for others. */
+  get watchCandidates (): string[] {
+    return this.live.filter(each => each.canPlan || each.canWatch === true).map(each => each.id)
+  }
+
   /** Takes the store's list of all gateways, this one included or not. */
   setAddresses (gateways: readonly PeerAddress[]): void {
     this.#hasList = true
     this.#addresses = gateways.filter(each => each.id !== this.#options.id)
-    const byId = new Map(this.#addresses.map(each => [each.id, each]))
-    this.#recipients = ranked(this.#options.id, [...byId.keys()]).slice(0, fanOut).map(id => byId.get(id) as PeerAddress)
   }
 
-  /** Binds the socket and begins to send. Rejects where the address cannot be bound. */
+  /** Binds the address and begins to send. Rejects where the address cannot be bound. */
   async start (): Promise<void> {
-    const { clock, address, interval } = this.#options
-    const socket = createSocket('udp4')
-    const { host, port } = splitAddress(address)
-    await new Promise<void>((resolve, reject) => {
-      socket.once('error', reject)
-      socket.bind(port, host, resolve)
-    })
-    // A lost datagram needs no handling: the next follows within `interval`, and `timeout` decides who is alive.
-    socket.on('error', () => {})
-    socket.on('message', (message, sender) => this.#receive(message, sender))
-    this.#socket = socket
-    this.#timer = clock.every(interval, () => this.send())
+    const { clock, interval } = this.#options
+    await this.#datagrams.start((message, from) => this.#receive(message, from))
+    this.#timer = clock.every(interval, () => this.#sendRegularly())
+  }
+
+  /** How many times more slowly than at each interval a fleet of this size sends. */
+  get #slowness (): number {
+    const sent = this.#addresses.length * 1000 / this.#options.interval
+    return Math.max(1, Math.ceil(sent / sendRate))
+  }
+
+  /** Listed peers, alive or not, and those that were only heard. */
+  get #recipients (): PeerAddress[] {
+    const since = this.#hasList ? this.#options.clock.now() - unlistedTimeouts * this.timeout : -Infinity
+    const listed = new Set(this.#addresses.map(each => each.id))
+    const heard = [...this.#received].filter(([id, { at }]) => !listed.has(id) && at >= since)
+    return [...this.#addresses, ...heard.map(([id, { address }]) => ({ id, address }))]
   }
 
-  /** Whoever was heard, also long ago: one that restarts just now has nobody else to hear of it. */
-  get #heard (): PeerAddress[] {
-    return [...this.#received].slice(0, fanOut).map(([id, { address }]) => ({ id, address }))
+  #sendRegularly (): void {
+    this.#skipped++
+    if (this.#skipped < this.#slowness) return
+    this.#skipped = 0
+    this.send()
   }
 
   /** Sends a heartbeat now, in addition to the regular ones. */
   send (): void {
     const message = encode(this.#options.heartbeat())
-    for (const { address } of this.#hasList ? this.#recipients : this.#heard) {
-      const { host, port } = splitAddress(address)
-      // Failures are ignored for the same reason as the socket's errors in `start`.
-      this.#socket?.send(message, port, host, () => {})
-    }
+    for (const { address } of this.#recipients) this.#datagrams.send(message, address)
   }
 
   stop (): void {
     this.#timer?.cancel()
-    this.#socket?.close()
-    this.#socket = undefined
+    this.#datagrams.stop()
   }
 
   /**
    * Keeps a heartbeat as its sender's newest. A datagram that does not fit the schema is dropped without a line: anything
    * may reach the port, and a sender whose heartbeats never fit counts as not alive, as it would if it sent none.
    */
-  #receive (message: Buffer, { address, port }: RemoteInfo): void {
+  #receive (message: Buffer, address: string): void {
     const heartbeat = decode(message)
     if (heartbeat === undefined || heartbeat.id === this.#options.id) return
-    this.#received.set(heartbeat.id, { heartbeat, at: this.#options.clock.now(), address: `${address}:${port}` })
+    this.#received.set(heartbeat.id, { heartbeat, at: this.#options.clock.now(), address })
   }
 }
--- a/packages/roster/src/outage.ts
+++ b/packages/roster/src/outage.ts
@@ -30,6 +30,7 @@
   #failures = 0
   #endedAt = -Infinity
   #firstAnswerAt = Infinity
+  #resumed = false
 
   constructor (clock: Clock) {
     this.#clock = clock
@@ -49,6 +50,17 @@
     return this.#clock.now() - this.#firstAnswerAt >= relistTime
   }
 
+  /** Whether the list was not followed here for a while: what the process knew of outages has a gap. */
+  get resumed (): boolean {
+    return this.#resumed
+  }
+
+  /** Notes that the list is followed here again from now on, after another process did so: as at a start, an outage may just have ended. */
+  resume (): void {
+    this.#firstAnswerAt = this.#clock.now()
+    this.#resumed = true
+  }
+
   /** Notes that a call was answered. */
   answered (): void {
     const now = this.#clock.now()
--- a/packages/settings/src/shapes.ts
+++ b/packages/settings/src/shapes.ts
@@ -125,6 +125,8 @@
     revoke: time('5 s'),
     /** Whether `revoke` holds also while the store is away: keys then need a confirmation of the configuration that is younger. */
     strict_keys: z.union([z.literal('').transform(() => true), Flag]).default(true),
+    /** How long after an upstream said that it leaves it may still get requests. */
+    drain: time('2 s'),
     /** Time from SIGTERM until the platform kills the process. */
     grace: time('8 s'),
     /** Time between two heartbeats of an upstream. */
