--- a/packages/detect/src/index.ts
+++ b/packages/detect/src/index.ts
@@ -1,4 +1,5 @@
 /** Failure detection: silence of upstreams, suspects, unreachable engines and dead heads, pauses of this process. */
+export { agreedSuspects, isAgreed, type Witness } from './agreement.js'
 export { InFlight, InFlightRequest } from './inflight.js'
 export { Suspects } from './suspects.js'
 export { Pauses } from './pauses.js'
--- a/packages/detect/src/inflight.ts
+++ b/packages/detect/src/inflight.ts
@@ -90,6 +90,11 @@
     this.#ended()
   }
 
+  /** Whether anything was received for a request that is in flight at an upstream. */
+  hasBegun (upstream: string): boolean {
+    return [...this.#loads.get(upstream)?.requests ?? []].some(each => each.receivedAt > each.sentAt)
+  }
+
   /** Requests in flight for which nothing was received for longer than `limit` ms, whatever else their upstream sends. */
   silentRequests (limit: number): InFlightRequest[] {
     const before = this.#clock.now() - limit
--- a/packages/detect/src/liveness.ts
+++ b/packages/detect/src/liveness.ts
@@ -46,6 +46,12 @@
  */
 const unansweredLimit = 2
 
+/**
+ * Probes in a row that an engine may leave unanswered before it counts as unreachable, unless the gateways agree that its replica has
+ * stalled. A single lost packet delays a new connection by a second, far beyond the time-out of a probe. Chosen, not measured alone.
+ */
+const missedProbes = 2
+
 /**
  * Heartbeat intervals after which a heartbeat count that has not risen has stopped: one interval, and 0.4 of one for the
  * store's delay and our own reading. Chosen, not measured.
@@ -77,6 +83,8 @@
   readonly #unanswered = new Map<string, number>()
   readonly #heartbeats = new Map<string, HeartbeatReading>()
   readonly #probedAt = new Map<string, number>()
+  /** Probes in a row that an engine has left unanswered. */
+  readonly #missed = new Map<string, number>()
 
   constructor (options: LivenessOptions) {
     this.#options = options
@@ -113,7 +121,7 @@
   forget (replicas: readonly ReplicaNodes[]): void {
     const { roster } = this.#options
     const placed = new Set(replicas.flatMap(({ members }) => members.map(({ id }) => id)))
-    for (const known of [this.#unreachable, this.#dead, this.#unanswered, this.#heartbeats, this.#probedAt]) {
+    for (const known of [this.#unreachable, this.#dead, this.#unanswered, this.#heartbeats, this.#probedAt, this.#missed]) {
       for (const id of known.keys()) {
         if (!placed.has(id) && roster.find(id) === undefined && roster.departure(id) === undefined) known.delete(id)
       }
@@ -124,28 +132,42 @@
   #probeDoubtful (replicas: readonly ReplicaNodes[], suspects: ReadonlySet<string>): void {
     const { roster } = this.#options
     for (const { members } of replicas) {
-      const doubtful = suspects.has(members[0].id) || members.some(({ id }) => this.#unreachable.has(id) || roster.find(id) === undefined)
-      if (doubtful) for (const each of members) this.#probe(each)
+      const stalled = suspects.has(members[0].id)
+      const doubtful = stalled || members.some(({ id }) => this.#unreachable.has(id) || this.#missed.has(id) || roster.find(id) === undefined)
+      if (doubtful) for (const each of members) this.#probe(each, stalled)
     }
     for (const id of [...this.#unreachable, ...roster.lapsed]) {
       const address = roster.find(id)?.address
-      if (address !== undefined) this.#probe({ id, address })
+      if (address !== undefined) this.#probe({ id, address }, false)
     }
   }
 
-  #probe ({ id, address }: NodeAddress): void {
+  /** @param stalled whether the gateways agree that the engine's replica has stalled */
+  #probe ({ id, address }: NodeAddress, stalled: boolean): void {
     const { clock, probes, resumedAt, changed, failed } = this.#options
     const probedAt = clock.now()
     if (probedAt - (this.#probedAt.get(id) ?? -Infinity) < probeInterval) return
     this.#probedAt.set(id, probedAt)
     probes.isReachable(address).then(reachable => {
-      if (reachable) this.#unreachable.delete(id)
       // A time-out that ran out during a pause of this process says nothing about the engine.
-      else if (resumedAt() < probedAt) this.#unreachable.add(id)
+      if (reachable || resumedAt() < probedAt) this.#probed(id, reachable, stalled)
       changed()
     }).catch(failed)
   }
 
+  #probed (id: string, reachable: boolean, stalled: boolean): void {
+    if (reachable) {
+      this.#unreachable.delete(id)
+      this.#missed.delete(id)
+      return
+    }
+    const missed = (this.#missed.get(id) ?? 0) + 1
+    this.#missed.set(id, missed)
+    if (stalled || missed >= missedProbes) this.#unreachable.add(id)
+    // It is asked again at the next check.
+    else this.#probedAt.delete(id)
+  }
+
   #judge (head: string, suspects: ReadonlySet<string>): void {
     const unanswered = this.#unanswered.get(head) ?? 0
     const unreachable = this.#unreachable.has(head)
--- a/packages/forming/src/domains.ts
+++ b/packages/forming/src/domains.ts
@@ -12,9 +12,14 @@
   readonly key: string
   readonly service: string
   readonly upstreams: readonly Upstream[]
-  placement: Placement
+  readonly placement: Placement
   /** The version of the placement in the store; 0 where it is not stored yet. */
-  version: number
+  readonly version: number
+}
+
+/** The key of a service's domain. */
+export function domainKey (service: string, domain: string): string {
+  return `${service}.${domain}`
 }
 
 /** Dependencies of `Domains`. */
@@ -31,7 +36,10 @@
   readonly #known = new Map<string, Domain>()
   /** The epoch that an engine showed when a domain's placement was read again for it, by domain. */
   readonly #readFor = new Map<string, number>()
-  #unreadable = false
+  /** Domains whose placement could not be read when it was last tried. */
+  readonly #unreadable = new Set<string>()
+  /** Domains whose placement is being written. */
+  readonly #writing = new Set<string>()
 
   constructor (options: DomainsOptions) {
     this.#options = options
@@ -42,31 +50,50 @@
     return [...this.#known.values()].flatMap(each => each.placement.replicas)
   }
 
-  /** The domains of a service, in the order in which the roster first names them. Undefined if a placement can't be read. */
-  async read (service: Service): Promise<Domain[] | undefined> {
-    const found: Domain[] = []
-    for (const [name, upstreams] of this.#group(service.name)) {
-      const key = `${service.name}.${name}`
-      const shown = Math.max(0, ...upstreams.map(each => each.membership?.epoch ?? 0))
-      const known = this.#isOutdated(key, shown) ? await this.#load(key) : this.#known.get(key) ?? await this.#load(key)
-      if (known === undefined) return undefined
-      const domain = { key, service: service.name, upstreams, placement: known.placement, version: known.version }
-      this.#known.set(key, domain)
-      found.push(domain)
-    }
-    return found
+  /**
+   * The domains of a service whose placements can be read, in the order in which the roster first names them. All that have to be read are
+   * read at the same time: a planner that takes over 20 domains while the store takes 240 ms begins after one such time, not after 5 s.
+   */
+  async read (service: Service): Promise<Domain[]> {
+    const groups = [...this.#group(service.name)]
+    const read = await Promise.all(groups.map(async ([name, upstreams]) => await this.#readOne(service.name, domainKey(service.name, name), upstreams)))
+    return read.filter(each => each !== undefined)
+  }
+
+  async #readOne (service: string, key: string, upstreams: readonly Upstream[]): Promise<Domain | undefined> {
+    const shown = Math.max(0, ...upstreams.map(each => each.membership?.epoch ?? 0))
+    const cached = this.isWriting(key) || !this.#isOutdated(key, shown) ? this.#known.get(key) : undefined
+    const known = cached ?? await this.#load(key)
+    if (known === undefined) return undefined
+    const domain = { key, service, upstreams, placement: known.placement, version: known.version }
+    this.#known.set(key, domain)
+    return domain
+  }
+
+  /** Whether a domain's placement is being written: what it will be is not known, so the domain is not planned. */
+  isWriting (key: string): boolean {
+    return this.#writing.has(key)
+  }
+
+  /** Whether a domain's placement is still the stored one. If not, or if that cannot be known, it is read again at the next look. */
+  async isCurrent ({ key, version }: Domain): Promise<boolean> {
+    const read = await this.#options.placements.read(key)
+    if (read.isOk() && read.value.version === version) return true
+    this.#known.delete(key)
+    return false
   }
 
   /** Stores a new placement of a domain. Returns whether it is known to be stored. */
   async write (domain: Domain, placement: Placement): Promise<boolean> {
-    const written = await this.#options.placements.write(placement, domain.version)
+    this.#writing.add(domain.key)
+    const written = await this.#options.placements.write(placement, domain.version).finally(() => this.#writing.delete(domain.key))
     if (written.isErr()) {
       // Another planner was first, or the write may have been done: what is stored is read again at the next look.
       this.#known.delete(domain.key)
       return false
     }
-    domain.placement = placement
-    domain.version = written.value
+    // A domain that was forgotten meanwhile is read again when it is needed.
+    if (this.#known.has(domain.key)) this.#known.set(domain.key, { ...domain, placement, version: written.value })
     return true
   }
 
@@ -99,12 +126,12 @@
   async #load (key: string): Promise<Pick<Domain, 'placement' | 'version'> | undefined> {
     const read = await this.#options.placements.read(key)
     if (read.isErr()) {
-      const error = new Error(`The placement of ${key} can't be read, so its service is not planned: ${read.error}`)
-      if (!this.#unreadable) this.#options.failed(error)
-      this.#unreadable = true
+      const error = new Error(`The placement of ${key} can't be read, so its domain is not planned: ${read.error}`)
+      if (this.#unreadable.size === 0) this.#options.failed(error)
+      this.#unreadable.add(key)
       return undefined
     }
-    this.#unreadable = false
+    this.#unreadable.delete(key)
     return read.value
   }
 }
--- a/packages/forming/src/facts.ts
+++ b/packages/forming/src/facts.ts
@@ -41,6 +41,8 @@
 export interface Step {
   readonly placement: Placement
   readonly orders: readonly Order[]
+  /** Whether nothing is left to be done: the placement stays, and no order is given, awaited or held back. */
+  readonly quiet: boolean
   /** The decisions, in words for the log. */
   readonly notes: readonly string[]
   /** What the engines did before the step. */
--- a/packages/forming/src/planner.ts
+++ b/packages/forming/src/planner.ts
@@ -51,7 +51,8 @@
     const fence = facts.placement.epoch
     // The order of the list decides which loads get the permits: those of replicas that form before staging.
     const permitted = valid.map(each => ({ ...each, fence })).filter(each => mayGive(each, facts, this.#history, this.#loads))
-    return { placement: draft.placement, orders: permitted, notes: draft.notes, survey }
+    const quiet = !draft.changed && orders.length === 0
+    return { placement: draft.placement, orders: permitted, quiet, notes: draft.notes, survey }
   }
 
   /** Looks after the replicas of the stored placement, in its order. */
--- a/packages/forming/src/reconciler.ts
+++ b/packages/forming/src/reconciler.ts
@@ -5,8 +5,10 @@
  */
 import { type Subscription } from '@eiderwind/clock'
 import { Liveness, type LivenessOptions } from '@eiderwind/detect'
+import { type RosterChange } from '@eiderwind/roster'
 import { type Engine, type Service } from '@eiderwind/traffic'
-import { Domains, type Domain } from './domains.js'
+import { Activity } from './activity.js'
+import { Domains, domainKey, type Domain } from './domains.js'
 import { holds } from './engines.js'
 import { type DomainFacts, type FleetFacts, type Step } from './facts.js'
 import { Arrivals, domainSize, intactReplicas, targetsMet } from './fleet.js'
@@ -57,6 +59,7 @@
   readonly #planner: Planner
   readonly #domains: Domains
   readonly #arrivals: Arrivals
+  readonly #activity: Activity
   readonly #liveness: Liveness
   /** When the engines of each domain were last reported on, on `Clock.now`. */
   readonly #surveyedAt = new Map<string, number>()
@@ -73,13 +76,14 @@
     this.#planner = new Planner({ history: this.#history, loads: this.#loads })
     this.#domains = new Domains(options)
     this.#arrivals = new Arrivals(clock)
-    this.#liveness = new Liveness({ ...options, changed: () => this.wake() })
+    this.#activity = new Activity(clock)
+    this.#liveness = new Liveness({ ...options, changed: () => this.#livenessChanged() })
   }
 
   start (): void {
     const { clock, roster } = this.#options
     this.#timer = clock.every(lookInterval, () => this.wake())
-    this.#unsubscribe = roster.listen(() => this.wake())
+    this.#unsubscribe = roster.listen(changes => this.#rosterChanged(changes))
   }
 
   stop (): void {
@@ -116,6 +120,20 @@
     })
   }
 
+  #livenessChanged (): void {
+    this.#activity.happenedEverywhere()
+    this.wake()
+  }
+
+  /** An upstream that is gone may have been in any domain. */
+  #rosterChanged (changes: readonly RosterChange[]): void {
+    for (const change of changes) {
+      if ('gone' in change) this.#activity.happenedEverywhere()
+      else this.#activity.happened(domainKey(change.upstream.service, change.upstream.domain ?? ''))
+    }
+    this.wake()
+  }
+
   /** One look at every service, in the order of the configuration. */
   async #look (): Promise<void> {
     const { roster, services, leads } = this.#options
@@ -130,39 +148,77 @@
     }
   }
 
-  /** One step in every domain of a service. The targets are set first, from the same facts for all. */
+  /**
+   * One step in each domain of a service that needs one. The targets are set first, from the same facts for all; nothing is awaited between
+   * the steps, so that all see the same facts.
+   */
   async #reconcile (service: Service, engine: Engine): Promise<void> {
+    const { newest } = this.#activity
     const domains = await this.#domains.read(service)
-    if (domains === undefined) return
-    const { unreachable } = this.#liveness
+    this.#liveness.check(domains.flatMap(each => each.placement.replicas))
+    const { dead, unreachable } = this.#liveness
     const demand = this.#options.demand(service.name)
     const targets = retarget(engine.models, domains.map(each => domainSize(each, unreachable)), demand)
     const fleet = this.#fleetFacts(domains, engine, demand)
+    const { needs: _needs, ...shared } = fleet
+    this.#activity.shared(JSON.stringify([service.name, shared, [...dead], [...unreachable], [...this.#options.roster.lapsed], [...targets]]))
     for (const domain of domains) {
-      this.#liveness.check(domain.placement.replicas)
+      if (this.#domains.isWriting(domain.key)) continue
+      if (!this.#activity.isDue(domain.key) && !this.#surveyIsDue(domain.key)) continue
       const step = this.#planner.step(this.#domainFacts(domain, engine, targets.get(domain.key) as Counts, fleet))
       this.#survey(domain.key, step)
-      // What was decided is stored before any order is given. Nothing else is awaited here, so that all domains see the same facts.
-      if (step.placement !== domain.placement) {
-        if (!await this.#domains.write(domain, step.placement)) continue
-        this.#decided(domain.key, step)
-      }
-      for (const order of step.orders) this.#give(order)
+      this.#activity.planned(domain.key, step.quiet, newest)
+      if (step.placement === domain.placement) this.#giveAll(domain, step)
+      else this.#store(domain, step).catch(this.#options.failed)
+    }
+  }
+
+  /**
+   * Stores what was decided before any order is given. Other domains go on meanwhile: one whose placement cannot be written holds up
+   * itself only.
+   */
+  async #store (domain: Domain, step: Step): Promise<void> {
+    const stored = await this.#domains.write(domain, step.placement)
+    this.#activity.happened(domain.key)
+    if (stored && this.#options.leads(domain.service)) {
+      this.#decided(domain.key, step)
+      this.#giveAll(domain, step)
+    }
+    this.wake()
+  }
+
+  #giveAll (domain: Domain, { orders }: Step): void {
+    for (const order of orders) {
+      this.#history.given(order)
+      if (order.kind === 'open') this.#giveIfCurrent(domain, order).catch(this.#options.failed)
+      else this.#give(domain.key, order)
     }
   }
 
+  /**
+   * Has a head open only by the placement that is stored now. For a moment another gateway may plan too, and may just have dissolved the
+   * replica: this one would then have the engines join it again, and have it serve while the other planner's orders take its engines into
+   * another replica. It costs one call of the store for each replica that opens.
+   */
+  async #giveIfCurrent (domain: Domain, order: Order): Promise<void> {
+    if (await this.#domains.isCurrent(domain)) this.#give(domain.key, order)
+    else this.wake()
+  }
+
   /** Reports what the engines of a domain do, at an interval. */
   #survey (domain: string, { survey }: Step): void {
-    const { clock, surveyed } = this.#options
-    if (clock.now() - (this.#surveyedAt.get(domain) ?? -Infinity) < surveyInterval) return
-    this.#surveyedAt.set(domain, clock.now())
-    surveyed(domain, survey)
+    if (!this.#surveyIsDue(domain)) return
+    this.#surveyedAt.set(domain, this.#options.clock.now())
+    this.#options.surveyed(domain, survey)
+  }
+
+  #surveyIsDue (domain: string): boolean {
+    return this.#options.clock.now() - (this.#surveyedAt.get(domain) ?? -Infinity) >= surveyInterval
   }
 
-  /** Reports what was stored, and has the steps that follow from it made at once. */
+  /** Reports what was stored. */
   #decided (domain: string, { placement, notes }: Step): void {
     for (const note of notes) this.#options.decided(domain, note, placement.epoch)
-    this.#lookAgain = true
   }
 
   #fleetFacts (domains: readonly Domain[], engine: Engine, demand: Demand): FleetFacts {
@@ -178,15 +234,15 @@
   }
 
   /** Gives an order without waiting for its end; another look follows that. */
-  #give (order: Order): void {
+  #give (domain: string, order: Order): void {
     const { clock, orders, ordered, failed } = this.#options
     const givenAt = clock.now()
-    this.#history.given(order)
     orders.give(order).then(result => {
       this.#history.answered(order, result)
       if (order.kind === 'close') this.#liveness.closeAnswered(order.node, result !== 'unanswered')
       if (result === 'closed' || (order.kind === 'leave' && result !== 'unanswered')) this.#liveness.left(order.node)
       ordered(order, result, clock.now() - givenAt)
+      this.#activity.happened(domain)
       this.wake()
     }).catch(failed)
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -96,6 +96,7 @@
       board,
       roster: this.#roster,
       suspects: this.#suspects,
+      inFlight: this.#inFlight,
       pauses: this.#pauses,
       peers,
       connections: this.#connections,
@@ -188,6 +189,7 @@
       suspects: this.#suspects,
       pauses: this.#pauses,
       silence,
+      witnesses: () => this.#peers.live,
       suspected: () => {
         this.#metrics.suspected()
         this.#peers.send()
--- a/packages/gateway/src/planning.ts
+++ b/packages/gateway/src/planning.ts
@@ -2,7 +2,7 @@
  * Connects the reconciler of `forming` to this gateway: what it reads from the other parts, and how its decisions and
  * orders are logged and counted.
  */
-import { type Pauses, type Suspects } from '@eiderwind/detect'
+import { agreedSuspects, type InFlight, type Pauses, type Suspects } from '@eiderwind/detect'
 import { Reconciler, type Order, type OrderResult } from '@eiderwind/forming'
 import { type Peers } from '@eiderwind/peers'
 import { type Roster } from '@eiderwind/roster'
@@ -19,6 +19,7 @@
   readonly board: GatewayBoard
   readonly roster: Roster
   readonly suspects: Suspects
+  readonly inFlight: InFlight
   readonly pauses: Pauses
   readonly peers: Peers
   readonly connections: Connections
@@ -34,7 +35,7 @@
 
 /** The reconciler of this gateway, not started. */
 export function makeReconciler (options: PlanningOptions): Reconciler {
-  const { clock, log, platform, settings, board, roster, suspects, pauses, peers, connections, leadership, modelLoad, served } = options
+  const { clock, log, platform, settings, board, roster, suspects, inFlight, pauses, peers, connections, leadership, modelLoad, served } = options
   return new Reconciler({
     clock,
     roster,
@@ -45,7 +46,7 @@
     placements: platform.placements,
     services: () => board.read('inForce')?.traffic.services ?? [],
     leads: service => leadership.plans(service),
-    suspects: () => new Set([...suspects.all, ...peers.live.flatMap(each => each.suspects)]),
+    suspects: () => agreedSuspects([{ inFlight: inFlight.counts, suspects: suspects.all }, ...peers.live]),
     demand: () => modelLoad.demand,
     othersLoads: () => new Map(peers.heardWithin(loadMemory).flatMap(each => Object.entries(each.loads))),
     beforeTraffic: () => settings.first && !served() && !peers.live.some(each => each.served),
