--- a/packages/detect/src/inflight.ts
+++ b/packages/detect/src/inflight.ts
@@ -32,11 +32,16 @@
   receivedAt: number
 }
 
+/** Span over which begun requests are counted, in ms. */
+const recentSpan = 1000
+
 /** Counts requests in flight by upstream and model. */
 export class InFlight {
   readonly #clock: Clock
   readonly #loads = new Map<string, Load>()
   readonly #models = new Map<string, number>()
+  /** When the requests of the last second began, by model, on `Clock.now`. */
+  readonly #begun = new Map<string, number[]>()
   readonly #ended: () => void
 
   /** @param ended called after each request has ended, when its place is free again */
@@ -71,9 +76,20 @@
     load.requests.add(request)
     this.#loads.set(upstream, load)
     this.#models.set(model, (this.#models.get(model) ?? 0) + 1)
+    this.#begun.set(model, [...this.#recent(model), request.sentAt])
     return request
   }
 
+  /** Requests of a model that were sent in the last second. */
+  rate (model: string): number {
+    return this.#recent(model).length
+  }
+
+  #recent (model: string): number[] {
+    const since = this.#clock.now() - recentSpan
+    return (this.#begun.get(model) ?? []).filter(each => each > since)
+  }
+
   /** Records that something was received for a request, and so from its upstream. */
   received (request: InFlightRequest): void {
     request.receivedAt = this.#clock.now()
--- a/packages/dispatch/src/choice.ts
+++ b/packages/dispatch/src/choice.ts
@@ -49,8 +49,21 @@
     const heads = roster.heads(service, model).filter(({ id }) => !tried.has(id) && suspects.mayTry(id))
     const heartbeats = peers.live
     const load = ({ id }: Upstream): number => this.#load(id, heartbeats)
-    const best = this.#cheapest(heads, load)
-    return best !== undefined && load(best) < engine.slots * (1 + overhang) ? best : undefined
+    const ordered = this.#byCost(heads, load).filter(each => load(each) < engine.slots * (1 + overhang))
+    const among = Math.min(ordered.length, this.#herd(model, heads.length, heartbeats.length))
+    return among > 1 ? ordered[Math.floor(this.#options.random() * among)] : ordered[0]
+  }
+
+  /**
+   * Of how many of the least loaded heads one is drawn: as many as the requests that other gateways have sent since the heartbeats by which
+   * the load is known, at most half of all. If each took the least loaded one, all would send to the same head until they hear of it. In a model
+   * of 35 gateways before 48 heads at three quarters of their load (gateway/test/choice.test.ts), 7 to 9 in 100 requests then meet a head
+   * that is full already; with the draw 0 to 1 in 100.
+   */
+  #herd (model: string, heads: number, others: number): number {
+    const { inFlight, peers } = this.#options
+    const unseen = inFlight.rate(model) * others * peers.staleness / 1000
+    return Math.max(1, Math.min(Math.ceil(heads / 2), Math.round(unseen)))
   }
 
   /**
@@ -60,7 +73,7 @@
   plain (service: string, tried: ReadonlySet<string>): Upstream | undefined {
     const { roster, inFlight } = this.#options
     const upstreams = roster.available(service).filter(({ id }) => !tried.has(id))
-    return this.#cheapest(upstreams, ({ id }) => this.#observations.cost(id, inFlight.count(id)))
+    return this.#byCost(upstreams, ({ id }) => this.#observations.cost(id, inFlight.count(id)))[0]
   }
 
   /** Takes in how a request at a plain upstream went. @param time until its end, in ms */
@@ -74,17 +87,13 @@
     return this.#options.inFlight.count(id) + others
   }
 
-  #cheapest (upstreams: readonly Upstream[], cost: (upstream: Upstream) => number): Upstream | undefined {
+  /** Upstreams with the cheapest first; between equals, in the given order. */
+  #byCost (upstreams: readonly Upstream[], cost: (upstream: Upstream) => number): Upstream[] {
     const { dataCentre, random } = this.#options
-    let best: Upstream | undefined
-    let least = Infinity
-    for (const upstream of upstreams) {
+    const costs = upstreams.map(upstream => {
       const distance = upstream.dataCentre === dataCentre ? 0 : distanceCost
-      const total = cost(upstream) + distance + random() * tieBreak
-      if (total >= least) continue
-      best = upstream
-      least = total
-    }
-    return best
+      return { upstream, total: cost(upstream) + distance + random() * tieBreak }
+    })
+    return costs.sort((a, b) => a.total - b.total).map(each => each.upstream)
   }
 }
--- a/packages/forming/src/reconciler.ts
+++ b/packages/forming/src/reconciler.ts
@@ -15,6 +15,7 @@
 import { OrderHistory } from './history.js'
 import { LoadLimit } from './loadlimit.js'
 import { type Order, type OrderResult, type Orders } from './orders.js'
+import { Pace } from './pace.js'
 import { type Placements } from './placement.js'
 import { Planner } from './planner.js'
 import { type Survey } from './survey.js'
@@ -26,14 +27,6 @@
  */
 const lookInterval = 100
 
-/**
- * Part of a core that planning may take while everything changes at once, as a share from 0 to 1: after a look the next one waits as much
- * longer as that look took. In a fleet of 380 engines each death changes some 20 of them, and a planner that has just taken over and looks at
- * every change orders in 0.6 to 1 s instead of 0.02, since it has time for nothing else. In a small fleet a look takes below 1 ms, and the
- * next waits below 4.
- */
-const planningShare = 0.2
-
 /** Time between two reports of what the engines of a domain do, in ms: one line a second and domain. Chosen, not measured. */
 const surveyInterval = 1000
 
@@ -68,16 +61,12 @@
   readonly #domains: Domains
   readonly #arrivals: Arrivals
   readonly #activity: Activity
+  readonly #pace: Pace
   readonly #liveness: Liveness
   /** When the engines of each domain were last reported on, on `Clock.now`. */
   readonly #surveyedAt = new Map<string, number>()
   /** Names of replicas that this process planned since it leads their service, and whose heads have not joined yet. */
   readonly #unjoined = new Set<string>()
-  #looking = false
-  #lookAgain = false
-  /** Until when the next look waits, on `Clock.now`. */
-  #restUntil = -Infinity
-  #rest: Subscription | undefined
   #timer: Subscription | undefined
   #unsubscribe: (() => void) | undefined
 
@@ -90,6 +79,7 @@
     this.#domains = new Domains(options)
     this.#arrivals = new Arrivals(clock)
     this.#activity = new Activity(clock)
+    this.#pace = new Pace({ clock, look: async () => await this.#look(), failed: options.failed })
     this.#liveness = new Liveness({ ...options, changed: () => this.#livenessChanged() })
   }
 
@@ -101,7 +91,7 @@
 
   stop (): void {
     this.#timer?.cancel()
-    this.#rest?.cancel()
+    this.#pace.stop()
     this.#unsubscribe?.()
   }
 
@@ -120,19 +110,9 @@
     }))
   }
 
-  /** Looks at the domains now, or once more after the look in progress. */
+  /** Looks at the domains as soon as the pace allows. */
   wake (): void {
-    if (this.#looking) {
-      this.#lookAgain = true
-      return
-    }
-    if (this.#isResting()) return
-    this.#looking = true
-    this.#lookAgain = false
-    this.#look().catch(this.#options.failed).finally(() => {
-      this.#looking = false
-      if (this.#lookAgain) this.wake()
-    })
+    this.#pace.wake()
   }
 
   #livenessChanged (): void {
@@ -163,18 +143,6 @@
     }
   }
 
-  /** Whether the next look has to wait; it is then made once the wait is over. */
-  #isResting (): boolean {
-    const { clock } = this.#options
-    const wait = this.#restUntil - clock.now()
-    if (wait <= 0) return false
-    this.#rest ??= clock.after(wait, () => {
-      this.#rest = undefined
-      this.wake()
-    })
-    return true
-  }
-
   /** One look at every service, in the order of the configuration. */
   async #look (): Promise<void> {
     const { roster, services, leads } = this.#options
@@ -215,8 +183,7 @@
       if (step.placement === domain.placement) this.#giveAll(domain, step)
       else this.#store(domain, step).catch(this.#options.failed)
     }
-    const took = clock.now() - begunAt
-    this.#restUntil = clock.now() + took * (1 / planningShare - 1)
+    this.#pace.took(clock.now() - begunAt)
   }
 
   /**
--- a/packages/gateway/src/listener.ts
+++ b/packages/gateway/src/listener.ts
@@ -20,13 +20,10 @@
 }
 
 /** The listener of a gateway's platform. */
-export function platformListener ({ clock, log, board, roster, outage, peers }: PlatformListenerOptions): PlatformListener {
-  const watchedHere = (): void => {
-    if (board.read('followed')) outage.resume()
-    board.write('followed', false)
-    board.write('upstreamsFrom', 'store')
-  }
+export function platformListener (options: PlatformListenerOptions): PlatformListener {
+  const { clock, log, board, outage, peers } = options
   return {
+    ...upstreamListener(options),
     configuration: (traffic, askedAt) => {
       if (enforce(board, traffic, clock.now())) {
         log.write('configuration-new', { revision: traffic.revision, age: Math.round(clock.now() - askedAt) })
@@ -35,20 +32,6 @@
       if (board.read('inForce')?.traffic.revision === traffic.revision) confirm(board, askedAt)
     },
     confirmed: askedAt => confirm(board, askedAt),
-    upstreams: (all, upTo) => {
-      watchedHere()
-      roster.replace(all)
-      complete(board, upTo)
-    },
-    upstreamChanges: changes => {
-      watchedHere()
-      roster.apply(changes)
-    },
-    upstreamsComplete: upTo => {
-      watchedHere()
-      complete(board, upTo)
-    },
-    upstreamsRevision: () => board.read('upstreamsRevision'),
     gateways: all => {
       board.write('listed', true)
       peers.setAddresses(all)
@@ -69,3 +52,30 @@
     taskFailed: (task, cause) => log.write('controller-failed', { controller: task, cause })
   }
 }
+
+type UpstreamListener = Pick<PlatformListener, 'upstreams' | 'upstreamChanges' | 'upstreamsComplete' | 'upstreamsRevision'>
+
+/** The part of the listener that takes the list of upstreams from this gateway's own watch. */
+function upstreamListener ({ board, roster, outage }: PlatformListenerOptions): UpstreamListener {
+  const watchedHere = (): void => {
+    if (board.read('followed')) outage.resume()
+    board.write('followed', false)
+    board.write('upstreamsFrom', 'store')
+  }
+  return {
+    upstreams: (all, upTo) => {
+      watchedHere()
+      roster.replace(all)
+      complete(board, upTo)
+    },
+    upstreamChanges: changes => {
+      watchedHere()
+      roster.apply(changes)
+    },
+    upstreamsComplete: upTo => {
+      watchedHere()
+      complete(board, upTo)
+    },
+    upstreamsRevision: () => board.read('upstreamsRevision')
+  }
+}
--- a/packages/peers/src/peers.ts
+++ b/packages/peers/src/peers.ts
@@ -105,6 +105,11 @@
     return this.live.filter(each => each.canPlan).map(each => each.id)
   }
 
+  /** How old a peer's newest heartbeat is on average, in ms. */
+  get staleness (): number {
+    return this.#options.interval * this.#slowness / 2
+  }
+
   /** Ids of the live peers that could watch the store for others. */
   get watchCandidates (): string[] {
     return this.live.filter(each => each.canPlan || each.canWatch === true).map(each => each.id)
