--- a/packages/gateway/src/facts.ts
+++ b/packages/gateway/src/facts.ts
@@ -3,8 +3,8 @@
  * from other gateways write it; admission, leadership and the health check read it.
  */
 import { Board } from '@eiderwind/board'
-import { type Completeness } from './platform.js'
 import { RouteTable, TeamTable, type Traffic } from '@eiderwind/traffic'
+import { type Completeness } from './platform.js'
 
 /** A configuration in force, with the tables made from it. */
 export interface InForce {
