Elect the planner by a record in the store, and have gateways know each other at once

Each waits for a silence that grows with the fleet (8 s at 300), all of them become able at the same moment, and each knows of the others only by heartbeats of up to 2 s ago that say 'not able'. Ruled out: processor time (10% of a core in the middle), the path of a request (plain kinds were served). Change: a gateway that finds others in the list asks them, and they answer at once; each heartbeat says when the next one comes, so that silence is judged by its sender; those that watch the store and their two successors send at the full rate in any fleet. Who plans is a record in the store under a term, written under its version; the leader says its term in heartbeats.

--- a/packages/forming/src/reconciler.ts
+++ b/packages/forming/src/reconciler.ts
@@ -38,6 +38,8 @@
   readonly services: () => readonly Service[]
   /** Whether this process is the leader of a service now. */
   readonly leads: (service: string) => boolean
+  /** Called when a placement of a service turned out to have been changed by another process: it may lead now. */
+  readonly contested: (service: string) => void
   /** The work of each model of a service. */
   readonly demand: (service: string) => Demand
   /** Loads that engines have begun by orders of other gateways, also of such as died within the time of a load: the model, by node. */
@@ -193,6 +195,7 @@
   async #store (domain: Domain, step: Step): Promise<void> {
     const stored = await this.#domains.write(domain, step.placement)
     this.#activity.happened(domain.key)
+    if (!stored) this.#options.contested(domain.service)
     if (stored && this.#options.leads(domain.service)) {
       for (const { name } of step.placement.replicas) if (domain.placement.replicas.every(each => each.name !== name)) this.#unjoined.add(name)
       this.#decided(domain.key, step)
@@ -215,8 +218,9 @@
    * another replica. It costs one call of the store for each replica that opens.
    */
   async #giveIfCurrent (domain: Domain, order: Order): Promise<void> {
-    if (await this.#domains.isCurrent(domain)) this.#give(domain.key, order)
-    else this.wake()
+    if (await this.#domains.isCurrent(domain)) return this.#give(domain.key, order)
+    this.#options.contested(domain.service)
+    this.wake()
   }
 
   /** Reports what the engines of a domain do, at an interval. */
--- a/packages/forming/test/world.ts
+++ b/packages/forming/test/world.ts
@@ -290,6 +290,7 @@
     placements,
     services: () => [service],
     leads: options.acts ?? (() => true),
+    contested: () => {},
     suspects: () => options.suspects ?? new Set(),
     demand: () => new Map(),
     othersLoads: () => new Map(Object.entries(options.others?.()?.loads ?? {})),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -80,9 +80,9 @@
     this.#suspects = new Suspects(clock, this.#roster)
     this.#queue = new Queue(clock)
     this.#inFlight = new InFlight(clock, () => this.#queue.wake())
-    this.#peers = new Peers({ clock, id: settings.id, address: settings.peers, heartbeat: () => this.#heartbeat(), interval: heartbeatInterval, timeout: heartbeatTimeout })
+    this.#peers = new Peers({ clock, id: settings.id, address: settings.peers, heartbeat: () => this.#heartbeat(), interval: heartbeatInterval, timeout: heartbeatTimeout, urgent: () => this.#leadership.isUrgent })
     const peers = this.#peers
-    this.#leadership = new Leadership({ clock, log, board, outage: this.#outage, pauses: this.#pauses, peers, id: settings.id, firstStart: settings.first })
+    this.#leadership = new Leadership({ clock, log, board, outage: this.#outage, pauses: this.#pauses, peers, leaders: platform.leaders, id: settings.id, firstStart: settings.first })
     this.#budgets = new Budgets({ clock, board, peers, settings })
     this.#metrics = new Metrics({ clock, board, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, connections: this.#connections, budgets: this.#budgets })
     this.#callers = this.#makeCallers()
@@ -137,6 +137,7 @@
     const { clock, settings } = this.#options
     const begun = clock.now()
     this.#board.write('stopping', true)
+    this.#leadership.resign()
     await clock.wait(settings.notice)
     while (this.#callers.open > 0 && clock.now() - begun < settings.grace) {
       if (clock.now() - begun > settings.refuseAfter) this.#callers.refuse()
@@ -208,7 +209,8 @@
       suspects: this.#suspects.all,
       inFlightByModel: this.#inFlight.models,
       served: this.#callers.served,
-      loads: this.#reconciler.loads
+      loads: this.#reconciler.loads,
+      terms: this.#leadership.terms
     }
   }
 }
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -1,18 +1,19 @@
 /**
  * Which gateway plans the replicas of a service, which ones poll the store for confirmations of the configuration, and, in
  * a large fleet, which two watch the store's upstreams for all others.
- * Nothing is agreed: each gateway ranks the ids it has heard lately by rendezvous hashing, so for a moment two may act while their
- * views differ. That is safe, because a placement is written under its version and engines refuse lower
- * epochs; it is only wasteful, hence the waits below.
- * Owns which services this gateway plans, for the log. Relies on heartbeats (`Peers`) and on the board.
+ * Who plans is elected (`election.ts`). The rest is not agreed: each gateway ranks the ids it has heard lately by rendezvous hashing, so
+ * for a moment more may watch or poll while their views differ, which costs calls of the store.
+ * Owns the elections, and which services this gateway plans, for the log. Relies on heartbeats (`Peers`) and on the board.
  */
 import { type Clock } from '@eiderwind/clock'
 import { type Pauses } from '@eiderwind/detect'
-import { ranked } from '@eiderwind/hash'
+import { Ranking, ranked } from '@eiderwind/hash'
 import { type Log } from '@eiderwind/log'
-import { type PeerAddress, type Peers } from '@eiderwind/peers'
+import { type Heartbeat, type PeerAddress, type Peers } from '@eiderwind/peers'
 import { type Outage } from '@eiderwind/roster'
+import { Election } from './election.js'
 import { type GatewayBoard } from './facts.js'
+import { type Leaders } from './leaders.js'
 
 /** Dependencies of `Leadership`. */
 export interface LeadershipOptions {
@@ -22,6 +23,7 @@
   readonly outage: Outage
   readonly pauses: Pauses
   readonly peers: Peers
+  readonly leaders: Leaders
   /** This gateway's id. */
   readonly id: string
   /** Whether the whole system starts for the first time. */
@@ -29,8 +31,8 @@
 }
 
 /**
- * A gateway that has started, or resumed after a pause, plans once it has heard every other one: after the silence for which a peer
- * counts as alive (`Peers.timeout`), and this margin, in ms. Without the wait two planned at once after a restart (docs/INCIDENTS.md,
+ * A gateway that has started, or resumed after a pause, plans once it has heard every other one: after `Peers.settleTime`, and this
+ * margin, in ms. Without the wait two planned at once after a restart (docs/INCIDENTS.md,
  * soak 140). The margin was chosen, not measured.
  */
 const settleMargin = 100
@@ -41,6 +43,12 @@
  */
 const pollers = 2
 
+/**
+ * Gateways that would take the place of those that watch. Like these they send heartbeats at the full rate, so that one that is gone
+ * already is not taken for the next. Chosen, not measured.
+ */
+const successors = 2
+
 /**
  * Gateways up to which each watches the store's upstreams for itself. In larger fleets two watch, and the others follow them. Two
  * watchers have to ask some 5 to 10 times a second each, so that followers know soon that the watchers' own way to the store has
@@ -57,11 +65,26 @@
 /** The key under which gateways are ranked for polling. Part of the behaviour: gateways of all builds must rank alike. */
 const pollingKey = 'confirmers'
 
+/** What one gateway sees of the others. */
+interface View {
+  /** The peers' heartbeats from which it was made, and whether this gateway itself could watch then. */
+  readonly of: readonly Heartbeat[]
+  readonly canWatch: boolean
+  /** Ids of those that could watch the store, in the order of their ranking. */
+  readonly watchCandidates: readonly string[]
+  /** Who leads which service, by its own word, and whether it may plan now. */
+  readonly leaders: ReadonlyArray<{ readonly id: string, readonly service: string, readonly term: number, readonly able: boolean }>
+  readonly fleet: number
+}
+
 /** Decides what this gateway does for the whole fleet. */
 export class Leadership {
   readonly #options: LeadershipOptions
   readonly #startedAt: number
   readonly #services = new Set<string>()
+  readonly #elections = new Map<string, Election>()
+  readonly #ranking = new Ranking(pollingKey)
+  #lastView: View | undefined
 
   constructor (options: LeadershipOptions) {
     this.#options = options
@@ -78,10 +101,14 @@
     return this.#isSettled && !this.follows
   }
 
-  /** Whether this gateway could watch the store for others, as far as it knows; other gateways read it in its heartbeat. */
+  /**
+   * Whether this gateway could watch the store for others, as far as it knows; other gateways read it in its heartbeat. It need not have
+   * heard all others for that: if each said so only once it had, all would do so at the same moment, and each would take itself for the only one.
+   */
   get canWatch (): boolean {
-    const { board } = this.#options
-    return this.#isLarge && this.#isSettled && board.read('store') && board.read('listed') && !board.read('stopping')
+    const { clock, board, pauses, peers } = this.#options
+    const awake = clock.now() - pauses.resumedAt > peers.settleTime + settleMargin
+    return awake && board.read('store') && board.read('listed') && !board.read('stopping')
   }
 
   /**
@@ -97,7 +124,12 @@
 
   /** Whether other gateways take the upstreams from this one. */
   get isFollowed (): boolean {
-    return this.canWatch && this.#watchers.includes(this.#options.id)
+    return this.#isLarge && this.canWatch && this.#watchers.includes(this.#options.id)
+  }
+
+  /** Whether the others have to know soon that this gateway is gone: it watches the store for them, or would if those that do were gone. */
+  get isUrgent (): boolean {
+    return this.#isLarge && this.canWatch && this.#watchCandidates.slice(0, pollers + successors).includes(this.#options.id)
   }
 
   /** Whether others watch the store for this gateway, be it that it follows them or that it cannot reach the store. */
@@ -108,12 +140,12 @@
 
   /** Gateways that were heard lately, this one included. */
   get fleet (): number {
-    return this.#options.peers.heardWithin(fleetMemory).length + 1
+    return this.#view.fleet
   }
 
   /** Ids of the gateways that other ones should ask first: they learn from the store itself what is new. */
-  get informed (): string[] {
-    return this.#isLarge ? this.#watchers : ranked(pollingKey, this.#options.peers.planners).slice(0, pollers)
+  get informed (): readonly string[] {
+    return this.#isLarge ? this.#watchers : this.#ranking.order(this.#options.peers.planners).slice(0, pollers)
   }
 
   /** Whether this gateway plans any service now. */
@@ -123,17 +155,55 @@
 
   /** Whether this gateway plans the replicas of a service now: it leads, and has the store's own list. Logs each change of who leads. */
   plans (service: string): boolean {
-    const { id, log, board } = this.#options
-    const candidates = this.#candidates
-    const leads = this.eligible && ranked(service, candidates)[0] === id
+    const { log, board } = this.#options
+    const election = this.#electionOf(service)
+    election.look()
+    const leads = election.term !== undefined && this.eligible
     if (leads !== this.#services.has(service)) {
-      log.write(leads ? 'planner-acts' : 'planner-rests', { service, able: candidates.length })
+      const able = this.#candidates.length
+      if (leads) log.write('planner-acts', { service, able, term: election.term })
+      else log.write('planner-rests', { service, able })
       if (leads) this.#services.add(service)
       else this.#services.delete(service)
     }
     return leads && board.read('upstreamsFrom') === 'store'
   }
 
+  /** The services that this gateway leads, each with its term. */
+  get terms (): Record<string, number> {
+    const terms: Record<string, number> = {}
+    for (const [service, { term }] of this.#elections) if (term !== undefined) terms[service] = term
+    return terms
+  }
+
+  /** Another gateway has changed what this one plans: it may have been replaced. */
+  async contested (service: string): Promise<void> {
+    await this.#electionOf(service).check()
+  }
+
+  /** Gives up every service, at a planned stop. */
+  resign (): void {
+    for (const election of this.#elections.values()) election.resign()
+  }
+
+  #electionOf (service: string): Election {
+    const known = this.#elections.get(service)
+    if (known !== undefined) return known
+    const { clock, leaders, peers, id } = this.#options
+    const election = new Election({
+      clock,
+      leaders,
+      service,
+      id,
+      eligible: () => this.eligible,
+      place: () => Math.max(0, this.#candidates.indexOf(id)),
+      others: () => this.#view.leaders.filter(each => each.service === service),
+      changed: () => peers.send()
+    })
+    this.#elections.set(service, election)
+    return election
+  }
+
   /**
    * The gateways whose changes of the upstreams this one takes, the best first: those that watch or poll the store, or any that lives
    * where this one has no list yet. None in a small fleet where it reaches the store itself, and none where it watches for others.
@@ -153,7 +223,7 @@
    */
   get polls (): boolean {
     if (this.#isLarge) return !this.isSpared
-    return !this.eligible || ranked(pollingKey, this.#candidates).slice(0, pollers).includes(this.#options.id)
+    return !this.eligible || this.#candidates.slice(0, pollers).includes(this.#options.id)
   }
 
   get #isLarge (): boolean {
@@ -168,19 +238,49 @@
   /** Whether there was time to hear every other gateway since a moment. @param since on `Clock.now` */
   #hasHeardAll (since: number): boolean {
     const { clock, peers } = this.#options
-    return clock.now() - since > peers.timeout + settleMargin
+    return clock.now() - since > peers.settleTime + settleMargin
   }
 
   /** Ids of the gateways that watch the store for all others, this one included where it is one of them. */
-  get #watchers (): string[] {
+  get #watchers (): readonly string[] {
+    return this.#watchCandidates.slice(0, pollers)
+  }
+
+  /**
+   * Ids of the gateways that could watch the store for all others, the first ones before those that would follow them. Those that lead come
+   * first: they have to watch anyway.
+   */
+  get #watchCandidates (): readonly string[] {
+    const { watchCandidates, leaders } = this.#view
+    const leading = new Set(leaders.map(each => each.id))
+    if (this.#leads) leading.add(this.#options.id)
+    if (leading.size === 0) return watchCandidates
+    return [...watchCandidates.filter(each => leading.has(each)), ...watchCandidates.filter(each => !leading.has(each))]
+  }
+
+  /** Whether this gateway was elected for any service. */
+  get #leads (): boolean {
+    return [...this.#elections.values()].some(each => each.term !== undefined)
+  }
+
+  /** What this gateway sees of the others now. It is asked for many times between two heartbeats, and kept until the next one. */
+  get #view (): View {
     const { id, peers } = this.#options
-    const candidates = this.canWatch ? [id, ...peers.watchCandidates] : peers.watchCandidates
-    return ranked(pollingKey, candidates).slice(0, pollers)
+    const { live } = peers
+    const { canWatch } = this
+    if (this.#lastView?.of !== live || this.#lastView.canWatch !== canWatch) {
+      const others = peers.watchCandidates
+      const watchCandidates = this.#ranking.order(canWatch ? [id, ...others] : others)
+      const leaders = live.flatMap(({ id, canPlan, terms = {} }) => Object.entries(terms).map(([service, term]) => ({ id, service, term, able: canPlan })))
+      this.#lastView = { of: live, canWatch, watchCandidates, leaders, fleet: peers.heardWithin(fleetMemory).length + 1 }
+    }
+    return this.#lastView
   }
 
-  /** Ids of the gateways that may plan, as far as this one has heard lately. */
-  get #candidates (): string[] {
+  /** Ids of the gateways that may plan, as far as this one has heard lately, in the order of their ranking. */
+  get #candidates (): readonly string[] {
+    if (this.#isLarge) return this.#watchers
     const { id, peers } = this.#options
-    return this.eligible ? [id, ...peers.planners] : peers.planners
+    return this.#ranking.order(this.eligible ? [id, ...peers.planners] : peers.planners)
   }
 }
--- a/packages/gateway/src/planning.ts
+++ b/packages/gateway/src/planning.ts
@@ -46,6 +46,7 @@
     placements: platform.placements,
     services: () => board.read('inForce')?.traffic.services ?? [],
     leads: service => leadership.plans(service),
+    contested: service => { leadership.contested(service).catch(() => { /* It returns its errors. */ }) },
     suspects: () => agreedSuspects([{ inFlight: inFlight.counts, suspects: suspects.all }, ...peers.live]),
     demand: () => modelLoad.demand,
     othersLoads: () => new Map(peers.heardWithin(loadMemory).flatMap(each => Object.entries(each.loads))),
--- a/packages/hash/src/index.ts
+++ b/packages/hash/src/index.ts
@@ -14,9 +14,32 @@
 
 /** The names in the order in which rendezvous hashing prefers them for `key`. Equal weights go by name. */
 export function ranked (key: string, names: readonly string[]): string[] {
-  const weighted = names.map(name => ({ name, weight: weight(key, name) }))
-  weighted.sort((a, b) => b.weight - a.weight || (a.name < b.name ? -1 : 1))
-  return weighted.map(each => each.name)
+  return new Ranking(key).order(names)
+}
+
+/** Ranks names for one key again and again, and keeps their weights: for a fleet of 300 that is most of the time that ranking takes. */
+export class Ranking {
+  readonly #key: string
+  readonly #weights = new Map<string, number>()
+
+  constructor (key: string) {
+    this.#key = key
+  }
+
+  /** As `ranked`. */
+  order (names: readonly string[]): string[] {
+    const weighted = names.map(name => ({ name, weight: this.#weight(name) }))
+    weighted.sort((a, b) => b.weight - a.weight || (a.name < b.name ? -1 : 1))
+    return weighted.map(each => each.name)
+  }
+
+  #weight (name: string): number {
+    const known = this.#weights.get(name)
+    if (known !== undefined) return known
+    const found = weight(this.#key, name)
+    this.#weights.set(name, found)
+    return found
+  }
 }
 
 /** A 32-bit digest of `text`, for prefix and session affinity. Not for secrets. */
--- a/packages/peers/src/heartbeat.ts
+++ b/packages/peers/src/heartbeat.ts
@@ -25,6 +25,12 @@
   readonly served: boolean
   /** Loads of weights that engines have begun by its orders: the model, by engine. None from builds that do not say. */
   readonly loads: Readonly<Record<string, string>>
+  /** Time until its next regular heartbeat, in ms. Absent from builds that do not say. */
+  readonly interval?: number
+  /** Whether the receiver should answer with its own heartbeat at once: the sender has not heard it yet. Absent: no. */
+  readonly asks?: boolean
+  /** The services whose replicas it plans, each with the term for which it was elected. Absent where there are none, and from builds that do not say. */
+  readonly terms?: Readonly<Record<string, number>>
 }
 
 /** The datagram: JSON with these keys. Unknown keys are dropped, so that a newer gateway may send more. */
@@ -42,24 +48,58 @@
   models: z.record(z.string(), z.int()),
   served: z.boolean(),
   /** `loads` of the inner type; its name on the wire was taken. Absent where there are none. */
-  weights: z.record(z.string(), z.string()).optional()
+  weights: z.record(z.string(), z.string()).optional(),
+  /** `interval`. */
+  every: z.number().positive().optional(),
+  /** `asks`. Absent where it is not so. */
+  ask: z.literal(true).optional(),
+  /** `terms`. Absent where there are none. */
+  terms: z.record(z.string(), z.int()).optional()
 })
 
 /** The datagram of a heartbeat. */
-export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads }: Heartbeat): string {
-  const weights = Object.keys(loads).length === 0 ? undefined : loads
-  return JSON.stringify({ id, revision, able: canPlan, watch: canWatch === true ? true : undefined, loads: inFlight, suspects, models: inFlightByModel, served, weights })
+export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads, interval, asks, terms }: Heartbeat): string {
+  return JSON.stringify({
+    id,
+    revision,
+    able: canPlan,
+    watch: onlyTrue(canWatch),
+    loads: inFlight,
+    suspects,
+    models: inFlightByModel,
+    served,
+    weights: unlessEmpty(loads),
+    every: interval,
+    ask: onlyTrue(asks),
+    terms: unlessEmpty(terms)
+  })
+}
+
+/** A flag that is left out of the datagram where it is not set. */
+function onlyTrue (flag: boolean | undefined): true | undefined {
+  return flag === true ? true : undefined
+}
+
+/** A table that is left out of the datagram where it is empty. */
+function unlessEmpty<Value> (table: Readonly<Record<string, Value>> = {}): Readonly<Record<string, Value>> | undefined {
+  return Object.keys(table).length === 0 ? undefined : table
 }
 
 /** The heartbeat in a datagram, or undefined where the datagram is not one. */
 export function decode (message: Buffer): Heartbeat | undefined {
   const { data } = Datagram.safeParse(parsed(message))
   if (data === undefined) return undefined
-  const { id, revision, able: canPlan, watch: canWatch, loads: inFlight, suspects, models: inFlightByModel, served, weights: loads = {} } = data
-  const heartbeat = { id, revision, canPlan, inFlight, suspects, inFlightByModel, served, loads }
-  return canWatch === undefined ? heartbeat : { ...heartbeat, canWatch }
+  const { id, revision, able: canPlan, watch: canWatch, loads: inFlight, suspects, models: inFlightByModel, served, weights: loads = {}, every: interval, ask: asks, terms } = data
+  const heartbeat: Mutable<Heartbeat> = { id, revision, canPlan, inFlight, suspects, inFlightByModel, served, loads }
+  if (canWatch !== undefined) heartbeat.canWatch = canWatch
+  if (interval !== undefined) heartbeat.interval = interval
+  if (asks !== undefined) heartbeat.asks = asks
+  if (terms !== undefined) heartbeat.terms = terms
+  return heartbeat
 }
 
+type Mutable<Type> = { -readonly [Key in keyof Type]: Type[Key] }
+
 function parsed (message: Buffer): unknown {
   try {
     return JSON.parse(message.toString())
--- a/packages/peers/src/peers.ts
+++ b/packages/peers/src/peers.ts
@@ -2,8 +2,10 @@
  * Membership of the gateways by heartbeats over UDP, without a reply or a retry. `Peers` owns the newest
  * heartbeat of each peer and the list of addresses; it relies on the caller for that list (the store's) and for what
  * to say. What peers say only steers choices: no decision that must be safe depends on it.
- * Each sends to all others, so that all have the same view but for a moment: who plans and who watches the store is ranked over
- * it. In large fleets each sends less often, so that what one sends and receives in a second stays bounded; the time-out grows alike.
+ * Each sends to all others, so that all have the same view but for a moment: who watches the store is ranked over it. In large fleets each
+ * sends less often, so that what one sends and receives in a second stays bounded, and says how often: the silence after which it counts
+ * as gone grows alike. The few whose loss has to be known soon send at the full rate in fleets of any size.
+ * Nobody waits for regular heartbeats to learn who is there: one that finds others in the list asks them, and they answer at once.
  * A gateway that restarts while the store is away has no list, but hears its peers within one interval, since they go on
  * sending to its address; it answers those that it hears. So one that joins needs to read the list only once.
  */
@@ -33,6 +35,8 @@
   readonly interval: number
   /** Silence after which a peer no longer counts as alive, where heartbeats come each `interval`. */
   readonly timeout: number
+  /** Whether the others have to know soon that this gateway is gone: it then sends each `interval` in a fleet of any size. Default: never. */
+  readonly urgent?: () => boolean
 }
 
 /**
@@ -49,8 +53,9 @@
 
 interface Receipt {
   readonly heartbeat: Heartbeat
-  /** When it arrived, on `Clock.now`. */
+  /** When it arrived, and until when its sender counts as alive without another one, on `Clock.now`. */
   readonly at: number
+  readonly aliveUntil: number
   /** `host:port` that it came from, which is also where its sender listens. */
   readonly address: string
 }
@@ -65,6 +70,8 @@
   /** Intervals since the last regular heartbeat. */
   #skipped = 0
   #timer: Subscription | undefined
+  /** The live peers as they were found last, and until when they all are without another heartbeat: they are asked for many times meanwhile. */
+  #live: { readonly heartbeats: Heartbeat[], readonly until: number } | undefined
 
   constructor (options: PeersOptions) {
     this.#options = options
@@ -73,12 +80,32 @@
 
   /** The peers that are alive, each as its newest heartbeat. */
   get live (): Heartbeat[] {
-    return this.heardWithin(this.timeout)
+    const now = this.#options.clock.now()
+    if (this.#live === undefined || now > this.#live.until) this.#live = this.#alive(now)
+    return this.#live.heartbeats
   }
 
-  /** Silence after which a peer no longer counts as alive, in a fleet of this size, in ms. */
-  get timeout (): number {
-    return this.#options.timeout * this.#slowness
+  #alive (now: number): { readonly heartbeats: Heartbeat[], readonly until: number } {
+    const alive = [...this.#received.values()].filter(each => now <= each.aliveUntil)
+    return { heartbeats: alive.map(each => each.heartbeat), until: Math.min(...alive.map(each => each.aliveUntil)) }
+  }
+
+  /** Silence after which the sender of a heartbeat no longer counts as alive, in ms: as many of its own intervals as `timeout` has. */
+  #silence ({ interval = this.interval }: Heartbeat): number {
+    return interval * this.#options.timeout / this.#options.interval
+  }
+
+  /** Time between two regular heartbeats of most gateways of a fleet of this size, in ms. */
+  get interval (): number {
+    return this.#options.interval * this.#slowness
+  }
+
+  /**
+   * Time after which a gateway that has begun to listen has heard every other one, in ms: those that it asks answer at once, and those that
+   * must not be missed send at the full rate.
+   */
+  get settleTime (): number {
+    return this.#options.timeout
   }
 
   /** The newest heartbeat of each peer that was heard within a time, alive or not. @param time in ms */
@@ -107,7 +134,7 @@
 
   /** How old a peer's newest heartbeat is on average, in ms. */
   get staleness (): number {
-    return this.#options.interval * this.#slowness / 2
+    return this.interval / 2
   }
 
   /** Ids of the live peers that could watch the store for others. */
@@ -115,10 +142,12 @@
     return this.live.filter(each => each.canPlan || each.canWatch === true).map(each => each.id)
   }
 
-  /** Takes the store's list of all gateways, this one included or not. */
+  /** Takes the store's list of all gateways, this one included or not, and asks those that were not heard yet for their heartbeats. */
   setAddresses (gateways: readonly PeerAddress[]): void {
     this.#hasList = true
     this.#addresses = gateways.filter(each => each.id !== this.#options.id)
+    const live = new Set(this.live.map(each => each.id))
+    this.#sendTo(this.#addresses.filter(each => !live.has(each.id)), true)
   }
 
   /** Binds the address and begins to send. Rejects where the address cannot be bound. */
@@ -130,13 +159,13 @@
 
   /** How many times more slowly than at each interval a fleet of this size sends. */
   get #slowness (): number {
-    const sent = this.#addresses.length * 1000 / this.#options.interval
+    const sent = this.#recipients.length * 1000 / this.#options.interval
     return Math.max(1, Math.ceil(sent / sendRate))
   }
 
   /** Listed peers, alive or not, and those that were only heard. */
   get #recipients (): PeerAddress[] {
-    const since = this.#hasList ? this.#options.clock.now() - unlistedTimeouts * this.timeout : -Infinity
+    const since = this.#hasList ? this.#options.clock.now() - unlistedTimeouts * this.#options.timeout : -Infinity
     const listed = new Set(this.#addresses.map(each => each.id))
     const heard = [...this.#received].filter(([id, { at }]) => !listed.has(id) && at >= since)
     return [...this.#addresses, ...heard.map(([id, { address }]) => ({ id, address }))]
@@ -144,15 +173,25 @@
 
   #sendRegularly (): void {
     this.#skipped++
-    if (this.#skipped < this.#slowness) return
+    if (this.#skipped < this.#pace) return
     this.#skipped = 0
     this.send()
   }
 
-  /** Sends a heartbeat now, in addition to the regular ones. */
+  /** How many intervals there are between two regular heartbeats of this gateway. */
+  get #pace (): number {
+    return this.#options.urgent?.() === true ? 1 : this.#slowness
+  }
+
+  /** Sends a heartbeat to all now, in addition to the regular ones. */
   send (): void {
-    const message = encode(this.#options.heartbeat())
-    for (const { address } of this.#recipients) this.#datagrams.send(message, address)
+    this.#sendTo(this.#recipients, false)
+  }
+
+  #sendTo (peers: readonly PeerAddress[], asks: boolean): void {
+    if (peers.length === 0) return
+    const message = encode({ ...this.#options.heartbeat(), interval: this.#options.interval * this.#pace, asks })
+    for (const { address } of peers) this.#datagrams.send(message, address)
   }
 
   stop (): void {
@@ -167,6 +206,9 @@
   #receive (message: Buffer, address: string): void {
     const heartbeat = decode(message)
     if (heartbeat === undefined || heartbeat.id === this.#options.id) return
-    this.#received.set(heartbeat.id, { heartbeat, at: this.#options.clock.now(), address })
+    const at = this.#options.clock.now()
+    this.#received.set(heartbeat.id, { heartbeat, at, aliveUntil: at + this.#silence(heartbeat), address })
+    this.#live = undefined
+    if (heartbeat.asks === true) this.#sendTo([{ id: heartbeat.id, address }], false)
   }
 }
--- a/packages/peers/test/peers.test.ts
+++ b/packages/peers/test/peers.test.ts
@@ -11,6 +11,10 @@
 /** The datagram of `heartbeat()`, as every build of the gateway sends and reads it. */
 const datagram = '{"id":"self","revision":7,"able":true,"loads":{"u":3},"suspects":["h"],"models":{"m":2},"served":true}'
 
+/** The same as a gateway sends it at regular times in a small fleet, and as it sends it to one that it has not heard yet. */
+const regular = datagram.replace('"served":true}', '"served":true,"every":250}')
+const asking = datagram.replace('"served":true}', '"served":true,"every":250,"ask":true}')
+
 function heartbeat (difference: Partial<Heartbeat> = {}): Heartbeat {
   return { id: 'self', revision: 7, canPlan: true, inFlight: { u: 3 }, suspects: ['h'], inFlightByModel: { m: 2 }, served: true, loads: {}, ...difference }
 }
@@ -96,12 +100,13 @@
   const [other, self] = await Promise.all([peer(t, 'other'), peer(t, 'self')])
   peers.setAddresses([other, self])
   t.deepEqual(peers.addresses.map(each => each.id), ['other'])
+  await until(() => other.received.length === 1)
   clock.advance(interval - 1)
   peers.send()
-  await until(() => other.received.length === 1)
-  clock.advance(1)
   await until(() => other.received.length === 2)
-  t.deepEqual(other.received.map(each => each.text), [datagram, datagram])
+  clock.advance(1)
+  await until(() => other.received.length === 3)
+  t.deepEqual(other.received.map(each => each.text), [asking, regular, regular])
   t.is(self.received.length, 0)
 })
 
@@ -128,16 +133,69 @@
     const other = await peer(t, 'other')
     // Nobody listens at the others' addresses: the port is that of the discard protocol.
     peers.setAddresses([other, ...Array.from({ length: size - 1 }, (_each, index) => ({ id: `g${index}`, address: '127.0.0.1:9' }))])
-    t.is(peers.timeout, slowness * timeout)
+    await until(() => other.received.length === 1)
     clock.advance(slowness * interval - 1)
     await new Promise(resolve => setTimeout(resolve, 50))
-    t.is(other.received.length, 0)
-    clock.advance(1)
-    await until(() => other.received.length === 1)
     t.is(other.received.length, 1)
+    clock.advance(1)
+    await until(() => other.received.length === 2)
+    t.is(other.received.length, 2)
+    const { text } = other.received[1]
+    t.is(decode(Buffer.from(text))?.interval, slowness * interval)
+    // A peer that says nothing of its interval is taken to have that of this gateway.
+    for (const from of [text.replace('"self"', '"other"'), datagram.replace('"self"', '"other"')]) {
+      await reply(other, from)
+      await until(() => peers.live.length === 1)
+      clock.advance(slowness * timeout)
+      t.is(peers.live.length, 1)
+      clock.advance(1)
+      t.is(peers.live.length, 0)
+    }
   })
 }
 
+test('a gateway whose loss the others must know soon sends each interval in a large fleet, and counts as gone after one time-out', async t => {
+  const clock = new ManualClock()
+  const other = await peer(t, 'other')
+  const peers = new Peers({ clock, id: 'self', address: '127.0.0.1:0', heartbeat, interval, timeout, urgent: () => true })
+  await peers.start()
+  t.teardown(() => peers.stop())
+  peers.setAddresses([other, ...Array.from({ length: 299 }, (_each, index) => ({ id: `g${index}`, address: '127.0.0.1:9' }))])
+  await until(() => other.received.length === 1)
+  for (const count of [2, 3, 4]) {
+    clock.advance(interval)
+    await until(() => other.received.length === count)
+  }
+  t.is(other.received[3].text, regular)
+  await reply(other, regular.replace('"self"', '"other"'))
+  await until(() => peers.live.length === 1)
+  clock.advance(timeout + 1)
+  t.deepEqual(peers.live, [])
+})
+
+test('a peer that asks is answered at once, one that does not is not', async t => {
+  const peers = await startedPeers(t, new ManualClock())
+  const other = await peer(t, 'other')
+  peers.setAddresses([other])
+  await reply(other, datagram.replace('"self"', '"other"'))
+  await until(() => peers.live.length === 1)
+  t.is(other.received.length, 1)
+  await reply(other, asking.replace('"self"', '"other"'))
+  await until(() => other.received.length === 2)
+  t.deepEqual(other.received.map(each => each.text), [asking, regular])
+})
+
+test('a list that is read again asks those that were not heard, and no others', async t => {
+  const peers = await startedPeers(t, new ManualClock())
+  const [heard, silent] = await Promise.all([peer(t, 'heard'), peer(t, 'silent')])
+  peers.setAddresses([heard, silent])
+  await reply(heard, datagram.replace('"self"', '"heard"'))
+  await until(() => peers.live.length === 1)
+  peers.setAddresses([heard, silent])
+  await until(() => silent.received.length === 2)
+  t.is(heard.received.length, 1)
+})
+
 test('a peer is alive until nothing was received from it for the timeout', async t => {
   const clock = new ManualClock()
   const peers = await startedPeers(t, clock)
@@ -174,8 +232,8 @@
   // The system refuses to send to the broadcast address.
   peers.setAddresses([{ id: 'refused', address: '255.255.255.255:9' }, other])
   peers.send()
-  await until(() => other.received.length === 1)
-  t.is(other.received[0].text, datagram)
+  await until(() => other.received.length === 2)
+  t.deepEqual(other.received.map(each => each.text), [asking, regular])
 })
 
 test('a gateway without a list sends to whoever it has heard, also to one that has been silent for long', async t => {
