Take a list that was followed without a gap as complete when it is watched here again

Cause: a gateway that begins to watch the store after it followed another one waited 2.6 s before it could plan, since an outage of the store might just have ended. Where what it heard was known up to less than the shortest outage ago there was none.

--- a/packages/gateway/src/listener.ts
+++ b/packages/gateway/src/listener.ts
@@ -58,7 +58,7 @@
 /** The part of the listener that takes the list of upstreams from this gateway's own watch. */
 function upstreamListener ({ board, roster, outage }: PlatformListenerOptions): UpstreamListener {
   const watchedHere = (): void => {
-    if (board.read('followed')) outage.resume()
+    if (board.read('followed')) outage.resume(board.read('upstreamsAt'))
     board.write('followed', false)
     board.write('upstreamsFrom', 'store')
   }
--- a/packages/gateway/test/fleet.ts
+++ b/packages/gateway/test/fleet.ts
@@ -246,8 +246,9 @@
     if (leadership.follows) {
       board.write('followed', true)
       board.write('upstreamsFrom', 'peer')
+      if (leadership.sources.some(each => this.members.has(each.id))) board.write('upstreamsAt', this.clock.now())
     } else if (board.read('upstreamsFrom') === 'peer') {
-      if (board.read('followed')) outage.resume()
+      if (board.read('followed')) outage.resume(board.read('upstreamsAt'))
       board.write('followed', false)
       board.write('upstreamsFrom', 'store')
     }
--- a/packages/gateway/test/membership.test.ts
+++ b/packages/gateway/test/membership.test.ts
@@ -96,6 +96,14 @@
   neverTwo(t, fleet, 2)
 })
 
+test('after both that watch the store have died at once, one that followed them plans as soon as it watches', async t => {
+  const fleet = await Fleet.started(35, 9)
+  for (const id of fleet.watchers()) fleet.kill(id)
+  t.true(await fleet.settled(watched) <= takeover + 200)
+  neverTwo(t, fleet, 1)
+  t.true(fleet.agrees())
+})
+
 test('after a third of the gateways have restarted at once, one plans and two watch', async t => {
   const fleet = await Fleet.started(35, 5)
   const restarted = Fleet.ids(35).filter((_id, index) => index % 3 === 0 || fleet.planners().includes(_id))
--- a/packages/roster/src/outage.ts
+++ b/packages/roster/src/outage.ts
@@ -55,9 +55,15 @@
     return this.#resumed
   }
 
-  /** Notes that the list is followed here again from now on, after another process did so: as at a start, an outage may just have ended. */
-  resume (): void {
-    this.#firstAnswerAt = this.#clock.now()
+  /**
+   * Notes that the list is followed here again from now on, after another process did so. Where a gap is left in which an outage may have
+   * passed unnoticed, one may just have ended, as at a start.
+   * @param knownUpTo the list lacks nothing that happened before, on `Clock.now`
+   */
+  resume (knownUpTo: number): void {
+    const now = this.#clock.now()
+    if (now - knownUpTo <= minimumOutage) return
+    this.#firstAnswerAt = now
     this.#resumed = true
   }
 
--- a/packages/roster/test/roster.test.ts
+++ b/packages/roster/test/roster.test.ts
@@ -126,3 +126,16 @@
   roster.apply([])
   t.is(roster.departure('a'), undefined)
 })
+
+test('a list that is followed here again after another process did so counts as complete, unless an outage may have passed unnoticed', t => {
+  const clock = new ManualClock()
+  const outage = new Outage(clock)
+  outage.answered()
+  clock.advance(10_000)
+  outage.resume(clock.now() - 2500)
+  t.deepEqual([outage.listComplete, outage.resumed], [true, false])
+  outage.resume(clock.now() - 2501)
+  t.deepEqual([outage.listComplete, outage.resumed], [false, true])
+  clock.advance(2600)
+  t.true(outage.listComplete)
+})
