Make the engines of the planner's tests a package of their own: emulator

Change: forming/test/world.ts became EmulatedEngines of packages/emulator, for any service; the tests that use it moved along unchanged but for imports; the tests of Domains that need no planner stay in forming with a fixture of their own. No behaviour changed (the digests stand).

--- a/packages/forming/test/world.ts
+++ b/packages/emulator/src/engines.ts
@@ -1,28 +1,12 @@
-import { ManualClock } from '@eiderwind/clock'
+/**
+ * Emulated engines that take orders as the platform's do, on a manual clock: what they hold, the replicas that they form, how long that
+ * takes, how they die, leave and answer late. They note each rule that an order breaks. Owns the engines and the roster that lists them.
+ */
+import { type ManualClock } from '@eiderwind/clock'
+import { Probes } from '@eiderwind/detect'
+import { Orders, type Order, type OrderResult } from '@eiderwind/forming'
 import { Outage, Roster, type Membership, type Upstream } from '@eiderwind/roster'
 import { type Engine, type Service } from '@eiderwind/traffic'
-import { Err, Ok, type Result } from 'ts-results-es'
-import { Probes } from '@eiderwind/detect'
-import { Orders, Placements, Reconciler, emptyPlacement, type Order, type OrderResult, type Placement, type WriteFailure } from '../src/index.js'
-
-/** The models of the engines here: one of four nodes and one of two. */
-export const engine: Engine = {
-  slots: 24,
-  models: [
-    { name: 'large', size: 4, share: 0.5, pace: 1, load: 1600, warm: 400 },
-    { name: 'small', size: 2, share: 0.5, pace: 0.6, load: 1200, warm: 300 }
-  ],
-  step: 8,
-  stepPerRequest: 0.1,
-  readRate: 45_000,
-  prompt: 900,
-  answer: 130,
-  loadRate: 3,
-  loadsAtOnce: 6,
-  formTime: 300
-}
-
-export const service: Service = { name: 'chat', connections: 400, engine }
 
 interface Node {
   upstream: Upstream
@@ -39,8 +23,13 @@
 const listedTime = 3600
 const stallTime = 6000
 
-/** Engines that take orders as the platform's do, on a manual clock, and note each broken rule. */
-export class World extends Orders {
+/** A service with the settings of its engines. */
+export interface EngineService extends Service {
+  readonly engine: Engine
+}
+
+/** The engines of one service. */
+export class EmulatedEngines extends Orders {
   readonly clock: ManualClock
   readonly outage: Outage
   readonly roster: Roster
@@ -62,16 +51,24 @@
   readonly #ready = new Map<string, Set<string>>()
   readonly #lists = new Map<string, readonly string[]>()
 
-  constructor (clock: ManualClock) {
+  readonly #service: EngineService
+
+  /** The service as it is configured. */
+  get service (): EngineService {
+    return this.#service
+  }
+
+  constructor (clock: ManualClock, service: EngineService) {
     super()
     this.clock = clock
+    this.#service = service
     this.outage = new Outage(clock)
     this.roster = new Roster(clock, this.outage)
   }
 
-  /** Adds an engine that holds nothing. */
-  add (id: string, domain: string): void {
-    const upstream: Upstream = { id, service: service.name, address: `${id}:1`, dataCentre: 'dc', leaving: false, domain, loaded: [], staged: [] }
+  /** Adds an engine. @param staged what its host holds; nothing in a new one */
+  add (id: string, domain: string, staged: readonly string[] = []): void {
+    const upstream: Upstream = { id, service: this.#service.name, address: `${id}:1`, dataCentre: 'dc', leaving: false, domain, loaded: [], staged: [...staged] }
     this.#nodes.set(id, { upstream, alive: true, reachable: true, seenEpoch: 0, pulse: 0 })
     this.roster.replace([...this.roster.upstreams, upstream])
   }
@@ -121,7 +118,7 @@
   }
 
   /** What the nodes answer when they are asked after. */
-  readonly probes: Probes = new WorldProbes({
+  readonly probes: Probes = new EmulatedProbes({
     isReachable: async address => {
       const node = this.#node(address.split(':')[0])
       const reachable = node.alive && node.reachable && !this.mute.has(address.split(':')[0])
@@ -158,7 +155,7 @@
     const members = order.members as readonly string[]
     this.#lists.set(key, members)
     const model = order.model as string
-    const { load, warm } = engine.models.find(each => each.name === model) as Engine['models'][number]
+    const { load, warm } = this.#service.engine.models.find(each => each.name === model) as Engine['models'][number]
     const { loaded, staged } = node.upstream
     const time = loaded.includes(model) ? 200 : staged.includes(model) ? warm : load
     if (time === load) this.#loads()
@@ -177,7 +174,7 @@
     if (!this.#fits(node, order) || node.upstream.membership?.state !== 'ready') return 'refused'
     const key = `${order.replica} ${order.epoch}`
     const list = this.#lists.get(key) ?? []
-    const size = engine.models.find(each => each.name === node.upstream.loaded[0])?.size
+    const size = this.#service.engine.models.find(each => each.name === node.upstream.loaded[0])?.size
     if (list.length !== size || list.some(id => this.#ready.get(key)?.has(id) !== true)) this.broken.push('partial')
     this.#be(node, 'open')
     return 'taken'
@@ -199,7 +196,7 @@
     const model = order.model as string
     if (node.upstream.staged.includes(model)) return 'taken'
     this.#loads()
-    const time = engine.models.find(each => each.name === model)?.load as number
+    const time = this.#service.engine.models.find(each => each.name === model)?.load as number
     this.clock.after(time, () => { if (node.alive) this.#change(node, { staged: [model] }) })
     return 'taken'
   }
@@ -208,7 +205,7 @@
     const now = this.clock.now()
     this.loadsAt.push(now)
     const span = 5000
-    if (this.loadsAt.filter(at => at > now - span).length > engine.loadRate * 5 * 1.1 + 3) this.broken.push('loads')
+    if (this.loadsAt.filter(at => at > now - span).length > this.#service.engine.loadRate * 5 * 1.1 + 3) this.broken.push('loads')
   }
 
   #fits ({ upstream: { membership } }: Node, { replica, epoch }: Order): boolean {
@@ -245,7 +242,7 @@
   }
 }
 
-class WorldProbes extends Probes {
+class EmulatedProbes extends Probes {
   readonly #isReachable: Probes['isReachable']
   readonly #heartbeatOf: Probes['heartbeatOf']
 
@@ -263,52 +260,3 @@
     return this.#heartbeatOf(node)
   }
 }
-
-/** Keeps placements in memory, with versions, for any number of planners. */
-export class MemoryPlacements extends Placements {
-  readonly #kept = new Map<string, { placement: Placement, version: number }>()
-
-  async read (domain: string): Promise<Result<{ readonly placement: Placement, readonly version: number }, string>> {
-    return Ok(this.#kept.get(domain) ?? { placement: emptyPlacement(domain), version: 0 })
-  }
-
-  async write (placement: Placement, version: number): Promise<Result<number, WriteFailure>> {
-    const present = this.#kept.get(placement.domain)?.version ?? 0
-    if (present !== version) return Err('conflict')
-    this.#kept.set(placement.domain, { placement, version: version + 1 })
-    return Ok(version + 1)
-  }
-}
-
-/** A planner over a world. */
-export function planner (world: World, placements: Placements, options: { suspects?: Set<string>, acts?: () => boolean, wokeAt?: () => number, unserved?: () => boolean, others?: () => Reconciler | undefined } = {}): Reconciler {
-  return new Reconciler({
-    clock: world.clock,
-    roster: world.roster,
-    orders: world,
-    probes: world.probes,
-    placements,
-    services: () => [service],
-    leads: options.acts ?? (() => true),
-    contested: () => {},
-    suspects: () => options.suspects ?? new Set(),
-    demand: () => new Map(),
-    othersLoads: () => new Map(Object.entries(options.others?.()?.loads ?? {})),
-    beforeTraffic: options.unserved ?? (() => false),
-    heartbeatInterval: 1200,
-    resumedAt: options.wokeAt ?? (() => -Infinity),
-    decided: () => {},
-    surveyed: () => {},
-    ordered: () => {},
-    failed: error => { throw error }
-  })
-}
-
-/** Lets `time` ms pass in small steps, with everything that is due done between them. */
-export async function pass (world: World, time: number): Promise<void> {
-  for (let gone = 0; gone < time; gone += 20) {
-    world.clock.advance(20)
-    for (let turn = 0; turn < 8; turn++) await Promise.resolve()
-    await new Promise(resolve => setImmediate(resolve))
-  }
-}
--- /dev/null
+++ b/packages/emulator/src/index.ts
@@ -0,0 +1,3 @@
+/** An emulation of engines that form replicas, and the tool that compares decisions on it. */
+export { EmulatedEngines, type Broken, type EngineService } from './engines.js'
+export { pass, planner, type PlannerOptions } from './planner.js'
--- a/packages/forming/test/digest.test.ts
+++ b/packages/emulator/test/digest.test.ts
@@ -5,7 +5,7 @@
 import { createHash } from 'node:crypto'
 import test from 'ava'
 import { ManualClock, seeded } from '@eiderwind/clock'
-import { retarget, type Placement } from '../src/index.js'
+import { retarget, type Placement } from '@eiderwind/forming'
 import { MemoryPlacements, World, engine, pass, planner } from './world.js'
 
 /** Placements in memory that note every write in the form in which it is stored. */
--- a/packages/forming/test/forming.test.ts
+++ b/packages/emulator/test/forming.test.ts
@@ -2,7 +2,7 @@
 import test, { type ExecutionContext } from 'ava'
 import { ManualClock, seeded } from '@eiderwind/clock'
 import { type Upstream } from '@eiderwind/roster'
-import { type Reconciler } from '../src/index.js'
+import { type Reconciler } from '@eiderwind/forming'
 import { playSchedule } from './schedules.js'
 import { MemoryPlacements, World, pass, planner } from './world.js'
 
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -412,7 +412,7 @@
     file: 'packages/forming/dist/src/lifecycle.js',
     find: 'replica.members.every(({ id }) => snapshot.find(id)?.membership?.state === \'ready\')',
     replace: 'true',
-    test: 'packages/forming/dist/test/forming.test.js',
+    test: 'packages/emulator/dist/test/forming.test.js',
     title: 'engines that hold nothing become*'
   },
   {
@@ -422,7 +422,7 @@
     file: 'packages/forming/dist/src/lifecycle.js',
     find: 'if (snapshot.find(id) === undefined)',
     replace: 'if (false)',
-    test: 'packages/forming/dist/test/forming.test.js',
+    test: 'packages/emulator/dist/test/forming.test.js',
     title: 'a head that the platform no longer lists*'
   },
   {
@@ -432,7 +432,7 @@
     file: 'packages/forming/dist/src/loadlimit.js',
     find: '(!rated || this.#tokens >= 1) && others < engine.loadsAtOnce - keepFree',
     replace: 'true',
-    test: 'packages/forming/dist/test/forming.test.js',
+    test: 'packages/emulator/dist/test/forming.test.js',
     title: 'engines that hold nothing become*'
   },
   {
@@ -512,7 +512,7 @@
     file: 'packages/forming/dist/src/pool.js',
     find: '!lapsed.has(each.id) && ',
     replace: '',
-    test: 'packages/forming/dist/test/forming.test.js',
+    test: 'packages/emulator/dist/test/forming.test.js',
     title: 'an engine whose entry is missing*'
   },
   {
@@ -532,7 +532,7 @@
     file: 'packages/forming/dist/src/permits.js',
     find: 'loads.loading(order.node) === order.model && (loads.isOthers(order.node) || history.wasTaken(order))',
     replace: 'false',
-    test: 'packages/forming/dist/test/forming.test.js',
+    test: 'packages/emulator/dist/test/forming.test.js',
     title: 'an engine that has taken an order to load*'
   },
   {
@@ -542,7 +542,7 @@
     file: 'packages/forming/dist/src/lifecycle.js',
     find: 'history.hasLeft(replica.members[0].id, replica.name) ?',
     replace: 'true ?',
-    test: 'packages/forming/dist/test/forming.test.js',
+    test: 'packages/emulator/dist/test/forming.test.js',
     title: 'a head that left an order to open unanswered*'
   },
   {
