--- a/packages/ctl/src/late.ts
+++ b/packages/ctl/src/late.ts
@@ -37,7 +37,9 @@
   for (const line of lines) {
     if (line.name !== 'request-ended') continue
     const key = keyOf(line)
-    groups.set(key, [...groups.get(key) ?? [], line])
+    const group = groups.get(key)
+    if (group === undefined) groups.set(key, [line])
+    else group.push(line)
   }
   return [...groups].sort(([a], [b]) => a < b ? -1 : 1).map(([of, group]) => ({
     of,
