--- /dev/null
+++ b/experiments/variants.js
@@ -0,0 +1,19 @@
+/**
+ * Variants of the planner's decisions, each as edits of the built code that are made in memory: `npm run experiment`. `find` must stand
+ * exactly once in the file. The code as it stands is the variant `present`.
+ */
+const forming = 'packages/forming/dist/src'
+
+export const variants = {
+  'targets while engines still appear': [{ file: `${forming}/targets.js`, find: '!each.appearing && ', replace: '' }],
+  'further spares for the largest model': [{ file: `${forming}/staging.js`, find: 'rest: (held) => mostExposed(models, pool, held)', replace: 'rest: () => models[0]' }],
+  'two replicas before more of any other': [{ file: `${forming}/targets.js`, find: 'const minReplicas = 3', replace: 'const minReplicas = 2' }],
+  'four replicas before more of any other': [{ file: `${forming}/targets.js`, find: 'const minReplicas = 3', replace: 'const minReplicas = 4' }],
+  'one spare in each domain': [{ file: `${forming}/targets.js`, find: 'const sparesPerDomain = 2', replace: 'const sparesPerDomain = 1' }],
+  'no spare in any domain': [{ file: `${forming}/targets.js`, find: 'const sparesPerDomain = 2', replace: 'const sparesPerDomain = 0' }],
+  'three spares in each domain': [{ file: `${forming}/targets.js`, find: 'const sparesPerDomain = 2', replace: 'const sparesPerDomain = 3' }],
+  'engines of others at two replicas too': [{ file: `${forming}/composition.js`, find: 'const scarceReplicas = 1', replace: 'const scarceReplicas = 2' }],
+  'engines of others never': [{ file: `${forming}/composition.js`, find: 'const scarceReplicas = 1', replace: 'const scarceReplicas = -1' }],
+  'no second model on serving engines': [{ file: `${forming}/staging.js`, find: 'return stagingOnServing(pool, models[0])', replace: 'return []' }],
+  'all loads for whatever comes first': [{ file: `${forming}/permits.js`, find: 'const repairShare = 0.5', replace: 'const repairShare = 0' }]
+}
--- a/packages/emulator/src/engines.ts
+++ b/packages/emulator/src/engines.ts
@@ -42,6 +42,8 @@
   probeTime = 0
   /** Engines whose pulse was looked at. */
   readonly felt = new Set<string>()
+  /** Factor on the times of loads from the weight store, which are shorter before any caller is served. */
+  loadFactor = 1
   /** Engines that take orders but answer no question. */
   readonly mute = new Set<string>()
   /** Orders that are left unanswered and carried out late, by their place in the order in which they are given. */
@@ -107,6 +109,25 @@
     return this.#heads().filter(each => each.alive).map(each => ({ head: each.upstream.id, model: each.upstream.loaded[0], members: this.#members(each) }))
   }
 
+  /** Replicas that serve: their head is open and all their members live. By model. */
+  get serving (): Readonly<Record<string, number>> {
+    const counts: Record<string, number> = {}
+    for (const { model, members } of this.open) {
+      if (members.every(id => this.#nodes.get(id)?.alive === true)) counts[model] = (counts[model] ?? 0) + 1
+    }
+    return counts
+  }
+
+  /** Ids of the engines that live. */
+  get living (): string[] {
+    return [...this.#nodes].filter(([_id, { alive }]) => alive).map(([id]) => id)
+  }
+
+  /** Heads whose replica lacks a living member: their requests stand still. */
+  get stalled (): string[] {
+    return this.open.filter(({ members }) => members.some(id => this.#nodes.get(id)?.alive !== true)).map(each => each.head)
+  }
+
   async give (order: Order): Promise<OrderResult> {
     this.given.push(order)
     const node = this.#nodes.get(order.node)
@@ -157,8 +178,9 @@
     const model = order.model as string
     const { load, warm } = this.#service.engine.models.find(each => each.name === model) as Engine['models'][number]
     const { loaded, staged } = node.upstream
-    const time = loaded.includes(model) ? 200 : staged.includes(model) ? warm : load
-    if (time === load) this.#loads()
+    const needsLoad = !loaded.includes(model) && !staged.includes(model)
+    const time = loaded.includes(model) ? 200 : needsLoad ? load * this.loadFactor : warm
+    if (needsLoad) this.#loads()
     this.#change(node, { membership: { replica: order.replica, epoch: order.epoch, rank: members.indexOf(order.node), state: 'joining' }, loaded: [], staged })
     this.clock.after(time, () => {
       if (!node.alive || !this.#fits(node, order) || node.upstream.membership?.state !== 'joining') return
@@ -196,7 +218,7 @@
     const model = order.model as string
     if (node.upstream.staged.includes(model)) return 'taken'
     this.#loads()
-    const time = this.#service.engine.models.find(each => each.name === model)?.load as number
+    const time = this.#service.engine.models.find(each => each.name === model)?.load as number * this.loadFactor
     this.clock.after(time, () => { if (node.alive) this.#change(node, { staged: [model] }) })
     return 'taken'
   }
