--- a/packages/forming/src/fleet.ts
+++ b/packages/forming/src/fleet.ts
@@ -47,9 +47,10 @@
 }
 
 /**
- * Notices domains whose engines are still appearing, as after a domain was dark. Their targets must not rise yet: those for the first few
+ * Notices domains that were dark and whose engines are still appearing. Their targets must not rise yet: those for the first few
  * engines are of the smaller models, and last. Of a domain of 37 that came back within 0.3 s, with weights for one replica of 16 engines
- * and four of 4 in its hosts, targets for the first few left 16 engines idle for the rest of the day.
+ * and four of 4 in its hosts, targets for the first few left 16 engines idle for the rest of the day. A domain that has room for any replica does not
+ * wait when single engines come: in domains of 10 one comes each second or two. That exception was chosen; no difference was measured.
  */
 export class Appearances {
   readonly #clock: Clock
@@ -59,19 +60,22 @@
     this.#clock = clock
   }
 
-  /** Whether engines are still appearing in a domain. One that is seen for the first time counts as complete. */
-  underWay ({ key, upstreams }: Pick<Domain, 'key' | 'upstreams'>): boolean {
+  /**
+   * Whether engines are still appearing in a domain that was dark. One that is seen for the first time counts as complete.
+   * @param largest engines in a replica of the largest model: a domain that had as many was not dark
+   */
+  underWay ({ key, upstreams }: Pick<Domain, 'key' | 'upstreams'>, largest: number): boolean {
     const now = this.#clock.now()
-    const appeared = this.#look(this.#domains.get(key), new Set(upstreams.map(each => each.id)), now)
+    const appeared = this.#look(this.#domains.get(key), new Set(upstreams.map(each => each.id)), largest, now)
     this.#domains.set(key, appeared)
     return now - appeared.newestAt < arrivalTime && now - appeared.begunAt < longestArrival
   }
 
-  #look (before: Appeared | undefined, ids: ReadonlySet<string>, now: number): Appeared {
+  #look (before: Appeared | undefined, ids: ReadonlySet<string>, largest: number, now: number): Appeared {
     if (before === undefined) return { ids, begunAt: -Infinity, newestAt: -Infinity }
     if ([...ids].every(id => before.ids.has(id))) return { ...before, ids }
-    const goesOn = now - before.newestAt < arrivalTime
-    return { ids, begunAt: goesOn ? before.begunAt : now, newestAt: now }
+    if (now - before.newestAt < arrivalTime) return { ids, begunAt: before.begunAt, newestAt: now }
+    return before.ids.size < largest ? { ids, begunAt: now, newestAt: now } : { ...before, ids }
   }
 }
 
--- a/packages/forming/src/reconciler.ts
+++ b/packages/forming/src/reconciler.ts
@@ -174,7 +174,9 @@
     this.#liveness.check(domains.flatMap(each => each.placement.replicas))
     const { dead, unreachable } = this.#liveness
     const demand = this.#options.demand(service.name)
-    const targets = retarget(engine.models, domains.map(each => domainSize(each, unreachable, this.#appearances.underWay(each))), demand)
+    const largest = Math.max(...engine.models.map(each => each.size))
+    const sizes = domains.map(each => domainSize(each, unreachable, this.#appearances.underWay(each, largest)))
+    const targets = retarget(engine.models, sizes, demand)
     const fleet = this.#fleetFacts(domains, engine, demand)
     const { needs: _needs, ...shared } = fleet
     this.#activity.shared(JSON.stringify([service.name, shared, [...dead], [...unreachable], [...this.#options.roster.lapsed], [...targets]]))
