--- a/packages/emulator/src/day.ts
+++ b/packages/emulator/src/day.ts
@@ -70,6 +70,17 @@
 /** How much shorter loads are before the first request. */
 const leadLoadFactor = 0.1
 
+/** When a domain goes dark: the earliest moment and the span of moments, as shares of the day. It comes back while the day lasts. */
+const darkFrom = 0.2
+const darkSpan = 0.3
+
+/** How late an unanswered order is carried out: the shortest time and the span, in ms. */
+const lateFrom = 1000
+const lateSpan = 11_000
+
+/** Within how long the engines of a domain come back after each other, in ms. */
+const returnSpan = 300
+
 /** Plays a day. */
 export async function playDay (day: Day, seed: number): Promise<DayResult> {
   const engines = new EmulatedEngines(new ManualClock(), withEngine(day.service))
@@ -135,7 +146,7 @@
     this.#day = day
     this.#engines = engines
     this.#random = random
-    this.#darkAt = day.length * (0.2 + 0.3 * random())
+    this.#darkAt = day.length * (darkFrom + darkSpan * random())
     this.#darkDomain = `d${Math.floor(random() * day.domains)}`
     this.#nextDeath = this.#wait(day.deaths.every)
     this.#nextAddition = day.added === undefined ? Infinity : this.#wait(day.added)
@@ -145,7 +156,7 @@
   strike (time: number): void {
     const { deaths, dark, added, late, length } = this.#day
     const inMiddle = time > length / 3 && time < length * 2 / 3
-    this.#engines.late = () => inMiddle && this.#random() < late ? 1000 + this.#random() * 11_000 : undefined
+    this.#engines.late = () => inMiddle && this.#random() < late ? lateFrom + this.#random() * lateSpan : undefined
     for (; this.#nextDeath <= time; this.#nextDeath += this.#wait(deaths.every)) this.#killOne(deaths.gone)
     for (; this.#nextAddition <= time; this.#nextAddition += this.#wait(added ?? Infinity)) this.#engines.add(`new-${this.#count++}`, `d${Math.floor(this.#random() * this.#day.domains)}`)
     if (dark !== undefined && !this.#isDark && time >= this.#darkAt) {
@@ -163,7 +174,7 @@
   #kill (id: string, gone: number): void {
     const { domain = '', staged } = this.#engines.upstream(id)
     this.#engines.kill(id)
-    this.#engines.clock.after(gone + this.#random() * 300, () => this.#engines.add(`again-${this.#count++}`, domain, staged))
+    this.#engines.clock.after(gone + this.#random() * returnSpan, () => this.#engines.add(`again-${this.#count++}`, domain, staged))
   }
 
   #wait (mean: number): number {
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -7,12 +7,13 @@
  */
 import { type Clock } from '@eiderwind/clock'
 import { type Pauses } from '@eiderwind/detect'
-import { Ranking, ranked } from '@eiderwind/hash'
+import { ranked } from '@eiderwind/hash'
 import { type Log } from '@eiderwind/log'
-import { type Heartbeat, type PeerAddress, type Peers } from '@eiderwind/peers'
+import { type PeerAddress, type Peers } from '@eiderwind/peers'
 import { type Outage } from '@eiderwind/roster'
 import { Election } from './election.js'
 import { type GatewayBoard } from './facts.js'
+import { FleetView, type View } from './fleetview.js'
 import { type Leaders } from './leaders.js'
 
 /** Dependencies of `Leadership`. */
@@ -32,8 +33,7 @@
 
 /**
  * A gateway that has started, or resumed after a pause, plans once it has heard every other one: after `Peers.settleTime`, and this
- * margin, in ms. Without the wait two planned at once after a restart (docs/INCIDENTS.md,
- * soak 140). The margin was chosen, not measured.
+ * margin, in ms. A gateway that has heard few others takes the fleet for small and itself for the one to watch. The margin was chosen, not measured.
  */
 const settleMargin = 100
 
@@ -56,38 +56,17 @@
  */
 const smallFleet = 6
 
-/**
- * How long a gateway that is no longer heard counts for the size of the fleet, in ms: a fleet is not small because many restart, or because
- * this process was paused. Chosen, not measured.
- */
-const fleetMemory = 10_000
-
-/** The key under which gateways are ranked for polling. Part of the behaviour: gateways of all builds must rank alike. */
-const pollingKey = 'confirmers'
-
-/** What one gateway sees of the others. */
-interface View {
-  /** The peers' heartbeats from which it was made, and whether this gateway itself could watch then. */
-  readonly of: readonly Heartbeat[]
-  readonly canWatch: boolean
-  /** Ids of those that could watch the store, in the order of their ranking. */
-  readonly watchCandidates: readonly string[]
-  /** Who leads which service, by its own word, and whether it may plan now. */
-  readonly leaders: ReadonlyArray<{ readonly id: string, readonly service: string, readonly term: number, readonly able: boolean }>
-  readonly fleet: number
-}
-
 /** Decides what this gateway does for the whole fleet. */
 export class Leadership {
   readonly #options: LeadershipOptions
   readonly #startedAt: number
   readonly #services = new Set<string>()
   readonly #elections = new Map<string, Election>()
-  readonly #ranking = new Ranking(pollingKey)
-  #lastView: View | undefined
+  readonly #fleetView: FleetView
 
   constructor (options: LeadershipOptions) {
     this.#options = options
+    this.#fleetView = new FleetView(options.peers)
     this.#startedAt = options.clock.now()
   }
 
@@ -145,7 +124,7 @@
 
   /** Ids of the gateways that other ones should ask first: they learn from the store itself what is new. */
   get informed (): readonly string[] {
-    return this.#isLarge ? this.#watchers : this.#ranking.order(this.#options.peers.planners).slice(0, pollers)
+    return this.#isLarge ? this.#watchers : this.#fleetView.order(this.#options.peers.planners).slice(0, pollers)
   }
 
   /** Whether this gateway plans any service now. */
@@ -263,24 +242,14 @@
     return [...this.#elections.values()].some(each => each.term !== undefined)
   }
 
-  /** What this gateway sees of the others now. It is asked for many times between two heartbeats, and kept until the next one. */
   get #view (): View {
-    const { id, peers } = this.#options
-    const { live } = peers
-    const { canWatch } = this
-    if (this.#lastView?.of !== live || this.#lastView.canWatch !== canWatch) {
-      const others = peers.watchCandidates
-      const watchCandidates = this.#ranking.order(canWatch ? [id, ...others] : others)
-      const leaders = live.flatMap(({ id, canPlan, terms = {} }) => Object.entries(terms).map(([service, term]) => ({ id, service, term, able: canPlan })))
-      this.#lastView = { of: live, canWatch, watchCandidates, leaders, fleet: peers.heardWithin(fleetMemory).length + 1 }
-    }
-    return this.#lastView
+    return this.#fleetView.now(this.canWatch ? this.#options.id : undefined)
   }
 
   /** Ids of the gateways that may plan, as far as this one has heard lately, in the order of their ranking. */
   get #candidates (): readonly string[] {
     if (this.#isLarge) return this.#watchers
     const { id, peers } = this.#options
-    return this.#ranking.order(this.eligible ? [id, ...peers.planners] : peers.planners)
+    return this.#fleetView.order(this.eligible ? [id, ...peers.planners] : peers.planners)
   }
 }
