--- a/experiments/variants.js
+++ b/experiments/variants.js
@@ -6,7 +6,6 @@
 
 export const variants = {
   'targets while engines still appear': [{ file: `${forming}/targets.js`, find: '!each.appearing && ', replace: '' }],
-  'further spares for the largest model': [{ file: `${forming}/staging.js`, find: 'rest: (held) => mostExposed(models, pool, held)', replace: 'rest: () => models[0]' }],
   'two replicas before more of any other': [{ file: `${forming}/targets.js`, find: 'const minReplicas = 3', replace: 'const minReplicas = 2' }],
   'four replicas before more of any other': [{ file: `${forming}/targets.js`, find: 'const minReplicas = 3', replace: 'const minReplicas = 4' }],
   'one spare in each domain': [{ file: `${forming}/targets.js`, find: 'const sparesPerDomain = 2', replace: 'const sparesPerDomain = 1' }],
--- a/packages/forming/src/staging.ts
+++ b/packages/forming/src/staging.ts
@@ -25,14 +25,15 @@
   if (facts.arriving) return stagingForArrivals(empty, models, pool)
   const awaited = stagingForLacking(pool)
   if (awaited.length > 0) return awaited
-  if (empty.length > 0) return distribute(empty, { pool, models, wanted: () => sparesPerModel, rest: (held) => mostExposed(models, pool, held) })
+  // Further spares hold the largest model, which needs the most engines (chosen, not measured).
+  if (empty.length > 0) return distribute(empty, { pool, models, wanted: () => sparesPerModel, rest: models[0] })
   return stagingOnServing(pool, models[0])
 }
 
 /** At the first start: a replica and a spare of each model, the largest first. The rest load the smallest (not measured). */
 function stagingForArrivals (empty: readonly Upstream[], models: readonly Model[], pool: Pool): Staging[] {
   const wanted = ({ size }: Model): number => size + sparesPerModel
-  return distribute(empty, { pool, models, wanted, rest: () => models[models.length - 1] })
+  return distribute(empty, { pool, models, wanted, rest: models[models.length - 1] })
 }
 
 /** Engines for the replica that each lacking model waits for, as many as still have to load its weights; empty ones first. */
@@ -55,8 +56,8 @@
   readonly models: readonly Model[]
   /** How many free engines should hold a model. */
   readonly wanted: (model: Model) => number
-  /** The model of the next engine that is left, from how many hold each so far. */
-  readonly rest: (held: ReadonlyMap<Model, number>) => Model
+  /** The model of the engines that are left. */
+  readonly rest: Model
 }
 
 /** Gives each engine the first model that fewer free engines than wanted hold or load. */
@@ -65,22 +66,12 @@
   const count = (model: Model): number => free.filter(each => holds(each, model.name) || pool.isLoading(each, model)).length
   const counts = new Map(models.map(model => [model, count(model)]))
   return engines.map(upstream => {
-    const model = models.find(each => counts.get(each) as number < wanted(each)) ?? rest(counts)
+    const model = models.find(each => counts.get(each) as number < wanted(each)) ?? rest
     counts.set(model, counts.get(model) as number + 1)
     return { upstream, model, spare: false }
   })
 }
 
-/**
- * The model with fewest spares for the engines that its replicas here should have: as many of these die, so as many spares are used up
- * while new ones load. In domains of 37 with a replica of 16 engines and four of 4, the rest on the largest model left the smaller one
- * without a spare for 20 s at a time, while four to six engines idled with the weights of the larger.
- */
-function mostExposed (models: readonly Model[], { draft: { placement } }: Pool, held: ReadonlyMap<Model, number>): Model {
-  const exposure = (model: Model): number => (placement.targets[model.name] ?? 0) * model.size / ((held.get(model) ?? 0) + 1)
-  return models.reduce((a, b) => exposure(b) > exposure(a) ? b : a)
-}
-
 /** Engines that serve a smaller model load the largest one beside it, so that they can be taken for it (`donorsFor`). */
 function stagingOnServing ({ draft: { placement, snapshot } }: Pool, largest: Model): Staging[] {
   const serving = placement.replicas.filter(each => each.model !== largest.name && snapshot.isServing(each))
