Ask once how long a gateway has had to hear the others

Cause: canWatch wrote the test of hasHeardAll again. Change: it calls it; a type that only its module uses is not exported. Behaviour as before.

--- a/packages/gateway/src/election.ts
+++ b/packages/gateway/src/election.ts
@@ -10,7 +10,7 @@
 import { type Leaders } from './leaders.js'
 
 /** What a gateway hears of the leader: it lives and may plan; it lives and may not; or none lives. */
-export type LeaderState = 'able' | 'unable' | 'none'
+type LeaderState = 'able' | 'unable' | 'none'
 
 /** Dependencies of `Election`. */
 export interface ElectionOptions {
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -85,9 +85,8 @@
    * heard all others for that: if each said so only once it had, all would do so at the same moment, and each would take itself for the only one.
    */
   get canWatch (): boolean {
-    const { clock, board, pauses, peers } = this.#options
-    const awake = clock.now() - pauses.resumedAt > peers.settleTime + settleMargin
-    return awake && board.read('store') && board.read('listed') && !board.read('stopping')
+    const { board, pauses } = this.#options
+    return this.#hasHeardAll(pauses.resumedAt) && board.read('store') && board.read('listed') && !board.read('stopping')
   }
 
   /**
