Name in the log what was asked for where an answer was lost

Cause: each try of a caller has an id of its own, so the logs of the incident cannot tell one request that ends each engine from many that merely run beside it.

--- /dev/null
+++ b/packages/crashes/src/index.ts
@@ -0,0 +1,2 @@
+/** Which requests crash the upstreams that run them. */
+export { fingerprint, type RequestContent } from './fingerprint.js'
--- a/packages/forward/src/request.ts
+++ b/packages/forward/src/request.ts
@@ -5,6 +5,7 @@
  */
 import { type IncomingMessage, type ServerResponse } from 'node:http'
 import { type Clock, type Subscription } from '@eiderwind/clock'
+import { fingerprint } from '@eiderwind/crashes'
 import { refusals, type AttemptResult } from '@eiderwind/dispatch'
 import { type Fault } from '@eiderwind/fault'
 import { type Route, type Team } from '@eiderwind/traffic'
@@ -50,6 +51,8 @@
   readonly #onEnd: (request: CallerRequest, outcome: string) => void
   readonly #timer: Subscription
   readonly #tried = new Set<string>()
+  #fingerprint: string | undefined
+  #lost = false
   /** Attempts that count against the route's limit: those of which something may have reached the upstream. */
   #sends = 0
   #currentUpstream: string | undefined
@@ -89,6 +92,18 @@
     return this.#tried.size > 0
   }
 
+  /** By what it is known again when its caller sends it anew. Made when it is first asked for. */
+  get fingerprint (): string {
+    const { incoming: { method = '', url = '', headers: { host = '' } }, team, body } = this
+    this.#fingerprint ??= fingerprint({ method, host, target: url, team: team?.name ?? '', body })
+    return this.#fingerprint
+  }
+
+  /** Whether the answer of an attempt was lost, so that the request may have run in vain. */
+  get lost (): boolean {
+    return this.#lost
+  }
+
   /** Whether it was answered, refused or cut, or its caller has left. */
   get ended (): boolean {
     return this.#ended
@@ -130,6 +145,7 @@
   /** Records how an attempt ended. One that was never sent does not count. @param lastEvent id of the last event of a stream that was passed on */
   endAttempt (upstream: string, result: AttemptResult, lastEvent?: number): void {
     if (result.kind === 'not-run' && !result.sent) this.#sends--
+    if (result.kind === 'lost') this.#lost = true
     this.#currentUpstream = undefined
     const at = Math.round(this.#clock.now() - this.arrivedAt)
     const how = result.kind === 'answered' ? String(result.status) : result.kind
--- a/packages/gateway/src/requestlog.ts
+++ b/packages/gateway/src/requestlog.ts
@@ -40,10 +40,12 @@
     this.#write(request, outcome, Math.round(took))
   }
 
-  #write ({ id, route, service, team, attempts: ended, currentUpstream, timing }: CallerRequest, outcome: string, took: number): void {
+  /** One whose answer was lost at an upstream is written with its fingerprint: only that shows whether its caller sends it again and again. */
+  #write (request: CallerRequest, outcome: string, took: number): void {
+    const { id, route, service, team, attempts: ended, currentUpstream, timing } = request
     const underWay = currentUpstream === undefined ? [] : [`${currentUpstream} under way`]
     const attempts = [...ended, ...underWay].join('; ')
-    this.#options.log.write('request-ended', { request: id, route: route.name, service, team: team?.name, outcome, took, ...times(timing), late: timing.lateness(route), attempts })
+    this.#options.log.write('request-ended', { request: id, route: route.name, service, team: team?.name, outcome, took, ...times(timing), late: timing.lateness(route), attempts, fingerprint: request.lost ? request.fingerprint : undefined })
   }
 }
 
