Know a request again that crashes its engines, and send it to three at most

Cause: a gateway knew a request by the id of one try; nothing connected one crash with the next, over tries or gateways. Change: package crashes. Requests in flight at an upstream that crashed are reported between gateways by fingerprint; after two crashes a request is tried apart from other suspects, and a crash in which it was the only one blocks it. Ruled out: counting crashes alone, since some 20 innocent requests are at each.

--- /dev/null
+++ b/packages/crashes/test/history.test.ts
@@ -0,0 +1,145 @@
+/** The verdicts on requests that were in flight at upstreams when they crashed. */
+import { ManualClock } from '@eiderwind/clock'
+import test from 'ava'
+import { CrashHistory } from '@eiderwind/crashes'
+
+interface Fixture {
+  readonly clock: ManualClock
+  readonly history: CrashHistory
+  readonly blocked: string[]
+  /** Crashes an upstream and waits for the verdict. */
+  readonly crash: (upstream: string, ...requests: string[]) => void
+}
+
+function fixture (): Fixture {
+  const clock = new ManualClock()
+  const blocked: string[] = []
+  const history = new CrashHistory({ clock, changed: () => {}, blocked: request => { blocked.push(request) } })
+  const crash = (upstream: string, ...requests: string[]): void => {
+    history.confirm({ upstream, at: clock.now(), requests })
+    clock.advance(200)
+  }
+  return { clock, history, blocked, crash }
+}
+
+test('a request alone under three crashes is blocked at the third', t => {
+  const { history, blocked, crash } = fixture()
+  crash('a', 'p')
+  t.is(history.standing('p'), 'trusted')
+  crash('b', 'p')
+  t.is(history.standing('p'), 'suspected')
+  crash('c', 'p')
+  t.is(history.standing('p'), 'blocked')
+  t.deepEqual(blocked, ['p'])
+})
+
+test('those that ran beside it are told apart by the crash in which it was the only suspect', t => {
+  const { history, blocked, crash } = fixture()
+  crash('a', 'p', 'x', 'y', 'z')
+  crash('b', 'p', 'x', 'y')
+  t.is(history.standing('x'), 'suspected')
+  t.is(history.standing('z'), 'trusted')
+  crash('c', 'p', 'z', 'new')
+  t.deepEqual(blocked, ['p'])
+  t.is(history.standing('z'), 'suspected')
+  t.is(history.standing('new'), 'trusted')
+})
+
+test('two suspects in one crash: neither is blocked for it, the one that crashes the next upstream alone is', t => {
+  const { history, blocked, crash } = fixture()
+  crash('a', 'p', 'x')
+  crash('b', 'p', 'x')
+  crash('c', 'p', 'x')
+  t.deepEqual(blocked, [])
+  t.true(history.clear('x'))
+  crash('d', 'p')
+  t.deepEqual(blocked, ['p'])
+  t.is(history.standing('x'), 'trusted')
+})
+
+test('five crashes block a request also where it never was the only suspect', t => {
+  const { blocked, crash } = fixture()
+  for (const upstream of ['a', 'b', 'c', 'd']) crash(upstream, 'p', 'q')
+  t.deepEqual(blocked, [])
+  crash('e', 'p', 'q', 'r')
+  t.deepEqual(blocked, ['p', 'q'])
+})
+
+test('reports of several gateways about one crash are one crash; a later one of the same upstream is another', t => {
+  const { clock, history, blocked, crash } = fixture()
+  history.confirm({ upstream: 'a', at: 0, requests: ['p'] })
+  history.confirm({ upstream: 'a', at: 3, requests: ['p', 'x'] })
+  clock.advance(200)
+  history.confirm({ upstream: 'a', at: -40, requests: ['p'] })
+  clock.advance(4000)
+  t.is(history.standing('p'), 'trusted')
+  crash('a', 'p')
+  t.is(history.standing('p'), 'suspected')
+  clock.advance(4000)
+  crash('a', 'p')
+  t.deepEqual(blocked, ['p'])
+})
+
+test('a report that comes within the time of the verdict counts: who was there as well is not left out', t => {
+  const { clock, history, blocked, crash } = fixture()
+  crash('a', 'p', 'x')
+  crash('b', 'p', 'x')
+  history.confirm({ upstream: 'c', at: clock.now(), requests: ['x'] })
+  clock.advance(100)
+  history.confirm({ upstream: 'c', at: clock.now() - 100, requests: ['p'] })
+  t.true(history.isPending('x'))
+  clock.advance(100)
+  t.deepEqual(blocked, [])
+})
+
+test('a broken connection counts until it is known that nothing crashed', t => {
+  const { clock, history, crash } = fixture()
+  crash('a', 'p')
+  history.suspect({ upstream: 'b', at: clock.now(), requests: ['p'] })
+  t.is(history.standing('p'), 'suspected')
+  t.true(history.isPending('p'))
+  history.withdraw('b')
+  t.is(history.standing('p'), 'trusted')
+  t.false(history.isPending('p'))
+  history.suspect({ upstream: 'b', at: clock.now(), requests: ['p'] })
+  history.confirm({ upstream: 'b', at: clock.now(), requests: ['q'] })
+  history.withdraw('b')
+  t.is(history.standing('p'), 'suspected', 'another gateway has seen the crash')
+})
+
+test('a run to the end clears also a request that is blocked', t => {
+  const { history, crash } = fixture()
+  for (const upstream of ['a', 'b', 'c']) crash(upstream, 'p')
+  t.true(history.clear('p'))
+  t.is(history.standing('p'), 'trusted')
+  t.false(history.clear('p'))
+  t.true(history.isEmpty)
+})
+
+test('a blocked request may run once more after an hour, and one crash blocks it again', t => {
+  const { clock, history, blocked, crash } = fixture()
+  history.block('p', 59 * 60_000)
+  t.is(history.standing('p'), 'blocked')
+  t.is(history.blockedFor('p'), 60_000)
+  clock.advance(60_000)
+  t.is(history.standing('p'), 'suspected')
+  crash('a', 'p')
+  t.is(history.standing('p'), 'blocked')
+  t.deepEqual(blocked, ['p', 'p'])
+})
+
+test('suspicions are forgotten after ten minutes; many requests are not all remembered, but those that are blocked are', t => {
+  const { clock, history, crash } = fixture()
+  crash('a', 'p')
+  crash('b', 'p')
+  clock.advance(11 * 60_000)
+  crash('c', 'x')
+  t.is(history.standing('p'), 'trusted')
+  for (const upstream of ['d', 'e', 'f']) crash(upstream, 'q')
+  for (let index = 0; index < 3000; index++) crash(`u${index}`, `r${index}`)
+  t.is(history.standing('q'), 'blocked')
+  crash('g', 'r0')
+  t.is(history.standing('r0'), 'trusted')
+  crash('h', 'r2999')
+  t.is(history.standing('r2999'), 'suspected')
+})
--- a/packages/dispatch/src/choice.ts
+++ b/packages/dispatch/src/choice.ts
@@ -43,10 +43,10 @@
     this.#options = options
   }
 
-  /** The head with most room for a request of a model, or undefined if none has room. */
-  head (service: string, model: string, engine: Engine, tried: ReadonlySet<string>): Upstream | undefined {
+  /** The head with most room for a request of a model, or undefined if none has room. @param avoided ids of heads that it must not be */
+  head (service: string, model: string, engine: Engine, avoided: ReadonlySet<string>): Upstream | undefined {
     const { roster, suspects, peers } = this.#options
-    const heads = roster.heads(service, model).filter(({ id }) => !tried.has(id) && suspects.mayTry(id))
+    const heads = roster.heads(service, model).filter(({ id }) => !avoided.has(id) && suspects.mayTry(id))
     const heartbeats = peers.live
     const load = ({ id }: Upstream): number => this.#load(id, heartbeats)
     const ordered = this.#byCost(heads, load).filter(each => load(each) < engine.slots * (1 + overhang))
@@ -67,12 +67,12 @@
   }
 
   /**
-   * The upstream of a plain service that should answer soonest, or undefined if all were tried. Suspicions are not asked: failures
+   * The upstream of a plain service that should answer soonest, or undefined if all are avoided. Suspicions are not asked: failures
    * raise its cost (`Observations`).
    */
-  plain (service: string, tried: ReadonlySet<string>): Upstream | undefined {
+  plain (service: string, avoided: ReadonlySet<string>): Upstream | undefined {
     const { roster, inFlight } = this.#options
-    const upstreams = roster.available(service).filter(({ id }) => !tried.has(id))
+    const upstreams = roster.available(service).filter(({ id }) => !avoided.has(id))
     return this.#byCost(upstreams, ({ id }) => this.#observations.cost(id, inFlight.count(id)))[0]
   }
 
--- a/packages/dispatch/src/refusals.ts
+++ b/packages/dispatch/src/refusals.ts
@@ -79,6 +79,14 @@
     return new Fault('busy', { retryAfter: roomFreed, remedy: 'Come back after the time given; all replicas that could serve this are full.' })
   },
 
+  /**
+   * Each upstream that began to run it has crashed. Its caller is refused for as long as it stays so: an earlier return would crash one more.
+   * @param time for which it stays blocked, in ms
+   */
+  crashing (time: number): Fault {
+    return new Fault('crashing', { retryAfter: Math.ceil(time / 1000) })
+  },
+
   /** It may have run, and its answer is lost. No `Retry-After`: whether to send it again is for the caller to find out. */
   lost (why: string): Fault {
     return new Fault('lost', { detail: `${why}.` })
--- a/packages/fault/src/kinds.ts
+++ b/packages/fault/src/kinds.ts
@@ -45,6 +45,7 @@
   lost: { status: 502, outcome: 'unknown', remedy: 'Look up whether the request ran before you send it again.' },
   interrupted: { status: 502, outcome: 'unknown', remedy: 'Send the request again with Last-Event-ID and the text so far, to go on from there.', retryAfter: 1 },
   'upstream-down': { status: 503, outcome: 'not-run', remedy: 'Come back after the time given; the upstream takes no connections.', retryAfter: 2 },
+  crashing: { status: 503, outcome: 'not-run', remedy: 'Do not send this request again as it is: each upstream that began to run it has crashed. Change it, or ask an operator.' },
   'stale-revision': { status: 409, outcome: 'not-run', remedy: 'Read the configuration again and repeat the change on its present revision.' },
   'bad-change': { status: 400, outcome: 'not-run', remedy: 'Correct the change as the message says.' },
   'store-down': { status: 503, outcome: 'not-run', remedy: 'Come back when the platform\'s object API answers again.', retryAfter: 5 },
--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -3,8 +3,9 @@
  * reports to `InFlight` and `Suspects` what was sent to and received from the upstream. Relies on `Connections` to report
  * whether anything of a failed call was sent.
  */
+import { type Trial } from '@eiderwind/crashes'
 import { type InFlightRequest } from '@eiderwind/detect'
-import { type AttemptResult } from '@eiderwind/dispatch'
+import { isSuccess, type AttemptResult } from '@eiderwind/dispatch'
 import { type Upstream } from '@eiderwind/roster'
 import { Receiver, type AnswerHeaders, type CallFailure, type Cancel, type Flow } from '@eiderwind/wire'
 import { answerHeader, belongs, saysNotRun } from './answers.js'
@@ -29,6 +30,8 @@
   readonly lastEvent?: number
   /** Whether it goes over a new connection, never over a kept one. */
   readonly newConnection: boolean
+  /** What is told how a request fares that is suspected of crashing its upstreams. */
+  readonly trial: Trial | undefined
   /** Called when the upstream is suspected of having stalled; perhaps several times. */
   readonly onStall?: () => void
   /** Called once, with the result. */
@@ -113,7 +116,7 @@
   end (): void {
     if (this.#ended) return
     if (this.#passedOn) {
-      return this.#end(this.isComplete() ? { kind: 'passed' } : { kind: 'lost', why: 'the stream ended in the middle of an event' })
+      return this.#end(this.isComplete() ? { kind: 'passed' } : { kind: 'lost', why: 'the stream ended in the middle of an event', broken: true })
     }
     if (this.#saysNotRun) {
       return this.#end({ kind: 'not-run', why: `the upstream answered ${this.#status}`, sent: true })
@@ -128,7 +131,7 @@
     // An upstream that says in the head of its answer that it did not run the request need not finish the answer.
     const refused = this.#status > 0 && this.#saysNotRun
     if (refused || !sent) this.#end({ kind: 'not-run', why: error.message, sent: refused })
-    else this.#end({ kind: 'lost', why: error.message })
+    else this.#end({ kind: 'lost', why: error.message, broken: true })
   }
 
   /** Whether the upstream has said that it did not run the request. */
@@ -140,14 +143,25 @@
     const { context, upstream } = this.#options
     if (this.#inFlight !== undefined) context.inFlight.received(this.#inFlight)
     context.suspects.received(upstream.id)
+    this.#options.trial?.received()
   }
 
   #end (result: AttemptResult): void {
     if (this.#ended) return
     this.#ended = true
-    if (this.#inFlight !== undefined) this.#options.context.inFlight.end(this.#inFlight)
+    const { context: { inFlight }, trial, onEnd } = this.#options
+    if (this.#inFlight !== undefined) inFlight.end(this.#inFlight)
+    trial?.end()
+    this.#tellCrashes(result)
     this.#chunks = []
-    this.#options.onEnd(result)
+    onEnd(result)
+  }
+
+  /** An attempt that breaks off may have crashed its upstream; one that runs to its end has not. */
+  #tellCrashes (result: AttemptResult): void {
+    const { context: { crashes }, request, upstream } = this.#options
+    if (result.kind === 'lost' && result.broken === true) crashes.broke(request, upstream)
+    else if (isSuccess(result)) crashes.served(request)
   }
 }
 
--- a/packages/forward/src/context.ts
+++ b/packages/forward/src/context.ts
@@ -1,5 +1,6 @@
 /** What all requests of a gateway share while they are forwarded. The gateway makes one and passes it to each path. */
 import { type Clock } from '@eiderwind/clock'
+import { type Crashes } from '@eiderwind/crashes'
 import { type InFlight, type Suspects } from '@eiderwind/detect'
 import { type Choice, type Queue, type RetryBudget } from '@eiderwind/dispatch'
 import { type Log } from '@eiderwind/log'
@@ -17,6 +18,7 @@
   readonly inFlight: InFlight
   readonly choice: Choice
   readonly suspects: Suspects
+  readonly crashes: Crashes
   readonly queue: Queue
   /** The retry budget of a service. */
   readonly retryBudget: (service: string) => RetryBudget
--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -3,6 +3,7 @@
  * Owns the order of these steps; the rules are in `@eiderwind/dispatch`. Relies on `CallerRequest` to end the request
  * when its deadline passes or its caller leaves; after that a path does nothing more.
  */
+import { type Trial } from '@eiderwind/crashes'
 import { decideRetry, refusals, waitForRoom, type AttemptResult } from '@eiderwind/dispatch'
 import { type Fault } from '@eiderwind/fault'
 import { type Upstream } from '@eiderwind/roster'
@@ -10,10 +11,15 @@
 import { type Context } from './context.js'
 import { type CallerRequest } from './request.js'
 
+/** Why a request that has crashed an upstream is not sent to another one. */
+const crashesUpstreams = 'each upstream that began to run this request has crashed'
+
 /** Serves one request. Subclasses differ in how an upstream is chosen and what is done with its answer. */
 export abstract class Path {
   protected readonly context: Context
   protected readonly request: CallerRequest
+  /** The trial of the attempt that comes next, where the request is suspected of crashing its upstreams. */
+  protected trial: Trial | undefined
 
   constructor (context: Context, request: CallerRequest) {
     this.context = context
@@ -27,7 +33,8 @@
     let latest: AttemptResult
     do {
       const upstream = await this.#findUpstream()
-      if (request.ended) return
+      if (request.ended) return this.trial?.end()
+      if (upstream === 'blocked') return this.#concludeBlocked()
       if (upstream === undefined) break
       latest = await this.attempt(upstream)
       if (request.ended) return
@@ -45,8 +52,8 @@
   /** How many upstreams serve what is asked for, whether they have room or not. */
   protected abstract get upstreams (): number
 
-  /** An upstream that has room now. */
-  protected abstract choose (): Upstream | undefined
+  /** An upstream that has room now and is none of those to avoid. */
+  protected abstract choose (avoided: ReadonlySet<string>): Upstream | undefined
 
   /** Sends the request to an upstream. Resolves when that attempt has ended. */
   protected abstract attempt (upstream: Upstream): Promise<AttemptResult>
@@ -65,11 +72,36 @@
     request.refuse(this.refusal(result))
   }
 
-  #findUpstream (): Promise<Upstream | undefined> {
-    const { request, kind, upstreams } = this
-    const { priority, offered, timeLeft, route: { objective } } = request
+  /** A suspect waits like a request that was offered before: it may have to wait until another one of its kind has been tried. */
+  #findUpstream (): Promise<Upstream | 'blocked' | undefined> {
+    const { request, kind, upstreams, context: { crashes, queue } } = this
+    const { priority, timeLeft, route: { objective } } = request
+    const offered = request.offered || crashes.standing(request) !== 'trusted'
     const time = waitForRoom({ path: kind, offered, upstreams, objective, timeLeft })
-    return this.context.queue.wait(priority, time, () => this.choose(), cancel => request.cancelWith(cancel))
+    return queue.wait(priority, time, () => this.#find(), cancel => request.cancelWith(cancel))
+  }
+
+  /** The upstream to send the request to now, by what is known of its crashes; undefined where it has to wait. */
+  #find (): Upstream | 'blocked' | undefined {
+    const { request, context: { crashes } } = this
+    const standing = crashes.standing(request)
+    if (standing === 'blocked') return standing
+    const apart = new Set([...request.tried, ...crashes.underTrial])
+    if (standing === 'trusted') return this.choose(apart) ?? this.choose(request.tried)
+    return crashes.mayTry(request) ? this.#try(this.choose(apart)) : undefined
+  }
+
+  /** Begins the trial at once, so that no other suspect that waits is sent to the same upstream. */
+  #try (upstream: Upstream | undefined): Upstream | undefined {
+    if (upstream !== undefined) this.trial = this.context.crashes.sent(this.request, upstream.id)
+    return upstream
+  }
+
+  /** Ends a request that crashes its upstreams. One of which an attempt was lost in this very try may have run. */
+  #concludeBlocked (): void {
+    const { request, context: { crashes } } = this
+    if (request.lost) return this.conclude({ kind: 'lost', why: crashesUpstreams })
+    request.refuse(refusals.crashing(crashes.blockedFor(request)))
   }
 
   #sendsAgain (result: AttemptResult): boolean {
--- a/packages/forward/src/plainpath.ts
+++ b/packages/forward/src/plainpath.ts
@@ -17,13 +17,12 @@
     return this.context.roster.available(this.request.service).length
   }
 
-  protected choose (): Upstream | undefined {
-    const { service, tried } = this.request
-    return this.context.choice.plain(service, tried)
+  protected choose (avoided: ReadonlySet<string>): Upstream | undefined {
+    return this.context.choice.plain(this.request.service, avoided)
   }
 
   protected attempt (upstream: Upstream): Promise<AttemptResult> {
-    const { context, request } = this
+    const { context, request, trial } = this
     const { clock, choice } = context
     const startedAt = clock.now()
     return new Promise(resolve => {
@@ -33,7 +32,7 @@
       }
       // A kept connection may break just as a request is sent on it, which leaves open whether it ran.
       const newConnection = !request.repeatable
-      new CollectAttempt({ context, request, upstream, model: '', newConnection, onEnd }).start()
+      new CollectAttempt({ context, request, upstream, model: '', newConnection, trial, onEnd }).start()
     })
   }
 
--- a/packages/forward/src/streampath.ts
+++ b/packages/forward/src/streampath.ts
@@ -45,15 +45,15 @@
     return (engine === undefined ? roster.available(service) : roster.heads(service, model)).length
   }
 
-  protected choose (): Upstream | undefined {
+  protected choose (avoided: ReadonlySet<string>): Upstream | undefined {
     const { choice } = this.context
-    const { service, tried } = this.request
+    const { service } = this.request
     const { model, engine } = this.#target
-    return engine === undefined ? choice.plain(service, tried) : choice.head(service, model, engine, tried)
+    return engine === undefined ? choice.plain(service, avoided) : choice.head(service, model, engine, avoided)
   }
 
   protected attempt (upstream: Upstream): Promise<AttemptResult> {
-    const { context, request, lastEvent } = this
+    const { context, request, lastEvent, trial } = this
     const { model } = this.#target
     return new Promise(resolve => {
       const attempt = new StreamAttempt({
@@ -63,6 +63,7 @@
         model,
         lastEvent,
         newConnection: false,
+        trial,
         progress: this.#progress,
         onStall: () => { if (this.#moves()) attempt.abort('the upstream stalled') },
         onEnd: resolve
@@ -97,8 +98,8 @@
 
   /** Whether a stream whose upstream is suspected of having stalled is moved: it may be, and another upstream has room. */
   #moves (): boolean {
-    const { service, repeatable, hasAttemptsLeft } = this.request
+    const { service, repeatable, hasAttemptsLeft, tried } = this.request
     const retriesLeft = this.context.retryBudget(service).left
-    return mayMove({ repeatable, hasAttemptsLeft, retriesLeft }) && this.choose() !== undefined
+    return mayMove({ repeatable, hasAttemptsLeft, retriesLeft }) && this.choose(tried) !== undefined
   }
 }
--- a/packages/forward/test/retry.test.ts
+++ b/packages/forward/test/retry.test.ts
@@ -78,7 +78,8 @@
       return left > 0
     }
   }
-  const context = { queue: new Queue(new ManualClock()), retryBudget: () => budget as unknown as RetryBudget } as unknown as Context
+  const crashes = { standing: () => 'trusted', underTrial: new Set<string>() }
+  const context = { crashes, queue: new Queue(new ManualClock()), retryBudget: () => budget as unknown as RetryBudget } as unknown as Context
   return { context, asked: () => asked }
 }
 
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -1,16 +1,17 @@
 /**
  * The HTTP messages between gateways: confirmations of the configuration, the upstreams and their changes for
- * gateways that do not watch the store, and orders to engines that are relayed. This is
+ * gateways that do not watch the store, blocked requests, and orders to engines that are relayed. This is
  * their only encoder and decoder; names and values here are read by gateways of other builds and never change. Fields that
  * a later build adds are ignored. (Heartbeats, the datagrams between gateways, are in `peers`.)
  */
+import { type BlockedRequest } from '@eiderwind/crashes'
 import { type Order, type OrderResult } from '@eiderwind/forming'
 import { Upstream } from '@eiderwind/roster'
 import { Traffic } from '@eiderwind/traffic'
 import { z } from 'zod'
 
 /** Paths of the messages. Every other path is answered like `confirmation`. */
-export const paths = { confirmation: '/confirmation', order: '/order', upstreams: '/upstreams' } as const
+export const paths = { confirmation: '/confirmation', order: '/order', upstreams: '/upstreams', blocked: '/blocked' } as const
 
 /** Longest relayed order, in bytes; an order names at most 32 nodes. Chosen, not measured. */
 export const orderLimit = 65_536
@@ -73,6 +74,15 @@
   fence: z.number()
 })
 
+const BlockedMessage = z.object({
+  blocked: z.array(z.object({
+    /** The request's fingerprint. */
+    request: z.string(),
+    /** Ms since it was blocked. */
+    age: z.number().nonnegative()
+  }))
+})
+
 const ResultMessage = z.object({ result: z.enum(['taken', 'refused', 'stale', 'closed', 'unanswered']) })
 
 /** The target that asks another gateway to confirm a revision. */
@@ -119,6 +129,16 @@
   return UpstreamsMessage.parse(JSON.parse(text))
 }
 
+/** The requests that are blocked here. */
+export function encodeBlocked (blocked: readonly BlockedRequest[]): string {
+  return JSON.stringify({ blocked })
+}
+
+/** Throws where the text is no list of blocked requests. */
+export function decodeBlocked (text: string): BlockedRequest[] {
+  return BlockedMessage.parse(JSON.parse(text)).blocked
+}
+
 /** An order for another gateway to relay. */
 export function encodeOrder ({ kind, node, address, replica, epoch, model, members, manner, loads, spare, fence }: Order): string {
   return JSON.stringify({ kind, node, address, replica, epoch, model, members, manner, loads, spare, fence })
--- a/packages/gateway/src/peerserver.ts
+++ b/packages/gateway/src/peerserver.ts
@@ -1,15 +1,16 @@
 /**
  * Answers other gateways over HTTP: with the age of this gateway's newest confirmation and, where the asker's is older,
- * the whole configuration; with its upstreams and their changes; and gives engines the orders that other gateways relay.
+ * the whole configuration; with its upstreams and their changes; with the requests that it has blocked; and gives engines the orders that other gateways relay.
  * Owns the TCP listener of the peers' address. The messages are in `messages.ts`.
  */
 import { type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type Clock } from '@eiderwind/clock'
+import { type Crashes } from '@eiderwind/crashes'
 import { type OrderResult, type Orders } from '@eiderwind/forming'
 import { listen, makeServer, readBody } from '@eiderwind/wire'
 import { type ChangeLog } from './changelog.js'
 import { type GatewayBoard } from './facts.js'
-import { askedRevision, askedUpstreams, decodeOrder, encodeConfirmation, encodeResult, encodeUpstreamChanges, orderLimit, paths, type UpstreamsAsked } from './messages.js'
+import { askedRevision, askedUpstreams, decodeOrder, encodeBlocked, encodeConfirmation, encodeResult, encodeUpstreamChanges, orderLimit, paths, type UpstreamsAsked } from './messages.js'
 
 /** Dependencies of `PeerServer`. */
 export interface PeerServerOptions {
@@ -17,6 +18,8 @@
   readonly board: GatewayBoard
   /** What it tells of the upstreams. */
   readonly changes: ChangeLog
+  /** What it tells of blocked requests. */
+  readonly crashes: Crashes
   /** `host:port` on which other gateways ask. */
   readonly address: string
   /** Gives engines the orders that others relay. */
@@ -45,6 +48,10 @@
   #handle (request: IncomingMessage, response: ServerResponse): void {
     if (request.url === paths.order) return this.#answerOrder(request, response)
     response.setHeader('content-type', 'application/json')
+    if (request.url === paths.blocked) {
+      response.end(encodeBlocked(this.#options.crashes.blocked))
+      return
+    }
     const asked = askedUpstreams(request.url ?? '/')
     if (asked !== undefined) return this.#answerUpstreams(asked, response)
     response.end(this.#confirmation(askedRevision(request.url ?? '/')))
--- a/packages/peers/src/heartbeat.ts
+++ b/packages/peers/src/heartbeat.ts
@@ -3,6 +3,7 @@
  * wire. Gateways of two builds serve one site together during a restart, so keys are never renamed or dropped; new ones
  * must be optional.
  */
+import { type CrashReport } from '@eiderwind/crashes'
 import { z } from 'zod'
 
 /** What a gateway says of itself, several times a second. */
@@ -31,6 +32,14 @@
   readonly asks?: boolean
   /** The services whose replicas it plans, each with the term for which it was elected. Absent where there are none, and from builds that do not say. */
   readonly terms?: Readonly<Record<string, number>>
+  /** Upstreams that have crashed in the last second under requests of the sender, with the time since, in ms, and the fingerprints of those requests. */
+  readonly crashes?: readonly CrashReport[]
+  /** Fingerprints of requests that ran to their end in the last second although they were in crashes. */
+  readonly cleared?: readonly string[]
+  /** Requests suspected of crashing upstreams that the sender tries now: the fingerprint, by upstream. */
+  readonly trials?: Readonly<Record<string, string>>
+  /** Digest of the requests that the sender has blocked. Absent where there are none. */
+  readonly blocked?: string
 }
 
 /** The datagram: JSON with these keys. Unknown keys are dropped, so that a newer gateway may send more. */
@@ -54,11 +63,18 @@
   /** `asks`. Absent where it is not so. */
   ask: z.literal(true).optional(),
   /** `terms`. Absent where there are none. */
-  terms: z.record(z.string(), z.int()).optional()
+  terms: z.record(z.string(), z.int()).optional(),
+  /** `crashes`. Absent where there are none. */
+  crashes: z.array(z.object({ upstream: z.string(), age: z.number().nonnegative(), requests: z.array(z.string()) })).optional(),
+  /** `cleared`. Absent where there are none. */
+  cleared: z.array(z.string()).optional(),
+  /** `trials`. Absent where there are none. */
+  trials: z.record(z.string(), z.string()).optional(),
+  blocked: z.string().optional()
 })
 
 /** The datagram of a heartbeat. */
-export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads, interval, asks, terms }: Heartbeat): string {
+export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads, interval, asks, terms, crashes, cleared, trials, blocked }: Heartbeat): string {
   return JSON.stringify({
     id,
     revision,
@@ -71,7 +87,11 @@
     weights: unlessEmpty(loads),
     every: interval,
     ask: onlyTrue(asks),
-    terms: unlessEmpty(terms)
+    terms: unlessEmpty(terms),
+    crashes: unlessNone(crashes),
+    cleared: unlessNone(cleared),
+    trials: unlessEmpty(trials),
+    blocked
   })
 }
 
@@ -85,17 +105,26 @@
   return Object.keys(table).length === 0 ? undefined : table
 }
 
+/** A list that is left out of the datagram where it is empty. */
+function unlessNone<Value> (list: readonly Value[] = []): readonly Value[] | undefined {
+  return list.length === 0 ? undefined : list
+}
+
 /** The heartbeat in a datagram, or undefined where the datagram is not one. */
 export function decode (message: Buffer): Heartbeat | undefined {
   const { data } = Datagram.safeParse(parsed(message))
   if (data === undefined) return undefined
-  const { id, revision, able: canPlan, watch: canWatch, loads: inFlight, suspects, models: inFlightByModel, served, weights: loads = {}, every: interval, ask: asks, terms } = data
+  const { id, revision, able: canPlan, watch: canWatch, loads: inFlight, suspects, models: inFlightByModel, served, weights: loads = {}, every: interval, ask: asks, ...optional } = data
   const heartbeat: Mutable<Heartbeat> = { id, revision, canPlan, inFlight, suspects, inFlightByModel, served, loads }
   if (canWatch !== undefined) heartbeat.canWatch = canWatch
   if (interval !== undefined) heartbeat.interval = interval
   if (asks !== undefined) heartbeat.asks = asks
-  if (terms !== undefined) heartbeat.terms = terms
-  return heartbeat
+  return { ...heartbeat, ...defined({ terms: optional.terms, crashes: optional.crashes, cleared: optional.cleared, trials: optional.trials, blocked: optional.blocked }) }
+}
+
+/** The fields that a datagram has. */
+function defined (fields: Partial<Heartbeat>): Partial<Heartbeat> {
+  return Object.fromEntries(Object.entries(fields).filter(([_name, value]) => value !== undefined))
 }
 
 type Mutable<Type> = { -readonly [Key in keyof Type]: Type[Key] }
--- a/packages/peers/src/peers.ts
+++ b/packages/peers/src/peers.ts
@@ -35,6 +35,8 @@
   readonly interval: number
   /** Silence after which a peer no longer counts as alive, where heartbeats come each `interval`. */
   readonly timeout: number
+  /** Called with each heartbeat that comes. Default: nothing. */
+  readonly heard?: (heartbeat: Heartbeat, from: PeerAddress) => void
   /** Whether the others have to know soon that this gateway is gone: it then sends each `interval` in a fleet of any size. Default: never. */
   readonly urgent?: () => boolean
 }
@@ -209,6 +211,7 @@
     const at = this.#options.clock.now()
     this.#received.set(heartbeat.id, { heartbeat, at, aliveUntil: at + this.#silence(heartbeat), address })
     this.#live = undefined
+    this.#options.heard?.(heartbeat, { id: heartbeat.id, address })
     if (heartbeat.asks === true) this.#sendTo([{ id: heartbeat.id, address }], false)
   }
 }
