Keep blocked requests in the store, so that a restart of all gateways forgets none

Cause: blocked requests were known to the gateways alone; killed all at once, they would let three more engines crash. Change: kind eiderwind-blocks, one object a request, written by one gateway (rendezvous over the live ones), read once by a process that is not part of the first start.

--- a/packages/crashes/src/crashes.ts
+++ b/packages/crashes/src/crashes.ts
@@ -40,7 +40,7 @@
   readonly changed: () => void
   /** Called when an upstream has crashed, as seen here. */
   readonly crashed: (crash: Crash) => void
-  /** Called when a request is blocked, with the upstreams that crashed under it as far as they are known here. */
+  /** Called when a request is blocked by a verdict given here, with the upstreams that crashed under it as far as they are known here. */
   readonly blocked: (request: string, upstreams: readonly string[]) => void
 }
 
@@ -125,7 +125,7 @@
     return this.#history.blocked
   }
 
-  /** Takes blocked requests from another gateway. */
+  /** Takes blocked requests from another gateway or from the store. */
   block (blocked: readonly BlockedRequest[]): void {
     for (const { request, age } of blocked) this.#history.block(request, age)
   }
--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -100,6 +100,7 @@
   /** Ends a request that crashes its upstreams. One of which an attempt was lost in this very try may have run. */
   #concludeBlocked (): void {
     const { request, context: { crashes } } = this
+    request.blocked = true
     if (request.lost) return this.conclude({ kind: 'lost', why: crashesUpstreams })
     request.refuse(refusals.crashing(crashes.blockedFor(request)))
   }
--- a/packages/forward/src/request.ts
+++ b/packages/forward/src/request.ts
@@ -46,6 +46,8 @@
   readonly attempts: string[] = []
   /** Where its time went. */
   readonly timing: Timing
+  /** Whether it is sent to no upstream any more, since it crashes them. */
+  blocked = false
   readonly #clock: Clock
   readonly #idHeader: string
   readonly #onEnd: (request: CallerRequest, outcome: string) => void
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -89,7 +89,7 @@
     this.#leadership = new Leadership({ clock, log, board, outage: this.#outage, pauses: this.#pauses, peers, leaders: platform.leaders, id: settings.id, firstStart: settings.first })
     this.#budgets = new Budgets({ clock, board, peers, settings })
     this.#crashes = this.#makeCrashes()
-    this.#blocklist = new Blocklist({ clock, crashes: this.#crashes, connections: this.#connections })
+    this.#blocklist = new Blocklist({ clock, id: settings.id, peers, blocks: platform.blocks, crashes: this.#crashes, connections: this.#connections })
     this.#metrics = new Metrics({ clock, board, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, connections: this.#connections, budgets: this.#budgets })
     this.#callers = this.#makeCallers()
     this.#confirmations = new Confirmations({ clock, board, peers, connections: this.#connections, informed: () => this.#leadership.informed })
@@ -129,6 +129,7 @@
     if (settings.metrics !== '') await this.#metrics.start(settings.metrics)
     platform.watch(platformListener({ clock, log, board: this.#board, roster: this.#roster, outage: this.#outage, peers: this.#peers }))
     platform.register({ id: settings.id, address: settings.peers })
+    if (!settings.first) this.#blocklist.start()
     this.#pauses.start()
     this.#stalls.start()
     this.#reconciler.start()
@@ -181,7 +182,10 @@
       tell: () => this.#peers.send(),
       changed: () => this.#queue.wake(),
       crashed: ({ upstream, requests }) => log.write('upstream-crashed', { upstream, requests: requests.join(' ') }),
-      blocked: (request, upstreams) => log.write('request-blocked', { fingerprint: request, upstreams: upstreams.join(' '), time: Math.round(crashes.blockedFor({ fingerprint: request })) })
+      blocked: (request, upstreams) => {
+        log.write('request-blocked', { fingerprint: request, upstreams: upstreams.join(' '), time: Math.round(crashes.blockedFor({ fingerprint: request })) })
+        this.#blocklist.add(request)
+      }
     })
     return crashes
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,5 @@
 /** The process between callers and upstreams. */
+export { Blocks } from './blocks.js'
 export { Gateway } from './gateway.js'
 export { type GatewayOptions, type GatewaySettings } from './settings.js'
 export { Leaders, nobody, type Leader } from './leaders.js'
--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -9,6 +9,7 @@
 import { type PeerAddress } from '@eiderwind/peers'
 import { type RosterChange, type Upstream } from '@eiderwind/roster'
 import { type Traffic } from '@eiderwind/traffic'
+import { type Blocks } from './blocks.js'
 import { type Leaders } from './leaders.js'
 
 /** Up to when and to which of the store's revisions a list lacks nothing. */
@@ -67,6 +68,7 @@
   abstract readonly probes: Probes
   abstract readonly placements: Placements
   abstract readonly leaders: Leaders
+  abstract readonly blocks: Blocks
   /** Delivers all that the store holds, and each change of it, until `stop`. */
   abstract watch (listener: PlatformListener): void
   /** Writes this gateway into the list of gateways; tries again until that is done or `stop` is called. */
--- a/packages/gateway/src/requestlog.ts
+++ b/packages/gateway/src/requestlog.ts
@@ -40,12 +40,12 @@
     this.#write(request, outcome, Math.round(took))
   }
 
-  /** One whose answer was lost at an upstream is written with its fingerprint: only that shows whether its caller sends it again and again. */
+  /** One that was lost at an upstream, or is blocked, is written with its fingerprint: only that shows that its caller sends it again and again. */
   #write (request: CallerRequest, outcome: string, took: number): void {
     const { id, route, service, team, attempts: ended, currentUpstream, timing } = request
     const underWay = currentUpstream === undefined ? [] : [`${currentUpstream} under way`]
     const attempts = [...ended, ...underWay].join('; ')
-    this.#options.log.write('request-ended', { request: id, route: route.name, service, team: team?.name, outcome, took, ...times(timing), late: timing.lateness(route), attempts, fingerprint: request.lost ? request.fingerprint : undefined })
+    this.#options.log.write('request-ended', { request: id, route: route.name, service, team: team?.name, outcome, took, ...times(timing), late: timing.lateness(route), attempts, fingerprint: request.lost || request.blocked ? request.fingerprint : undefined })
   }
 }
 
