--- a/packages/crashes/src/crashes.ts
+++ b/packages/crashes/src/crashes.ts
@@ -30,6 +30,8 @@
 /** Dependencies of `Crashes`. */
 export interface CrashesOptions {
   readonly clock: Clock
+  /** Whether an upstream has certainly ended: a later life of it has begun. */
+  readonly hasEnded: (upstream: string) => boolean
   /** Whether a process still listens at an address. */
   readonly listensAt: (address: string) => Promise<boolean>
   /** The trials of the other gateways: the request, by upstream. */
@@ -130,15 +132,16 @@
     for (const { request, age } of blocked) this.#history.block(request, age)
   }
 
-  /** Finds out whether an upstream whose connections broke has crashed: then nothing listens at its address. */
+  /** Finds out whether an upstream whose connections broke has crashed: then nothing listens at its address, or its next life does. */
   #examine (upstream: UpstreamAddress, at: number): void {
+    if (this.#options.hasEnded(upstream.id)) return this.#examined(upstream.id, at, false)
     this.#options.listensAt(upstream.address).then(listens => this.#examined(upstream.id, at, listens), () => this.#examined(upstream.id, at, false))
   }
 
   #examined (upstream: string, at: number, listens: boolean): void {
     const requests = [...this.#broken.get(upstream) ?? []]
     this.#broken.delete(upstream)
-    if (listens) return this.#history.withdraw(upstream)
+    if (listens && !this.#options.hasEnded(upstream)) return this.#history.withdraw(upstream)
     const crash = { upstream, at, requests }
     this.#history.confirm(crash)
     this.#reports.crashed(crash)
--- a/packages/detect/src/inflight.ts
+++ b/packages/detect/src/inflight.ts
@@ -15,13 +15,16 @@
   receivedAt: number
   /** Called when the upstream is suspected of having stalled, or this request alone has. */
   readonly stalled: (() => void) | undefined
+  /** Called when the upstream has certainly ended. */
+  readonly lost: (() => void) | undefined
 
-  constructor (upstream: string, model: string, sentAt: number, stalled?: () => void) {
+  constructor (upstream: string, model: string, sentAt: number, stalled?: () => void, lost?: () => void) {
     this.upstream = upstream
     this.model = model
     this.sentAt = sentAt
     this.receivedAt = sentAt
     this.stalled = stalled
+    this.lost = lost
   }
 }
 
@@ -70,8 +73,8 @@
   }
 
   /** Adds a request that is sent now. */
-  begin (upstream: string, model: string, stalled?: () => void): InFlightRequest {
-    const request = new InFlightRequest(upstream, model, this.#clock.now(), stalled)
+  begin (upstream: string, model: string, stalled?: () => void, lost?: () => void): InFlightRequest {
+    const request = new InFlightRequest(upstream, model, this.#clock.now(), stalled, lost)
     const load = this.#loads.get(upstream) ?? { requests: new Set<InFlightRequest>(), receivedAt: -Infinity }
     load.requests.add(request)
     this.#loads.set(upstream, load)
--- a/packages/detect/src/liveness.ts
+++ b/packages/detect/src/liveness.ts
@@ -171,7 +171,8 @@
   #judge (head: string, suspects: ReadonlySet<string>): void {
     const unanswered = this.#unanswered.get(head) ?? 0
     const unreachable = this.#unreachable.has(head)
-    if (unanswered === 0 && !unreachable && !suspects.has(head)) this.#heartbeats.delete(head)
+    if (this.#options.roster.hasEnded(head)) this.#dead.add(head)
+    else if (unanswered === 0 && !unreachable && !suspects.has(head)) this.#heartbeats.delete(head)
     else if (this.#options.roster.find(head) !== undefined) this.#readHeartbeat(head)
     else if (unanswered >= unansweredLimit && unreachable) this.#dead.add(head)
   }
--- a/packages/dispatch/src/result.ts
+++ b/packages/dispatch/src/result.ts
@@ -21,7 +21,7 @@
   /** It certainly did not run. `sent` is false if nothing left this process, true if the upstream itself said so. */
   | { readonly kind: 'not-run', readonly why: string, readonly sent: boolean }
   /** It may have run, but there is no complete answer. `broken`: its connection broke off at the upstream's side, which may have crashed. */
-  | { readonly kind: 'lost', readonly why: string, readonly broken?: true }
+  | { readonly kind: 'lost', readonly why: string, readonly broken?: true | undefined }
 
 /** Lowest HTTP status by which an upstream reports a failure of its own (RFC 9110, section 15.6). */
 const serverError = 500
--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -77,7 +77,7 @@
     const { context, request, upstream, model, lastEvent, newConnection, onStall } = this.#options
     request.beginAttempt(upstream.id)
     context.suspects.tried(upstream.id)
-    this.#inFlight = context.inFlight.begin(upstream.id, model, onStall)
+    this.#inFlight = context.inFlight.begin(upstream.id, model, onStall, () => this.#lose('the upstream has started again', true))
     this.#cancel = context.connections.send(outgoingCall(request, upstream, context.names, lastEvent), this, newConnection)
     if (this.#ended) this.#cancel(new Error('The attempt has ended.'))
     else request.cancelWith(() => this.abort('the request has ended'))
@@ -85,7 +85,12 @@
 
   /** Ends it with its answer lost, and cuts its connection. */
   abort (why: string): void {
-    this.#end({ kind: 'lost', why })
+    this.#lose(why)
+  }
+
+  /** @param broken whether it is the upstream that broke off */
+  #lose (why: string, broken?: true): void {
+    this.#end({ kind: 'lost', why, broken })
     this.#cancel?.(new Error(why))
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -113,6 +113,8 @@
     })
     this.#sampling = new Sampling({ clock, log, board, platform, peers, inFlight: this.#inFlight, modelLoad: this.#modelLoad, leadership: this.#leadership, servesKeys: () => this.#callers.servesKeys })
     this.#roster.listen(() => this.#queue.wake())
+    // Its answers never come: behind a cut link nothing else would show that for as long as the requests last.
+    this.#roster.listenEnds(({ id }) => { for (const each of this.#inFlight.at(id)) each.lost?.() })
   }
 
   /** Whether the balancer should send callers here. */
@@ -177,6 +179,7 @@
     const { clock, log } = this.#options
     const crashes: Crashes = new Crashes({
       clock,
+      hasEnded: upstream => this.#roster.hasEnded(upstream),
       listensAt: async address => await listensAt(address, clock, connectTime),
       otherTrials: () => this.#peers.live.flatMap(({ trials }) => trials === undefined ? [] : [trials]),
       tell: () => this.#peers.send(),
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -45,7 +45,7 @@
   /** The store's revision up to which the answer lacks nothing. Absent from builds that do not say, and where it is not known. */
   revision: z.number().optional(),
   /** What changed since, in order. The schema of an upstream names its fields (`roster`). */
-  changes: z.array(z.union([z.object({ upstream: Upstream }), z.object({ gone: z.string() })])).optional()
+  changes: z.array(z.union([z.object({ upstream: Upstream }), z.object({ gone: z.string(), certain: z.boolean().optional() })])).optional()
 })
 
 /** How the upstreams of another gateway have changed: the whole list, or the changes after those that the asker has. */
--- a/packages/roster/src/roster.ts
+++ b/packages/roster/src/roster.ts
@@ -6,10 +6,13 @@
 import { isDeepStrictEqual } from 'node:util'
 import { type Clock } from '@eiderwind/clock'
 import { type Outage } from './outage.js'
-import { type Upstream } from './upstream.js'
+import { nameOf, type Upstream } from './upstream.js'
 
-/** A change of one upstream's record: its new content, or the id of a record that is no longer listed. */
-export type RosterChange = { readonly upstream: Upstream } | { readonly gone: string }
+/**
+ * A change of one upstream's record: its new content, or the name of a record that is no longer listed. `certain`: something else stands in its
+ * place, so that no outage can be the reason.
+ */
+export type RosterChange = { readonly upstream: Upstream } | { readonly gone: string, readonly certain?: boolean | undefined }
 
 /** What it means that an upstream is not listed: `judged` by the outages of the store seen here, or `certain`ly gone. */
 export type Absence = 'judged' | 'certain'
@@ -35,8 +38,15 @@
   /** Upstreams whose records lapsed during an outage and may be listed again. */
   readonly #lapsed = new Set<string>()
   readonly #upstreams = new Map<string, Upstream>()
+  /** The life that is listed under each name. */
+  readonly #lives = new Map<string, Upstream>()
+  /** Lives that ended before a later one of the same name began, with the time at which that was seen, on `Clock.now`. */
+  readonly #ended = new Map<string, number>()
   readonly #departures = new Map<string, Departure>()
   readonly #listeners = new Set<(changes: readonly RosterChange[]) => void>()
+  readonly #endListeners = new Set<(upstream: Upstream) => void>()
+  /** Lives whose end the listeners have not heard of yet. */
+  #untold: Upstream[] = []
   /** Indexes for `available` and `heads`, made when they are first asked for after a change. */
   #byService: Map<string, Upstream[]> | undefined
   #heads: Map<string, Upstream[]> | undefined
@@ -72,6 +82,11 @@
     return this.#departures.get(id)
   }
 
+  /** Whether an upstream has certainly ended: a later life is listed under its name. */
+  hasEnded (id: string): boolean {
+    return this.#ended.has(id)
+  }
+
   /** Upstreams of a service that take new requests. */
   available (service: string): readonly Upstream[] {
     this.#byService ??= groupBy(this.upstreams.filter(each => !each.leaving), each => each.service)
@@ -86,18 +101,19 @@
 
   /** Takes the whole list: an upstream that is not on it is no longer listed. */
   replace (upstreams: readonly Upstream[], absence: Absence = 'judged'): void {
-    const listed = new Set(upstreams.map(each => each.id))
-    const gone = [...this.#upstreams.keys()].filter(id => !listed.has(id)).map(id => ({ gone: id }))
+    const listed = new Set(upstreams.map(nameOf))
+    const gone = [...this.#lives.keys()].filter(name => !listed.has(name)).map(name => ({ gone: name }))
     this.#hasList = true
     this.apply([...gone, ...upstreams.map(upstream => ({ upstream }))], absence)
   }
 
   /** Takes changes, in the order in which the store made them. */
   apply (changes: readonly RosterChange[], absence: Absence = 'judged'): void {
-    const effective = changes.filter(change => 'gone' in change ? this.#remove(change.gone, absence) : this.#update(change.upstream))
+    const effective = changes.filter(change => 'gone' in change ? this.#remove(change.gone, change.certain === true ? 'certain' : absence) : this.#update(change.upstream))
     this.#byService = undefined
     this.#heads = undefined
     this.#forgetDepartures()
+    this.#tellEnds()
     for (const listener of this.#listeners) listener(effective)
   }
 
@@ -107,16 +123,27 @@
     return () => { this.#listeners.delete(listener) }
   }
 
+  /** Calls `listener` with each life that has ended before a later one began, its last record, until the returned function is called. */
+  listenEnds (listener: (upstream: Upstream) => void): () => void {
+    this.#endListeners.add(listener)
+    return () => { this.#endListeners.delete(listener) }
+  }
+
   /**
    * Takes an upstream's record. One that was ever leaving stays so: a record that says otherwise is an older one that came
-   * late (docs/INCIDENTS.md, rdp mix 1055587222585). Returns whether the record says anything new.
+   * late (docs/INCIDENTS.md, rdp mix 1055587222585). That holds for one life: a later one begins anew, and a record of an earlier one is
+   * not taken. Returns whether the record says anything new.
    */
   #update (record: Upstream): boolean {
+    const present = this.#lives.get(nameOf(record))
+    if (this.#ended.has(record.id) || (present !== undefined && isEarlier(record, present))) return false
+    if (present !== undefined && present.id !== record.id) this.#end(present)
     this.#lapsed.delete(record.id)
     const leaving = record.leaving || this.#departures.get(record.id)?.upstream.leaving === true
     const upstream = leaving ? { ...record, leaving } : record
     const isNew = !isDeepStrictEqual(upstream, this.#upstreams.get(record.id))
     this.#upstreams.set(upstream.id, upstream)
+    this.#lives.set(nameOf(upstream), upstream)
     if (leaving) this.#depart(upstream)
     else this.#departures.delete(upstream.id)
     return isNew
@@ -126,26 +153,46 @@
    * Takes that an upstream is no longer listed: it is gone, unless its record may have lapsed during an outage. Returns whether it
    * is gone now.
    */
-  #remove (id: string, absence: Absence): boolean {
-    const upstream = this.#upstreams.get(id)
+  #remove (name: string, absence: Absence): boolean {
+    const upstream = this.#lives.get(name)
     if (upstream === undefined) return false
     const grace = absence === 'certain' ? 0 : (this.#outage?.relistDeadline ?? -Infinity) - this.#clock.now()
     if (grace > 0) {
-      this.#lapse(id, grace)
+      this.#lapse(upstream, grace)
       return false
     }
-    this.#lapsed.delete(id)
-    this.#upstreams.delete(id)
-    this.#depart(upstream)
+    this.#forget(upstream)
     return true
   }
 
+  /** Takes that a life has ended, since a later one began. */
+  #end (upstream: Upstream): void {
+    this.#forget(upstream)
+    this.#ended.set(upstream.id, this.#clock.now())
+    this.#untold.push(upstream)
+  }
+
+  /** Listeners look things up, so they hear of it once all changes are taken. */
+  #tellEnds (): void {
+    const ends = this.#untold
+    this.#untold = []
+    for (const upstream of ends) for (const listener of this.#endListeners) listener(upstream)
+  }
+
+  #forget (upstream: Upstream): void {
+    this.#lapsed.delete(upstream.id)
+    this.#upstreams.delete(upstream.id)
+    this.#lives.delete(nameOf(upstream))
+    this.#depart(upstream)
+  }
+
   /** Keeps an upstream for `grace` ms; if it is not listed again by then, it is gone. */
-  #lapse (id: string, grace: number): void {
+  #lapse (upstream: Upstream, grace: number): void {
+    const { id } = upstream
     if (this.#lapsed.has(id)) return
     this.#lapsed.add(id)
     this.#clock.after(grace, () => {
-      if (this.#lapsed.delete(id)) this.apply([{ gone: id }])
+      if (this.#lapsed.delete(id)) this.apply([{ gone: nameOf(upstream) }])
     })
   }
 
@@ -159,9 +206,15 @@
     for (const [id, { at }] of this.#departures) {
       if (at < before && !this.#upstreams.has(id)) this.#departures.delete(id)
     }
+    for (const [id, at] of this.#ended) if (at < before) this.#ended.delete(id)
   }
 }
 
+/** Whether a record is of an earlier life than another record of the same name. */
+function isEarlier (record: Upstream, than: Upstream): boolean {
+  return record.born !== undefined && than.born !== undefined && record.born < than.born
+}
+
 function isOpenHead ({ leaving, membership }: Upstream): boolean {
   return !leaving && membership?.state === 'open'
 }
--- a/packages/roster/src/upstream.ts
+++ b/packages/roster/src/upstream.ts
@@ -17,9 +17,14 @@
 })
 export type Membership = z.infer<typeof Membership>
 
-/** One incarnation of an upstream, an engine or a plain server. After a restart it has another id. */
+/** One life of an upstream, an engine or a plain server. */
 export const Upstream = z.object({
+  /** Identity of this life: what is kept of an upstream is kept under it, so that nothing of one life counts in the next. */
   id: z.string(),
+  /** Under what it is listed, and what it calls itself: the same in each of its lives. Absent where that is its id. */
+  name: z.string().optional(),
+  /** When this life began, in Unix ms by its own machine's clock: compared between lives of one name only. Absent where it does not say. */
+  born: z.int().optional(),
   service: z.string(),
   /** `host:port`. It may be given to another upstream once this one has gone. */
   address: z.string(),
@@ -36,3 +41,8 @@
   membership: Membership.optional()
 })
 export type Upstream = z.infer<typeof Upstream>
+
+/** The name under which an upstream is listed. */
+export function nameOf ({ id, name }: Pick<Upstream, 'id' | 'name'>): string {
+  return name ?? id
+}
--- /dev/null
+++ b/packages/roster/test/lives.test.ts
@@ -0,0 +1,94 @@
+/** Upstreams that start again under the name that they had. */
+import test from 'ava'
+import { ManualClock } from '@eiderwind/clock'
+import { Outage, Roster, type Upstream } from '../src/index.js'
+
+const open = { replica: 'r', epoch: 1, rank: 0, state: 'open' } as const
+
+/** The record of one life of the upstream `a`. */
+function life (born: number, difference: Partial<Upstream> = {}): Upstream {
+  return { id: `a@${born}`, name: 'a', born, service: 'chat', address: 'a:1', dataCentre: 'dc', leaving: false, domain: 'd', loaded: [], staged: [], ...difference }
+}
+
+function fixture (): { clock: ManualClock, outage: Outage, roster: Roster, ends: string[] } {
+  const clock = new ManualClock()
+  const outage = new Outage(clock)
+  const roster = new Roster(clock, outage)
+  const ends: string[] = []
+  roster.listenEnds(({ id }) => { ends.push(id) })
+  return { clock, outage, roster, ends }
+}
+
+test('a later life ends the earlier one at once: it leads nothing, and that it was leaving does not count', t => {
+  const { roster, ends } = fixture()
+  roster.replace([life(1, { loaded: ['m'], membership: open, leaving: true })])
+  roster.apply([{ upstream: life(2) }])
+  t.deepEqual(ends, ['a@1'])
+  t.true(roster.hasEnded('a@1'))
+  t.is(roster.find('a@1'), undefined)
+  t.deepEqual(roster.heads('chat', 'm'), [])
+  t.deepEqual(roster.available('chat').map(each => each.id), ['a@2'])
+  t.is(roster.departure('a@2'), undefined)
+})
+
+test('a record of an earlier life that comes late is not taken, in a change, in a list, and after the later life has gone', t => {
+  const { roster, ends } = fixture()
+  roster.replace([life(1)])
+  roster.apply([{ upstream: life(2) }, { upstream: life(1, { membership: open, loaded: ['m'] }) }])
+  t.deepEqual(roster.upstreams.map(each => each.id), ['a@2'])
+  roster.replace([life(1)])
+  t.deepEqual(roster.upstreams.map(each => each.id), ['a@2'])
+  roster.apply([{ gone: 'a' }, { upstream: life(1) }])
+  t.deepEqual(roster.upstreams, [])
+  t.deepEqual(ends, ['a@1'])
+})
+
+test('two lives between two readings of the list: the newest is there, and all before have ended', t => {
+  const { roster, ends } = fixture()
+  roster.replace([life(1)])
+  roster.replace([life(3)])
+  t.deepEqual(ends, ['a@1'])
+  t.deepEqual(roster.upstreams.map(each => each.id), ['a@3'])
+  roster.apply([{ upstream: life(2) }])
+  t.deepEqual(roster.upstreams.map(each => each.id), ['a@3'])
+})
+
+test('one that is listed again after an outage in another life has ended at once, whatever time the outage leaves it', t => {
+  const { clock, outage, roster, ends } = fixture()
+  roster.replace([life(1)])
+  for (let count = 0; count < 3; count++) {
+    outage.failed(clock.now())
+    clock.advance(1500)
+  }
+  outage.answered()
+  roster.replace([])
+  t.deepEqual([...roster.lapsed], ['a@1'])
+  roster.apply([{ upstream: life(2) }])
+  t.deepEqual(ends, ['a@1'])
+  t.deepEqual([...roster.lapsed], [])
+  clock.advance(5000)
+  t.deepEqual(roster.upstreams.map(each => each.id), ['a@2'])
+})
+
+test('an entry in which something else stands is gone at once, also after an outage', t => {
+  const { clock, outage, roster } = fixture()
+  roster.replace([life(1)])
+  for (let count = 0; count < 3; count++) {
+    outage.failed(clock.now())
+    clock.advance(1500)
+  }
+  outage.answered()
+  roster.apply([{ gone: 'a', certain: true }])
+  t.deepEqual(roster.upstreams, [])
+  t.deepEqual([...roster.lapsed], [])
+})
+
+test('listeners look up the list as it is after all changes', t => {
+  const { roster } = fixture()
+  roster.replace([life(1, { loaded: ['m'], membership: open })])
+  t.is(roster.heads('chat', 'm').length, 1)
+  let heads: number | undefined
+  roster.listenEnds(() => { heads = roster.heads('chat', 'm').length })
+  roster.apply([{ upstream: life(2) }])
+  t.is(heads, 0)
+})
