--- a/packages/clock/src/clock.ts
+++ b/packages/clock/src/clock.ts
@@ -20,10 +20,11 @@
   abstract now (): number
 
   /**
-   * Steady time for the holder of a lease. It counts at least as much as `now` and also counts a suspension that
-   * the steady clock missed, as soon as the wall clock shows it. An error of it can only end a lease early.
+   * Steady time that also counts suspensions of the machine, as CLOCK_BOOTTIME does, as soon as the time of day shows them. Whatever is believed for a
+   * while, since somebody said so, is timed by it: leases, confirmations, the age of lists. It counts at least as much as `now`; a step of the time of day
+   * ahead can only end a belief early.
    */
-  abstract holderNow (): number
+  abstract bootNow (): number
 
   /** Wall time since the Unix epoch. It may step; use it only for stamps that leave the process. */
   abstract wall (): number
--- a/packages/clock/src/manual.ts
+++ b/packages/clock/src/manual.ts
@@ -28,7 +28,7 @@
     return this.#now
   }
 
-  holderNow (): number {
+  bootNow (): number {
     return this.#now + this.#suspended
   }
 
--- a/packages/clock/src/system.ts
+++ b/packages/clock/src/system.ts
@@ -1,23 +1,21 @@
 /**
- * The timer service of production, over Node's `performance.now`, `Date.now` and `setTimeout`. It owns one number: how much
- * steady time was missed while the machine was suspended.
+ * The timer service of production, over Node's `performance.now`, `Date.now` and `setTimeout`. `os.uptime` counts suspensions too, but a library may read it
+ * with a resolution of a second, and each reading opens a file.
  */
 import { Clock, type Subscription, type Task } from './clock.js'
+import { Suspension } from './suspension.js'
 
 /** The clock of the machine: `performance.now` (CLOCK_MONOTONIC, which runs on through SIGSTOP) and `Date.now`. */
 export class SystemClock extends Clock {
-  readonly #offset = Date.now() - performance.now()
-  #missed = 0
+  readonly #suspension = new Suspension(performance.now(), Date.now())
 
   now (): number {
     return performance.now()
   }
 
-  holderNow (): number {
+  bootNow (): number {
     const steady = performance.now()
-    const ahead = Date.now() - steady - this.#offset
-    if (ahead > this.#missed) this.#missed = ahead
-    return steady + this.#missed
+    return steady + this.#suspension.total(steady, Date.now())
   }
 
   wall (): number {
--- a/packages/clock/test/clock.test.ts
+++ b/packages/clock/test/clock.test.ts
@@ -18,15 +18,15 @@
 test('a holder counts time that the steady clock missed, a granter does not', t => {
   const clock = new ManualClock(1000)
   clock.suspend(500)
-  t.deepEqual([clock.now(), clock.holderNow(), clock.wall()], [0, 500, 1500])
+  t.deepEqual([clock.now(), clock.bootNow(), clock.wall()], [0, 500, 1500])
 })
 
 test('the system clock gives holders at least the steady time, and never goes back', t => {
   const clock = new SystemClock()
-  let last = clock.holderNow()
+  let last = clock.bootNow()
   for (let index = 0; index < 10_000; index++) {
     const now = clock.now()
-    const held = clock.holderNow()
+    const held = clock.bootNow()
     t.true(held >= now && held >= last)
     last = held
   }
--- a/packages/clock/test/view.ts
+++ b/packages/clock/test/view.ts
@@ -26,8 +26,8 @@
     return this.#base.now() * this.#rate
   }
 
-  holderNow (): number {
-    return this.#base.holderNow() * this.#rate
+  bootNow (): number {
+    return this.#base.bootNow() * this.#rate
   }
 
   wall (): number {
--- a/packages/detect/src/pauses.ts
+++ b/packages/detect/src/pauses.ts
@@ -1,7 +1,7 @@
 /**
- * Notices when this process itself was paused: frozen, or without a processor. What it timed meanwhile says nothing about
+ * Notices when this process itself was paused: frozen, without a processor, or on a suspended machine. What it timed meanwhile says nothing about
  * others, so code that measures silence compares with `resumedAt` first.
- * Owns a timer and the time of its last tick; relies on the steady clock running on during a pause.
+ * Owns a timer and the time of its last tick; relies on `Clock.bootNow`, which runs on during all of these.
  */
 import { type Clock, type Subscription } from '@eiderwind/clock'
 
@@ -17,13 +17,16 @@
 /** Detects pauses of this process. */
 export class Pauses {
   readonly #clock: Clock
+  readonly #paused: (time: number) => void
   #tickedAt: number
   #resumedAt = -Infinity
   #timer: Subscription | undefined
 
-  constructor (clock: Clock) {
+  /** @param paused called after each pause since `start` with its length, in ms */
+  constructor (clock: Clock, paused: (time: number) => void = () => {}) {
     this.#clock = clock
-    this.#tickedAt = clock.now()
+    this.#paused = paused
+    this.#tickedAt = clock.bootNow()
   }
 
   /** When the process last ran on after a pause, on `Clock.now`; -Infinity where it was never paused. */
@@ -42,8 +45,11 @@
   }
 
   #tick (): void {
-    const now = this.#clock.now()
-    if (now - this.#tickedAt > pauseGap) this.#resumedAt = now
-    this.#tickedAt = now
+    const ticked = this.#clock.bootNow()
+    const pause = ticked - this.#tickedAt
+    this.#tickedAt = ticked
+    if (pause <= pauseGap) return
+    this.#resumedAt = this.#clock.now()
+    if (this.#timer !== undefined) this.#paused(pause)
   }
 }
--- a/packages/gateway/src/callers.ts
+++ b/packages/gateway/src/callers.ts
@@ -72,7 +72,7 @@
 
   get #fresh (): boolean {
     const { context, board, freshness } = this.#options
-    return context.clock.now() - board.read('confirmedAt') <= freshness
+    return context.clock.bootNow() - board.read('confirmedAt') <= freshness
   }
 
   async start (): Promise<void> {
@@ -173,7 +173,7 @@
   #refuse (incoming: IncomingMessage, response: ServerResponse, fault: Fault): void {
     const { context, board, refused } = this.#options
     const id = header(incoming, context.names.request)
-    const confirmed = Math.round(context.clock.now() - board.read('confirmedAt'))
+    const confirmed = Math.round(context.clock.bootNow() - board.read('confirmedAt'))
     refused(fault.code)
     if (id !== undefined) response.setHeader(context.names.request, id)
     context.log.write('request-refused', { request: id, code: fault.code, status: fault.status, confirmed })
--- a/packages/gateway/src/confirmations.ts
+++ b/packages/gateway/src/confirmations.ts
@@ -57,7 +57,7 @@
   #check (): void {
     const { clock, board } = this.#options
     const revision = this.#revision
-    const old = clock.now() - board.read('confirmedAt') > oldAge
+    const old = clock.bootNow() - board.read('confirmedAt') > oldAge
     const ahead = this.#peersAhead(revision)
     if (!old && ahead.size === 0) return
     if (board.read('inForce') !== undefined && clock.now() - this.#askedAt < askInterval) return
@@ -82,7 +82,7 @@
 
   async #ask ({ address }: PeerAddress, revision: number): Promise<void> {
     const { clock, board, connections } = this.#options
-    const askedAt = clock.now()
+    const askedAt = clock.bootNow()
     const call = { origin: `http://${address}`, path: confirmationTarget(revision), method: 'GET', headers: {}, body: undefined }
     const { body } = await ask(connections, clock, call, answerTime)
     const { revision: theirs, age, traffic } = decodeConfirmation(body.toString())
--- a/packages/gateway/src/facts.ts
+++ b/packages/gateway/src/facts.ts
@@ -19,13 +19,13 @@
 /** What a gateway believes, beside its roster and its peers. */
 export interface GatewayFacts {
   readonly inForce: InForce | undefined
-  /** When the confirmation that counts was asked for: the latest asking that was answered, on `Clock.now`. */
+  /** When the confirmation that counts was asked for: the latest asking that was answered, on `Clock.bootNow`. */
   readonly confirmedAt: number
   /** Whether the store answered the last call of a watch. */
   readonly store: boolean
   /** Where the list of upstreams came from last; undefined before there is one. */
   readonly upstreamsFrom: 'store' | 'peer' | undefined
-  /** The list of upstreams lacks nothing that happened before this time, on `Clock.now`. */
+  /** The list of upstreams lacks nothing that happened before this time, on `Clock.bootNow`. */
   readonly upstreamsAt: number
   /** The store's revision up to which that list lacks nothing; undefined before there is one, or where its source did not say. */
   readonly upstreamsRevision: number | undefined
--- a/packages/gateway/src/listener.ts
+++ b/packages/gateway/src/listener.ts
@@ -26,7 +26,7 @@
     ...upstreamListener(options),
     configuration: (traffic, askedAt) => {
       if (enforce(board, traffic, clock.now())) {
-        log.write('configuration-new', { revision: traffic.revision, age: Math.round(clock.now() - askedAt) })
+        log.write('configuration-new', { revision: traffic.revision, age: Math.round(clock.bootNow() - askedAt) })
       }
       // An older configuration than the one in force, from a store that lags, confirms nothing.
       if (board.read('inForce')?.traffic.revision === traffic.revision) confirm(board, askedAt)
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -118,7 +118,7 @@
       })
     }
     single('eiderwind_configuration_revision', 'Revision of the configuration in force.', () => revisionInForce(board))
-    single('eiderwind_confirmation_age_seconds', 'Age of the newest confirmation of the configuration.', () => (clock.now() - board.read('confirmedAt')) / 1000)
+    single('eiderwind_confirmation_age_seconds', 'Age of the newest confirmation of the configuration.', () => (clock.bootNow() - board.read('confirmedAt')) / 1000)
     single('eiderwind_flights', 'Requests in flight at upstreams.', () => inFlight.total)
     single('eiderwind_waiting', 'Requests queued for an upstream.', () => queue.count)
     single('eiderwind_connections_opened_total', 'Connections opened to upstreams.', () => connections.opened)
--- a/packages/gateway/src/peerserver.ts
+++ b/packages/gateway/src/peerserver.ts
@@ -67,7 +67,7 @@
   /** A gateway that has no list itself cuts the connection: the asker asks another one. */
   #answerUpstreams (asked: UpstreamsAsked, response: ServerResponse): void {
     const { clock, board, changes } = this.#options
-    const arrivedAt = clock.now()
+    const arrivedAt = clock.bootNow()
     if (board.read('upstreamsFrom') === undefined) {
       response.destroy()
       return
@@ -86,7 +86,7 @@
     const { clock, board } = this.#options
     const traffic = board.read('inForce')?.traffic
     const own = traffic?.revision ?? 0
-    const age = clock.now() - board.read('confirmedAt')
+    const age = clock.bootNow() - board.read('confirmedAt')
     return encodeConfirmation(own, age, own > theirs ? traffic : undefined)
   }
 }
--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -14,12 +14,12 @@
 
 /** Up to when and to which of the store's revisions a list lacks nothing. */
 export interface Completeness {
-  /** On `Clock.now`, in ms. */
+  /** On `Clock.bootNow`, in ms. */
   readonly at: number
   readonly revision: number
 }
 
-/** Takes what a platform learns from its store. Times are on `Clock.now`, in ms. */
+/** Takes what a platform learns from its store. Times are on `Clock.bootNow`, in ms. */
 export interface PlatformListener {
   /** A configuration, read by a call that was made at `askedAt`. It may be the one that is already in force. */
   configuration (traffic: Traffic, askedAt: number): void
--- a/packages/gateway/src/upstreamfeed.ts
+++ b/packages/gateway/src/upstreamfeed.ts
@@ -55,7 +55,7 @@
   #stopped = false
   /** Whether the source that was asked last has answered. */
   #answering = false
-  /** The list lacks nothing that happened before this time, by the answers of sources, on `Clock.now`. */
+  /** The list lacks nothing that happened before this time, by the answers of sources, on `Clock.bootNow`. */
   #completeAt = -Infinity
 
   constructor (options: UpstreamFeedOptions) {
@@ -91,7 +91,7 @@
   /** Whether a list that lacks nothing from before `completeAt` counts: it is young enough, or the store is away, so that there is no better. */
   #counts (completeAt: number): boolean {
     const { clock, board, patience } = this.#options
-    return !board.read('store') || clock.now() - completeAt <= patience
+    return !board.read('store') || clock.bootNow() - completeAt <= patience
   }
 
   /** Follows one gateway as long as it is a source, answers, and what it says counts. */
@@ -99,7 +99,7 @@
     const { clock, sources } = this.#options
     let last: UpstreamChanges | undefined
     while (!this.#stopped && sources().some(each => each.id === id)) {
-      const askedAt = clock.now()
+      const askedAt = clock.bootNow()
       // A gateway that does not answer is left for the next source, or for the store itself.
       const answer = await this.#ask(address, last).catch(() => undefined)
       if (answer === undefined || this.#stopped) return
--- /dev/null
+++ b/packages/gateway/test/suspended.test.ts
@@ -0,0 +1,56 @@
+/** What a gateway believes after its machine was suspended: nothing that was confirmed before counts as young. */
+import { ManualClock } from '@eiderwind/clock'
+import { Pauses } from '@eiderwind/detect'
+import { type Context } from '@eiderwind/forward'
+import { Outage, Roster, type Upstream } from '@eiderwind/roster'
+import test from 'ava'
+import { Callers, type CallersOptions } from '../src/callers.js'
+import { confirm, gatewayBoard } from '../src/facts.js'
+
+test('keys need a confirmation that was asked for after the suspension', t => {
+  const clock = new ManualClock()
+  const board = gatewayBoard()
+  const callers = new Callers({ context: { clock } as unknown as Context, board, freshness: 3800, strictKeys: true } as unknown as CallersOptions)
+  const askedAt = clock.bootNow()
+  clock.advance(1000)
+  confirm(board, askedAt)
+  t.true(callers.servesKeys)
+  clock.suspend(6000)
+  t.is(clock.now(), 1000)
+  t.false(callers.servesKeys)
+  // The answer to a question of before arrives now.
+  confirm(board, askedAt + 1000)
+  t.false(callers.servesKeys)
+  confirm(board, clock.bootNow())
+  t.true(callers.servesKeys)
+})
+
+test('a suspension is a pause: silence that was measured through it says nothing', t => {
+  const clock = new ManualClock()
+  const paused: number[] = []
+  const pauses = new Pauses(clock, time => { paused.push(time) })
+  pauses.start()
+  clock.advance(200)
+  t.is(pauses.resumedAt, -Infinity)
+  clock.suspend(5000)
+  t.is(pauses.resumedAt, 200)
+  clock.advance(200)
+  t.deepEqual(paused, [5000])
+  pauses.stop()
+})
+
+test('an upstream that is missing after an outage is kept no longer because the machine slept', t => {
+  const clock = new ManualClock()
+  const outage = new Outage(clock)
+  const roster = new Roster(clock, outage)
+  const upstream: Upstream = { id: 'a', service: 's', address: 'a:1', dataCentre: 'dc', leaving: false, loaded: [], staged: [] }
+  roster.replace([upstream])
+  for (let count = 0; count < 2; count++) {
+    outage.failed(clock.bootNow())
+    clock.advance(1500)
+  }
+  outage.answered()
+  clock.suspend(5000)
+  roster.replace([])
+  t.is(roster.find('a'), undefined)
+})
--- a/packages/lease/src/holding.ts
+++ b/packages/lease/src/holding.ts
@@ -1,6 +1,6 @@
 /**
  * The side of a lease that holds. It counts the grants of one claim and says until when the quorum stands: a pure value,
- * without timers or messages. It relies on times from `Clock.holderNow`, taken before each request was sent.
+ * without timers or messages. It relies on times from `Clock.bootNow`, taken before each request was sent.
  */
 import { type Claim } from './granter.js'
 
@@ -45,7 +45,7 @@
     return new Holding(this.claim, this.granters, this.#needed, new Map(this.#untils).set(granter, until))
   }
 
-  /** Whether the quorum stands at `now`, read from `Clock.holderNow`. */
+  /** Whether the quorum stands at `now`, read from `Clock.bootNow`. */
   valid (now: number): boolean {
     return now < this.until
   }
--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -57,17 +57,17 @@
 
   /** Whether the quorum stands at this very moment. Cheap enough to ask before each chunk that is forwarded. */
   get valid (): boolean {
-    return !this.#released && this.#holding.valid(this.#options.clock.holderNow())
+    return !this.#released && this.#holding.valid(this.#options.clock.bootNow())
   }
 
-  /** When the quorum ends unless renewed, on `Clock.holderNow`. */
+  /** When the quorum ends unless renewed, on `Clock.bootNow`. */
   get until (): number {
     return this.#released ? -Infinity : this.#holding.until
   }
 
   /** The granters whose grant is missing now. */
   get missing (): string[] {
-    return this.#holding.missing(this.#options.clock.holderNow())
+    return this.#holding.missing(this.#options.clock.bootNow())
   }
 
   /** The term of this lease. */
@@ -112,7 +112,7 @@
 
   async #ask (granter: string): Promise<void> {
     const { channel, claim, clock, listener } = this.#options
-    const sent = clock.holderNow()
+    const sent = clock.bootNow()
     // No answer needs no handling: the grant expires by itself, `lapsed` reports it, and the next interval asks again.
     const answer = await channel.request(granter, claim).catch(() => undefined)
     if (this.#released || answer === undefined) return
@@ -134,6 +134,6 @@
       else listener?.lapsed?.(this.missing)
     }
     this.#expiry?.cancel()
-    if (valid) this.#expiry = clock.after(this.until - clock.holderNow(), () => this.#note())
+    if (valid) this.#expiry = clock.after(this.until - clock.bootNow(), () => this.#note())
   }
 }
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -23,6 +23,7 @@
   'settings-refused': { number: 103, level: 'error', text: 'The settings have problems; each is listed.' },
   crashed: { number: 104, level: 'error', text: 'The process could not start and exits; the cause is given.' },
   'controller-failed': { number: 105, level: 'warn', text: 'An update of a controller failed; the next one runs as usual.' },
+  'process-paused': { number: 106, level: 'warn', text: 'This process did not run for the given time, in ms: frozen, without a processor, or on a suspended machine. What it knew before counts by its age, the pause included.' },
   'store-lost': { number: 200, level: 'warn', text: 'Store unreachable; continuing with cached state.' },
   'store-back': { number: 201, level: 'info', text: 'Store reachable again.' },
   'configuration-new': { number: 202, level: 'info', text: 'A new revision of the configuration is in force in this process.' },
--- a/packages/log/test/forms.test.ts
+++ b/packages/log/test/forms.test.ts
@@ -9,6 +9,7 @@
   '103 settings-refused error',
   '104 crashed error',
   '105 controller-failed warn',
+  '106 process-paused warn',
   '200 store-lost warn',
   '201 store-back info',
   '202 configuration-new info',
--- a/packages/roster/src/outage.ts
+++ b/packages/roster/src/outage.ts
@@ -34,10 +34,10 @@
 
   constructor (clock: Clock) {
     this.#clock = clock
-    this.#answeredAt = clock.now()
+    this.#answeredAt = clock.bootNow()
   }
 
-  /** Until when records that lapsed during the last outage may be listed again, on `Clock.now`. */
+  /** Until when records that lapsed during the last outage may be listed again, on `Clock.bootNow`. */
   get relistDeadline (): number {
     return this.#endedAt + relistTime
   }
@@ -47,7 +47,7 @@
    * and thus whether upstreams are missing that have yet to be listed again.
    */
   get listComplete (): boolean {
-    return this.#clock.now() - this.#firstAnswerAt >= relistTime
+    return this.#clock.bootNow() - this.#firstAnswerAt >= relistTime
   }
 
   /** Whether the list was not followed here for a while: what the process knew of outages has a gap. */
@@ -58,10 +58,10 @@
   /**
    * Notes that the list is followed here again from now on, after another process did so. Where a gap is left in which an outage may have
    * passed unnoticed, one may just have ended, as at a start.
-   * @param knownUpTo the list lacks nothing that happened before, on `Clock.now`
+   * @param knownUpTo the list lacks nothing that happened before, on `Clock.bootNow`
    */
   resume (knownUpTo: number): void {
-    const now = this.#clock.now()
+    const now = this.#clock.bootNow()
     if (now - knownUpTo <= minimumOutage) return
     this.#firstAnswerAt = now
     this.#resumed = true
@@ -69,7 +69,7 @@
 
   /** Notes that a call was answered. */
   answered (): void {
-    const now = this.#clock.now()
+    const now = this.#clock.bootNow()
     this.#firstAnswerAt = Math.min(this.#firstAnswerAt, now)
     if (this.#failingSince !== undefined && this.#failures >= minimumFailures && now - this.#failingSince > minimumOutage) this.#endedAt = now
     this.#answeredAt = now
@@ -77,7 +77,7 @@
     this.#failures = 0
   }
 
-  /** Notes that a call failed. @param askedAt when it was made, on `Clock.now` */
+  /** Notes that a call failed. @param askedAt when it was made, on `Clock.bootNow` */
   failed (askedAt: number): void {
     this.#failures++
     this.#failingSince ??= Math.max(askedAt, this.#answeredAt)
--- a/packages/roster/src/roster.ts
+++ b/packages/roster/src/roster.ts
@@ -156,7 +156,7 @@
   #remove (name: string, absence: Absence): boolean {
     const upstream = this.#lives.get(name)
     if (upstream === undefined) return false
-    const grace = absence === 'certain' ? 0 : (this.#outage?.relistDeadline ?? -Infinity) - this.#clock.now()
+    const grace = absence === 'certain' ? 0 : (this.#outage?.relistDeadline ?? -Infinity) - this.#clock.bootNow()
     if (grace > 0) {
       this.#lapse(upstream, grace)
       return false
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -19,7 +19,7 @@
     rule: 'a holder counts a grant from when its request was sent',
     file: 'packages/lease/dist/src/lease.js',
     find: 'this.#holding.granted(granter, sent)',
-    replace: 'this.#holding.granted(granter, clock.holderNow())',
+    replace: 'this.#holding.granted(granter, clock.bootNow())',
     test: 'packages/lease/dist/test/exclusion.test.js',
     title: 'a grant whose answer came late*'
   },
