--- a/packages/crashes/src/crashes.ts
+++ b/packages/crashes/src/crashes.ts
@@ -1,6 +1,6 @@
 /**
  * What a gateway does about requests that crash the upstreams that run them: it gathers whose attempts broke, finds out whether that was a crash,
- * tells the other gateways, takes their reports, and says which requests may be sent. Owns the history, the trials and the reports; relies on its
+ * reports it to the other gateways, takes their reports, and says which requests may be sent. Owns the history, the trials and the reports; relies on its
  * caller for each attempt's end, for heartbeats in both directions, and for a look whether a process still listens at an address.
  */
 import { type Clock } from '@eiderwind/clock'
--- a/packages/crashes/src/fingerprint.ts
+++ b/packages/crashes/src/fingerprint.ts
@@ -1,5 +1,5 @@
 /**
- * By what a request is known again. Its caller sends it anew under another id, perhaps to another gateway, so only its content tells that it
+ * By what a request is known again. Its caller sends it anew under another id, perhaps to another gateway, so only its content shows that it
  * is the same: whose it is, and what is asked for. Pure; the fingerprint is exchanged between gateways and stored, so it must not change.
  */
 import { createHash } from 'node:crypto'
--- a/packages/crashes/src/history.ts
+++ b/packages/crashes/src/history.ts
@@ -2,7 +2,7 @@
  * Which requests were in flight at upstreams when they crashed, and what follows for them. Owns the records; relies on its callers to report crashes
  * from all gateways, and runs that came to an end.
  *
- * A crash takes some 20 requests with it, and all of them but one only ran beside the one that caused it. So nobody is blocked for having been
+ * A crash takes some 20 requests with it, and all of them but one only ran beside the one that caused it. So no request is blocked for having been
  * there. After two crashes a request is suspected: from then on it runs where no other suspect does (`Trials`), and only a crash in which it was the
  * only suspect blocks it. A run to its end clears it.
  */
@@ -58,7 +58,7 @@
  */
 const settleTime = 150
 
-/** How long a request that is not blocked is remembered after the last crash, in ms. Chosen, not measured: callers come back after half a minute. */
+/** How long a request that is not blocked is remembered after the last crash, in ms. Chosen, not measured: callers have returned after half a minute. */
 const suspicionMemory = 10 * 60_000
 
 /** Time after which a blocked request may run once more, as a suspect, in ms: its engines may have been mended. Chosen, not measured. */
--- a/packages/crashes/src/reports.ts
+++ b/packages/crashes/src/reports.ts
@@ -5,7 +5,7 @@
 import { type Clock } from '@eiderwind/clock'
 import { type Crash } from './history.js'
 
-/** A crash, as one gateway tells it another one. */
+/** A crash, as one gateway reports it to another one. */
 export interface CrashReport {
   readonly upstream: string
   /** Time since the connections broke, in ms. */
@@ -17,7 +17,7 @@
 /** How long a report is repeated, in ms: four regular heartbeats of a small fleet. Chosen, not measured. */
 const reportTime = 1000
 
-/** Crashes, and requests of one crash and clearances, that are told at once: below 6 kB together. Chosen, not measured. */
+/** Crashes, and requests of one crash and clearances, that are reported at once: below 6 kB together. Chosen, not measured. */
 const mostCrashes = 4
 const mostRequests = 64
 
--- /dev/null
+++ b/packages/gateway/src/crashwatch.ts
@@ -0,0 +1,78 @@
+/**
+ * Connects what is known of requests that crash upstreams with the rest of the gateway: the roster, heartbeats in both directions, the log, and the list of
+ * blocked requests that the gateways share. It makes `Crashes` and `Blocklist` and owns nothing else.
+ */
+import { type Clock } from '@eiderwind/clock'
+import { Crashes, type Crash } from '@eiderwind/crashes'
+import { type Log } from '@eiderwind/log'
+import { type Heartbeat, type PeerAddress, type Peers } from '@eiderwind/peers'
+import { type Roster } from '@eiderwind/roster'
+import { listensAt, type Connections } from '@eiderwind/wire'
+import { Blocklist } from './blocklist.js'
+import { type Blocks } from './blocks.js'
+
+/** Dependencies of `CrashWatch`. */
+export interface CrashWatchOptions {
+  readonly clock: Clock
+  readonly log: Log
+  /** This gateway's id. */
+  readonly id: string
+  readonly roster: Roster
+  readonly peers: Peers
+  readonly connections: Connections
+  readonly blocks: Blocks
+  /** Called when requests that wait should look for an upstream again. */
+  readonly changed: () => void
+}
+
+/** How long a connection to an upstream that may have crashed may take, in ms: over 100 times the way there and back (1.4 ms each). */
+const connectTime = 350
+
+/** Crashes of upstreams, and the requests behind them. */
+export class CrashWatch {
+  readonly crashes: Crashes
+  readonly #options: CrashWatchOptions
+  readonly #blocklist: Blocklist
+
+  constructor (options: CrashWatchOptions) {
+    const { clock, roster, peers, changed } = options
+    this.#options = options
+    this.crashes = new Crashes({
+      clock,
+      hasEnded: upstream => roster.hasEnded(upstream),
+      listensAt: async address => await listensAt(address, clock, connectTime),
+      otherTrials: () => peers.live.flatMap(({ trials }) => trials === undefined ? [] : [trials]),
+      tell: () => peers.send(),
+      changed,
+      crashed: crash => this.#crashed(crash),
+      blocked: (request, upstreams) => this.#blocked(request, upstreams)
+    })
+    this.#blocklist = new Blocklist({ ...options, crashes: this.crashes })
+  }
+
+  /** Takes the blocked requests that were stored before this process began. */
+  start (): void {
+    this.#blocklist.start()
+  }
+
+  /** What the heartbeats to other gateways say. */
+  get news (): Pick<Heartbeat, 'crashes' | 'cleared' | 'trials' | 'blocked'> {
+    return { ...this.crashes.news, blocked: this.#blocklist.digest }
+  }
+
+  /** Takes what the heartbeat of another gateway says. */
+  hear ({ crashes = [], cleared = [], blocked }: Heartbeat, from: PeerAddress): void {
+    this.crashes.hear({ crashes, cleared })
+    this.#blocklist.heard(blocked, from)
+  }
+
+  #crashed ({ upstream, requests }: Crash): void {
+    this.#options.log.write('upstream-crashed', { upstream, requests: requests.join(' ') })
+  }
+
+  #blocked (request: string, upstreams: readonly string[]): void {
+    const time = Math.round(this.crashes.blockedFor({ fingerprint: request }))
+    this.#options.log.write('request-blocked', { fingerprint: request, upstreams: upstreams.join(' '), time })
+    this.#blocklist.add(request)
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,19 +4,18 @@
  * Owns every part and the board that they share. Relies on `Platform` for all that the users' platform says and keeps.
  */
 import { randomUUID } from 'node:crypto'
-import { Crashes } from '@eiderwind/crashes'
 import { InFlight, Pauses, Stalls, Suspects } from '@eiderwind/detect'
 import { Choice, Queue } from '@eiderwind/dispatch'
 import { type Reconciler } from '@eiderwind/forming'
 import { type Context } from '@eiderwind/forward'
-import { Peers, type Heartbeat, type PeerAddress } from '@eiderwind/peers'
+import { Peers, type Heartbeat } from '@eiderwind/peers'
 import { Outage, Roster } from '@eiderwind/roster'
-import { Connections, listensAt } from '@eiderwind/wire'
-import { Blocklist } from './blocklist.js'
+import { Connections } from '@eiderwind/wire'
 import { Budgets } from './budgets.js'
 import { Callers } from './callers.js'
 import { ChangeLog } from './changelog.js'
 import { Confirmations } from './confirmations.js'
+import { CrashWatch } from './crashwatch.js'
 import { ModelLoad } from './demand.js'
 import { gatewayBoard, revisionInForce } from './facts.js'
 import { platformListener } from './listener.js'
@@ -58,8 +57,7 @@
   readonly #outage: Outage
   readonly #roster: Roster
   readonly #suspects: Suspects
-  readonly #crashes: Crashes
-  readonly #blocklist: Blocklist
+  readonly #crashWatch: CrashWatch
   readonly #queue: Queue
   readonly #inFlight: InFlight
   readonly #peers: Peers
@@ -84,17 +82,16 @@
     this.#suspects = new Suspects(clock, this.#roster)
     this.#queue = new Queue(clock)
     this.#inFlight = new InFlight(clock, () => this.#queue.wake())
-    this.#peers = new Peers({ clock, id: settings.id, address: settings.peers, heartbeat: () => this.#heartbeat(), heard: (heartbeat, from) => this.#hear(heartbeat, from), interval: heartbeatInterval, timeout: heartbeatTimeout, urgent: () => this.#leadership.isUrgent })
+    this.#peers = new Peers({ clock, id: settings.id, address: settings.peers, heartbeat: () => this.#heartbeat(), heard: (heartbeat, from) => this.#crashWatch.hear(heartbeat, from), interval: heartbeatInterval, timeout: heartbeatTimeout, urgent: () => this.#leadership.isUrgent })
     const peers = this.#peers
     this.#leadership = new Leadership({ clock, log, board, outage: this.#outage, pauses: this.#pauses, peers, leaders: platform.leaders, id: settings.id, firstStart: settings.first })
     this.#budgets = new Budgets({ clock, board, peers, settings })
-    this.#crashes = this.#makeCrashes()
-    this.#blocklist = new Blocklist({ clock, id: settings.id, peers, blocks: platform.blocks, crashes: this.#crashes, connections: this.#connections })
+    this.#crashWatch = new CrashWatch({ clock, log, id: settings.id, roster: this.#roster, peers, connections: this.#connections, blocks: platform.blocks, changed: () => this.#queue.wake() })
     this.#metrics = new Metrics({ clock, board, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, connections: this.#connections, budgets: this.#budgets })
     this.#callers = this.#makeCallers()
     this.#confirmations = new Confirmations({ clock, board, peers, connections: this.#connections, informed: () => this.#leadership.informed })
     this.#upstreamFeed = this.#makeUpstreamFeed()
-    this.#peerServer = new PeerServer({ clock, board, changes: new ChangeLog({ clock, board, roster: this.#roster, life: randomUUID(), wait: Math.min(longestChangeWait, changeWaitShare * settings.patience) }), crashes: this.#crashes, address: settings.peers, orders: platform.orders })
+    this.#peerServer = new PeerServer({ clock, board, changes: new ChangeLog({ clock, board, roster: this.#roster, life: randomUUID(), wait: Math.min(longestChangeWait, changeWaitShare * settings.patience) }), crashes: this.#crashWatch.crashes, address: settings.peers, orders: platform.orders })
     this.#health = new Health(settings.health, () => this.ready)
     this.#stalls = this.#makeStalls()
     this.#reconciler = makeReconciler({
@@ -131,7 +128,7 @@
     if (settings.metrics !== '') await this.#metrics.start(settings.metrics)
     platform.watch(platformListener({ clock, log, board: this.#board, roster: this.#roster, outage: this.#outage, peers: this.#peers }))
     platform.register({ id: settings.id, address: settings.peers })
-    if (!settings.first) this.#blocklist.start()
+    if (!settings.first) this.#crashWatch.start()
     this.#pauses.start()
     this.#stalls.start()
     this.#reconciler.start()
@@ -159,7 +156,7 @@
 
   #makeCallers (): Callers {
     const { clock, log, platform: { names }, settings: { dataCentre, callers: address, freshness, strictKeys } } = this.#options
-    const shared = { clock, roster: this.#roster, inFlight: this.#inFlight, suspects: this.#suspects, crashes: this.#crashes }
+    const shared = { clock, roster: this.#roster, inFlight: this.#inFlight, suspects: this.#suspects, crashes: this.#crashWatch.crashes }
     const choice = new Choice({ ...shared, peers: this.#peers, dataCentre, random: Math.random })
     const context: Context = { ...shared, log, names, connections: this.#connections, choice, queue: this.#queue, retryBudget: service => this.#budgets.of(service) }
     const requests = new RequestLog({ clock, log, metrics: this.#metrics })
@@ -175,30 +172,6 @@
     })
   }
 
-  #makeCrashes (): Crashes {
-    const { clock, log } = this.#options
-    const crashes: Crashes = new Crashes({
-      clock,
-      hasEnded: upstream => this.#roster.hasEnded(upstream),
-      listensAt: async address => await listensAt(address, clock, connectTime),
-      otherTrials: () => this.#peers.live.flatMap(({ trials }) => trials === undefined ? [] : [trials]),
-      tell: () => this.#peers.send(),
-      changed: () => this.#queue.wake(),
-      crashed: ({ upstream, requests }) => log.write('upstream-crashed', { upstream, requests: requests.join(' ') }),
-      blocked: (request, upstreams) => {
-        log.write('request-blocked', { fingerprint: request, upstreams: upstreams.join(' '), time: Math.round(crashes.blockedFor({ fingerprint: request })) })
-        this.#blocklist.add(request)
-      }
-    })
-    return crashes
-  }
-
-  /** Takes what another gateway says beyond what `Peers` keeps. */
-  #hear ({ crashes = [], cleared = [], blocked }: Heartbeat, from: PeerAddress): void {
-    this.#crashes.hear({ crashes, cleared })
-    this.#blocklist.heard(blocked, from)
-  }
-
   #makeUpstreamFeed (): UpstreamFeed {
     const { clock, log, platform } = this.#options
     return new UpstreamFeed({
@@ -244,8 +217,7 @@
       served: this.#callers.served,
       loads: this.#reconciler.loads,
       terms: this.#leadership.terms,
-      ...this.#crashes.news,
-      blocked: this.#blocklist.digest
+      ...this.#crashWatch.news
     }
   }
 }
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -3,6 +3,26 @@
  * red. `find` must stand exactly once in the file.
  */
 export const breakages = [
+  {
+    name: 'crash-without-verdict',
+    point: 8,
+    rule: 'a crash in which a request was the only suspect blocks it',
+    file: 'packages/crashes/dist/src/history.js',
+    find: 'suspects.length === 1',
+    replace: 'false',
+    test: 'packages/crashes/dist/test/history.test.js',
+    title: 'a request alone under three crashes*'
+  },
+  {
+    name: 'life-late-record',
+    point: 1,
+    rule: 'a record of an earlier life is not taken after one of a later',
+    file: 'packages/roster/dist/src/roster.js',
+    find: 'this.#ended.has(record.id) || ',
+    replace: '',
+    test: 'packages/roster/dist/test/lives.test.js',
+    title: 'a record of an earlier life*'
+  },
   {
     name: 'grant-after-restart',
     point: 1,
