--- a/packages/gateway/src/crashwatch.ts
+++ b/packages/gateway/src/crashwatch.ts
@@ -71,8 +71,8 @@
   }
 
   #blocked (request: string, upstreams: readonly string[]): void {
-    const time = Math.round(this.crashes.blockedFor({ fingerprint: request }))
-    this.#options.log.write('request-blocked', { fingerprint: request, upstreams: upstreams.join(' '), time })
+    const remaining = Math.round(this.crashes.blockedFor({ fingerprint: request }))
+    this.#options.log.write('request-blocked', { fingerprint: request, upstreams: upstreams.join(' '), remaining })
     this.#blocklist.add(request)
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -76,7 +76,7 @@
     const { clock, log, platform, settings } = options
     const board = this.#board
     this.#options = options
-    this.#pauses = new Pauses(clock, time => log.write('process-paused', { time: Math.round(time) }))
+    this.#pauses = new Pauses(clock, time => log.write('process-paused', { paused: Math.round(time) }))
     this.#outage = new Outage(clock)
     this.#roster = new Roster(clock, this.#outage)
     this.#suspects = new Suspects(clock, this.#roster)
--- a/packages/log/src/log.ts
+++ b/packages/log/src/log.ts
@@ -5,8 +5,16 @@
 import loglevel from 'loglevel'
 import { events, type EventName, type Level } from './events.js'
 
+/** What each line says of itself: no field of an event may take one of these names, since it would replace it. */
+interface Reserved {
+  readonly time?: never
+  readonly event?: never
+  readonly name?: never
+  readonly level?: never
+}
+
 /** Fields of an event beside its number and name. Never keys or tokens. */
-export type Fields = Readonly<Record<string, string | number | boolean | undefined>>
+export type Fields = Readonly<Record<string, string | number | boolean | undefined>> & Reserved
 
 /** Takes one line, without its line break. */
 export type Sink = (line: string) => void
