--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -86,9 +86,14 @@
     const { request, context: { crashes } } = this
     const standing = crashes.standing(request)
     if (standing === 'blocked') return standing
-    const apart = new Set([...request.tried, ...crashes.underTrial])
-    if (standing === 'trusted') return this.choose(apart) ?? this.choose(request.tried)
-    return crashes.mayTry(request) ? this.#try(this.choose(apart)) : undefined
+    if (standing === 'suspected') return crashes.mayTry(request) ? this.#try(this.choose(this.#triedOrUnderTrial)) : undefined
+    const apart = crashes.underTrial.size > 0 ? this.choose(this.#triedOrUnderTrial) : undefined
+    return apart ?? this.choose(request.tried)
+  }
+
+  get #triedOrUnderTrial (): ReadonlySet<string> {
+    const { request: { tried }, context: { crashes: { underTrial } } } = this
+    return new Set([...tried, ...underTrial])
   }
 
   /** Begins the trial at once, so that no other suspect that waits is sent to the same upstream. */
