--- a/packages/forward/src/outgoing.ts
+++ b/packages/forward/src/outgoing.ts
@@ -1,6 +1,6 @@
 /** Makes the HTTP request to an upstream from that of the caller: which headers are passed on, removed and added. */
 import { type IncomingMessage } from 'node:http'
-import { nameOf, type Upstream } from '@eiderwind/roster'
+import { listedName, type Upstream } from '@eiderwind/roster'
 import { hopHeaders, type Call } from '@eiderwind/wire'
 import { lastEventName, type HeaderNames } from './names.js'
 import { type CallerRequest } from './request.js'
@@ -15,7 +15,7 @@
   delete headers[names.key]
   delete headers[names.team]
   if (team !== undefined) headers[names.team] = team.name
-  headers[names.upstream] = nameOf(upstream)
+  headers[names.upstream] = listedName(upstream)
   headers[names.deadline] = String(Math.max(1, Math.floor(request.timeLeft)))
   headers[names.urgency] = String(Math.min(leastUrgent, request.priority))
   if (lastEvent !== undefined) headers[lastEventName] = String(lastEvent)
--- a/packages/peers/src/heartbeat.ts
+++ b/packages/peers/src/heartbeat.ts
@@ -88,8 +88,8 @@
     every: interval,
     ask: onlyTrue(asks),
     terms: unlessEmpty(terms),
-    crashes: unlessNone(crashes),
-    cleared: unlessNone(cleared),
+    crashes: unlessEmpty(crashes),
+    cleared: unlessEmpty(cleared),
     trials: unlessEmpty(trials),
     blocked
   })
@@ -100,26 +100,18 @@
   return flag === true ? true : undefined
 }
 
-/** A table that is left out of the datagram where it is empty. */
-function unlessEmpty<Value> (table: Readonly<Record<string, Value>> = {}): Readonly<Record<string, Value>> | undefined {
-  return Object.keys(table).length === 0 ? undefined : table
-}
-
-/** A list that is left out of the datagram where it is empty. */
-function unlessNone<Value> (list: readonly Value[] = []): readonly Value[] | undefined {
-  return list.length === 0 ? undefined : list
+/** A table or a list that is left out of the datagram where it is empty. */
+function unlessEmpty<Value extends object> (value: Value | undefined): Value | undefined {
+  return value === undefined || Object.keys(value).length === 0 ? undefined : value
 }
 
 /** The heartbeat in a datagram, or undefined where the datagram is not one. */
 export function decode (message: Buffer): Heartbeat | undefined {
   const { data } = Datagram.safeParse(parsed(message))
   if (data === undefined) return undefined
-  const { id, revision, able: canPlan, watch: canWatch, loads: inFlight, suspects, models: inFlightByModel, served, weights: loads = {}, every: interval, ask: asks, ...optional } = data
-  const heartbeat: Mutable<Heartbeat> = { id, revision, canPlan, inFlight, suspects, inFlightByModel, served, loads }
-  if (canWatch !== undefined) heartbeat.canWatch = canWatch
-  if (interval !== undefined) heartbeat.interval = interval
-  if (asks !== undefined) heartbeat.asks = asks
-  return { ...heartbeat, ...defined({ terms: optional.terms, crashes: optional.crashes, cleared: optional.cleared, trials: optional.trials, blocked: optional.blocked }) }
+  const { id, revision, able: canPlan, watch: canWatch, loads: inFlight, suspects, models: inFlightByModel, served, weights: loads = {}, every: interval, ask: asks, ...others } = data
+  // All others have the same name on the wire, and may be absent.
+  return { id, revision, canPlan, inFlight, suspects, inFlightByModel, served, loads, ...defined({ canWatch, interval, asks, ...others }) }
 }
 
 /** The fields that a datagram has. */
@@ -127,8 +119,6 @@
   return Object.fromEntries(Object.entries(fields).filter(([_name, value]) => value !== undefined))
 }
 
-type Mutable<Type> = { -readonly [Key in keyof Type]: Type[Key] }
-
 function parsed (message: Buffer): unknown {
   try {
     return JSON.parse(message.toString())
--- a/packages/roster/src/index.ts
+++ b/packages/roster/src/index.ts
@@ -1,4 +1,4 @@
 /** The upstreams that the store lists, the replicas that their engines report, and when each upstream left. */
-export { Membership, Upstream, nameOf } from './upstream.js'
+export { Membership, Upstream, listedName } from './upstream.js'
 export { Roster, type Absence, type Departure, type RosterChange } from './roster.js'
 export { Outage } from './outage.js'
--- a/packages/roster/src/roster.ts
+++ b/packages/roster/src/roster.ts
@@ -6,7 +6,7 @@
 import { isDeepStrictEqual } from 'node:util'
 import { type Clock } from '@eiderwind/clock'
 import { type Outage } from './outage.js'
-import { nameOf, type Upstream } from './upstream.js'
+import { listedName, type Upstream } from './upstream.js'
 
 /**
  * A change of one upstream's record: its new content, or the name of a record that is no longer listed. `certain`: something else stands in its
@@ -101,7 +101,7 @@
 
   /** Takes the whole list: an upstream that is not on it is no longer listed. */
   replace (upstreams: readonly Upstream[], absence: Absence = 'judged'): void {
-    const listed = new Set(upstreams.map(nameOf))
+    const listed = new Set(upstreams.map(listedName))
     const gone = [...this.#lives.keys()].filter(name => !listed.has(name)).map(name => ({ gone: name }))
     this.#hasList = true
     this.apply([...gone, ...upstreams.map(upstream => ({ upstream }))], absence)
@@ -135,7 +135,7 @@
    * not taken. Returns whether the record says anything new.
    */
   #update (record: Upstream): boolean {
-    const present = this.#lives.get(nameOf(record))
+    const present = this.#lives.get(listedName(record))
     if (this.#ended.has(record.id) || (present !== undefined && isEarlier(record, present))) return false
     if (present !== undefined && present.id !== record.id) this.#end(present)
     this.#lapsed.delete(record.id)
@@ -143,7 +143,7 @@
     const upstream = leaving ? { ...record, leaving } : record
     const isNew = !isDeepStrictEqual(upstream, this.#upstreams.get(record.id))
     this.#upstreams.set(upstream.id, upstream)
-    this.#lives.set(nameOf(upstream), upstream)
+    this.#lives.set(listedName(upstream), upstream)
     if (leaving) this.#depart(upstream)
     else this.#departures.delete(upstream.id)
     return isNew
@@ -182,7 +182,7 @@
   #forget (upstream: Upstream): void {
     this.#lapsed.delete(upstream.id)
     this.#upstreams.delete(upstream.id)
-    this.#lives.delete(nameOf(upstream))
+    this.#lives.delete(listedName(upstream))
     this.#depart(upstream)
   }
 
@@ -192,7 +192,7 @@
     if (this.#lapsed.has(id)) return
     this.#lapsed.add(id)
     this.#clock.after(grace, () => {
-      if (this.#lapsed.delete(id)) this.apply([{ gone: nameOf(upstream) }])
+      if (this.#lapsed.delete(id)) this.apply([{ gone: listedName(upstream) }])
     })
   }
 
--- a/packages/roster/src/upstream.ts
+++ b/packages/roster/src/upstream.ts
@@ -43,6 +43,6 @@
 export type Upstream = z.infer<typeof Upstream>
 
 /** The name under which an upstream is listed. */
-export function nameOf ({ id, name }: Pick<Upstream, 'id' | 'name'>): string {
+export function listedName ({ id, name }: Pick<Upstream, 'id' | 'name'>): string {
   return name ?? id
 }
