Log what a refusing upstream said of when to come back

Cause: the log of the incident says that heads answered 503, not that they asked for rest. Change: the line of such an attempt carries the Retry-After as it came.

--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -19,6 +19,9 @@
 /** Errors of a connection that did not come up, after which the upstream is suspected. */
 const unreachable = new Set(['UND_ERR_CONNECT_TIMEOUT', 'ECONNREFUSED', 'EHOSTUNREACH'])
 
+/** Characters of an upstream's own text that the log shows. Chosen, not measured. */
+const longestShown = 40
+
 /** Options of an attempt. */
 export interface AttemptOptions {
   readonly context: Context
@@ -124,7 +127,7 @@
       return this.#end(this.isComplete() ? { kind: 'passed' } : { kind: 'lost', why: 'the stream ended in the middle of an event', broken: true })
     }
     if (this.#saysNotRun) {
-      return this.#end({ kind: 'not-run', why: `the upstream answered ${this.#status}`, sent: true })
+      return this.#end({ kind: 'not-run', why: `the upstream answered ${this.#status}${this.#saidRetryAfter}`, sent: true })
     }
     this.#end({ kind: 'answered', status: this.#status, headers: this.#headers, body: Buffer.concat(this.#chunks) })
   }
@@ -144,6 +147,12 @@
     return saysNotRun(this.#status, this.#headers, this.#options.context.names)
   }
 
+  /** What an answer said of when to come back, for the log: as it came, since it decides what may be sent there. */
+  get #saidRetryAfter (): string {
+    const said = answerHeader(this.#headers, 'retry-after')
+    return said === undefined ? '' : `, Retry-After ${said.slice(0, longestShown)}`
+  }
+
   #received (): void {
     const { context, upstream } = this.#options
     if (this.#inFlight !== undefined) context.inFlight.received(this.#inFlight)
