Keep to the rest that an upstream asks for, and to its word that it is leaving

Cause: of a refusing answer a gateway took only that the request had not run. A head that refuses at once has the fewest requests in flight, so all gateways chose it before all others. Change: what an upstream says of itself is decoded from every answer (platform/src/conditions.ts); one that asked for rest is left out of the choice until its end (detect/src/rests.ts), what waits for its connection is withdrawn, and where all rest callers are refused at once with the first end. Server-Leaving in any answer counts, and other gateways hear of it (optional heartbeat key). Events 422, 423, two metrics, explain names the rest. Ruled out: callers that come back (the test has none), a way round a known rest (none was known), telling other gateways of a rest.

--- a/packages/ctl/src/explain.ts
+++ b/packages/ctl/src/explain.ts
@@ -24,7 +24,7 @@
 const relatedTime = 8000
 
 /** Events about an upstream, or about what a gateway believed. */
-const relatedEvents = new Set(['upstream-suspected', 'replica-decided', 'engine-order', 'store-lost', 'store-back', 'configuration-unconfirmed', 'configuration-confirmed', 'stopping'])
+const relatedEvents = new Set(['upstream-suspected', 'upstream-resting', 'upstream-leaving', 'replica-decided', 'engine-order', 'store-lost', 'store-back', 'configuration-unconfirmed', 'configuration-confirmed', 'stopping'])
 
 /** Decodes one line of a log file; undefined where it is no event. Anything may stand before the JSON. */
 export function readLine (text: string): LogLine | undefined {
@@ -56,6 +56,8 @@
 function isRelated (line: LogLine, end: LogLine): boolean {
   if (!relatedEvents.has(line.name)) return false
   const apart = Date.parse(end.time) - Date.parse(line.time)
+  // A request that was refused since upstreams rest has no attempt that would name them.
+  if (line.name === 'upstream-resting' && String(end.outcome).startsWith('busy')) return line.node === end.node && apart >= 0 && apart < Number(line.rest)
   if (apart < 0 || apart > relatedTime) return false
   const upstreams = attemptedUpstreams(end)
   if (upstreams.some(each => line.upstream === each || String(line.note ?? '').includes(each))) return true
@@ -72,9 +74,11 @@
   const outcome = String(end.outcome)
   const attempts = String(end.attempts ?? '')
   const suspected = around.filter(each => each.name === 'upstream-suspected').map(each => String(each.upstream))
+  const resting = around.filter(each => each.name === 'upstream-resting' && each.node === end.node).map(restOf)
   const dissolved = around.filter(each => each.name === 'replica-decided' && String(each.note).includes('dissolved')).map(each => String(each.note))
   const evidence = [
     ...suspected.length > 0 ? [`${[...new Set(suspected)].join(', ')} stalled`] : [],
+    ...resting,
     ...dissolved.length > 0 ? [`the planner found: ${dissolved.join('; ')}`] : []
   ].join('; ')
   const [code] = outcome.split(' ')
@@ -82,13 +86,18 @@
   return `${gateway} had it for ${String(end.took)} ms: ${reason}. Attempts: ${attempts === '' ? 'none' : attempts}.${evidence === '' ? '' : ` Shortly before: ${evidence}.`}`
 }
 
+/** Until when an upstream had asked for rest. */
+function restOf ({ upstream, time, rest }: LogLine): string {
+  return `the upstream ${String(upstream)} asked for rest until ${new Date(Date.parse(time) + Number(rest)).toISOString()}`
+}
+
 /** What happened, by the code of a refusal or the first word of an outcome. */
 const reasons: Readonly<Record<string, string>> = {
   'unknown-path': 'no route of the configuration in force fits its host and path',
   'bad-key': 'its key belongs to no team of the configuration in force',
   behind: 'the gateway had no configuration that it could trust',
   leaving: 'the gateway was about to end',
-  busy: 'every replica of its model was full, and it was refused before it waited too long; it did not run',
+  busy: 'every replica of its model was full or had asked for rest, and it was refused before it waited too long; it did not run',
   'no-replica': 'no replica of its model was open; it did not run',
   'upstream-down': 'no upstream took it; it did not run',
   lost: 'an upstream took it and its answer was lost, so it may have run and was not repeated',
--- a/packages/ctl/test/explain.test.ts
+++ b/packages/ctl/test/explain.test.ts
@@ -28,6 +28,17 @@
   t.regex(explain(lines, 'r3').cause, /every replica of its model was full.*it did not run\. Attempts: none\./)
 })
 
+test('a request that was refused since upstreams rest names them, and until when', t => {
+  const rests = [
+    '{"time":"2026-12-02T10:00:02.500Z","event":422,"name":"upstream-resting","node":"entry-2","upstream":"i-3","rest":3000}',
+    '{"time":"2026-12-02T10:00:02.500Z","event":422,"name":"upstream-resting","node":"entry-1","upstream":"i-4","rest":3000}',
+    '{"time":"2026-12-02T10:00:02.500Z","event":422,"name":"upstream-resting","node":"entry-2","upstream":"i-5","rest":400}'
+  ].map(readLine).filter(each => each !== undefined)
+  const { cause } = explain([...lines, ...rests], 'r3')
+  t.regex(cause, /the upstream i-3 asked for rest until 2026-12-02T10:00:05\.500Z/)
+  t.notRegex(cause, /i-4|i-5/)
+})
+
 test('an upstream and a replica have stories too, and an unknown id says so', t => {
   t.is(explain(lines, 'i-2').story.length, 1)
   t.is(explain(lines, 'd.4').story.length, 1)
--- a/packages/detect/src/inflight.ts
+++ b/packages/detect/src/inflight.ts
@@ -5,6 +5,16 @@
  */
 import { type Clock } from '@eiderwind/clock'
 
+/** What is done about a request in flight. */
+export interface InFlightHandlers {
+  /** Called when the upstream is suspected of having stalled, or this request alone has. */
+  readonly stalled?: (() => void) | undefined
+  /** Called when the upstream has certainly ended. */
+  readonly lost?: () => void
+  /** Called when nothing more may be sent to the upstream: a request that has not left yet must not. */
+  readonly withdrawn?: () => void
+}
+
 /** A request in flight at one upstream. */
 export class InFlightRequest {
   readonly upstream: string
@@ -13,18 +23,14 @@
   readonly sentAt: number
   /** When anything was last received for it, or when it was sent, on `Clock.now`. */
   receivedAt: number
-  /** Called when the upstream is suspected of having stalled, or this request alone has. */
-  readonly stalled: (() => void) | undefined
-  /** Called when the upstream has certainly ended. */
-  readonly lost: (() => void) | undefined
+  readonly handlers: InFlightHandlers
 
-  constructor (upstream: string, model: string, sentAt: number, stalled?: () => void, lost?: () => void) {
+  constructor (upstream: string, model: string, sentAt: number, handlers: InFlightHandlers) {
     this.upstream = upstream
     this.model = model
     this.sentAt = sentAt
     this.receivedAt = sentAt
-    this.stalled = stalled
-    this.lost = lost
+    this.handlers = handlers
   }
 }
 
@@ -73,8 +79,8 @@
   }
 
   /** Adds a request that is sent now. */
-  begin (upstream: string, model: string, stalled?: () => void, lost?: () => void): InFlightRequest {
-    const request = new InFlightRequest(upstream, model, this.#clock.now(), stalled, lost)
+  begin (upstream: string, model: string, handlers: InFlightHandlers = {}): InFlightRequest {
+    const request = new InFlightRequest(upstream, model, this.#clock.now(), handlers)
     const load = this.#loads.get(upstream) ?? { requests: new Set<InFlightRequest>(), receivedAt: -Infinity }
     load.requests.add(request)
     this.#loads.set(upstream, load)
--- a/packages/detect/src/stalls.ts
+++ b/packages/detect/src/stalls.ts
@@ -68,7 +68,7 @@
     if (clock.now() - pauses.resumedAt < silence) return
     const silent = inFlight.silent(upstream => this.#isHead(upstream) ? silence : Infinity)
     if (silent.length > 0) this.#judge(silent, witnesses())
-    for (const { upstream, stalled } of inFlight.silentRequests(streamSilence)) if (this.#isHead(upstream)) stalled?.()
+    for (const { upstream, handlers } of inFlight.silentRequests(streamSilence)) if (this.#isHead(upstream)) handlers.stalled?.()
   }
 
   /** Suspects silent heads, and has their streams move where that is no view of this gateway alone. */
@@ -83,7 +83,7 @@
       this.#suspect(id)
       if (!agreed) continue
       // Also when it was suspected before: a stream that could not move then may find room now.
-      for (const request of inFlight.at(id)) request.stalled?.()
+      for (const request of inFlight.at(id)) request.handlers.stalled?.()
     }
   }
 
--- a/packages/detect/test/agreement.test.ts
+++ b/packages/detect/test/agreement.test.ts
@@ -43,7 +43,7 @@
   }
 
   send ({ flights, moved }: Observer): InFlightRequest {
-    const request: InFlightRequest = flights.begin('head', 'm', () => moved.add(request))
+    const request: InFlightRequest = flights.begin('head', 'm', { stalled: () => moved.add(request) })
     return request
   }
 
--- a/packages/detect/test/detect.test.ts
+++ b/packages/detect/test/detect.test.ts
@@ -80,8 +80,8 @@
   const stalls = new Stalls({ clock, log: new Log({ sink: () => {} }), roster, inFlight: flights, suspects, silence: 400, witnesses: () => [], pauses: new Pauses(clock), suspected: () => {} })
   stalls.start()
   let stalled = 0
-  const silent = flights.begin('a', 'm', () => { stalled++ })
-  const other = flights.begin('a', 'm', () => t.fail())
+  const silent = flights.begin('a', 'm', { stalled: () => { stalled++ } })
+  const other = flights.begin('a', 'm', { stalled: () => t.fail() })
   for (let time = 0; time < 1150; time += 50) {
     clock.advance(50)
     flights.received(other)
--- /dev/null
+++ b/packages/detect/test/rests.test.ts
@@ -0,0 +1,91 @@
+/** Rests of upstreams: how long they last, by which clock, and what ends them. */
+import test from 'ava'
+import fc from 'fast-check'
+import { ManualClock } from '@eiderwind/clock'
+import { Rests } from '../src/index.js'
+
+/** Rests that note what they tell. */
+function noted (clock: ManualClock): { rests: Rests, told: string[] } {
+  const told: string[] = []
+  const rests = new Rests({ clock, begun: (id, time) => told.push(`${id} for ${time}`), ended: () => told.push(`ended at ${clock.now()}`) })
+  return { rests, told }
+}
+
+test('an upstream rests for as long as it asked, and its end is told once', t => {
+  const clock = new ManualClock()
+  const { rests, told } = noted(clock)
+  rests.ask('a', 3000)
+  t.true(rests.has('a'))
+  t.false(rests.has('b'))
+  clock.advance(2999)
+  t.is(rests.left('a'), 1)
+  clock.advance(1)
+  t.false(rests.has('a'))
+  t.is(rests.count, 0)
+  t.deepEqual(told, ['a for 3000', 'ended at 3000'])
+})
+
+test('of several askings the one that ends last holds, in any order', t => {
+  const clock = new ManualClock()
+  const { rests, told } = noted(clock)
+  rests.ask('a', 2000)
+  rests.ask('a', 500)
+  clock.advance(1000)
+  rests.ask('a', 2000)
+  clock.advance(1000)
+  t.is(rests.left('a'), 1000)
+  clock.advance(1000)
+  t.false(rests.has('a'))
+  t.deepEqual(told, ['a for 2000', 'ended at 3000'])
+})
+
+test('no rest is none, and one without sense ends after an hour', t => {
+  const clock = new ManualClock()
+  const { rests, told } = noted(clock)
+  rests.ask('a', 0)
+  t.deepEqual(told, [])
+  rests.ask('a', Infinity)
+  t.is(rests.left('a'), 3_600_000)
+  rests.ask('b', 10 ** 15)
+  t.is(rests.left('b'), 3_600_000)
+})
+
+test('time in which the machine is suspended, or the time of day steps, ends no rest early', t => {
+  const clock = new ManualClock()
+  const { rests } = noted(clock)
+  rests.ask('a', 3000)
+  clock.suspend(2000)
+  clock.skew(5000)
+  t.is(rests.left('a'), 3000)
+  clock.freeze(1000)
+  t.is(rests.left('a'), 2000)
+})
+
+test('the first end is that of upstreams all of which rest', t => {
+  const clock = new ManualClock()
+  const { rests } = noted(clock)
+  rests.ask('a', 3000)
+  rests.ask('b', 1000)
+  t.is(rests.firstEnd(['a', 'b']), 1000)
+  t.is(rests.firstEnd(['a']), 3000)
+  t.is(rests.firstEnd(['a', 'c']), 0)
+  t.is(rests.firstEnd([]), 0)
+})
+
+test('in any series of askings an upstream rests until the last of their ends, and each end is told', t => {
+  const steps = fc.array(fc.record({ id: fc.constantFrom('a', 'b'), rest: fc.integer({ min: -10, max: 5000 }), pause: fc.integer({ min: 0, max: 3000 }) }), { maxLength: 40 })
+  fc.assert(fc.property(steps, series => {
+    const clock = new ManualClock()
+    const { rests, told } = noted(clock)
+    const ends = new Map<string, number>()
+    for (const { id, rest, pause } of series) {
+      rests.ask(id, rest)
+      ends.set(id, Math.max(ends.get(id) ?? 0, clock.now() + rest))
+      clock.advance(pause)
+      for (const [each, end] of ends) if (rests.has(each) !== (end > clock.now())) return false
+    }
+    clock.advance(10_000)
+    return rests.count === 0 && (told.length === 0 || told.at(-1)?.startsWith('ended') === true)
+  }), { seed: 7, numRuns: 500 })
+  t.pass()
+})
--- a/packages/dispatch/src/refusals.ts
+++ b/packages/dispatch/src/refusals.ts
@@ -36,6 +36,12 @@
  */
 const roomFreed = 0.9
 
+/**
+ * After `busy` where all upstreams have asked for rest: callers are spread over this time after the end of the first rest, in seconds, so that they do not all
+ * come back in the moment in which one upstream takes requests again. Chosen, not measured.
+ */
+const returnSpread = 0.5
+
 /** The refusals of a gateway. Those without a `Retry-After` of their own have that of their kind, if any. */
 export const refusals = {
   /** This gateway has no configuration yet, no list of upstreams yet, or no fresh confirmation of its configuration. */
@@ -79,6 +85,16 @@
     return new Fault('busy', { retryAfter: roomFreed, remedy: 'Come back after the time given; all replicas that could serve this are full.' })
   },
 
+  /**
+   * All upstreams that could serve it have asked for rest.
+   * @param time until the first of them has rested, in ms
+   * @param random in [0, 1)
+   */
+  resting (time: number, random: number): Fault {
+    const retryAfter = Math.ceil(time + random * returnSpread * 1000) / 1000
+    return new Fault('busy', { retryAfter, remedy: 'Come back after the time given; all upstreams that could serve this have asked for rest.' })
+  },
+
   /**
    * Each upstream that began to run it has crashed. Its caller is refused for as long as it stays so: an earlier return would crash one more.
    * @param time for which it stays blocked, in ms
--- a/packages/dispatch/src/waiting.ts
+++ b/packages/dispatch/src/waiting.ts
@@ -24,6 +24,8 @@
   readonly offered: boolean
   /** Upstreams that serve what is asked for, whether they have room or not. */
   readonly upstreams: number
+  /** Time until the first of those that may be tried has rested; 0 where one of them does not rest. */
+  readonly rest: number
   /** The route's latency objective. */
   readonly objective: number
   /** Time until the request's deadline. */
@@ -33,9 +35,15 @@
 /**
  * Longest wait for an upstream with room, in ms. Where none serves what is asked for, room cannot appear in a wait as short as the
  * first one: the caller is refused at once and told when to come back. A plain request that was offered before does not wait: if no
- * other upstream has room now, its caller gets the result of the last attempts at once. Chosen, not measured.
+ * other upstream has room now, its caller gets the result of the last attempts at once. Chosen, not measured. Where all have asked for rest
+ * beyond that time, there is nothing to wait for.
  */
-export function waitForRoom ({ path, offered, upstreams, objective, timeLeft }: WaitInputs): number {
+export function waitForRoom (inputs: WaitInputs): number {
+  const time = longestWait(inputs)
+  return inputs.rest > time ? 0 : time
+}
+
+function longestWait ({ path, offered, upstreams, objective, timeLeft }: WaitInputs): number {
   if (!offered) return upstreams === 0 ? 0 : Math.min(firstWaitShare * objective, timeLeft)
   return path === 'stream' ? Math.min(resumeWait, timeLeft) : 0
 }
--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -49,6 +49,8 @@
   #flow: Flow | undefined
   #status = 0
   #headers: AnswerHeaders = {}
+  /** Whether anything of the request may have left this process. */
+  #written = false
   #passedOn = false
   #chunks: Buffer[] = []
   #size = 0
@@ -80,7 +82,11 @@
     const { context, request, upstream, model, lastEvent, newConnection, onStall } = this.#options
     request.beginAttempt(upstream.id)
     context.suspects.tried(upstream.id)
-    this.#inFlight = context.inFlight.begin(upstream.id, model, onStall, () => this.#lose('the upstream has started again', true))
+    this.#inFlight = context.inFlight.begin(upstream.id, model, {
+      stalled: onStall,
+      lost: () => this.#lose('the upstream has started again', true),
+      withdrawn: () => this.#withdraw()
+    })
     this.#cancel = context.connections.send(outgoingCall(request, upstream, context.names, lastEvent), this, newConnection)
     if (this.#ended) this.#cancel(new Error('The attempt has ended.'))
     else request.cancelWith(() => this.abort('the request has ended'))
@@ -91,12 +97,21 @@
     this.#lose(why)
   }
 
+  /** Does not send it, unless it is being sent already: a call that waits for its connection fails as not sent. */
+  #withdraw (): void {
+    if (!this.#written) this.#cancel?.(new Error('the upstream asked for rest'))
+  }
+
   /** @param broken whether it is the upstream that broke off */
   #lose (why: string, broken?: true): void {
     this.#end({ kind: 'lost', why, broken })
     this.#cancel?.(new Error(why))
   }
 
+  override begun (): void {
+    this.#written = true
+  }
+
   head (status: number, headers: AnswerHeaders, flow: Flow): void {
     if (this.#ended) return
     const { context, request, upstream } = this.#options
@@ -105,6 +120,7 @@
       return this.abort('an answer of another request came')
     }
     this.#received()
+    context.answered(upstream, status, headers)
     this.#flow = flow
     this.#status = status
     this.#headers = headers
--- a/packages/forward/src/context.ts
+++ b/packages/forward/src/context.ts
@@ -1,11 +1,11 @@
 /** What all requests of a gateway share while they are forwarded. The gateway makes one and passes it to each path. */
-import { type Clock } from '@eiderwind/clock'
+import { type Clock, type Random } from '@eiderwind/clock'
 import { type Crashes } from '@eiderwind/crashes'
-import { type InFlight, type Suspects } from '@eiderwind/detect'
+import { type InFlight, type Rests, type Suspects } from '@eiderwind/detect'
 import { type Choice, type Queue, type RetryBudget } from '@eiderwind/dispatch'
 import { type Log } from '@eiderwind/log'
-import { type Roster } from '@eiderwind/roster'
-import { type Connections } from '@eiderwind/wire'
+import { type Roster, type Upstream } from '@eiderwind/roster'
+import { type AnswerHeaders, type Connections } from '@eiderwind/wire'
 import { type HeaderNames } from './names.js'
 
 /** Dependencies of `PlainPath`, `StreamPath` and their attempts. */
@@ -18,8 +18,12 @@
   readonly inFlight: InFlight
   readonly choice: Choice
   readonly suspects: Suspects
+  readonly rests: Rests
   readonly crashes: Crashes
   readonly queue: Queue
+  readonly random: Random
   /** The retry budget of a service. */
   readonly retryBudget: (service: string) => RetryBudget
+  /** Takes what the head of an upstream's answer says of the upstream itself. */
+  readonly answered: (upstream: Upstream, status: number, headers: AnswerHeaders) => void
 }
--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -35,7 +35,7 @@
       const upstream = await this.#findUpstream()
       if (request.ended) return this.trial?.end()
       if (upstream === 'blocked') return this.#concludeBlocked()
-      if (upstream === undefined) break
+      if (upstream === undefined || upstream === 'resting') break
       latest = await this.attempt(upstream)
       if (request.ended) return
       request.endAttempt(upstream.id, latest, this.lastEvent)
@@ -49,8 +49,8 @@
   /** Id of the last event that the caller has, on a stream. */
   protected abstract readonly lastEvent: number | undefined
 
-  /** How many upstreams serve what is asked for, whether they have room or not. */
-  protected abstract get upstreams (): number
+  /** The upstreams that serve what is asked for, whether they have room or not. */
+  protected abstract get upstreams (): readonly Upstream[]
 
   /** An upstream that has room now and is none of those to avoid. */
   protected abstract choose (avoided: ReadonlySet<string>): Upstream | undefined
@@ -69,17 +69,35 @@
     const { request } = this
     if (result?.kind === 'answered') return sendAnswer(request, result)
     if (result?.kind === 'lost') return request.refuse(refusals.lost(result.why))
-    request.refuse(this.refusal(result))
+    const rest = this.#restOf(this.upstreams)
+    request.refuse(rest > 0 ? refusals.resting(rest, this.context.random()) : this.refusal(result))
   }
 
   /** A suspect waits like a request that was offered before: it may have to wait until another one of its kind has been tried. */
-  #findUpstream (): Promise<Upstream | 'blocked' | undefined> {
-    const { request, kind, upstreams, context: { crashes, queue } } = this
+  #findUpstream (): Promise<Upstream | 'blocked' | 'resting' | undefined> {
+    const { request, kind, upstreams, context: { clock, crashes, queue } } = this
     const { priority, timeLeft, route: { objective } } = request
     this.trial = undefined
     const offered = request.offered || crashes.standing(request) !== 'trusted'
-    const time = waitForRoom({ path: kind, offered, upstreams, objective, timeLeft })
-    return queue.wait(priority, time, () => this.#find(), cancel => request.cancelWith(cancel))
+    const time = waitForRoom({ path: kind, offered, upstreams: upstreams.length, rest: this.#rest, objective, timeLeft })
+    const until = clock.now() + time
+    return queue.wait(priority, time, () => this.#find() ?? this.#hopeless(until), cancel => request.cancelWith(cancel))
+  }
+
+  /** Says that waiting until a time, on `Clock.now`, is in vain, where all that may be tried rest for longer. */
+  #hopeless (until: number): 'resting' | undefined {
+    const rest = this.#rest
+    return rest > 0 && this.context.clock.now() + rest > until ? 'resting' : undefined
+  }
+
+  /** Time until the first upstream that may still be tried has rested, in ms; 0 where one of them does not rest. */
+  get #rest (): number {
+    const { tried } = this.request
+    return this.#restOf(this.upstreams.filter(({ id }) => !tried.has(id)))
+  }
+
+  #restOf (upstreams: readonly Upstream[]): number {
+    return this.context.rests.firstEnd(upstreams.map(({ id }) => id))
   }
 
   /** The upstream to send the request to now, by what is known of its crashes; undefined where it has to wait. */
--- a/packages/forward/src/plainpath.ts
+++ b/packages/forward/src/plainpath.ts
@@ -13,8 +13,8 @@
   protected readonly kind = 'plain'
   protected readonly lastEvent = undefined
 
-  protected get upstreams (): number {
-    return this.context.roster.available(this.request.service).length
+  protected get upstreams (): readonly Upstream[] {
+    return this.context.roster.available(this.request.service)
   }
 
   protected choose (avoided: ReadonlySet<string>): Upstream | undefined {
@@ -23,11 +23,12 @@
 
   protected attempt (upstream: Upstream): Promise<AttemptResult> {
     const { context, request, trial } = this
-    const { clock, choice } = context
+    const { clock, choice, rests } = context
     const startedAt = clock.now()
     return new Promise(resolve => {
       const onEnd = (result: AttemptResult): void => {
-        choice.observe(upstream.id, clock.now() - startedAt, !isSuccess(result))
+        // One that asked for rest has said itself when it takes requests again: as a failure it would be left out for long after that.
+        if (!rests.has(upstream.id)) choice.observe(upstream.id, clock.now() - startedAt, !isSuccess(result))
         resolve(result)
       }
       // A kept connection may break just as a request is sent on it, which leaves open whether it ran.
--- a/packages/forward/src/streampath.ts
+++ b/packages/forward/src/streampath.ts
@@ -38,11 +38,11 @@
     return this.#progress.lastEvent
   }
 
-  protected get upstreams (): number {
+  protected get upstreams (): readonly Upstream[] {
     const { roster } = this.context
     const { service } = this.request
     const { model, engine } = this.#target
-    return (engine === undefined ? roster.available(service) : roster.heads(service, model)).length
+    return engine === undefined ? roster.available(service) : roster.heads(service, model)
   }
 
   protected choose (avoided: ReadonlySet<string>): Upstream | undefined {
@@ -93,7 +93,7 @@
   }
 
   protected refusal (): Fault {
-    return refusals.noRoom(this.upstreams)
+    return refusals.noRoom(this.upstreams.length)
   }
 
   /** Whether a stream whose upstream is suspected of having stalled is moved: it may be, and another upstream has room. */
--- /dev/null
+++ b/packages/forward/test/attempt.test.ts
@@ -0,0 +1,80 @@
+/** An attempt whose upstream asks for rest, or gives an answer of another request: what is sent, and what is taken from the answer. */
+import test from 'ava'
+import { ManualClock } from '@eiderwind/clock'
+import { InFlight, Suspects } from '@eiderwind/detect'
+import { type AttemptResult } from '@eiderwind/dispatch'
+import { Roster, type Upstream } from '@eiderwind/roster'
+import { type AnswerHeaders, type Receiver } from '@eiderwind/wire'
+import { CollectAttempt } from '../src/attempt.js'
+import { type Context } from '../src/index.js'
+import { callerRequest } from './requests.js'
+
+const names = { request: 'id', deadline: 'deadline', key: 'key', team: 'team', upstream: 'upstream', model: 'model', urgency: 'urgency', notRun: 'not-run' }
+const upstream: Upstream = { id: 'u', service: 's', address: 'u:1', dataCentre: 'dc', leaving: false, loaded: [], staged: [] }
+const flow = { pause: () => {}, resume: () => {}, abort: () => {} }
+
+/** An attempt over a connection that the test plays. */
+class PlayedAttempt {
+  readonly results: AttemptResult[] = []
+  readonly answers: number[] = []
+  readonly inFlight: InFlight
+  receiver: Receiver | undefined
+
+  constructor () {
+    const clock = new ManualClock()
+    const roster = new Roster(clock)
+    this.inFlight = new InFlight(clock, () => {})
+    const connections = {
+      send: (_call: unknown, receiver: Receiver) => {
+        this.receiver = receiver
+        return (error: Error) => receiver.fail({ error, sent: false })
+      }
+    }
+    const context = {
+      clock,
+      log: { write: () => {} },
+      names,
+      connections,
+      inFlight: this.inFlight,
+      suspects: new Suspects(clock, roster),
+      crashes: { broke: () => {}, served: () => {} },
+      answered: (_upstream: Upstream, status: number) => this.answers.push(status)
+    } as unknown as Context
+    const onEnd = (result: AttemptResult): void => { this.results.push(result) }
+    new CollectAttempt({ context, request: callerRequest(clock, { kind: 'once', resumable: false }), upstream, model: '', newConnection: false, trial: undefined, onEnd }).start()
+  }
+
+  answer (status: number, headers: AnswerHeaders): void {
+    this.receiver?.head(status, headers, flow)
+  }
+
+  /** Has what is not sent yet withdrawn, as when the upstream asks for rest in another answer. */
+  withdraw (): void {
+    for (const each of this.inFlight.at('u')) each.handlers.withdrawn?.()
+  }
+}
+
+test('a request that waits for its connection is withdrawn when its upstream asks for rest, and counts as not sent', t => {
+  const attempt = new PlayedAttempt()
+  attempt.withdraw()
+  t.deepEqual(attempt.results, [{ kind: 'not-run', why: 'the upstream asked for rest', sent: false }])
+})
+
+test('a request that is being written when its upstream asks for rest runs to its end', t => {
+  const attempt = new PlayedAttempt()
+  attempt.receiver?.begun()
+  attempt.withdraw()
+  t.deepEqual(attempt.results, [])
+  attempt.answer(200, { id: 'r1' })
+  attempt.receiver?.end()
+  t.is(attempt.results[0].kind, 'answered')
+})
+
+test('each answer of a request says something of its upstream, and one of another request does not', t => {
+  const own = new PlayedAttempt()
+  own.answer(503, { id: 'r1', 'not-run': '1' })
+  t.deepEqual(own.answers, [503])
+  const foreign = new PlayedAttempt()
+  foreign.answer(503, { id: 'r2', 'not-run': '1' })
+  t.deepEqual(foreign.answers, [])
+})
--- /dev/null
+++ b/packages/forward/test/requests.ts
@@ -0,0 +1,25 @@
+/** A caller's request as tests make it, without a caller. */
+import { IncomingMessage, ServerResponse } from 'node:http'
+import { Socket } from 'node:net'
+import { type ManualClock } from '@eiderwind/clock'
+import { type Route } from '@eiderwind/traffic'
+import { CallerRequest } from '../src/index.js'
+
+/** A request `r1` of a route that allows `attempts` upstreams. */
+export function callerRequest (clock: ManualClock, { attempts = 3, ...route }: Pick<Route, 'kind' | 'resumable'> & { readonly attempts?: number }): CallerRequest {
+  const message = new IncomingMessage(new Socket())
+  return new CallerRequest({
+    clock,
+    id: 'r1',
+    incoming: message,
+    response: new ServerResponse(message),
+    body: undefined,
+    route: { name: 'x', host: 'h', prefix: '/', timeout: 1000, objective: 200, gap: 200, priority: 1, attempts, open: true, shares: [{ service: 's', weight: 1 }], ...route },
+    service: 's',
+    team: undefined,
+    arrivedAt: 0,
+    endsAt: 1000,
+    idHeader: 'id',
+    onEnd: () => {}
+  })
+}
--- a/packages/forward/test/retry.test.ts
+++ b/packages/forward/test/retry.test.ts
@@ -1,14 +1,14 @@
 /** Whether a request is sent again, case by case, with the outcomes that the plain and the stream path had before they shared one rule. */
-import { IncomingMessage, ServerResponse } from 'node:http'
-import { Socket } from 'node:net'
 import test from 'ava'
 import { ManualClock } from '@eiderwind/clock'
+import { Rests } from '@eiderwind/detect'
 import { Queue, refusals, type AttemptResult, type RetryBudget } from '@eiderwind/dispatch'
 import { type Fault } from '@eiderwind/fault'
 import { type Upstream } from '@eiderwind/roster'
 import { type Route } from '@eiderwind/traffic'
-import { CallerRequest, type Context } from '../src/index.js'
+import { type CallerRequest, type Context } from '../src/index.js'
 import { Path } from '../src/path.js'
+import { callerRequest } from './requests.js'
 
 const routes = {
   repeatable: { kind: 'repeatable', resumable: false },
@@ -48,22 +48,8 @@
   'not sent': 'ffffff'
 }
 
-function callerRequest (route: { kind: Route['kind'], resumable: boolean }, sends: number): CallerRequest {
-  const message = new IncomingMessage(new Socket())
-  const request = new CallerRequest({
-    clock: new ManualClock(),
-    id: 'r1',
-    incoming: message,
-    response: new ServerResponse(message),
-    body: undefined,
-    route: { name: 'x', host: 'h', prefix: '/', timeout: 1000, objective: 200, gap: 200, priority: 1, attempts: 3, open: true, shares: [{ service: 's', weight: 1 }], ...route },
-    service: 's',
-    team: undefined,
-    arrivedAt: 0,
-    endsAt: 1000,
-    idHeader: 'id',
-    onEnd: () => {}
-  })
+function requestAfter (sends: number, route: Pick<Route, 'kind' | 'resumable'>): CallerRequest {
+  const request = callerRequest(new ManualClock(), route)
   for (let count = 0; count < sends; count++) request.beginAttempt(`earlier${count}`)
   return request
 }
@@ -79,7 +65,9 @@
     }
   }
   const crashes = { standing: () => 'trusted', underTrial: new Set<string>() }
-  const context = { crashes, queue: new Queue(new ManualClock()), retryBudget: () => budget as unknown as RetryBudget } as unknown as Context
+  const clock = new ManualClock()
+  const rests = new Rests({ clock, begun: () => {}, ended: () => {} })
+  const context = { clock, crashes, rests, queue: new Queue(clock), retryBudget: () => budget as unknown as RetryBudget } as unknown as Context
   return { context, asked: () => asked }
 }
 
@@ -96,7 +84,7 @@
     this.#first = first
   }
 
-  protected readonly upstreams = 1
+  protected readonly upstreams = [{ id: 'u0' } as unknown as Upstream]
 
   protected choose (): Upstream {
     return { id: `u${this.attempts}` } as unknown as Upstream
@@ -131,7 +119,7 @@
             const { context, asked } = counted(budget)
             const code = attemptsLeft ? expected[name][index] : '-'
             const label = `${name}, ${routeKind}, ${attemptsLeft ? 'attempts' : 'no attempts'} left, budget ${budget}`
-            const path = new ScriptedPath(context, callerRequest(route, sendsBefore(result, attemptsLeft)), kind, result)
+            const path = new ScriptedPath(context, requestAfter(sendsBefore(result, attemptsLeft), route), kind, result)
             await path.serve()
             t.is(path.attempts === 2, code === 'f' || (code === 'b' && budget > 0), label)
             t.is(asked(), code === 'b' ? 1 : 0, label)
--- /dev/null
+++ b/packages/gateway/src/conditions.ts
@@ -0,0 +1,74 @@
+/**
+ * What upstreams say of themselves in their answers, and what follows from it: one that asks for rest gets nothing until its end, one that is leaving gets no
+ * new request in this life, whatever the store's list says. Owns the rests and the upstreams that told this gateway itself that they are leaving; the
+ * other gateways hear of those by heartbeat. A rest is asked of one gateway and told to no other.
+ */
+import { type Clock } from '@eiderwind/clock'
+import { Rests, type InFlight } from '@eiderwind/detect'
+import { type Queue } from '@eiderwind/dispatch'
+import { type Log } from '@eiderwind/log'
+import { type Heartbeat } from '@eiderwind/peers'
+import { type Condition, type Roster } from '@eiderwind/roster'
+
+/** Dependencies of `Conditions`. */
+export interface ConditionsOptions {
+  readonly clock: Clock
+  readonly log: Log
+  readonly roster: Roster
+  readonly inFlight: InFlight
+  readonly queue: Queue
+  /** Called when the other gateways should hear at once that an upstream is leaving. */
+  readonly tell: () => void
+  /** Called when an upstream has asked for rest. */
+  readonly rested: () => void
+}
+
+/** The conditions of upstreams by their own word. */
+export class Conditions {
+  readonly rests: Rests
+  readonly #options: ConditionsOptions
+  /** Ids of the upstreams that said in an answer to this gateway that they are leaving. */
+  readonly #leaving = new Set<string>()
+
+  constructor (options: ConditionsOptions) {
+    const { clock, queue } = options
+    this.#options = options
+    this.rests = new Rests({ clock, begun: (id, time) => this.#rest(id, time), ended: () => queue.wake() })
+  }
+
+  /** Takes the condition of an upstream by one of its answers. */
+  take (id: string, { leaving, rest }: Condition): void {
+    if (rest > 0) this.rests.ask(id, rest)
+    if (leaving) this.#leave(id)
+  }
+
+  /** What the heartbeats to other gateways say. */
+  get news (): Pick<Heartbeat, 'leaving'> {
+    const { roster } = this.#options
+    for (const id of this.#leaving) if (roster.find(id) === undefined && roster.departure(id) === undefined) this.#leaving.delete(id)
+    return { leaving: [...this.#leaving] }
+  }
+
+  /** Takes what the heartbeat of another gateway says. It is said again with each, so one that came before the list of upstreams is not lost. */
+  hear ({ id: from, leaving = [] }: Heartbeat): void {
+    const { log, roster } = this.#options
+    for (const id of leaving) if (roster.leave(id)) log.write('upstream-leaving', { upstream: id, from })
+  }
+
+  #leave (id: string): void {
+    const { log, roster, tell } = this.#options
+    if (this.#leaving.has(id)) return
+    this.#leaving.add(id)
+    if (roster.leave(id)) log.write('upstream-leaving', { upstream: id })
+    tell()
+  }
+
+  /** What has not left yet is withdrawn, and who waits looks again, since it may wait in vain now. */
+  #rest (id: string, time: number): void {
+    const { log, inFlight, queue, rested } = this.#options
+    rested()
+    log.write('upstream-resting', { upstream: id, rest: Math.round(time) })
+    for (const each of inFlight.at(id)) each.handlers.withdrawn?.()
+    queue.wake()
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,12 +8,13 @@
 import { Choice, Queue } from '@eiderwind/dispatch'
 import { type Reconciler } from '@eiderwind/forming'
 import { type Context } from '@eiderwind/forward'
-import { Peers, type Heartbeat } from '@eiderwind/peers'
+import { Peers, type Heartbeat, type PeerAddress } from '@eiderwind/peers'
 import { Outage, Roster } from '@eiderwind/roster'
 import { Connections } from '@eiderwind/wire'
 import { Budgets } from './budgets.js'
 import { Callers } from './callers.js'
 import { ChangeLog } from './changelog.js'
+import { Conditions } from './conditions.js'
 import { Confirmations } from './confirmations.js'
 import { CrashWatch } from './crashwatch.js'
 import { ModelLoad } from './demand.js'
@@ -58,6 +59,7 @@
   readonly #roster: Roster
   readonly #suspects: Suspects
   readonly #crashWatch: CrashWatch
+  readonly #conditions: Conditions
   readonly #queue: Queue
   readonly #inFlight: InFlight
   readonly #peers: Peers
@@ -82,12 +84,13 @@
     this.#suspects = new Suspects(clock, this.#roster)
     this.#queue = new Queue(clock)
     this.#inFlight = new InFlight(clock, () => this.#queue.wake())
-    this.#peers = new Peers({ clock, id: settings.id, address: settings.peers, heartbeat: () => this.#heartbeat(), heard: (heartbeat, from) => this.#crashWatch.hear(heartbeat, from), interval: heartbeatInterval, timeout: heartbeatTimeout, urgent: () => this.#leadership.isUrgent })
+    this.#peers = new Peers({ clock, id: settings.id, address: settings.peers, heartbeat: () => this.#heartbeat(), heard: (heartbeat, from) => this.#hear(heartbeat, from), interval: heartbeatInterval, timeout: heartbeatTimeout, urgent: () => this.#leadership.isUrgent })
     const peers = this.#peers
     this.#leadership = new Leadership({ clock, log, board, outage: this.#outage, pauses: this.#pauses, peers, leaders: platform.leaders, id: settings.id, firstStart: settings.first })
     this.#budgets = new Budgets({ clock, board, peers, settings })
     this.#crashWatch = new CrashWatch({ clock, log, id: settings.id, roster: this.#roster, peers, connections: this.#connections, blocks: platform.blocks, connectTime, changed: () => this.#queue.wake() })
-    this.#metrics = new Metrics({ clock, board, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, connections: this.#connections, budgets: this.#budgets })
+    this.#conditions = new Conditions({ clock, log, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, tell: () => peers.send(), rested: () => this.#metrics.rested() })
+    this.#metrics = new Metrics({ clock, board, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, connections: this.#connections, budgets: this.#budgets, rests: this.#conditions.rests })
     this.#callers = this.#makeCallers()
     this.#confirmations = new Confirmations({ clock, board, peers, connections: this.#connections, informed: () => this.#leadership.informed })
     this.#upstreamFeed = this.#makeUpstreamFeed()
@@ -111,7 +114,7 @@
     this.#sampling = new Sampling({ clock, log, board, platform, peers, inFlight: this.#inFlight, modelLoad: this.#modelLoad, leadership: this.#leadership, servesKeys: () => this.#callers.servesKeys })
     this.#roster.listen(() => this.#queue.wake())
     // Its answers never come: behind a cut link nothing else would show that for as long as the requests last.
-    this.#roster.listenEnds(({ id }) => { for (const each of this.#inFlight.at(id)) each.lost?.() })
+    this.#roster.listenEnds(({ id }) => { for (const each of this.#inFlight.at(id)) each.handlers.lost?.() })
   }
 
   /** Whether the balancer should send callers here. */
@@ -126,7 +129,7 @@
     this.#confirmations.start()
     this.#upstreamFeed.start()
     if (settings.metrics !== '') await this.#metrics.start(settings.metrics)
-    platform.watch(platformListener({ clock, log, board: this.#board, roster: this.#roster, outage: this.#outage, peers: this.#peers }))
+    platform.watch(platformListener({ clock, log, board: this.#board, roster: this.#roster, outage: this.#outage, peers: this.#peers, conditions: this.#conditions }))
     platform.register({ id: settings.id, address: settings.peers })
     if (!settings.first) this.#crashWatch.start()
     this.#pauses.start()
@@ -155,10 +158,20 @@
   }
 
   #makeCallers (): Callers {
-    const { clock, log, platform: { names }, settings: { dataCentre, callers: address, freshness, strictKeys } } = this.#options
-    const shared = { clock, roster: this.#roster, inFlight: this.#inFlight, suspects: this.#suspects, crashes: this.#crashWatch.crashes }
-    const choice = new Choice({ ...shared, peers: this.#peers, dataCentre, random: Math.random })
-    const context: Context = { ...shared, log, names, connections: this.#connections, choice, queue: this.#queue, retryBudget: service => this.#budgets.of(service) }
+    const { clock, log, platform, settings: { dataCentre, callers: address, freshness, strictKeys } } = this.#options
+    const conditions = this.#conditions
+    const shared = { clock, roster: this.#roster, inFlight: this.#inFlight, suspects: this.#suspects, rests: conditions.rests, crashes: this.#crashWatch.crashes, random: Math.random }
+    const choice = new Choice({ ...shared, peers: this.#peers, dataCentre })
+    const context: Context = {
+      ...shared,
+      log,
+      names: platform.names,
+      connections: this.#connections,
+      choice,
+      queue: this.#queue,
+      retryBudget: service => this.#budgets.of(service),
+      answered: ({ id }, status, headers) => conditions.take(id, platform.conditionOf(status, headers))
+    }
     const requests = new RequestLog({ clock, log, metrics: this.#metrics })
     return new Callers({
       context,
@@ -204,6 +217,12 @@
     })
   }
 
+  /** Takes what another gateway says. */
+  #hear (heartbeat: Heartbeat, from: PeerAddress): void {
+    this.#crashWatch.hear(heartbeat, from)
+    this.#conditions.hear(heartbeat)
+  }
+
   /** What other gateways hear of this one. */
   #heartbeat (): Heartbeat {
     return {
@@ -217,7 +236,8 @@
       served: this.#callers.served,
       loads: this.#reconciler.loads,
       terms: this.#leadership.terms,
-      ...this.#crashWatch.news
+      ...this.#crashWatch.news,
+      ...this.#conditions.news
     }
   }
 }
--- a/packages/gateway/src/listener.ts
+++ b/packages/gateway/src/listener.ts
@@ -6,6 +6,7 @@
 import { type Log } from '@eiderwind/log'
 import { type Peers } from '@eiderwind/peers'
 import { type Outage, type Roster } from '@eiderwind/roster'
+import { type Conditions } from './conditions.js'
 import { complete, confirm, enforce, type GatewayBoard } from './facts.js'
 import { type PlatformListener } from './platform.js'
 
@@ -17,11 +18,12 @@
   readonly roster: Roster
   readonly outage: Outage
   readonly peers: Peers
+  readonly conditions: Conditions
 }
 
 /** The listener of a gateway's platform. */
 export function platformListener (options: PlatformListenerOptions): PlatformListener {
-  const { clock, log, board, outage, peers } = options
+  const { clock, log, board, outage, peers, conditions } = options
   return {
     ...upstreamListener(options),
     configuration: (traffic, askedAt) => {
@@ -36,6 +38,7 @@
       board.write('listed', true)
       peers.setAddresses(all)
     },
+    condition: (upstream, condition) => conditions.take(upstream, condition),
     storeAnswered: () => {
       outage.answered()
       if (board.read('store')) return
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -4,7 +4,7 @@
  */
 import { createServer, type Server } from 'node:http'
 import { type Clock } from '@eiderwind/clock'
-import { type InFlight } from '@eiderwind/detect'
+import { type InFlight, type Rests } from '@eiderwind/detect'
 import { type Queue } from '@eiderwind/dispatch'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { type CallerRequest } from '@eiderwind/forward'
@@ -22,6 +22,7 @@
   readonly queue: Queue
   readonly connections: Connections
   readonly budgets: Budgets
+  readonly rests: Rests
 }
 
 const path = '/metrics'
@@ -42,6 +43,7 @@
   readonly #suspicions: Counter
   readonly #resumptions: Counter
   readonly #orders: Counter<'kind' | 'result'>
+  readonly #rests: Counter
 
   constructor (options: MetricsOptions) {
     this.#options = options
@@ -53,6 +55,7 @@
     this.#suspicions = new Counter({ name: 'eiderwind_suspicions_total', help: 'Heads suspected of having stalled.', registers })
     this.#resumptions = new Counter({ name: 'eiderwind_resumptions_total', help: 'Streams that were resumed at another replica.', registers })
     this.#orders = new Counter({ name: 'eiderwind_orders_total', help: 'Orders to engines, by answer.', labelNames: ['kind', 'result'], registers })
+    this.#rests = new Counter({ name: 'eiderwind_rests_total', help: 'Rests that upstreams have asked this gateway for.', registers })
     this.#gauges(registers)
     this.#server = createServer((request, response) => {
       if (request.url !== path) {
@@ -100,8 +103,12 @@
     this.#orders.inc({ kind, result })
   }
 
+  rested (): void {
+    this.#rests.inc()
+  }
+
   #gauges (registers: Registry[]): void {
-    const { clock, board, inFlight, queue, connections, budgets } = this.#options
+    const { clock, board, inFlight, queue, connections, budgets, rests } = this.#options
     const single = (name: string, help: string, read: () => number): void => {
       const gauge: Gauge = new Gauge({ name, help, registers, collect: () => gauge.set(read()) })
     }
@@ -122,6 +129,7 @@
     single('eiderwind_flights', 'Requests in flight at upstreams.', () => inFlight.total)
     single('eiderwind_waiting', 'Requests queued for an upstream.', () => queue.count)
     single('eiderwind_connections_opened_total', 'Connections opened to upstreams.', () => connections.opened)
+    single('eiderwind_resting', 'Upstreams that rest now.', () => rests.count)
     single('eiderwind_memory_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss())
     labelled('eiderwind_engines', 'Engines by the state of their membership.', 'state', () => this.#engines())
     labelled('eiderwind_repeats_left', 'Retries left in the running window.', 'service', () => budgets.left)
--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -7,8 +7,9 @@
 import { type Orders, type Placements } from '@eiderwind/forming'
 import { type HeaderNames } from '@eiderwind/forward'
 import { type PeerAddress } from '@eiderwind/peers'
-import { type RosterChange, type Upstream } from '@eiderwind/roster'
+import { type Condition, type RosterChange, type Upstream } from '@eiderwind/roster'
 import { type Traffic } from '@eiderwind/traffic'
+import { type AnswerHeaders } from '@eiderwind/wire'
 import { type Blocks } from './blocks.js'
 import { type Leaders } from './leaders.js'
 
@@ -35,6 +36,8 @@
   upstreamsRevision (): number | undefined
   /** The whole list of gateways, this one included. */
   gateways (all: readonly PeerAddress[]): void
+  /** An upstream's answer to an order said this of its condition. */
+  condition (upstream: string, condition: Condition): void
   /** A call of a watch was answered. */
   storeAnswered (): void
   /**
@@ -64,6 +67,8 @@
 export abstract class Platform {
   /** Names of the headers by which callers, gateways and upstreams understand each other. */
   abstract readonly names: HeaderNames
+  /** What the status and headers of an upstream's answer say of the upstream itself. */
+  abstract conditionOf (status: number, headers: AnswerHeaders): Condition
   abstract readonly orders: Orders
   abstract readonly probes: Probes
   abstract readonly placements: Placements
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -54,6 +54,8 @@
   'request-blocked': { number: 413, level: 'warn', text: 'A request is blocked, by its fingerprint: each upstream that began to run it has crashed. It is refused for `remaining` ms.' },
   'upstream-suspected': { number: 420, level: 'warn', text: 'All streams of a replica head are silent; it is suspected and gets only occasional trial requests.' },
   'upstream-crashed': { number: 421, level: 'warn', text: 'An upstream crashed while requests of this gateway were in flight there; their fingerprints are listed.' },
+  'upstream-resting': { number: 422, level: 'info', text: 'An upstream turned a request away and asked for rest: it gets nothing from this gateway for `rest` ms.' },
+  'upstream-leaving': { number: 423, level: 'info', text: 'An upstream said in an answer that it is leaving, to this gateway or to the one named in `from`: it gets no new request.' },
   'configuration-unconfirmed': { number: 430, level: 'warn', text: 'The configuration was not confirmed in time; requests with API keys are refused.' },
   'configuration-confirmed': { number: 431, level: 'info', text: 'The configuration is confirmed again.' },
   'planner-acts': { number: 440, level: 'info', text: 'This gateway now plans the replicas of a service.' },
--- a/packages/log/test/forms.test.ts
+++ b/packages/log/test/forms.test.ts
@@ -40,6 +40,8 @@
   '413 request-blocked warn',
   '420 upstream-suspected warn',
   '421 upstream-crashed warn',
+  '422 upstream-resting info',
+  '423 upstream-leaving info',
   '430 configuration-unconfirmed warn',
   '431 configuration-confirmed info',
   '440 planner-acts info',
--- a/packages/peers/src/heartbeat.ts
+++ b/packages/peers/src/heartbeat.ts
@@ -38,6 +38,8 @@
   readonly cleared?: readonly string[]
   /** Requests suspected of crashing upstreams that the sender tries now: the fingerprint, by upstream. */
   readonly trials?: Readonly<Record<string, string>>
+  /** Ids of the upstreams that said in an answer to the sender that they are leaving. Absent where there are none, and from builds that do not say. */
+  readonly leaving?: readonly string[]
   /** Digest of the requests that the sender has blocked. Absent where there are none. */
   readonly blocked?: string
 }
@@ -70,11 +72,13 @@
   cleared: z.array(z.string()).optional(),
   /** `trials`. Absent where there are none. */
   trials: z.record(z.string(), z.string()).optional(),
-  blocked: z.string().optional()
+  blocked: z.string().optional(),
+  /** `leaving`. Absent where there are none. */
+  leaving: z.array(z.string()).optional()
 })
 
 /** The datagram of a heartbeat. */
-export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads, interval, asks, terms, crashes, cleared, trials, blocked }: Heartbeat): string {
+export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads, interval, asks, terms, crashes, cleared, trials, blocked, leaving }: Heartbeat): string {
   return JSON.stringify({
     id,
     revision,
@@ -91,7 +95,8 @@
     crashes: unlessEmpty(crashes),
     cleared: unlessEmpty(cleared),
     trials: unlessEmpty(trials),
-    blocked
+    blocked,
+    leaving: unlessEmpty(leaving)
   })
 }
 
--- a/packages/roster/src/index.ts
+++ b/packages/roster/src/index.ts
@@ -2,3 +2,4 @@
 export { Membership, Upstream, listedName } from './upstream.js'
 export { Roster, type Absence, type Departure, type RosterChange } from './roster.js'
 export { Outage } from './outage.js'
+export { type Condition } from './condition.js'
--- a/packages/roster/src/roster.ts
+++ b/packages/roster/src/roster.ts
@@ -109,7 +109,11 @@
 
   /** Takes changes, in the order in which the store made them. */
   apply (changes: readonly RosterChange[], absence: Absence = 'judged'): void {
-    const effective = changes.filter(change => 'gone' in change ? this.#remove(change.gone, change.certain === true ? 'certain' : absence) : this.#update(change.upstream))
+    this.#changed(changes.filter(change => 'gone' in change ? this.#remove(change.gone, change.certain === true ? 'certain' : absence) : this.#update(change.upstream)))
+  }
+
+  /** Tells the listeners what has changed. */
+  #changed (effective: readonly RosterChange[]): void {
     this.#byService = undefined
     this.#heads = undefined
     this.#forgetDepartures()
@@ -117,6 +121,28 @@
     for (const listener of this.#listeners) listener(effective)
   }
 
+  /**
+   * Takes an upstream's own word that it is leaving: from now on it takes no new requests, whatever its record says, until a later life. Returns whether that
+   * is new. Some upstreams never say it in their record.
+   */
+  leave (id: string): boolean {
+    const present = this.#upstreams.get(id)
+    if (present !== undefined) {
+      if (present.leaving) return false
+      const upstream = { ...present, leaving: true }
+      this.#upstreams.set(id, upstream)
+      this.#lives.set(listedName(upstream), upstream)
+      this.#depart(upstream)
+      this.#changed([{ upstream }])
+      return true
+    }
+    // A record that has lapsed may be listed again.
+    const departure = this.#departures.get(id)
+    if (departure === undefined || departure.upstream.leaving) return false
+    this.#departures.set(id, { ...departure, upstream: { ...departure.upstream, leaving: true } })
+    return true
+  }
+
   /** Calls `listener` after each change, with what changed here, until the returned function is called. */
   listen (listener: (changes: readonly RosterChange[]) => void): () => void {
     this.#listeners.add(listener)
--- a/packages/wire/src/call.ts
+++ b/packages/wire/src/call.ts
@@ -35,6 +35,8 @@
 
 /** Receives the answer to one call, part by part. Exactly one of `end` and `fail` is called, last. */
 export abstract class Receiver {
+  /** The request is being written: from now on it may reach the other side. */
+  begun (): void {}
   abstract head (status: number, headers: AnswerHeaders, flow: Flow): void
   abstract data (chunk: Buffer): void
   abstract end (): void
@@ -66,6 +68,7 @@
     onRequestStart (controller) {
       if (over) return controller.abort(new Error('The call was cancelled before it was sent.'))
       flow = controller
+      receiver.begun()
     },
     onResponseStart (controller, status, headers) {
       if (!over) receiver.head(status, headers, controller)
--- a/packages/wire/src/connections.ts
+++ b/packages/wire/src/connections.ts
@@ -143,6 +143,10 @@
     this.#done = done
   }
 
+  override begun (): void {
+    this.#receiver.begun()
+  }
+
   head (status: number, headers: AnswerHeaders, flow: Flow): void {
     this.#framed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
     this.#receiver.head(status, headers, flow)
