Take no retry from the budget where all others rest, and note a rest within a pause

Cause, by reading: after a refusal a retry was taken from the budget before the look that finds all others at rest; a rest asked for within a longer pause was not noted as asked for, so that it would be logged with each answer.

--- a/packages/detect/src/rests.ts
+++ b/packages/detect/src/rests.ts
@@ -1,11 +1,11 @@
 /**
- * Upstreams to which this gateway sends nothing for a while: they turned a request away and asked for that, or it leaves them out by itself (`backoff.ts`). Owns these rests, in memory only: another gateway is asked for
- * itself. Relies on forwarding to ask `has` before each send, and on identities that differ between two lives of an upstream, so that a rest ends with
+ * Upstreams to which this gateway sends nothing for a while: they turned a request away and asked for that, or it leaves them out by itself
+ * (`backoff.ts`). Owns these rests, in memory only: another gateway is asked for itself. Relies on forwarding to ask `has` before each send, and on identities that differ between two lives of an upstream, so that a rest ends with
  * the life that asked for it.
  *
  * An upstream that refuses at once always has the fewest requests in flight, so without this it is chosen before all others. With three gateways before two
- * heads of ten that asked for 3 s, 223 requests reached them within their rests and 114 of 201 requests were not served; with it none, and all were
- * (platform/test/rest.test.ts).
+ * heads of ten that asked for 3 s, 223 requests reached them within their rests and 114 of 201 requests were not served; with it none reach them, and only
+ * requests that meet both heads before either has asked are not served (platform/test/rest.test.ts).
  */
 import { type Clock } from '@eiderwind/clock'
 
@@ -81,13 +81,13 @@
   }
 
   #extend (id: string, time: number, asked: boolean): void {
+    if (time <= 0) return
     const { clock, begun } = this.#options
-    const length = Math.min(time, longestRest)
-    const end = clock.now() + length
-    if (length <= 0 || end <= (this.#rests.get(id)?.end ?? -Infinity)) return
+    const now = clock.now()
     const before = this.has(id) ? this.#rests.get(id) : undefined
+    const end = Math.max(before?.end ?? 0, now + Math.min(time, longestRest))
     this.#rests.set(id, { end, asked: asked || before?.asked === true })
-    clock.after(length, () => this.#expire(id))
+    if (end !== before?.end) clock.after(end - now, () => this.#expire(id))
     if (before === undefined) begun(id)
   }
 
--- a/packages/detect/test/rests.test.ts
+++ b/packages/detect/test/rests.test.ts
@@ -53,7 +53,11 @@
   t.true(rests.ask('b', 2000))
   t.is(rests.left('b'), 2000)
   t.false(rests.ask('c', 0))
-  t.deepEqual(told, ['a begun', 'ended at 5000', 'a begun', 'b begun'])
+  rests.pause('d', 500)
+  t.true(rests.ask('d', 100))
+  t.false(rests.ask('d', 100))
+  t.is(rests.left('d'), 500)
+  t.deepEqual(told, ['a begun', 'ended at 5000', 'a begun', 'b begun', 'd begun'])
 })
 
 test('no rest is none, and one without sense ends after an hour', t => {
--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -74,13 +74,19 @@
 
   /** A suspect waits like a request that was offered before: it may have to wait until another one of its kind has been tried. */
   #findUpstream (): Promise<Upstream | 'blocked' | 'resting' | undefined> {
-    const { request, kind, upstreams, context: { clock, crashes, queue } } = this
-    const { priority, timeLeft, route: { objective } } = request
+    const { request, context: { clock, queue } } = this
     this.trial = undefined
-    const offered = request.offered || crashes.standing(request) !== 'trusted'
-    const time = waitForRoom({ path: kind, offered, upstreams: upstreams.length, rest: this.#restLeft, objective, timeLeft })
+    const time = this.#wait
     const until = clock.now() + time
-    return queue.wait(priority, time, () => this.#find() ?? this.#hopeless(until), cancel => request.cancelWith(cancel))
+    return queue.wait(request.priority, time, () => this.#find() ?? this.#hopeless(until), cancel => request.cancelWith(cancel))
+  }
+
+  /** Longest wait for an upstream with room, in ms. */
+  get #wait (): number {
+    const { request, kind, upstreams, context: { crashes } } = this
+    const { timeLeft, route: { objective } } = request
+    const offered = request.offered || crashes.standing(request) !== 'trusted'
+    return waitForRoom({ path: kind, offered, upstreams: upstreams.length, rest: this.#restLeft, objective, timeLeft })
   }
 
   /** Says that waiting until a time, on `Clock.now`, is in vain, where all that may be tried rest for longer. */
@@ -134,6 +140,8 @@
   #sendsAgain (result: AttemptResult): boolean {
     const { service, repeatable, hasAttemptsLeft } = this.request
     const decision = decideRetry({ result, repeatable, hasAttemptsLeft })
+    // A retry that finds all others at rest would be taken from the budget for nothing.
+    if (this.#restLeft > 0 && this.#wait === 0) return false
     return decision === 'free' || (decision === 'budgeted' && this.context.retryBudget(service).take())
   }
 }
--- a/packages/gateway/src/conditions.ts
+++ b/packages/gateway/src/conditions.ts
@@ -1,7 +1,7 @@
 /**
- * What upstreams say of themselves in their answers, and what follows from it: one that asks for rest gets nothing until its end, one that only refuses is left
- * out for a while, one that is leaving gets no new request in this life, whatever the store's list says. Owns the rests and the upstreams that told this gateway itself that they are leaving; the
- * other gateways hear of those by heartbeat. A rest is asked of one gateway and told to no other.
+ * What upstreams say of themselves in their answers, and what follows from it: one that asks for rest gets nothing until its end, one that only refuses is
+ * left out for a while, one that is leaving gets no new request in this life, whatever the store's list says. Owns the rests and the upstreams that told
+ * this gateway itself that they are leaving; the other gateways hear of those by heartbeat. A rest is asked of one gateway and told to no other.
  */
 import { type Clock } from '@eiderwind/clock'
 import { Backoff, Rests, type InFlight } from '@eiderwind/detect'
