--- a/packages/detect/src/rests.ts
+++ b/packages/detect/src/rests.ts
@@ -8,6 +8,7 @@
  * requests that meet both heads before either has asked are not served (platform/test/rest.test.ts).
  */
 import { type Clock } from '@eiderwind/clock'
+import { type Upstream } from '@eiderwind/roster'
 
 /**
  * Longest rest that is kept to, in ms. One that asks for more is asked again after this: a number without sense must not take an upstream out of use for
@@ -49,7 +50,7 @@
    * begins a rest that was asked for: further askings within one, as of requests that were on their way, say little new.
    */
   ask (id: string, time: number): boolean {
-    const isNew = time > 0 && !(this.has(id) && this.#rests.get(id)?.asked === true)
+    const isNew = time > 0 && this.#running(id)?.asked !== true
     this.#extend(id, time, true)
     return isNew
   }
@@ -66,13 +67,24 @@
 
   /** Time until an upstream has rested, in ms; 0 where it does not rest. */
   left (id: string): number {
-    return Math.max(0, (this.#rests.get(id)?.end ?? -Infinity) - this.#options.clock.now())
+    const rest = this.#running(id)
+    return rest === undefined ? 0 : rest.end - this.#options.clock.now()
   }
 
-  /** The rest that ends first of those of some upstreams; undefined where one of them does not rest, or there are none. */
-  first (ids: readonly string[]): Rest | undefined {
-    if (!ids.every(id => this.has(id))) return undefined
-    return ids.flatMap(id => this.#rests.get(id) ?? []).sort((a, b) => a.end - b.end)[0]
+  /**
+   * The rest that ends first of those of some upstreams; undefined where one of them does not rest, or there are none. Asked for each request, so it looks no
+   * further than to the first that does not rest.
+   * @param besides ids of those that do not matter
+   */
+  first (upstreams: ReadonlyArray<Pick<Upstream, 'id'>>, besides: ReadonlySet<string> = new Set()): Rest | undefined {
+    let first: Rest | undefined
+    for (const { id } of upstreams) {
+      if (besides.has(id)) continue
+      const rest = this.#running(id)
+      if (rest === undefined) return undefined
+      if (first === undefined || rest.end < first.end) first = rest
+    }
+    return first
   }
 
   /** How many upstreams rest. */
@@ -80,20 +92,28 @@
     return this.#rests.size
   }
 
+  /** The rest of an upstream, unless it has ended and the timer has yet to say so. */
+  #running (id: string): Rest | undefined {
+    const rest = this.#rests.get(id)
+    return rest !== undefined && rest.end > this.#options.clock.now() ? rest : undefined
+  }
+
   #extend (id: string, time: number, asked: boolean): void {
     if (time <= 0) return
     const { clock, begun } = this.#options
     const now = clock.now()
-    const before = this.has(id) ? this.#rests.get(id) : undefined
+    const before = this.#running(id)
     const end = Math.max(before?.end ?? 0, now + Math.min(time, longestRest))
     this.#rests.set(id, { end, asked: asked || before?.asked === true })
-    if (end !== before?.end) clock.after(end - now, () => this.#expire(id))
-    if (before === undefined) begun(id)
+    if (before !== undefined) return
+    clock.after(end - now, () => this.#expire(id))
+    begun(id)
   }
 
-  /** A rest that was made longer meanwhile goes on. */
+  /** Ends a rest that is over. One that was made longer meanwhile, or whose timer ran out a little early as those of Node.js do, has its timer set anew. */
   #expire (id: string): void {
-    if (this.has(id) || !this.#rests.delete(id)) return
-    this.#options.ended()
+    const left = this.left(id)
+    if (left > 0) this.#options.clock.after(left, () => this.#expire(id))
+    else if (this.#rests.delete(id)) this.#options.ended()
   }
 }
--- a/packages/detect/test/rests.test.ts
+++ b/packages/detect/test/rests.test.ts
@@ -1,7 +1,7 @@
 /** Rests of upstreams: how long they last, by which clock, and what ends them. */
 import test from 'ava'
 import fc from 'fast-check'
-import { ManualClock } from '@eiderwind/clock'
+import { ManualClock, type Subscription, type Task } from '@eiderwind/clock'
 import { Rests } from '../src/index.js'
 
 /** Rests that note what they tell. */
@@ -25,6 +25,29 @@
   t.deepEqual(told, ['a begun', 'ended at 3000'])
 })
 
+function upstreams (...ids: string[]): Array<{ id: string }> {
+  return ids.map(id => ({ id }))
+}
+
+/** A clock whose timers drop fractions of a ms, as those of Node.js do, and so run out before their time. */
+class HastyClock extends ManualClock {
+  override after (delay: number, task: Task): Subscription {
+    return super.after(Math.max(1, Math.trunc(delay)), task)
+  }
+}
+
+test('a rest whose timer runs out a little early ends when it is over, and that is told', t => {
+  const clock = new HastyClock()
+  const { rests, told } = noted(clock)
+  rests.ask('a', 1000.7)
+  clock.advance(1000)
+  t.true(rests.has('a'))
+  clock.advance(1)
+  t.false(rests.has('a'))
+  t.is(rests.count, 0)
+  t.deepEqual(told, ['a begun', 'ended at 1001'])
+})
+
 test('of several askings the one that ends last holds, in any order', t => {
   const clock = new ManualClock()
   const { rests, told } = noted(clock)
@@ -87,12 +110,12 @@
   const { rests } = noted(clock)
   rests.ask('a', 3000)
   rests.ask('b', 1000)
-  t.deepEqual(rests.first(['a', 'b']), { end: 1000, asked: true })
-  t.deepEqual(rests.first(['a']), { end: 3000, asked: true })
-  t.is(rests.first(['a', 'c']), undefined)
-  t.is(rests.first([]), undefined)
+  t.deepEqual(rests.first(upstreams('a', 'b')), { end: 1000, asked: true })
+  t.deepEqual(rests.first(upstreams('a')), { end: 3000, asked: true })
+  t.is(rests.first(upstreams('a', 'c')), undefined)
+  t.is(rests.first(upstreams()), undefined)
   rests.pause('c', 500)
-  t.deepEqual(rests.first(['a', 'b', 'c']), { end: 500, asked: false })
+  t.deepEqual(rests.first(upstreams('a', 'b', 'c')), { end: 500, asked: false })
 })
 
 test('in any series of askings an upstream rests until the last of their ends, and each end is told', t => {
--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -99,14 +99,14 @@
   get #restLeft (): number {
     const { clock, rests } = this.context
     const { tried } = this.request
-    const first = rests.first(idsOf(this.upstreams).filter(id => !tried.has(id)))
+    const first = rests.first(this.upstreams, tried)
     return first === undefined ? 0 : first.end - clock.now()
   }
 
   /** The refusal where all upstreams rest and the first end is one that was asked for. When an upstream takes requests again that only refuses is not known. */
   #restRefusal (): Fault | undefined {
     const { clock, rests, random } = this.context
-    const first = rests.first(idsOf(this.upstreams))
+    const first = rests.first(this.upstreams)
     return first?.asked === true ? refusals.resting(first.end - clock.now(), random()) : undefined
   }
 
@@ -140,12 +140,9 @@
   #sendsAgain (result: AttemptResult): boolean {
     const { service, repeatable, hasAttemptsLeft } = this.request
     const decision = decideRetry({ result, repeatable, hasAttemptsLeft })
+    if (decision === 'no') return false
     // A retry that finds all others at rest would be taken from the budget for nothing.
     if (this.#restLeft > 0 && this.#wait === 0) return false
-    return decision === 'free' || (decision === 'budgeted' && this.context.retryBudget(service).take())
+    return decision === 'free' || this.context.retryBudget(service).take()
   }
 }
-
-function idsOf (upstreams: readonly Upstream[]): string[] {
-  return upstreams.map(({ id }) => id)
-}
--- a/packages/roster/src/roster.ts
+++ b/packages/roster/src/roster.ts
@@ -126,20 +126,14 @@
    * is new. Some upstreams never say it in their record.
    */
   leave (id: string): boolean {
-    const present = this.#upstreams.get(id)
-    if (present !== undefined) {
-      if (present.leaving) return false
-      const upstream = { ...present, leaving: true }
-      this.#upstreams.set(id, upstream)
-      this.#lives.set(listedName(upstream), upstream)
-      this.#depart(upstream)
-      this.#changed([{ upstream }])
-      return true
-    }
-    // A record that has lapsed may be listed again.
-    const departure = this.#departures.get(id)
-    if (departure === undefined || departure.upstream.leaving) return false
-    this.#departures.set(id, { ...departure, upstream: { ...departure.upstream, leaving: true } })
+    // One that is gone may be listed again, after an outage.
+    const latest = this.#upstreams.get(id) ?? this.#departures.get(id)?.upstream
+    if (latest === undefined || latest.leaving) return false
+    const upstream = { ...latest, leaving: true }
+    this.#depart(upstream)
+    if (!this.#upstreams.has(id)) return true
+    this.#keep(upstream)
+    this.#changed([{ upstream }])
     return true
   }
 
@@ -168,8 +162,7 @@
     const leaving = record.leaving || this.#departures.get(record.id)?.upstream.leaving === true
     const upstream = leaving ? { ...record, leaving } : record
     const isNew = !isDeepStrictEqual(upstream, this.#upstreams.get(record.id))
-    this.#upstreams.set(upstream.id, upstream)
-    this.#lives.set(listedName(upstream), upstream)
+    this.#keep(upstream)
     if (leaving) this.#depart(upstream)
     else this.#departures.delete(upstream.id)
     return isNew
@@ -222,6 +215,11 @@
     })
   }
 
+  #keep (upstream: Upstream): void {
+    this.#upstreams.set(upstream.id, upstream)
+    this.#lives.set(listedName(upstream), upstream)
+  }
+
   #depart (upstream: Upstream): void {
     const at = this.#departures.get(upstream.id)?.at ?? this.#clock.now()
     this.#departures.set(upstream.id, { upstream, at })
