--- a/packages/ctl/src/explain.ts
+++ b/packages/ctl/src/explain.ts
@@ -24,7 +24,7 @@
 const relatedTime = 8000
 
 /** Events about an upstream, or about what a gateway believed. */
-const relatedEvents = new Set(['upstream-suspected', 'upstream-resting', 'upstream-leaving', 'replica-decided', 'engine-order', 'store-lost', 'store-back', 'configuration-unconfirmed', 'configuration-confirmed', 'stopping'])
+const relatedEvents = new Set(['upstream-suspected', 'upstream-resting', 'upstream-leaving', 'upstream-limited', 'replica-decided', 'engine-order', 'store-lost', 'store-back', 'configuration-unconfirmed', 'configuration-confirmed', 'stopping'])
 
 /** Decodes one line of a log file; undefined where it is no event. Anything may stand before the JSON. */
 export function readLine (text: string): LogLine | undefined {
--- a/packages/gateway/src/conditions.ts
+++ b/packages/gateway/src/conditions.ts
@@ -31,6 +31,8 @@
   readonly #backoff = new Backoff()
   /** Ids of the upstreams that said in an answer to this gateway that they are leaving. */
   readonly #leaving = new Set<string>()
+  /** Limits that upstreams named in answers to this gateway, in requests a second. */
+  readonly #limits = new Map<string, number>()
 
   constructor (options: ConditionsOptions) {
     const { clock, queue } = options
@@ -39,8 +41,9 @@
   }
 
   /** Takes the condition of an upstream by any of its answers. */
-  take (id: string, { leaving, rest }: Condition): void {
+  take (id: string, { leaving, rest, limit }: Condition): void {
     if (rest > 0) this.#asked(id, rest)
+    if (limit !== undefined) this.#named(id, limit)
     if (leaving) this.#leave(id)
   }
 
@@ -75,6 +78,13 @@
     log.write('upstream-resting', { upstream: id, rest: Math.round(rest) })
   }
 
+  #named (id: string, limit: number): void {
+    if ((this.#limits.get(id) ?? Infinity) === limit) return
+    if (Number.isFinite(limit)) this.#limits.set(id, limit)
+    else this.#limits.delete(id)
+    this.#options.log.write('upstream-limited', Number.isFinite(limit) ? { upstream: id, limit } : { upstream: id })
+  }
+
   #leave (id: string): void {
     const { log, roster, tell } = this.#options
     if (this.#leaving.has(id)) return
--- a/packages/gateway/test/conditions.test.ts
+++ b/packages/gateway/test/conditions.test.ts
@@ -30,7 +30,7 @@
   rested = 0
   readonly conditions = new Conditions({
     clock: this.clock,
-    log: { write: (name: string, { upstream, rest, from }: Record<string, unknown>) => this.lines.push([name, upstream, rest ?? from].join(' ').trim()) } as unknown as Log,
+    log: { write: (name: string, { upstream, rest, limit, from }: Record<string, unknown>) => this.lines.push([name, upstream, rest ?? limit ?? from].join(' ').trim()) } as unknown as Log,
     roster: this.roster,
     inFlight: this.inFlight,
     queue: this.queue,
@@ -145,3 +145,12 @@
   roster.apply([])
   t.deepEqual(conditions.news, { leaving: [] })
 })
+
+test('a limit that an upstream names is logged once, and so are another one and its end', t => {
+  const fixture = new Fixture()
+  const { conditions, lines } = fixture
+  for (const limit of [3, 3, 1.6, Infinity, Infinity]) conditions.take('a', { ...nothing, limit })
+  conditions.take('a', nothing)
+  conditions.take('b', { ...nothing, limit: Infinity })
+  t.deepEqual(lines, ['upstream-limited a 3', 'upstream-limited a 1.6', 'upstream-limited a'])
+})
--- a/packages/log/test/forms.test.ts
+++ b/packages/log/test/forms.test.ts
@@ -42,6 +42,7 @@
   '421 upstream-crashed warn',
   '422 upstream-resting info',
   '423 upstream-leaving info',
+  '424 upstream-limited info',
   '430 configuration-unconfirmed warn',
   '431 configuration-confirmed info',
   '440 planner-acts info',
--- a/packages/roster/src/condition.ts
+++ b/packages/roster/src/condition.ts
@@ -6,4 +6,9 @@
   readonly leaving: boolean
   /** For how long it wants nothing from this gateway, in ms from the answer; 0 where it did not ask for that. */
   readonly rest: number
+  /**
+   * Requests a second that it takes from all gateways together, for as long as it says so; Infinity where it says that it takes any number. Absent where the
+   * answer does not tell.
+   */
+  readonly limit?: number
 }
