--- a/packages/detect/src/inflight.ts
+++ b/packages/detect/src/inflight.ts
@@ -11,8 +11,8 @@
   readonly stalled?: (() => void) | undefined
   /** Called when the upstream has certainly ended. */
   readonly lost?: () => void
-  /** Called when nothing more may be sent to the upstream: a request that has not left yet must not. */
-  readonly withdrawn?: () => void
+  /** Called when nothing more may be sent to the upstream, with the reason: a request that has not left yet must not. */
+  readonly withdrawn?: (why: string) => void
 }
 
 /** A request in flight at one upstream. */
@@ -126,6 +126,11 @@
     return [...this.#loads.values()].flatMap(({ requests }) => [...requests].filter(each => each.receivedAt < before))
   }
 
+  /** Withdraws the requests for an upstream that have not left yet. */
+  withdraw (upstream: string, why: string): void {
+    for (const each of this.at(upstream)) each.handlers.withdrawn?.(why)
+  }
+
   /** The requests in flight at an upstream. */
   at (upstream: string): InFlightRequest[] {
     return [...this.#loads.get(upstream)?.requests ?? []]
--- a/packages/detect/src/rests.ts
+++ b/packages/detect/src/rests.ts
@@ -1,6 +1,6 @@
 /**
  * Upstreams to which this gateway sends nothing for a while: they turned a request away and asked for that, or it leaves them out by itself
- * (`backoff.ts`). Owns these rests, in memory only: another gateway is asked for itself. Relies on forwarding to ask `has` before each send, and on identities that differ between two lives of an upstream, so that a rest ends with
+ * (`backoff.ts`). Owns these rests, in memory only: another gateway is asked for itself. Relies on `Intake` to ask `has` before each send, and on identities that differ between two lives of an upstream, so that a rest ends with
  * the life that asked for it.
  *
  * An upstream that refuses at once always has the fewest requests in flight, so without this it is chosen before all others. With three gateways before two
@@ -8,7 +8,6 @@
  * requests that meet both heads before either has asked are not served (platform/test/rest.test.ts).
  */
 import { type Clock } from '@eiderwind/clock'
-import { type Upstream } from '@eiderwind/roster'
 
 /**
  * Longest rest that is kept to, in ms. One that asks for more is asked again after this: a number without sense must not take an upstream out of use for
@@ -50,7 +49,7 @@
    * begins a rest that was asked for: further askings within one, as of requests that were on their way, say little new.
    */
   ask (id: string, time: number): boolean {
-    const isNew = time > 0 && this.#running(id)?.asked !== true
+    const isNew = time > 0 && this.of(id)?.asked !== true
     this.#extend(id, time, true)
     return isNew
   }
@@ -67,33 +66,17 @@
 
   /** Time until an upstream has rested, in ms; 0 where it does not rest. */
   left (id: string): number {
-    const rest = this.#running(id)
+    const rest = this.of(id)
     return rest === undefined ? 0 : rest.end - this.#options.clock.now()
   }
 
-  /**
-   * The rest that ends first of those of some upstreams; undefined where one of them does not rest, or there are none. Asked for each request, so it looks no
-   * further than to the first that does not rest.
-   * @param besides ids of those that do not matter
-   */
-  first (upstreams: ReadonlyArray<Pick<Upstream, 'id'>>, besides: ReadonlySet<string> = new Set()): Rest | undefined {
-    let first: Rest | undefined
-    for (const { id } of upstreams) {
-      if (besides.has(id)) continue
-      const rest = this.#running(id)
-      if (rest === undefined) return undefined
-      if (first === undefined || rest.end < first.end) first = rest
-    }
-    return first
-  }
-
   /** How many upstreams rest. */
   get count (): number {
     return this.#rests.size
   }
 
   /** The rest of an upstream, unless it has ended and the timer has yet to say so. */
-  #running (id: string): Rest | undefined {
+  of (id: string): Rest | undefined {
     const rest = this.#rests.get(id)
     return rest !== undefined && rest.end > this.#options.clock.now() ? rest : undefined
   }
@@ -102,7 +85,7 @@
     if (time <= 0) return
     const { clock, begun } = this.#options
     const now = clock.now()
-    const before = this.#running(id)
+    const before = this.of(id)
     const end = Math.max(before?.end ?? 0, now + Math.min(time, longestRest))
     this.#rests.set(id, { end, asked: asked || before?.asked === true })
     if (before !== undefined) return
--- a/packages/detect/test/rests.test.ts
+++ b/packages/detect/test/rests.test.ts
@@ -25,10 +25,6 @@
   t.deepEqual(told, ['a begun', 'ended at 3000'])
 })
 
-function upstreams (...ids: string[]): Array<{ id: string }> {
-  return ids.map(id => ({ id }))
-}
-
 /** A clock whose timers drop fractions of a ms, as those of Node.js do, and so run out before their time. */
 class HastyClock extends ManualClock {
   override after (delay: number, task: Task): Subscription {
@@ -105,19 +101,6 @@
   t.is(rests.left('a'), 2000)
 })
 
-test('the first end is that of upstreams all of which rest', t => {
-  const clock = new ManualClock()
-  const { rests } = noted(clock)
-  rests.ask('a', 3000)
-  rests.ask('b', 1000)
-  t.deepEqual(rests.first(upstreams('a', 'b')), { end: 1000, asked: true })
-  t.deepEqual(rests.first(upstreams('a')), { end: 3000, asked: true })
-  t.is(rests.first(upstreams('a', 'c')), undefined)
-  t.is(rests.first(upstreams()), undefined)
-  rests.pause('c', 500)
-  t.deepEqual(rests.first(upstreams('a', 'b', 'c')), { end: 500, asked: false })
-})
-
 test('in any series of askings an upstream rests until the last of their ends, and each end is told', t => {
   const steps = fc.array(fc.record({ id: fc.constantFrom('a', 'b'), rest: fc.integer({ min: -10, max: 5000 }), pause: fc.integer({ min: 0, max: 3000 }) }), { maxLength: 40 })
   fc.assert(fc.property(steps, series => {
--- a/packages/dispatch/src/choice.ts
+++ b/packages/dispatch/src/choice.ts
@@ -1,13 +1,14 @@
 /**
  * Which upstream a request goes to: the replica head with most room for a model, or the plain upstream that should
  * answer soonest. Relies on the roster for the candidates, on `InFlight` and the peers' heartbeats for their load, and on
- * `Suspects` and `Rests` for upstreams to avoid. When none has room, `waiting.ts` says how long a request waits.
+ * `Suspects` and `Intake` for upstreams to avoid. When none has room, `waiting.ts` says how long a request waits.
  */
 import { type Random } from '@eiderwind/clock'
-import { type InFlight, type Rests, type Suspects } from '@eiderwind/detect'
+import { type InFlight, type Suspects } from '@eiderwind/detect'
 import { type Heartbeat, type Peers } from '@eiderwind/peers'
 import { type Roster, type Upstream } from '@eiderwind/roster'
 import { type Engine } from '@eiderwind/traffic'
+import { type Intake } from './intake.js'
 import { Observations } from './observations.js'
 
 /** Dependencies of `Choice`. */
@@ -16,7 +17,7 @@
   readonly inFlight: InFlight
   readonly peers: Peers
   readonly suspects: Suspects
-  readonly rests: Rests
+  readonly intake: Intake
   /** The data centre of this gateway. Among equals, an upstream there is chosen. */
   readonly dataCentre: string
   /** Breaks ties between upstreams that are equally good: one draw for each candidate. */
@@ -46,8 +47,8 @@
 
   /** The head with most room for a request of a model, or undefined if none has room. @param avoided ids of heads that it must not be */
   head (service: string, model: string, engine: Engine, avoided: ReadonlySet<string>): Upstream | undefined {
-    const { roster, suspects, rests, peers } = this.#options
-    const heads = roster.heads(service, model).filter(({ id }) => !avoided.has(id) && !rests.has(id) && suspects.mayTry(id))
+    const { roster, suspects, intake, peers } = this.#options
+    const heads = roster.heads(service, model).filter(({ id }) => !avoided.has(id) && intake.has(id) && suspects.mayTry(id))
     const heartbeats = peers.live
     const load = ({ id }: Upstream): number => this.#load(id, heartbeats)
     const ordered = this.#byCost(heads, load).filter(each => load(each) < engine.slots * (1 + overhang))
@@ -72,8 +73,8 @@
    * raise its cost (`Observations`).
    */
   plain (service: string, avoided: ReadonlySet<string>): Upstream | undefined {
-    const { roster, inFlight, rests } = this.#options
-    const upstreams = roster.available(service).filter(({ id }) => !avoided.has(id) && !rests.has(id))
+    const { roster, inFlight, intake } = this.#options
+    const upstreams = roster.available(service).filter(({ id }) => !avoided.has(id) && intake.has(id))
     return this.#byCost(upstreams, ({ id }) => this.#observations.cost(id, inFlight.count(id)))[0]
   }
 
--- a/packages/dispatch/src/refusals.ts
+++ b/packages/dispatch/src/refusals.ts
@@ -37,7 +37,7 @@
 const roomFreed = 0.9
 
 /**
- * After `busy` where all upstreams rest: callers are spread over this time after the end of the first rest, in seconds, so that they do not all
+ * After `busy` where no upstream takes a request by its own word: callers are spread over this time after the first does, in seconds, so that they do not all
  * come back in the moment in which one upstream takes requests again. Chosen, not measured.
  */
 const returnSpread = 0.5
@@ -91,8 +91,16 @@
    * @param random in [0, 1)
    */
   resting (time: number, random: number): Fault {
-    const retryAfter = Math.ceil(time + random * returnSpread * 1000) / 1000
-    return new Fault('busy', { retryAfter, remedy: 'Come back after the time given; all upstreams that could serve this turn requests away.' })
+    return new Fault('busy', { retryAfter: returnTime(time, random), remedy: 'Come back after the time given; all upstreams that could serve this turn requests away.' })
+  },
+
+  /**
+   * All upstreams that could serve it name limits, and those are used up for longer than it may wait.
+   * @param time until the first of them has a token for it, in ms
+   * @param random in [0, 1)
+   */
+  limited (time: number, random: number): Fault {
+    return new Fault('busy', { retryAfter: returnTime(time, random), remedy: 'Come back after the time given; all upstreams that could serve this take only so many requests a second now.' })
   },
 
   /**
@@ -117,3 +125,8 @@
     return new Fault('deadline', { remedy: 'Give a later deadline, as far as the time limit of the route allows, or come back when there is less load.' })
   }
 }
+
+/** `Retry-After` of callers that are spread after the time at which an upstream takes requests again, in seconds. @param time in ms */
+function returnTime (time: number, random: number): number {
+  return Math.ceil(time + random * returnSpread * 1000) / 1000
+}
--- a/packages/dispatch/src/waiting.ts
+++ b/packages/dispatch/src/waiting.ts
@@ -24,8 +24,8 @@
   readonly offered: boolean
   /** Upstreams that serve what is asked for, whether they have room or not. */
   readonly upstreams: number
-  /** Time until the first of those that may be tried has rested; 0 where one of them does not rest. */
-  readonly rest: number
+  /** Time until the first of those that may be tried takes a request again; 0 where one of them does now, or it is not known. */
+  readonly closed: number
   /** The route's latency objective. */
   readonly objective: number
   /** Time until the request's deadline. */
@@ -35,12 +35,12 @@
 /**
  * Longest wait for an upstream with room, in ms. Where none serves what is asked for, room cannot appear in a wait as short as the
  * first one: the caller is refused at once and told when to come back. A plain request that was offered before does not wait: if no
- * other upstream has room now, its caller gets the result of the last attempts at once. Chosen, not measured. Where all have asked for rest
- * beyond that time, there is nothing to wait for.
+ * other upstream has room now, its caller gets the result of the last attempts at once. Chosen, not measured. Where none takes a
+ * request within that time, by its own word, there is nothing to wait for.
  */
 export function waitForRoom (inputs: WaitInputs): number {
   const time = longestWait(inputs)
-  return inputs.rest > time ? 0 : time
+  return inputs.closed > time ? 0 : time
 }
 
 function longestWait ({ path, offered, upstreams, objective, timeLeft }: WaitInputs): number {
--- a/packages/dispatch/test/decisions.test.ts
+++ b/packages/dispatch/test/decisions.test.ts
@@ -4,29 +4,29 @@
 
 test('a request waits for 0.22 of its objective before its first attempt, never past its deadline', t => {
   for (const path of ['plain', 'stream'] as const) {
-    t.is(waitForRoom({ path, offered: false, upstreams: 2, rest: 0, objective: 500, timeLeft: 6000 }), 110)
-    t.is(waitForRoom({ path, offered: false, upstreams: 2, rest: 0, objective: 500, timeLeft: 30 }), 30)
+    t.is(waitForRoom({ path, offered: false, upstreams: 2, closed: 0, objective: 500, timeLeft: 6000 }), 110)
+    t.is(waitForRoom({ path, offered: false, upstreams: 2, closed: 0, objective: 500, timeLeft: 30 }), 30)
   }
 })
 
 test('a request for which nothing serves is refused at once, and one that was offered before is not', t => {
-  for (const path of ['plain', 'stream'] as const) t.is(waitForRoom({ path, offered: false, upstreams: 0, rest: 0, objective: 500, timeLeft: 6000 }), 0)
-  t.is(waitForRoom({ path: 'stream', offered: true, upstreams: 0, rest: 0, objective: 500, timeLeft: 6000 }), 1500)
+  for (const path of ['plain', 'stream'] as const) t.is(waitForRoom({ path, offered: false, upstreams: 0, closed: 0, objective: 500, timeLeft: 6000 }), 0)
+  t.is(waitForRoom({ path: 'stream', offered: true, upstreams: 0, closed: 0, objective: 500, timeLeft: 6000 }), 1500)
 })
 
 test('once offered, a plain request does not wait, and a stream waits for 1500 ms, never past its deadline', t => {
-  t.is(waitForRoom({ path: 'plain', offered: true, upstreams: 2, rest: 0, objective: 500, timeLeft: 6000 }), 0)
-  t.is(waitForRoom({ path: 'stream', offered: true, upstreams: 2, rest: 0, objective: 500, timeLeft: 6000 }), 1500)
-  t.is(waitForRoom({ path: 'stream', offered: true, upstreams: 2, rest: 0, objective: 500, timeLeft: 30 }), 30)
+  t.is(waitForRoom({ path: 'plain', offered: true, upstreams: 2, closed: 0, objective: 500, timeLeft: 6000 }), 0)
+  t.is(waitForRoom({ path: 'stream', offered: true, upstreams: 2, closed: 0, objective: 500, timeLeft: 6000 }), 1500)
+  t.is(waitForRoom({ path: 'stream', offered: true, upstreams: 2, closed: 0, objective: 500, timeLeft: 30 }), 30)
 })
 
 test('where all upstreams rest, a request waits for the end of the first rest or not at all', t => {
   const first = { path: 'plain', offered: false, upstreams: 2, objective: 500, timeLeft: 6000 } as const
-  t.is(waitForRoom({ ...first, rest: 100 }), 110)
-  t.is(waitForRoom({ ...first, rest: 111 }), 0)
-  t.is(waitForRoom({ ...first, rest: 100, timeLeft: 90 }), 0)
-  t.is(waitForRoom({ ...first, path: 'stream', offered: true, rest: 1500 }), 1500)
-  t.is(waitForRoom({ ...first, path: 'stream', offered: true, rest: 1501 }), 0)
+  t.is(waitForRoom({ ...first, closed: 100 }), 110)
+  t.is(waitForRoom({ ...first, closed: 111 }), 0)
+  t.is(waitForRoom({ ...first, closed: 100, timeLeft: 90 }), 0)
+  t.is(waitForRoom({ ...first, path: 'stream', offered: true, closed: 1500 }), 1500)
+  t.is(waitForRoom({ ...first, path: 'stream', offered: true, closed: 1501 }), 0)
 })
 
 test('where all upstreams rest, callers come back from the end of the first rest on, spread over half a second', t => {
--- a/packages/dispatch/test/dispatch.test.ts
+++ b/packages/dispatch/test/dispatch.test.ts
@@ -4,7 +4,7 @@
 import { InFlight, Rests, Suspects } from '@eiderwind/detect'
 import { Peers } from '@eiderwind/peers'
 import { Roster } from '@eiderwind/roster'
-import { Choice, Queue, RetryBudget } from '../src/index.js'
+import { Choice, Intake, Queue, RetryBudget } from '../src/index.js'
 
 function budget (clock: ManualClock): RetryBudget {
   return new RetryBudget(clock, { ratio: 0.2, window: 10_000, slack: 40, gateways: () => 4 })
@@ -75,7 +75,7 @@
   const flights = new InFlight(clock, () => {})
   const heartbeat = { id: 'e', revision: 0, canPlan: false, inFlight: {}, suspects: [], inFlightByModel: {}, served: false, loads: {} }
   const peers = new Peers({ clock, id: 'e', address: '127.0.0.1:1', heartbeat: () => heartbeat, interval: 250, timeout: 1000 })
-  const choice = new Choice({ roster, inFlight: flights, peers, suspects: new Suspects(clock, roster), rests: new Rests({ clock, begun: () => {}, ended: () => {} }), dataCentre: 'dc', random: Math.random })
+  const choice = new Choice({ roster, inFlight: flights, peers, suspects: new Suspects(clock, roster), intake: new Intake({ clock, rests: new Rests({ clock, begun: () => {}, ended: () => {} }) }), dataCentre: 'dc', random: Math.random })
   const engine = { slots: 20, models: [], step: 8, stepPerRequest: 0.1, readRate: 45_000, prompt: 900, answer: 130, loadRate: 3, loadsAtOnce: 6, formTime: 300 }
   for (let count = 0; count < 22; count++) {
     t.is(choice.head('s', 'm', engine, new Set())?.id, 'a', String(count))
--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -85,7 +85,7 @@
     this.#inFlight = context.inFlight.begin(upstream.id, model, {
       stalled: onStall,
       lost: () => this.#lose('the upstream has started again', true),
-      withdrawn: () => this.#withdraw()
+      withdrawn: why => this.#withdraw(why)
     })
     this.#cancel = context.connections.send(outgoingCall(request, upstream, context.names, lastEvent), this, newConnection)
     if (this.#ended) this.#cancel(new Error('The attempt has ended.'))
@@ -98,8 +98,8 @@
   }
 
   /** Does not send it, unless it is being sent already: a call that waits for its connection fails as not sent. */
-  #withdraw (): void {
-    if (!this.#written) this.#cancel?.(new Error('the upstream asked for rest'))
+  #withdraw (why: string): void {
+    if (!this.#written) this.#cancel?.(new Error(why))
   }
 
   /** @param broken whether it is the upstream that broke off */
--- a/packages/forward/src/context.ts
+++ b/packages/forward/src/context.ts
@@ -1,8 +1,8 @@
 /** What all requests of a gateway share while they are forwarded. The gateway makes one and passes it to each path. */
 import { type Clock, type Random } from '@eiderwind/clock'
 import { type Crashes } from '@eiderwind/crashes'
-import { type InFlight, type Rests, type Suspects } from '@eiderwind/detect'
-import { type Choice, type Queue, type RetryBudget } from '@eiderwind/dispatch'
+import { type InFlight, type Suspects } from '@eiderwind/detect'
+import { type Choice, type Intake, type Queue, type RetryBudget } from '@eiderwind/dispatch'
 import { type Log } from '@eiderwind/log'
 import { type Roster, type Upstream } from '@eiderwind/roster'
 import { type AnswerHeaders, type Connections } from '@eiderwind/wire'
@@ -28,7 +28,7 @@
   readonly inFlight: InFlight
   readonly choice: Choice
   readonly suspects: Suspects
-  readonly rests: Rests
+  readonly intake: Intake
   readonly crashes: Crashes
   readonly queue: Queue
   readonly random: Random
--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -6,6 +6,7 @@
 import { type Trial } from '@eiderwind/crashes'
 import { decideRetry, refusals, waitForRoom, type AttemptResult } from '@eiderwind/dispatch'
 import { type Fault } from '@eiderwind/fault'
+import { type Claim } from '@eiderwind/limits'
 import { type Upstream } from '@eiderwind/roster'
 import { sendAnswer } from './answers.js'
 import { type Context } from './context.js'
@@ -14,6 +15,9 @@
 /** Why a request that has crashed an upstream is not sent to another one. */
 const crashesUpstreams = 'each upstream that began to run this request has crashed'
 
+/** No upstream. */
+const none: ReadonlySet<string> = new Set()
+
 /** Serves one request. Subclasses differ in how an upstream is chosen and what is done with its answer. */
 export abstract class Path {
   protected readonly context: Context
@@ -35,7 +39,7 @@
       const upstream = await this.#findUpstream()
       if (request.ended) return this.trial?.end()
       if (upstream === 'blocked') return this.#concludeBlocked()
-      if (upstream === undefined || upstream === 'resting') break
+      if (upstream === undefined || upstream === 'closed') break
       latest = await this.attempt(upstream)
       if (request.ended) return
       request.endAttempt(upstream.id, latest, this.lastEvent)
@@ -69,16 +73,19 @@
     const { request } = this
     if (result?.kind === 'answered') return sendAnswer(request, result)
     if (result?.kind === 'lost') return request.refuse(refusals.lost(result.why))
-    request.refuse(this.#restRefusal() ?? this.refusal(result))
+    request.refuse(this.#closedRefusal() ?? this.refusal(result))
   }
 
   /** A suspect waits like a request that was offered before: it may have to wait until another one of its kind has been tried. */
-  #findUpstream (): Promise<Upstream | 'blocked' | 'resting' | undefined> {
-    const { request, context: { clock, queue } } = this
+  async #findUpstream (): Promise<Upstream | 'blocked' | 'closed' | undefined> {
+    const { request, context: { clock, intake, queue } } = this
     this.trial = undefined
     const time = this.#wait
     const until = clock.now() + time
-    return queue.wait(request.priority, time, () => this.#find() ?? this.#hopeless(until), cancel => request.cancelWith(cancel))
+    const claim = intake.claim(request.priority, until)
+    const found = await queue.wait(request.priority, time, () => this.#find(claim) ?? this.#hopeless(until), cancel => request.cancelWith(cancel))
+    intake.release(claim)
+    return found
   }
 
   /** Longest wait for an upstream with room, in ms. */
@@ -86,41 +93,53 @@
     const { request, kind, upstreams, context: { crashes } } = this
     const { timeLeft, route: { objective } } = request
     const offered = request.offered || crashes.standing(request) !== 'trusted'
-    return waitForRoom({ path: kind, offered, upstreams: upstreams.length, rest: this.#restLeft, objective, timeLeft })
+    return waitForRoom({ path: kind, offered, upstreams: upstreams.length, closed: this.#closedFor, objective, timeLeft })
   }
 
-  /** Says that waiting until a time, on `Clock.now`, is in vain, where all that may be tried rest for longer. */
-  #hopeless (until: number): 'resting' | undefined {
-    const rest = this.#restLeft
-    return rest > 0 && this.context.clock.now() + rest > until ? 'resting' : undefined
+  /** Says that waiting until a time, on `Clock.now`, is in vain, where none of those that may be tried takes a request before that. */
+  #hopeless (until: number): 'closed' | undefined {
+    const time = this.#closedFor
+    return time > 0 && this.context.clock.now() + time > until ? 'closed' : undefined
   }
 
-  /** Time until the first upstream that may still be tried has rested, in ms; 0 where one of them does not rest. */
-  get #restLeft (): number {
-    const { clock, rests } = this.context
-    const { tried } = this.request
-    const first = rests.first(this.upstreams, tried)
+  /** Time until the first upstream that may still be tried takes a request by its own word, in ms; 0 where one of them does, or it is not known. */
+  get #closedFor (): number {
+    const { clock, intake } = this.context
+    const { tried, priority } = this.request
+    const first = intake.first(this.upstreams, tried, priority)
     return first === undefined ? 0 : first.end - clock.now()
   }
 
-  /** The refusal where all upstreams rest and the first end is one that was asked for. When an upstream takes requests again that only refuses is not known. */
-  #restRefusal (): Fault | undefined {
-    const { clock, rests, random } = this.context
-    const first = rests.first(this.upstreams)
-    return first?.asked === true ? refusals.resting(first.end - clock.now(), random()) : undefined
+  /**
+   * The refusal where no upstream takes a request by its own word. When one takes requests again that only refuses, or whose limit is kept by a gateway that does
+   * not answer, is not known.
+   */
+  #closedRefusal (): Fault | undefined {
+    const { clock, intake, random } = this.context
+    const first = intake.first(this.upstreams, none, this.request.priority)
+    const time = first === undefined ? 0 : first.end - clock.now()
+    if (first === undefined || time <= 0 || first.cause === 'pause') return undefined
+    return first.cause === 'rest' ? refusals.resting(time, random()) : refusals.limited(time, random())
   }
 
-  /** The upstream to send the request to now, by what is known of its crashes; undefined where it has to wait. */
-  #find (): Upstream | 'blocked' | undefined {
-    const { request, context: { crashes } } = this
+  /** The upstream to send the request to now, by what is known of its crashes; undefined where it has to wait. What lacks nothing but a token is asked for one. */
+  #find (claim: Claim | undefined): Upstream | 'blocked' | undefined {
+    const { request, context: { crashes, intake } } = this
     const standing = crashes.standing(request)
     if (standing === 'blocked') return standing
-    const { tried } = request
-    const { underTrial } = crashes
+    const mayBeSent = standing === 'trusted' || crashes.mayTry(request)
+    const upstream = mayBeSent ? this.#choose(standing) : undefined
+    if (upstream !== undefined) intake.take(upstream.id)
+    else if (mayBeSent) intake.pursue(claim, this.upstreams, request.tried)
+    return standing === 'suspected' ? this.#try(upstream) : upstream
+  }
+
+  /** A suspect is sent to no upstream at which another one is tried; any other request only where there is no choice. */
+  #choose (standing: 'trusted' | 'suspected'): Upstream | undefined {
+    const { request: { tried }, context: { crashes: { underTrial } } } = this
     const avoided = underTrial.size === 0 ? tried : new Set([...tried, ...underTrial])
-    if (standing === 'suspected') return crashes.mayTry(request) ? this.#try(this.choose(avoided)) : undefined
     const apart = this.choose(avoided)
-    return apart === undefined && avoided !== tried ? this.choose(tried) : apart
+    return apart === undefined && avoided !== tried && standing === 'trusted' ? this.choose(tried) : apart
   }
 
   /** Begins the trial at once, so that no other suspect that waits is sent to the same upstream. */
@@ -141,8 +160,8 @@
     const { service, repeatable, hasAttemptsLeft } = this.request
     const decision = decideRetry({ result, repeatable, hasAttemptsLeft })
     if (decision === 'no') return false
-    // A retry that finds all others at rest would be taken from the budget for nothing.
-    if (this.#restLeft > 0 && this.#wait === 0) return false
+    // A retry that no upstream takes would be taken from the budget for nothing.
+    if (this.#closedFor > 0 && this.#wait === 0) return false
     return decision === 'free' || this.context.retryBudget(service).take()
   }
 }
--- a/packages/forward/src/plainpath.ts
+++ b/packages/forward/src/plainpath.ts
@@ -23,12 +23,12 @@
 
   protected attempt (upstream: Upstream): Promise<AttemptResult> {
     const { context, request, trial } = this
-    const { clock, choice, rests } = context
+    const { clock, choice, intake } = context
     const startedAt = clock.now()
     return new Promise(resolve => {
       const onEnd = (result: AttemptResult): void => {
         // One that asked for rest has said itself when it takes requests again: as a failure it would be left out for long after that.
-        if (!rests.has(upstream.id)) choice.observe(upstream.id, clock.now() - startedAt, !isSuccess(result))
+        if (!intake.rests(upstream.id)) choice.observe(upstream.id, clock.now() - startedAt, !isSuccess(result))
         resolve(result)
       }
       // A kept connection may break just as a request is sent on it, which leaves open whether it ran.
--- a/packages/forward/test/attempt.test.ts
+++ b/packages/forward/test/attempt.test.ts
@@ -50,7 +50,7 @@
 
   /** Has what is not sent yet withdrawn, as when the upstream asks for rest in another answer. */
   withdraw (): void {
-    for (const each of this.inFlight.at('u')) each.handlers.withdrawn?.()
+    this.inFlight.withdraw('u', 'the upstream asked for rest')
   }
 }
 
--- a/packages/forward/test/retry.test.ts
+++ b/packages/forward/test/retry.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava'
 import { ManualClock } from '@eiderwind/clock'
 import { Rests } from '@eiderwind/detect'
-import { Queue, refusals, type AttemptResult, type RetryBudget } from '@eiderwind/dispatch'
+import { Intake, Queue, refusals, type AttemptResult, type RetryBudget } from '@eiderwind/dispatch'
 import { type Fault } from '@eiderwind/fault'
 import { type Upstream } from '@eiderwind/roster'
 import { type Route } from '@eiderwind/traffic'
@@ -67,7 +67,8 @@
   const crashes = { standing: () => 'trusted', underTrial: new Set<string>() }
   const clock = new ManualClock()
   const rests = new Rests({ clock, begun: () => {}, ended: () => {} })
-  const context = { clock, crashes, rests, queue: new Queue(clock), retryBudget: () => budget as unknown as RetryBudget } as unknown as Context
+  const intake = new Intake({ clock, rests })
+  const context = { clock, crashes, intake, queue: new Queue(clock), retryBudget: () => budget as unknown as RetryBudget } as unknown as Context
   return { context, asked: () => asked }
 }
 
--- a/packages/gateway/src/conditions.ts
+++ b/packages/gateway/src/conditions.ts
@@ -1,7 +1,8 @@
 /**
  * What upstreams say of themselves in their answers, and what follows from it: one that asks for rest gets nothing until its end, one that only refuses is
- * left out for a while, one that is leaving gets no new request in this life, whatever the store's list says. Owns the rests and the upstreams that told
- * this gateway itself that they are leaving; the other gateways hear of those by heartbeat. A rest is asked of one gateway and told to no other.
+ * left out for a while, one that names a limit gets no more than that, one that is leaving gets no new request in this life, whatever the store's list says. Owns the rests and the upstreams that told
+ * this gateway itself that they are leaving; the other gateways hear of those by heartbeat. A rest is asked of one gateway and told to no other;
+ * a limit is for all together (`limiting.ts`).
  */
 import { type Clock } from '@eiderwind/clock'
 import { Backoff, Rests, type InFlight } from '@eiderwind/detect'
@@ -20,6 +21,8 @@
   readonly queue: Queue
   /** Called when the other gateways should hear at once that an upstream is leaving. */
   readonly tell: () => void
+  /** Takes the limit that an upstream's answer to this gateway names. */
+  readonly limited: (id: string, rate: number) => void
   /** Called when an upstream has asked for rest. */
   readonly rested: () => void
 }
@@ -31,8 +34,6 @@
   readonly #backoff = new Backoff()
   /** Ids of the upstreams that said in an answer to this gateway that they are leaving. */
   readonly #leaving = new Set<string>()
-  /** Limits that upstreams named in answers to this gateway, in requests a second. */
-  readonly #limits = new Map<string, number>()
 
   constructor (options: ConditionsOptions) {
     const { clock, queue } = options
@@ -43,7 +44,7 @@
   /** Takes the condition of an upstream by any of its answers. */
   take (id: string, { leaving, rest, limit }: Condition): void {
     if (rest > 0) this.#asked(id, rest)
-    if (limit !== undefined) this.#named(id, limit)
+    if (limit !== undefined) this.#options.limited(id, limit)
     if (leaving) this.#leave(id)
   }
 
@@ -78,13 +79,6 @@
     log.write('upstream-resting', { upstream: id, rest: Math.round(rest) })
   }
 
-  #named (id: string, limit: number): void {
-    if ((this.#limits.get(id) ?? Infinity) === limit) return
-    if (Number.isFinite(limit)) this.#limits.set(id, limit)
-    else this.#limits.delete(id)
-    this.#options.log.write('upstream-limited', Number.isFinite(limit) ? { upstream: id, limit } : { upstream: id })
-  }
-
   #leave (id: string): void {
     const { log, roster, tell } = this.#options
     if (this.#leaving.has(id)) return
@@ -96,7 +90,7 @@
   /** What has not left yet is withdrawn, and who waits looks again, since it may wait in vain now. */
   #rest (id: string): void {
     const { inFlight, queue } = this.#options
-    for (const each of inFlight.at(id)) each.handlers.withdrawn?.()
+    inFlight.withdraw(id, 'the upstream asked for rest')
     queue.wake()
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,7 @@
  */
 import { randomUUID } from 'node:crypto'
 import { InFlight, Pauses, Stalls, Suspects } from '@eiderwind/detect'
-import { Choice, Queue } from '@eiderwind/dispatch'
+import { Choice, Intake, Queue } from '@eiderwind/dispatch'
 import { type Reconciler } from '@eiderwind/forming'
 import { type Context } from '@eiderwind/forward'
 import { Peers, type Heartbeat, type PeerAddress } from '@eiderwind/peers'
@@ -19,6 +19,7 @@
 import { CrashWatch } from './crashwatch.js'
 import { ModelLoad } from './demand.js'
 import { gatewayBoard, revisionInForce } from './facts.js'
+import { Limiting } from './limiting.js'
 import { platformListener } from './listener.js'
 import { Health } from './health.js'
 import { Leadership } from './leadership.js'
@@ -60,6 +61,7 @@
   readonly #suspects: Suspects
   readonly #crashWatch: CrashWatch
   readonly #conditions: Conditions
+  readonly #limiting: Limiting
   readonly #queue: Queue
   readonly #inFlight: InFlight
   readonly #peers: Peers
@@ -84,13 +86,14 @@
     this.#suspects = new Suspects(clock, this.#roster)
     this.#queue = new Queue(clock)
     this.#inFlight = new InFlight(clock, () => this.#queue.wake())
-    this.#peers = new Peers({ clock, id: settings.id, address: settings.peers, heartbeat: () => this.#heartbeat(), heard: (heartbeat, from) => this.#hear(heartbeat, from), interval: heartbeatInterval, timeout: heartbeatTimeout, urgent: () => this.#leadership.isUrgent })
+    this.#peers = new Peers({ clock, id: settings.id, address: settings.peers, heartbeat: () => this.#heartbeat(), heard: (heartbeat, from) => this.#hear(heartbeat, from), other: (datagram, from) => this.#limiting.receive(datagram, from), interval: heartbeatInterval, timeout: heartbeatTimeout, urgent: () => this.#leadership.isUrgent })
     const peers = this.#peers
     this.#leadership = new Leadership({ clock, log, board, outage: this.#outage, pauses: this.#pauses, peers, leaders: platform.leaders, id: settings.id, firstStart: settings.first })
     this.#budgets = new Budgets({ clock, board, peers, settings })
     this.#crashWatch = new CrashWatch({ clock, log, id: settings.id, roster: this.#roster, peers, connections: this.#connections, blocks: platform.blocks, connectTime, changed: () => this.#queue.wake() })
-    this.#conditions = new Conditions({ clock, log, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, tell: () => peers.send(), rested: () => this.#metrics.rested() })
-    this.#metrics = new Metrics({ clock, board, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, connections: this.#connections, budgets: this.#budgets, rests: this.#conditions.rests })
+    this.#limiting = new Limiting({ clock, log, id: settings.id, roster: this.#roster, peers, inFlight: this.#inFlight, queue: this.#queue, random: Math.random })
+    this.#conditions = new Conditions({ clock, log, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, tell: () => peers.send(), limited: (id, rate) => this.#limiting.named(id, rate), rested: () => this.#metrics.rested() })
+    this.#metrics = new Metrics({ clock, board, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, connections: this.#connections, budgets: this.#budgets, rests: this.#conditions.rests, limiting: this.#limiting })
     this.#callers = this.#makeCallers()
     this.#confirmations = new Confirmations({ clock, board, peers, connections: this.#connections, informed: () => this.#leadership.informed })
     this.#upstreamFeed = this.#makeUpstreamFeed()
@@ -164,7 +167,8 @@
   #makeCallers (): Callers {
     const { clock, log, platform, settings: { dataCentre, callers: address, freshness, strictKeys } } = this.#options
     const conditions = this.#conditions
-    const shared = { clock, roster: this.#roster, inFlight: this.#inFlight, suspects: this.#suspects, rests: conditions.rests, crashes: this.#crashWatch.crashes, random: Math.random }
+    const intake = new Intake({ clock, rests: conditions.rests, tokens: this.#limiting.tokens })
+    const shared = { clock, roster: this.#roster, inFlight: this.#inFlight, suspects: this.#suspects, intake, crashes: this.#crashWatch.crashes, random: Math.random }
     const choice = new Choice({ ...shared, peers: this.#peers, dataCentre })
     const context: Context = {
       ...shared,
@@ -225,6 +229,7 @@
   #hear (heartbeat: Heartbeat, from: PeerAddress): void {
     this.#crashWatch.hear(heartbeat, from)
     this.#conditions.hear(heartbeat)
+    this.#limiting.hear(heartbeat)
   }
 
   /** What other gateways hear of this one. */
@@ -241,7 +246,8 @@
       loads: this.#reconciler.loads,
       terms: this.#leadership.terms,
       ...this.#crashWatch.news,
-      ...this.#conditions.news
+      ...this.#conditions.news,
+      ...this.#limiting.news
     }
   }
 }
--- /dev/null
+++ b/packages/gateway/src/limiting.ts
@@ -0,0 +1,155 @@
+/**
+ * The limits that upstreams name, between this gateway and the others: what one was told goes to all by heartbeat, at once where it is new; the tokens of each limited
+ * upstream are issued by one gateway and asked of it by datagram. Owns the limits, the issuer and the tokens. Relies on `Peers` for who lives.
+ */
+import { type Clock, type Random } from '@eiderwind/clock'
+import { type InFlight } from '@eiderwind/detect'
+import { type Queue } from '@eiderwind/dispatch'
+import { Issuer, Limits, Owners, Tokens, decodeMessage, encodeMessage, ownAsk, type LimitReport, type Reply, type TokenMessage } from '@eiderwind/limits'
+import { type Log } from '@eiderwind/log'
+import { type Heartbeat, type Peers } from '@eiderwind/peers'
+import { type Roster } from '@eiderwind/roster'
+
+/** Dependencies of `Limiting`. */
+export interface LimitingOptions {
+  readonly clock: Clock
+  readonly log: Log
+  /** This gateway's id. */
+  readonly id: string
+  readonly roster: Roster
+  readonly peers: Peers
+  readonly inFlight: InFlight
+  readonly queue: Queue
+  readonly random: Random
+}
+
+/**
+ * How long after it takes over an upstream's tokens a gateway issues none, in ms: as long as another one that was cut off, or does not know yet that it has been
+ * replaced, may still issue some. So two issue at once for a moment at the most.
+ */
+const takeover = 1000
+
+/**
+ * How long a gateway that is no longer heard keeps its part of each limit, in ms: where the fleet has come apart, the parts issue no more together than the whole did.
+ * One that has ended for good leaves that much unused for so long.
+ */
+const partMemory = 10_000
+
+/** Shortest time between two lines about the limit of one upstream, in ms: it may name another one in each answer. */
+const lineInterval = 1000
+
+/** Limits of upstreams, kept by all gateways together. */
+export class Limiting {
+  readonly limits: Limits
+  readonly tokens: Tokens
+  readonly #options: LimitingOptions
+  readonly #issuer: Issuer
+  readonly #owners: Owners
+  /** The limit that the log was told last, and when, by upstream. */
+  readonly #logged = new Map<string, { readonly rate: number, readonly at: number }>()
+
+  constructor (options: LimitingOptions) {
+    const { clock, id, peers, queue, random } = options
+    this.#options = options
+    this.limits = new Limits(clock)
+    this.#owners = new Owners(clock, () => [id, ...peers.live.map(each => each.id)])
+    this.#issuer = new Issuer({ clock, rate: upstream => this.limits.rate(upstream) * this.#part, begin: upstream => this.#begin(upstream), deliver: (to, reply) => this.#deliver(to, reply) })
+    this.tokens = new Tokens({
+      clock,
+      limits: this.limits,
+      issuer: this.#issuer,
+      owner: upstream => this.#otherOwner(upstream),
+      post: (gateway, message) => peers.post(gateway, encodeMessage(message)),
+      unanswered: () => queue.wake(),
+      random
+    })
+  }
+
+  /** Takes the limit that an upstream's answer to this gateway names; Infinity where it names none. */
+  named (id: string, rate: number): void {
+    const isNew = !this.limits.isLimited(id)
+    if (this.limits.named(id, rate)) this.#changed(id, isNew)
+    if (isNew && this.limits.isLimited(id)) this.#options.peers.send()
+  }
+
+  /** What the heartbeats to other gateways say. */
+  get news (): Pick<Heartbeat, 'limits'> {
+    const { roster } = this.#options
+    this.limits.keepOnly(id => roster.find(id) !== undefined || roster.departure(id) !== undefined)
+    for (const id of this.#issuer.upstreams) if (!this.limits.isLimited(id) || this.#otherOwner(id) !== undefined) this.#issuer.end(id)
+    return { limits: this.limits.news }
+  }
+
+  /** Takes what the heartbeat of another gateway says. */
+  hear ({ id: from, limits = {} }: Heartbeat): void {
+    for (const [id, report] of Object.entries(limits)) this.#hear(id, report, from)
+  }
+
+  /** Takes a datagram that is no heartbeat. One that is no message either is dropped, as any other that is foreign. */
+  receive (datagram: Buffer, from: string): void {
+    const message = decodeMessage(datagram)
+    if (message !== undefined) this.#take(message, from)
+  }
+
+  #take (message: TokenMessage, from: string): void {
+    switch (message.token) {
+      case 'ask': return this.#asked(message, from)
+      case 'drop': return this.#issuer.drop(message.upstream, from, message.number)
+      default: if (this.tokens.answered(message)) this.#options.queue.wake()
+    }
+  }
+
+  /** An ask for an upstream that another gateway seems to own is left without an answer: its asker counts it as refused. */
+  #asked ({ upstream, limit, ...ask }: Extract<TokenMessage, { token: 'ask' }>, from: string): void {
+    this.#hear(upstream, limit, from)
+    if (this.#otherOwner(upstream) === undefined) this.#issuer.ask(upstream, { ...ask, from })
+  }
+
+  #deliver (to: string, reply: Reply): void {
+    if (to !== ownAsk) return this.#options.peers.post(to, encodeMessage(reply))
+    // A token for a request of this gateway comes by a timer; that there is none in time, within its own look for an upstream.
+    if (this.tokens.answered(reply) && reply.token === 'grant') this.#options.queue.wake()
+  }
+
+  #hear (id: string, report: LimitReport, from: string): void {
+    const isNew = !this.limits.isLimited(id)
+    if (this.limits.heard(id, report)) this.#changed(id, isNew, from)
+  }
+
+  /** What has not left yet for an upstream that names a limit first is withdrawn: it has no token. Who waits looks again. */
+  #changed (id: string, isNew: boolean, from?: string): void {
+    const { inFlight, queue } = this.#options
+    this.#write(id, from)
+    if (isNew) inFlight.withdraw(id, 'the upstream named a limit')
+    queue.wake()
+  }
+
+  #write (id: string, from: string | undefined): void {
+    const { clock, log } = this.#options
+    const rate = this.limits.rate(id)
+    const before = this.#logged.get(id)
+    const now = clock.now()
+    if (before !== undefined && (before.rate === rate || now - before.at < lineInterval)) return
+    this.#logged.set(id, { rate, at: now })
+    const limit = Number.isFinite(rate) ? { limit: rate } : {}
+    log.write('upstream-limited', { upstream: id, ...limit, ...from === undefined ? {} : { from } })
+  }
+
+  /** The gateway that issues the tokens of an upstream, where that is another one. */
+  #otherOwner (upstream: string): string | undefined {
+    const owner = this.#owners.of(upstream)
+    return owner === this.#options.id ? undefined : owner
+  }
+
+  /** Nobody issued tokens before a limit was named, so the first owner begins at once. */
+  #begin (upstream: string): number {
+    const now = this.#options.clock.now()
+    return now - (this.limits.since(upstream) ?? now) > takeover ? now + takeover : now
+  }
+
+  /** The part of each limit that is issued here: as many of the gateways that were heard lately as live. */
+  get #part (): number {
+    const { peers } = this.#options
+    return (peers.live.length + 1) / (peers.heardWithin(partMemory).length + 1)
+  }
+}
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -11,6 +11,7 @@
 import { type Roster } from '@eiderwind/roster'
 import { listen, type Connections } from '@eiderwind/wire'
 import { type Budgets } from './budgets.js'
+import { type Limiting } from './limiting.js'
 import { revisionInForce, type GatewayBoard } from './facts.js'
 
 /** The parts that the gauges read. */
@@ -23,6 +24,7 @@
   readonly connections: Connections
   readonly budgets: Budgets
   readonly rests: Rests
+  readonly limiting: Limiting
 }
 
 const path = '/metrics'
@@ -108,7 +110,7 @@
   }
 
   #gauges (registers: Registry[]): void {
-    const { clock, board, inFlight, queue, connections, budgets, rests } = this.#options
+    const { clock, board, inFlight, queue, connections, budgets, rests, limiting: { limits, tokens } } = this.#options
     const single = (name: string, help: string, read: () => number): void => {
       const gauge: Gauge = new Gauge({ name, help, registers, collect: () => gauge.set(read()) })
     }
@@ -130,6 +132,9 @@
     single('eiderwind_waiting', 'Requests queued for an upstream.', () => queue.count)
     single('eiderwind_connections_opened_total', 'Connections opened to upstreams.', () => connections.opened)
     single('eiderwind_resting', 'Upstreams that rest now, or are left out for a moment since they refuse.', () => rests.count)
+    single('eiderwind_limited', 'Upstreams that name the requests a second that they take from all gateways together.', () => limits.limited.length)
+    single('eiderwind_limit_tokens_received_total', 'Tokens for limited upstreams that other gateways issued to this one.', () => tokens.received)
+    single('eiderwind_limit_tokens_used_total', 'Of those, tokens with which a request was sent; the others lapsed.', () => tokens.used)
     single('eiderwind_memory_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss())
     labelled('eiderwind_engines', 'Engines by the state of their membership.', 'state', () => this.#engines())
     labelled('eiderwind_repeats_left', 'Retries left in the running window.', 'service', () => budgets.left)
--- a/packages/gateway/test/conditions.test.ts
+++ b/packages/gateway/test/conditions.test.ts
@@ -6,10 +6,10 @@
 import { type AnswerHead } from '@eiderwind/forward'
 import { type Log } from '@eiderwind/log'
 import { type Heartbeat } from '@eiderwind/peers'
-import { Roster, type Upstream } from '@eiderwind/roster'
+import { Roster, type Condition, type Upstream } from '@eiderwind/roster'
 import { Conditions } from '../src/conditions.js'
 
-const nothing = { leaving: false, rest: 0 }
+const nothing: Condition = { leaving: false, rest: 0 }
 
 /** The head of a replica; a plain upstream is in none. */
 function upstream (id: string, membership: Upstream['membership'] = { replica: id, epoch: 1, rank: 0, state: 'open' }): Upstream {
@@ -26,15 +26,17 @@
   readonly inFlight = new InFlight(this.clock, () => {})
   readonly queue = new Queue(this.clock)
   readonly lines: string[] = []
+  readonly limits: string[] = []
   told = 0
   rested = 0
   readonly conditions = new Conditions({
     clock: this.clock,
-    log: { write: (name: string, { upstream, rest, limit, from }: Record<string, unknown>) => this.lines.push([name, upstream, rest ?? limit ?? from].join(' ').trim()) } as unknown as Log,
+    log: { write: (name: string, { upstream, rest, from }: Record<string, unknown>) => this.lines.push([name, upstream, rest ?? from].join(' ').trim()) } as unknown as Log,
     roster: this.roster,
     inFlight: this.inFlight,
     queue: this.queue,
     tell: () => { this.told++ },
+    limited: (id, rate) => { this.limits.push(`${id} ${rate}`) },
     rested: () => { this.rested++ }
   })
 
@@ -146,11 +148,10 @@
   t.deepEqual(conditions.news, { leaving: [] })
 })
 
-test('a limit that an upstream names is logged once, and so are another one and its end', t => {
+test('the limit of any answer that tells of one is passed on', t => {
   const fixture = new Fixture()
-  const { conditions, lines } = fixture
-  for (const limit of [3, 3, 1.6, Infinity, Infinity]) conditions.take('a', { ...nothing, limit })
-  conditions.take('a', nothing)
-  conditions.take('b', { ...nothing, limit: Infinity })
-  t.deepEqual(lines, ['upstream-limited a 3', 'upstream-limited a 1.6', 'upstream-limited a'])
+  fixture.answer('a', false, { ...nothing, limit: 3 })
+  fixture.conditions.take('a', { ...nothing, limit: Infinity })
+  fixture.conditions.take('a', nothing)
+  t.deepEqual(fixture.limits, ['a 3', 'a Infinity'])
 })
--- a/packages/gateway/test/digest.test.ts
+++ b/packages/gateway/test/digest.test.ts
@@ -4,7 +4,7 @@
 import test from 'ava'
 import { ManualClock, seeded, type Random } from '@eiderwind/clock'
 import { InFlight, Pauses, Stalls, Rests, Suspects, type InFlightRequest } from '@eiderwind/detect'
-import { Choice, Queue, RetryBudget } from '@eiderwind/dispatch'
+import { Choice, Intake, Queue, RetryBudget } from '@eiderwind/dispatch'
 import { Log } from '@eiderwind/log'
 import { Peers } from '@eiderwind/peers'
 import { Roster, type Upstream } from '@eiderwind/roster'
@@ -42,7 +42,7 @@
   const roster = new Roster(clock)
   const flights = new InFlight(clock, () => {})
   const suspects = new Suspects(clock, roster)
-  const choice = new Choice({ roster, inFlight: flights, peers: alone(clock), suspects, rests: new Rests({ clock, begun: () => {}, ended: () => {} }), dataCentre: 'dc1', random: seeded(42) })
+  const choice = new Choice({ roster, inFlight: flights, peers: alone(clock), suspects, intake: new Intake({ clock, rests: new Rests({ clock, begun: () => {}, ended: () => {} }) }), dataCentre: 'dc1', random: seeded(42) })
   const running: InFlightRequest[] = []
   const lines: string[] = []
   for (let step = 0; step < 2000; step++) {
@@ -83,7 +83,7 @@
   const peers = new Peers({ clock, id: 'e', address: `127.0.0.1:${port}`, heartbeat: () => heartbeat, interval: 250, timeout: 1000 })
   await peers.start()
   const other = createSocket('udp4')
-  const choice = new Choice({ roster, inFlight: flights, peers, suspects: new Suspects(clock, roster), rests: new Rests({ clock, begun: () => {}, ended: () => {} }), dataCentre: 'dc1', random: seeded(43) })
+  const choice = new Choice({ roster, inFlight: flights, peers, suspects: new Suspects(clock, roster), intake: new Intake({ clock, rests: new Rests({ clock, begun: () => {}, ended: () => {} }) }), dataCentre: 'dc1', random: seeded(43) })
   const loads = { u0: 1, u1: 6, u2: 3, u3: 0, u4: 6, u5: 2 }
   other.send(JSON.stringify({ ...beat, id: 'f', loads }), port, '127.0.0.1')
   for (let turn = 0; turn < 200 && peers.live.length === 0; turn++) await new Promise(resolve => setTimeout(resolve, 5))
--- a/packages/gateway/test/overload.ts
+++ b/packages/gateway/test/overload.ts
@@ -6,7 +6,7 @@
 import { Socket } from 'node:net'
 import { ManualClock, seeded, type Random } from '@eiderwind/clock'
 import { InFlight, Suspects } from '@eiderwind/detect'
-import { Choice, Queue, RetryBudget } from '@eiderwind/dispatch'
+import { Choice, Intake, Queue, RetryBudget } from '@eiderwind/dispatch'
 import { CallerRequest, StreamPath, type AnswerHead, type Context } from '@eiderwind/forward'
 import { type Log } from '@eiderwind/log'
 import { Peers, type Heartbeat } from '@eiderwind/peers'
@@ -127,8 +127,8 @@
     const heartbeat = (): Heartbeat => ({ id, revision: 1, canPlan: false, inFlight: inFlight.counts, suspects: [], inFlightByModel: {}, served: true, loads: {} })
     const peers = new Peers({ clock, id, address, datagrams: new ModelDatagrams(network, address), heartbeat, interval: 250, timeout: 1000 })
     const log = { write: () => {} } as unknown as Log
-    const conditions = new Conditions({ clock, log, roster, inFlight, queue, tell: () => {}, rested: () => {} })
-    const { rests } = conditions
+    const conditions = new Conditions({ clock, log, roster, inFlight, queue, tell: () => {}, limited: () => {}, rested: () => {} })
+    const intake = new Intake({ clock, rests: conditions.rests })
     const budget = new RetryBudget(clock, { ratio: 0.2, window: 10_000, slack: 200, gateways: () => gateways })
     const context = {
       clock,
@@ -137,10 +137,10 @@
       roster,
       inFlight,
       suspects,
-      rests,
+      intake,
       queue,
       random,
-      choice: new Choice({ roster, inFlight, peers, suspects, rests, dataCentre: 'dc', random }),
+      choice: new Choice({ roster, inFlight, peers, suspects, intake, dataCentre: 'dc', random }),
       crashes: { standing: () => 'trusted', underTrial: new Set<string>(), broke: () => {}, served: () => {} },
       retryBudget: () => budget,
       connections: { send: (call: Call, receiver: Receiver) => this.#send(id, call, receiver) },
--- /dev/null
+++ b/packages/limits/src/index.ts
@@ -0,0 +1,7 @@
+/** Limits that upstreams name for all gateways together. */
+export { Bucket } from './bucket.js'
+export { Issuer, type Ask, type IssuerOptions, type Reply } from './issuer.js'
+export { Limits, type LimitReport } from './limits.js'
+export { decodeMessage, encodeMessage, type TokenMessage } from './messages.js'
+export { Owners } from './owners.js'
+export { Tokens, ownAsk, type Claim, type TokensOptions } from './tokens.js'
--- /dev/null
+++ b/packages/limits/src/tokens.ts
@@ -0,0 +1,208 @@
+/**
+ * The tokens that requests of this gateway need for upstreams that name a limit: asked of the gateway that keeps the upstream's bucket, one request and one upstream at a time,
+ * and held for a moment. Owns the claims that wait, the tokens in hand and what was answered on when the next is due. Relies on `Issuer` where this gateway keeps the
+ * bucket itself, and on datagrams else, which may be lost: an ask that is not answered in time counts as refused.
+ */
+import { type Clock, type Random, type Subscription } from '@eiderwind/clock'
+import { type Issuer, type Reply } from './issuer.js'
+import { type Limits } from './limits.js'
+import { type TokenMessage } from './messages.js'
+
+/** A request that waits for a token of any of some upstreams. */
+export interface Claim {
+  /** 0 is the most urgent. */
+  readonly priority: number
+  /** Until when it waits, on `Clock.now`, in ms. */
+  readonly until: number
+  /** Upstreams that have no token for it in time. */
+  readonly refused: Set<string>
+  /** The ask that is under way for it. */
+  ask: number | undefined
+}
+
+/** Dependencies of `Tokens`. */
+export interface TokensOptions {
+  readonly clock: Clock
+  readonly limits: Limits
+  readonly issuer: Issuer
+  /** The id of the gateway that keeps an upstream's bucket; undefined where that is this one. */
+  readonly owner: (upstream: string) => string | undefined
+  /** Sends a message to another gateway. */
+  readonly post: (gateway: string, message: TokenMessage) => void
+  /** Called when an ask was not answered in time: who waits looks again. */
+  readonly unanswered: () => void
+  /** Draws the upstream that is asked for first, and the number of the first ask: numbers of an earlier life of this gateway must not fit. */
+  readonly random: Random
+}
+
+/** `Ask.from` where the ask is this gateway's own. */
+export const ownAsk = ''
+
+/** Time within which another gateway answers, in ms: many times the way there and back. */
+const replyTime = 50
+
+/** How long a token is held for a request that needs it, in ms. */
+const heldFor = 100
+
+/** Numbers of asks are drawn below this at the start. */
+const firstNumbers = 2 ** 40
+
+interface OpenAsk {
+  readonly claim: Claim
+  readonly upstream: string
+  readonly owner: string | undefined
+  timer: Subscription
+}
+
+interface Due {
+  /** On `Clock.now`, in ms. */
+  readonly at: number
+  readonly priority: number
+}
+
+/** The tokens of one gateway. */
+export class Tokens {
+  readonly #options: TokensOptions
+  readonly #asks = new Map<number, OpenAsk>()
+  /** Until when each token in hand may be used, on `Clock.now`, by upstream. */
+  readonly #held = new Map<string, number[]>()
+  readonly #dues = new Map<string, Due>()
+  #number: number
+  /** Tokens that came from other gateways, and those of them that were used. */
+  received = 0
+  used = 0
+
+  constructor (options: TokensOptions) {
+    this.#options = options
+    this.#number = Math.floor(options.random() * firstNumbers)
+  }
+
+  /** Whether a request may be sent to an upstream now. */
+  has (upstream: string): boolean {
+    const { limits, issuer, owner } = this.#options
+    if (!limits.isLimited(upstream) || this.#holds(upstream)) return true
+    return owner(upstream) === undefined && issuer.has(upstream)
+  }
+
+  /** Takes the token of a request that is about to be sent. */
+  take (upstream: string): void {
+    const { limits, issuer } = this.#options
+    if (!limits.isLimited(upstream)) return
+    if (!this.#holds(upstream)) return issuer.take(upstream)
+    this.#held.get(upstream)?.shift()
+    this.used++
+  }
+
+  /** Time until an upstream has a token for a request, as far as that is known, in ms; 0 where it is not. */
+  due (upstream: string, priority: number): number {
+    const due = this.#dues.get(upstream)
+    if (due === undefined || due.priority > priority) return 0
+    return Math.max(0, due.at - this.#options.clock.now())
+  }
+
+  claim (priority: number, until: number): Claim {
+    return { priority, until, refused: new Set(), ask: undefined }
+  }
+
+  /** Asks for a token of one of the upstreams, unless an ask is under way. To be called again whenever something has changed. */
+  pursue (claim: Claim, upstreams: readonly string[]): void {
+    if (claim.until <= this.#options.clock.now()) return
+    while (claim.ask === undefined) {
+      const open = upstreams.filter(each => !claim.refused.has(each) && !this.has(each))
+      if (open.length === 0) return
+      this.#ask(claim, this.#soonest(open, claim.priority))
+    }
+  }
+
+  /** Ends what is under way for a request that waits no longer. */
+  release (claim: Claim): void {
+    if (claim.ask === undefined) return
+    const number = claim.ask
+    const ask = this.#close(number)
+    if (ask === undefined) return
+    const { issuer, post } = this.#options
+    if (ask.owner === undefined) issuer.drop(ask.upstream, ownAsk, number)
+    else post(ask.owner, { token: 'drop', upstream: ask.upstream, number })
+  }
+
+  /** Takes the answer to an ask. Returns whether those that wait should look again: a token has come, or none will for the request that asked. */
+  answered (reply: Reply): boolean {
+    const ask = this.#asks.get(reply.number)
+    if (ask === undefined) return false
+    return reply.token === 'grant' ? this.#granted(reply.number, ask) : this.#later(reply.number, ask, reply.due)
+  }
+
+  #soonest (upstreams: readonly string[], priority: number): string {
+    const { random } = this.#options
+    const drawn = upstreams.map(upstream => ({ upstream, due: this.due(upstream, priority), draw: random() }))
+    return drawn.sort((a, b) => a.due - b.due || a.draw - b.draw)[0].upstream
+  }
+
+  #ask (claim: Claim, upstream: string): void {
+    const { clock, limits, issuer, owner: ownerOf, post } = this.#options
+    const owner = ownerOf(upstream)
+    const number = ++this.#number
+    const patience = Math.max(0, claim.until - clock.now())
+    claim.ask = number
+    this.#asks.set(number, { claim, upstream, owner, timer: this.#expiry(number, replyTime) })
+    if (owner === undefined) issuer.ask(upstream, { from: ownAsk, number, priority: claim.priority, patience })
+    else post(owner, { token: 'ask', upstream, number, priority: claim.priority, patience, limit: [...limits.report(upstream)] })
+  }
+
+  #granted (number: number, { upstream, claim }: OpenAsk): boolean {
+    const { clock } = this.#options
+    this.#close(number)
+    // A process that stood still reads late what was granted long before.
+    if (clock.now() > claim.until + replyTime) return false
+    this.received++
+    this.#held.set(upstream, [...this.#held.get(upstream) ?? [], clock.now() + heldFor])
+    return true
+  }
+
+  /** Takes that a token comes in `due` ms. Returns whether that is too late for the request. */
+  #later (number: number, ask: OpenAsk, due: number): boolean {
+    const { claim, upstream } = ask
+    const at = this.#options.clock.now() + due
+    this.#dues.set(upstream, { at, priority: claim.priority })
+    const isTooLate = at > claim.until
+    if (isTooLate) this.#refuse(number, ask)
+    else {
+      ask.timer.cancel()
+      ask.timer = this.#expiry(number, due + replyTime)
+    }
+    return isTooLate
+  }
+
+  #expiry (number: number, time: number): Subscription {
+    return this.#options.clock.after(time, () => {
+      const ask = this.#asks.get(number)
+      if (ask === undefined) return
+      this.#refuse(number, ask)
+      this.#options.unanswered()
+    })
+  }
+
+  #refuse (number: number, { claim, upstream }: OpenAsk): void {
+    claim.refused.add(upstream)
+    this.#close(number)
+  }
+
+  #close (number: number): OpenAsk | undefined {
+    const ask = this.#asks.get(number)
+    if (ask === undefined) return undefined
+    ask.timer.cancel()
+    ask.claim.ask = undefined
+    this.#asks.delete(number)
+    return ask
+  }
+
+  /** Whether there is a token in hand. Those that were held too long lapse. */
+  #holds (upstream: string): boolean {
+    const held = this.#held.get(upstream)
+    if (held === undefined) return false
+    const now = this.#options.clock.now()
+    while (held.length > 0 && held[0] < now) held.shift()
+    if (held.length === 0) this.#held.delete(upstream)
+    return held.length > 0
+  }
+}
--- /dev/null
+++ b/packages/limits/test/limits.test.ts
@@ -0,0 +1,91 @@
+/** Which of several words about a limit holds, whoever read it and in whatever order they come. */
+import test from 'ava'
+import { ManualClock } from '@eiderwind/clock'
+import { Limits } from '../src/index.js'
+
+test('the newest word holds, and a limit lasts until an answer names none', t => {
+  const clock = new ManualClock()
+  const limits = new Limits(clock)
+  t.true(limits.named('a', 3))
+  t.false(limits.named('a', 3))
+  t.true(limits.named('a', 1.6))
+  clock.advance(1_000_000)
+  t.is(limits.rate('a'), 1.6)
+  t.deepEqual(limits.limited, ['a'])
+  t.true(limits.named('a', Infinity))
+  t.false(limits.isLimited('a'))
+  t.false(limits.named('b', Infinity))
+  t.deepEqual(limits.limited, [])
+})
+
+test('an upstream that names 0 is asked again once in ten seconds', t => {
+  const limits = new Limits(new ManualClock())
+  limits.named('a', 0)
+  t.is(limits.rate('a'), 0.1)
+})
+
+test('of what two gateways were told the later holds, in both orders of arrival', t => {
+  const clock = new ManualClock()
+  const first = new Limits(clock)
+  const second = new Limits(clock)
+  first.named('a', 3)
+  clock.advance(100)
+  second.named('a', 1)
+  const { a: old } = first.news
+  const { a: later } = second.news
+  t.deepEqual([old, later], [[3, 100], [1, 0]])
+  t.true(first.heard('a', later))
+  t.false(second.heard('a', old))
+  t.is(first.rate('a'), 1)
+  t.is(second.rate('a'), 1)
+})
+
+test('an end that another gateway was told holds against the limit that this one was told before, and not against a later one', t => {
+  const clock = new ManualClock()
+  const limits = new Limits(clock)
+  limits.named('a', 3)
+  clock.advance(1000)
+  t.false(limits.heard('a', [null, 2000]))
+  t.true(limits.heard('a', [null, 500]))
+  t.false(limits.isLimited('a'))
+  t.false(limits.heard('a', [3, 700]))
+  t.false(limits.heard('b', [null, 0]))
+  t.deepEqual(limits.news, {})
+})
+
+test('only what a gateway was told itself goes to the others, for ten seconds', t => {
+  const clock = new ManualClock()
+  const limits = new Limits(clock)
+  limits.heard('a', [3, 0])
+  t.deepEqual(limits.news, {})
+  limits.named('b', 2)
+  clock.advance(9999)
+  t.deepEqual(limits.news, { b: [2, 9999] })
+  clock.advance(1)
+  t.deepEqual(limits.news, {})
+  t.true(limits.isLimited('b'))
+  t.deepEqual(limits.report('b'), [2, 10_000])
+  t.deepEqual(limits.report('c'), [null, 10_000])
+})
+
+test('it is known since when a limit was named without a break', t => {
+  const clock = new ManualClock()
+  const limits = new Limits(clock)
+  clock.advance(100)
+  limits.named('a', 3)
+  clock.advance(100)
+  limits.named('a', 2)
+  t.is(limits.since('a'), 100)
+  limits.named('a', Infinity)
+  t.is(limits.since('a'), undefined)
+  limits.named('a', 2)
+  t.is(limits.since('a'), 200)
+})
+
+test('upstreams that nobody remembers are forgotten', t => {
+  const limits = new Limits(new ManualClock())
+  limits.named('a', 3)
+  limits.named('b', 3)
+  limits.keepOnly(id => id === 'b')
+  t.deepEqual(limits.limited, ['b'])
+})
--- /dev/null
+++ b/packages/limits/test/tokens.test.ts
@@ -0,0 +1,157 @@
+/** Tokens that requests of a gateway ask another one for, whose answers may be late or lost. */
+import test from 'ava'
+import { ManualClock } from '@eiderwind/clock'
+import { Issuer, Limits, Tokens, type Claim, type TokenMessage } from '../src/index.js'
+
+class Fixture {
+  readonly clock = new ManualClock()
+  readonly limits = new Limits(this.clock)
+  readonly sent: TokenMessage[] = []
+  readonly issuer = new Issuer({ clock: this.clock, rate: id => this.limits.rate(id), begin: () => 0, deliver: (_to, reply) => { this.tokens.answered(reply) } })
+  unanswered = 0
+  owner: string | undefined = 'g2'
+  readonly tokens: Tokens = new Tokens({
+    clock: this.clock,
+    limits: this.limits,
+    issuer: this.issuer,
+    owner: () => this.owner,
+    post: (_gateway, message) => { this.sent.push(message) },
+    unanswered: () => { this.unanswered++ },
+    random: () => 0
+  })
+
+  constructor () {
+    this.limits.named('a', 10)
+    this.limits.named('b', 10)
+  }
+
+  claim (patience = 100, ...upstreams: string[]): Claim {
+    const claim = this.tokens.claim(1, this.clock.now() + patience)
+    this.tokens.pursue(claim, upstreams)
+    return claim
+  }
+
+  get asked (): string[] {
+    return this.sent.map(each => 'upstream' in each ? `${each.token} ${each.upstream} ${each.number}` : each.token)
+  }
+}
+
+test('an upstream without a limit needs none', t => {
+  const { tokens, sent } = new Fixture()
+  t.true(tokens.has('c'))
+  tokens.take('c')
+  tokens.pursue(tokens.claim(1, 100), ['c'])
+  t.deepEqual(sent, [])
+})
+
+test('a request asks for one upstream at a time, and has one ask under way', t => {
+  const fixture = new Fixture()
+  const claim = fixture.claim(100, 'a', 'b')
+  fixture.tokens.pursue(claim, ['a', 'b'])
+  t.deepEqual(fixture.sent, [{ token: 'ask', upstream: 'a', number: 1, priority: 1, patience: 100, limit: [10, 0] }])
+})
+
+test('a token is used once, and lapses where nobody uses it', t => {
+  const fixture = new Fixture()
+  const { clock, tokens } = fixture
+  const claim = fixture.claim(100, 'a')
+  t.false(tokens.has('a'))
+  t.true(tokens.answered({ token: 'grant', number: 1 }))
+  t.true(tokens.has('a'))
+  tokens.take('a')
+  t.false(tokens.has('a'))
+  tokens.pursue(claim, ['a'])
+  t.true(tokens.answered({ token: 'grant', number: 2 }))
+  clock.advance(101)
+  t.false(tokens.has('a'))
+  t.deepEqual([tokens.received, tokens.used], [2, 1])
+})
+
+test('an answer that comes twice, or for nothing that was asked, gives no token', t => {
+  const fixture = new Fixture()
+  fixture.claim(100, 'a')
+  fixture.tokens.answered({ token: 'grant', number: 1 })
+  fixture.tokens.take('a')
+  t.false(fixture.tokens.answered({ token: 'grant', number: 1 }))
+  t.false(fixture.tokens.answered({ token: 'grant', number: 77 }))
+  t.false(fixture.tokens.answered({ token: 'later', number: 77, due: 5 }))
+  t.false(fixture.tokens.has('a'))
+})
+
+test('one that gets no token in time asks for the next upstream, and knows when the first is due', t => {
+  const fixture = new Fixture()
+  const { tokens, clock } = fixture
+  const claim = fixture.claim(100, 'a', 'b')
+  t.true(tokens.answered({ token: 'later', number: 1, due: 300 }))
+  tokens.pursue(claim, ['a', 'b'])
+  t.deepEqual(fixture.asked, ['ask a 1', 'ask b 2'])
+  t.is(tokens.due('a', 1), 300)
+  t.is(tokens.due('a', 0), 0)
+  clock.advance(100)
+  t.is(tokens.due('a', 2), 200)
+})
+
+test('one that gets a token soon enough waits for it, and asks nobody else meanwhile', t => {
+  const fixture = new Fixture()
+  const claim = fixture.claim(100, 'a', 'b')
+  t.false(fixture.tokens.answered({ token: 'later', number: 1, due: 80 }))
+  fixture.tokens.pursue(claim, ['a', 'b'])
+  fixture.clock.advance(80)
+  t.is(fixture.unanswered, 0)
+  t.true(fixture.tokens.answered({ token: 'grant', number: 1 }))
+  t.deepEqual(fixture.asked, ['ask a 1'])
+})
+
+test('an ask that is not answered within 50 ms, or not kept to, counts as refused', t => {
+  const fixture = new Fixture()
+  const { clock } = fixture
+  const claim = fixture.claim(200, 'a', 'b')
+  clock.advance(50)
+  t.is(fixture.unanswered, 1)
+  fixture.tokens.pursue(claim, ['a', 'b'])
+  fixture.tokens.answered({ token: 'later', number: 2, due: 20 })
+  clock.advance(70)
+  t.is(fixture.unanswered, 2)
+  fixture.tokens.pursue(claim, ['a', 'b'])
+  t.deepEqual(fixture.asked, ['ask a 1', 'ask b 2'])
+  t.false(fixture.tokens.answered({ token: 'grant', number: 2 }))
+})
+
+test('one that waits no longer says so, and what comes then gives no token', t => {
+  const fixture = new Fixture()
+  const claim = fixture.claim(100, 'a')
+  fixture.tokens.answered({ token: 'later', number: 1, due: 50 })
+  fixture.tokens.release(claim)
+  fixture.tokens.release(claim)
+  t.deepEqual(fixture.asked, ['ask a 1', 'drop a 1'])
+  t.false(fixture.tokens.answered({ token: 'grant', number: 1 }))
+})
+
+test('a process that stood still does not use a token that it reads long after', t => {
+  const fixture = new Fixture()
+  fixture.claim(100, 'a')
+  fixture.clock.freeze(5000)
+  t.false(fixture.tokens.answered({ token: 'grant', number: 1 }))
+  t.false(fixture.tokens.has('a'))
+})
+
+test('where the bucket is kept here, a request has the token at once, or waits for it', t => {
+  const fixture = new Fixture()
+  const { clock, tokens } = fixture
+  fixture.owner = undefined
+  const claim = fixture.claim(150, 'a')
+  t.deepEqual(fixture.sent, [])
+  clock.advance(100)
+  t.true(tokens.has('a'))
+  tokens.take('a')
+  tokens.pursue(claim, ['a'])
+  t.true(claim.refused.has('a'))
+  clock.advance(100)
+  t.true(tokens.has('a'))
+})
+
+test('a request that waits for nothing asks for nothing', t => {
+  const fixture = new Fixture()
+  fixture.claim(0, 'a')
+  t.deepEqual(fixture.sent, [])
+})
--- a/packages/peers/src/heartbeat.ts
+++ b/packages/peers/src/heartbeat.ts
@@ -4,6 +4,8 @@
  * must be optional.
  */
 import { type CrashReport } from '@eiderwind/crashes'
+import { type LimitReport } from '@eiderwind/limits'
+import { parseJson } from '@eiderwind/wire'
 import { z } from 'zod'
 
 /** What a gateway says of itself, several times a second. */
@@ -40,6 +42,8 @@
   readonly trials?: Readonly<Record<string, string>>
   /** Ids of the upstreams that said in an answer to the sender that they are leaving. Absent where there are none, and from builds that do not say. */
   readonly leaving?: readonly string[]
+  /** Limits that upstreams named, or lifted, in answers to the sender lately, by upstream id. Absent where there are none, and from builds that do not say. */
+  readonly limits?: Readonly<Record<string, LimitReport>>
   /** Digest of the requests that the sender has blocked. Absent where there are none. */
   readonly blocked?: string
 }
@@ -74,11 +78,13 @@
   trials: z.record(z.string(), z.string()).optional(),
   blocked: z.string().optional(),
   /** `leaving`. Absent where there are none. */
-  leaving: z.array(z.string()).optional()
+  leaving: z.array(z.string()).optional(),
+  /** `limits`. Absent where there are none. */
+  limits: z.record(z.string(), z.tuple([z.number().nonnegative().nullable(), z.number().nonnegative()])).optional()
 })
 
 /** The datagram of a heartbeat. */
-export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads, interval, asks, terms, crashes, cleared, trials, blocked, leaving }: Heartbeat): string {
+export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads, interval, asks, terms, crashes, cleared, trials, blocked, leaving, limits }: Heartbeat): string {
   return JSON.stringify({
     id,
     revision,
@@ -96,7 +102,8 @@
     cleared: unlessEmpty(cleared),
     trials: unlessEmpty(trials),
     blocked,
-    leaving: unlessEmpty(leaving)
+    leaving: unlessEmpty(leaving),
+    limits: unlessEmpty(limits)
   })
 }
 
@@ -112,7 +119,7 @@
 
 /** The heartbeat in a datagram, or undefined where the datagram is not one. */
 export function decode (message: Buffer): Heartbeat | undefined {
-  const { data } = Datagram.safeParse(parsed(message))
+  const { data } = Datagram.safeParse(parseJson(message.toString()))
   if (data === undefined) return undefined
   const { id, revision, able: canPlan, watch: canWatch, loads: inFlight, suspects, models: inFlightByModel, served, weights: loads = {}, every: interval, ask: asks, ...others } = data
   // All others have the same name on the wire, and may be absent.
@@ -123,12 +130,3 @@
 function defined (fields: Partial<Heartbeat>): Partial<Heartbeat> {
   return Object.fromEntries(Object.entries(fields).filter(([_name, value]) => value !== undefined))
 }
-
-function parsed (message: Buffer): unknown {
-  try {
-    return JSON.parse(message.toString())
-  } catch {
-    // Anything can arrive on a UDP port. A datagram that is not JSON fails the schema like any other foreign one.
-    return undefined
-  }
-}
--- a/packages/peers/src/peers.ts
+++ b/packages/peers/src/peers.ts
@@ -37,6 +37,8 @@
   readonly timeout: number
   /** Called with each heartbeat that comes. Default: nothing. */
   readonly heard?: (heartbeat: Heartbeat, from: PeerAddress) => void
+  /** Called with each datagram that is no heartbeat, and the `host:port` that it came from. Default: it is dropped. */
+  readonly other?: (message: Buffer, from: string) => void
   /** Whether the others have to know soon that this gateway is gone: it then sends each `interval` in a fleet of any size. Default: never. */
   readonly urgent?: () => boolean
 }
@@ -201,13 +203,19 @@
     this.#datagrams.stop()
   }
 
+  /** Sends another message than a heartbeat. It may be lost. @param to the id of a gateway that is live, or the `host:port` that a message of it came from */
+  post (to: string, message: string): void {
+    this.#datagrams.send(message, this.#received.get(to)?.address ?? to)
+  }
+
   /**
-   * Keeps a heartbeat as its sender's newest. A datagram that does not fit the schema is dropped without a line: anything
+   * Keeps a heartbeat as its sender's newest. A datagram that does not fit the schema is passed on, and dropped without a line by whoever else cannot read it: anything
    * may reach the port, and a sender whose heartbeats never fit counts as not alive, as it would if it sent none.
    */
   #receive (message: Buffer, address: string): void {
     const heartbeat = decode(message)
-    if (heartbeat === undefined || heartbeat.id === this.#options.id) return
+    if (heartbeat === undefined) return this.#options.other?.(message, address)
+    if (heartbeat.id === this.#options.id) return
     const at = this.#options.clock.now()
     this.#received.set(heartbeat.id, { heartbeat, at, aliveUntil: at + this.#silence(heartbeat), address })
     this.#live = undefined
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -12,5 +12,6 @@
 export { Relay, endToEnd, type RelayOptions } from './relay.js'
 export { Collector, type Collected, type CollectorOptions } from './collector.js'
 export { Connections, type ConnectionsOptions } from './connections.js'
+export { parseJson } from './json.js'
 export { listensAt } from './listens.js'
 export { Unanswered, ask } from './ask.js'
