Change asks within a gateway, and keep parts of a limit apart where the fleet comes together again

Change: owner and asker decide by the same patience, less the way of the answer; the first in the queue gets the token and leaves its own ask to the one that had asked; a gateway that has come back counts for the part of a limit after a second.

--- a/packages/dispatch/src/intake.ts
+++ b/packages/dispatch/src/intake.ts
@@ -43,8 +43,8 @@
   }
 
   /** Counts a request that is about to be sent to an upstream. */
-  take (id: string): void {
-    this.#options.tokens?.take(id)
+  take (id: string, claim: Claim | undefined): void {
+    this.#options.tokens?.take(id, claim)
   }
 
   /** Begins the wait of a request for a token. @param until when it waits no longer, on `Clock.now` */
--- a/packages/dispatch/test/intake.test.ts
+++ b/packages/dispatch/test/intake.test.ts
@@ -47,7 +47,7 @@
   t.true(intake.rests('a'))
   clock.advance(100)
   t.true(intake.has('a'))
-  intake.take('a')
+  intake.take('a', undefined)
   t.false(intake.has('a'))
   t.false(intake.rests('a'))
 })
--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -129,7 +129,7 @@
     if (standing === 'blocked') return standing
     const mayBeSent = standing === 'trusted' || crashes.mayTry(request)
     const upstream = mayBeSent ? this.#choose(standing) : undefined
-    if (upstream !== undefined) intake.take(upstream.id)
+    if (upstream !== undefined) intake.take(upstream.id, claim)
     else if (mayBeSent) intake.pursue(claim, this.upstreams, request.tried)
     return standing === 'suspected' ? this.#try(upstream) : upstream
   }
--- a/packages/gateway/src/limiting.ts
+++ b/packages/gateway/src/limiting.ts
@@ -30,8 +30,8 @@
 const takeover = 1000
 
 /**
- * How long a gateway that is no longer heard keeps its part of each limit, in ms: where the fleet has come apart, the parts issue no more together than the whole did.
- * One that has ended for good leaves that much unused for so long.
+ * How long a gateway that is no longer heard keeps its part of each limit, in ms: it may have been cut off. One that has ended for good leaves that much unused for so
+ * long.
  */
 const partMemory = 10_000
 
@@ -52,8 +52,8 @@
     const { clock, id, peers, queue, random } = options
     this.#options = options
     this.limits = new Limits(clock)
-    this.#owners = new Owners(clock, () => [id, ...peers.live.map(each => each.id)])
-    this.#issuer = new Issuer({ clock, rate: upstream => this.limits.rate(upstream) * this.#part, begin: upstream => this.#begin(upstream), deliver: (to, reply) => this.#deliver(to, reply) })
+    this.#owners = new Owners({ clock, live: () => [id, ...peers.live.map(each => each.id)], fleet: () => peers.heardWithin(partMemory).length + 1, settleTime: takeover })
+    this.#issuer = new Issuer({ clock, rate: upstream => this.limits.rate(upstream) * this.#owners.part, begin: upstream => this.#begin(upstream), deliver: (to, reply) => this.#deliver(to, reply) })
     this.tokens = new Tokens({
       clock,
       limits: this.limits,
@@ -75,6 +75,7 @@
   /** What the heartbeats to other gateways say. */
   get news (): Pick<Heartbeat, 'limits'> {
     const { roster } = this.#options
+    this.#owners.look()
     this.limits.keepOnly(id => roster.find(id) !== undefined || roster.departure(id) !== undefined)
     for (const id of this.#issuer.upstreams) if (!this.limits.isLimited(id) || this.#otherOwner(id) !== undefined) this.#issuer.end(id)
     return { limits: this.limits.news }
@@ -146,10 +147,4 @@
     const now = this.#options.clock.now()
     return now - (this.limits.since(upstream) ?? now) > takeover ? now + takeover : now
   }
-
-  /** The part of each limit that is issued here: as many of the gateways that were heard lately as live. */
-  get #part (): number {
-    const { peers } = this.#options
-    return (peers.live.length + 1) / (peers.heardWithin(partMemory).length + 1)
-  }
 }
--- /dev/null
+++ b/packages/gateway/test/limiting.test.ts
@@ -0,0 +1,131 @@
+/** What gateways tell each other of limits, and what follows at once from a new one. */
+import test from 'ava'
+import { ManualClock } from '@eiderwind/clock'
+import { InFlight } from '@eiderwind/detect'
+import { Queue } from '@eiderwind/dispatch'
+import { encodeMessage } from '@eiderwind/limits'
+import { type Log } from '@eiderwind/log'
+import { type Heartbeat, type Peers } from '@eiderwind/peers'
+import { Roster, type Upstream } from '@eiderwind/roster'
+import { Limiting } from '../src/limiting.js'
+
+function upstream (id: string): Upstream {
+  return { id, service: 's', address: `${id}:1`, dataCentre: 'dc', leaving: false, loaded: [], staged: [] }
+}
+
+class Fixture {
+  readonly clock = new ManualClock()
+  readonly roster = new Roster(this.clock)
+  readonly inFlight = new InFlight(this.clock, () => {})
+  readonly queue = new Queue(this.clock)
+  readonly lines: string[] = []
+  readonly posted: string[] = []
+  /** Heartbeats that were sent beside the regular ones. */
+  told = 0
+  readonly others: string[] = []
+  readonly limiting: Limiting
+
+  constructor (id = 'g1') {
+    const others = this.others
+    const peers = {
+      get live (): unknown {
+        return others.map(id => ({ id }))
+      },
+      heardWithin: () => others.map(id => ({ id })),
+      send: () => { this.told++ },
+      post: (to: string, message: string) => { this.posted.push(`${to} ${message}`) }
+    }
+    this.limiting = new Limiting({
+      clock: this.clock,
+      log: { write: (name: string, { upstream, limit, from }: Record<string, unknown>) => this.lines.push([name, upstream, limit, from].filter(each => each !== undefined).join(' ')) } as unknown as Log,
+      id,
+      roster: this.roster,
+      peers: peers as unknown as Peers,
+      inFlight: this.inFlight,
+      queue: this.queue,
+      random: () => 0
+    })
+    this.roster.replace([upstream('a'), upstream('b')])
+  }
+
+  /** The heartbeat that others get. */
+  get heartbeat (): Heartbeat {
+    return { id: 'g1', revision: 0, canPlan: false, inFlight: {}, suspects: [], inFlightByModel: {}, served: false, loads: {}, ...this.limiting.news }
+  }
+}
+
+test('a limit that an upstream names is logged once, and so are another one and its end; no more than once a second', t => {
+  const { clock, limiting, lines } = new Fixture()
+  for (const limit of [3, 3, 1.6]) limiting.named('a', limit)
+  t.deepEqual(lines, ['upstream-limited a 3'])
+  clock.advance(1000)
+  for (const limit of [1.6, 1.5]) limiting.named('a', limit)
+  clock.advance(1000)
+  for (const limit of [Infinity, Infinity]) limiting.named('a', limit)
+  limiting.named('b', Infinity)
+  t.deepEqual(lines, ['upstream-limited a 3', 'upstream-limited a 1.5', 'upstream-limited a'])
+})
+
+test('the other gateways hear of a new limit at once, of another one with the next regular heartbeat, and of its end', t => {
+  const first = new Fixture()
+  const second = new Fixture('g2')
+  const hear = (): number => {
+    second.clock.advance(first.clock.now() - second.clock.now())
+    second.limiting.hear(first.heartbeat)
+    return second.limiting.limits.rate('a')
+  }
+  first.limiting.named('a', 3)
+  t.is(first.told, 1)
+  t.is(hear(), 3)
+  first.clock.advance(10)
+  first.limiting.named('a', 2)
+  t.is(first.told, 1)
+  t.is(hear(), 2)
+  first.clock.advance(10)
+  first.limiting.named('a', Infinity)
+  t.is(hear(), Infinity)
+  t.is(second.lines[0], 'upstream-limited a 3 g1')
+  t.deepEqual(second.heartbeat.limits, {})
+})
+
+test('what has not left yet for an upstream is withdrawn when it names a limit first, and who waits looks again', async t => {
+  const { clock, limiting, inFlight, queue } = new Fixture()
+  const withdrawn: string[] = []
+  inFlight.begin('a', '', { withdrawn: why => { withdrawn.push(why) } })
+  inFlight.begin('b', '', { withdrawn: () => t.fail() })
+  const looked = queue.wait(1, 5000, () => limiting.limits.isLimited('a') ? clock.now() : undefined)
+  limiting.named('a', 3)
+  limiting.named('a', 2)
+  t.deepEqual(withdrawn, ['the upstream named a limit'])
+  t.is(await looked, 0)
+})
+
+test('an ask is answered by the gateway that issues the tokens, which learns the limit from it', t => {
+  const { clock, limiting, posted, others } = new Fixture()
+  const ask = (upstream: string, number: number): void => limiting.receive(Buffer.from(encodeMessage({ token: 'ask', upstream, number, priority: 1, patience: 1000, limit: [10, 50] })), 'g2:1')
+  ask('a', 7)
+  t.deepEqual(posted, ['g2:1 {"token":"later","number":7,"due":100}'])
+  clock.advance(100)
+  t.is(posted.at(-1), 'g2:1 {"token":"grant","number":7}')
+  others.push(...Array.from({ length: 200 }, (_each, index) => `other${index}`))
+  clock.advance(100)
+  ask('b', 8)
+  t.is(posted.length, 2)
+  t.is(limiting.limits.rate('b'), 10)
+})
+
+test('a gateway that takes the tokens over issues none for a second', t => {
+  const { clock, limiting, posted } = new Fixture()
+  limiting.receive(Buffer.from(encodeMessage({ token: 'ask', upstream: 'a', number: 7, priority: 1, patience: 3000, limit: [100, 5000] })), 'g2:1')
+  t.deepEqual(posted, ['g2:1 {"token":"later","number":7,"due":1000}'])
+  clock.advance(999)
+  t.is(posted.length, 1)
+  clock.advance(1)
+  t.is(posted.length, 2)
+})
+
+test('a datagram that is no message is dropped', t => {
+  const { limiting, posted } = new Fixture()
+  for (const each of ['', 'x', '{"token":"grant"}', '{"token":"drop","upstream":"a","number":3}']) limiting.receive(Buffer.from(each), 'g2:1')
+  t.deepEqual(posted, [])
+})
--- a/packages/gateway/test/network.ts
+++ b/packages/gateway/test/network.ts
@@ -1,9 +1,18 @@
 /** Datagrams between gateways of a test, in memory. */
-import { type Random } from '@eiderwind/clock'
+import { type Clock, type Random } from '@eiderwind/clock'
 import { Datagrams, type Receiver } from '@eiderwind/peers'
 
-/** Share of the datagrams that is lost. */
-const loss = 0.02
+/** Share of the datagrams that is lost, unless a test says otherwise. */
+const usualLoss = 0.02
+
+/** How datagrams fare. */
+export interface Delivery {
+  readonly clock: Clock
+  /** How long they take, in ms. */
+  readonly time: number
+  /** Share that is lost. */
+  readonly loss: number
+}
 
 /** The network of a fleet: datagrams by address, lost at random and where `cut` says so. */
 export class Network {
@@ -12,15 +21,23 @@
   sent = 0
   bytes = 0
   readonly #random: Random
+  readonly #delivery: Delivery | undefined
 
-  constructor (random: Random) {
+  /** @param delivery by default datagrams arrive at once, and some are lost */
+  constructor (random: Random, delivery?: Delivery) {
     this.#random = random
+    this.#delivery = delivery
   }
 
   send (message: string, from: string, to: string): void {
     this.sent++
     this.bytes += message.length
-    if (this.#random() < loss || this.cut(from, to)) return
+    if (this.#random() < (this.#delivery?.loss ?? usualLoss) || this.cut(from, to)) return
+    if (this.#delivery === undefined) return this.#arrive(message, from, to)
+    this.#delivery.clock.after(this.#delivery.time, () => this.#arrive(message, from, to))
+  }
+
+  #arrive (message: string, from: string, to: string): void {
     this.receivers.get(to)?.(Buffer.from(message), from)
   }
 }
--- a/packages/limits/src/tokens.ts
+++ b/packages/limits/src/tokens.ts
@@ -41,6 +41,9 @@
 /** Time within which another gateway answers, in ms: many times the way there and back. */
 const replyTime = 50
 
+/** What is left of a request's wait for the way of an ask and of its token, in ms. */
+const wayTime = 5
+
 /** How long a token is held for a request that needs it, in ms. */
 const heldFor = 100
 
@@ -48,12 +51,23 @@
 const firstNumbers = 2 ** 40
 
 interface OpenAsk {
-  readonly claim: Claim
+  /** Undefined where it waits no longer: a token that was on its way is for whoever needs it. */
+  claim: Claim | undefined
   readonly upstream: string
   readonly owner: string | undefined
+  /** How long its owner was told that it can wait, in ms. */
+  readonly patience: number
   timer: Subscription
 }
 
+/** A token in hand. */
+interface Held {
+  /** Until when it may be used, on `Clock.now`, in ms. */
+  readonly until: number
+  /** For which it was asked. */
+  readonly claim: Claim | undefined
+}
+
 interface Due {
   /** On `Clock.now`, in ms. */
   readonly at: number
@@ -64,8 +78,8 @@
 export class Tokens {
   readonly #options: TokensOptions
   readonly #asks = new Map<number, OpenAsk>()
-  /** Until when each token in hand may be used, on `Clock.now`, by upstream. */
-  readonly #held = new Map<string, number[]>()
+  /** The tokens in hand, by upstream. */
+  readonly #held = new Map<string, Held[]>()
   readonly #dues = new Map<string, Due>()
   #number: number
   /** Tokens that came from other gateways, and those of them that were used. */
@@ -84,13 +98,23 @@
     return owner(upstream) === undefined && issuer.has(upstream)
   }
 
-  /** Takes the token of a request that is about to be sent. */
-  take (upstream: string): void {
+  /** Takes the token of a request that is about to be sent. The first in the queue gets the token, whichever asked for it: they change asks. */
+  take (upstream: string, claim?: Claim): void {
     const { limits, issuer } = this.#options
     if (!limits.isLimited(upstream)) return
     if (!this.#holds(upstream)) return issuer.take(upstream)
-    this.#held.get(upstream)?.shift()
+    const held = this.#held.get(upstream)?.shift()
     this.used++
+    if (claim !== undefined && held?.claim !== undefined && held.claim !== claim) this.#pass(claim, held.claim)
+  }
+
+  /** Has the ask of a request that has its token already stand for another one. */
+  #pass (from: Claim, to: Claim): void {
+    const ask = from.ask === undefined ? undefined : this.#asks.get(from.ask)
+    if (ask === undefined || to.ask !== undefined || to.until <= this.#options.clock.now()) return
+    ask.claim = to
+    to.ask = from.ask
+    from.ask = undefined
   }
 
   /** Time until an upstream has a token for a request, as far as that is known, in ms; 0 where it is not. */
@@ -116,13 +140,20 @@
 
   /** Ends what is under way for a request that waits no longer. */
   release (claim: Claim): void {
-    if (claim.ask === undefined) return
     const number = claim.ask
-    const ask = this.#close(number)
-    if (ask === undefined) return
+    const ask = number === undefined ? undefined : this.#asks.get(number)
+    if (number === undefined || ask === undefined) return
+    claim.ask = undefined
+    ask.claim = undefined
+    ask.timer.cancel()
     const { issuer, post } = this.#options
-    if (ask.owner === undefined) issuer.drop(ask.upstream, ownAsk, number)
-    else post(ask.owner, { token: 'drop', upstream: ask.upstream, number })
+    if (ask.owner === undefined) {
+      issuer.drop(ask.upstream, ownAsk, number)
+      this.#asks.delete(number)
+    } else {
+      post(ask.owner, { token: 'drop', upstream: ask.upstream, number })
+      ask.timer = this.#expiry(number, replyTime)
+    }
   }
 
   /** Takes the answer to an ask. Returns whether those that wait should look again: a token has come, or none will for the request that asked. */
@@ -142,9 +173,9 @@
     const { clock, limits, issuer, owner: ownerOf, post } = this.#options
     const owner = ownerOf(upstream)
     const number = ++this.#number
-    const patience = Math.max(0, claim.until - clock.now())
+    const patience = Math.max(0, claim.until - clock.now() - (owner === undefined ? 0 : wayTime))
     claim.ask = number
-    this.#asks.set(number, { claim, upstream, owner, timer: this.#expiry(number, replyTime) })
+    this.#asks.set(number, { claim, upstream, owner, patience, timer: this.#expiry(number, replyTime) })
     if (owner === undefined) issuer.ask(upstream, { from: ownAsk, number, priority: claim.priority, patience })
     else post(owner, { token: 'ask', upstream, number, priority: claim.priority, patience, limit: [...limits.report(upstream)] })
   }
@@ -153,18 +184,18 @@
     const { clock } = this.#options
     this.#close(number)
     // A process that stood still reads late what was granted long before.
-    if (clock.now() > claim.until + replyTime) return false
+    if (claim !== undefined && clock.now() > claim.until + replyTime) return false
     this.received++
-    this.#held.set(upstream, [...this.#held.get(upstream) ?? [], clock.now() + heldFor])
+    this.#held.set(upstream, [...this.#held.get(upstream) ?? [], { until: clock.now() + heldFor, claim }])
     return true
   }
 
   /** Takes that a token comes in `due` ms. Returns whether that is too late for the request. */
   #later (number: number, ask: OpenAsk, due: number): boolean {
-    const { claim, upstream } = ask
-    const at = this.#options.clock.now() + due
-    this.#dues.set(upstream, { at, priority: claim.priority })
-    const isTooLate = at > claim.until
+    const { claim, upstream, patience } = ask
+    if (claim === undefined) return false
+    this.#dues.set(upstream, { at: this.#options.clock.now() + due, priority: claim.priority })
+    const isTooLate = due > patience
     if (isTooLate) this.#refuse(number, ask)
     else {
       ask.timer.cancel()
@@ -183,7 +214,7 @@
   }
 
   #refuse (number: number, { claim, upstream }: OpenAsk): void {
-    claim.refused.add(upstream)
+    claim?.refused.add(upstream)
     this.#close(number)
   }
 
@@ -191,7 +222,7 @@
     const ask = this.#asks.get(number)
     if (ask === undefined) return undefined
     ask.timer.cancel()
-    ask.claim.ask = undefined
+    if (ask.claim !== undefined) ask.claim.ask = undefined
     this.#asks.delete(number)
     return ask
   }
@@ -201,7 +232,7 @@
     const held = this.#held.get(upstream)
     if (held === undefined) return false
     const now = this.#options.clock.now()
-    while (held.length > 0 && held[0] < now) held.shift()
+    while (held.length > 0 && held[0].until < now) held.shift()
     if (held.length === 0) this.#held.delete(upstream)
     return held.length > 0
   }
--- a/packages/limits/test/tokens.test.ts
+++ b/packages/limits/test/tokens.test.ts
@@ -48,7 +48,7 @@
   const fixture = new Fixture()
   const claim = fixture.claim(100, 'a', 'b')
   fixture.tokens.pursue(claim, ['a', 'b'])
-  t.deepEqual(fixture.sent, [{ token: 'ask', upstream: 'a', number: 1, priority: 1, patience: 100, limit: [10, 0] }])
+  t.deepEqual(fixture.sent, [{ token: 'ask', upstream: 'a', number: 1, priority: 1, patience: 95, limit: [10, 0] }])
 })
 
 test('a token is used once, and lapses where nobody uses it', t => {
@@ -117,14 +117,39 @@
   t.false(fixture.tokens.answered({ token: 'grant', number: 2 }))
 })
 
-test('one that waits no longer says so, and what comes then gives no token', t => {
+test('one that waits no longer says so, and a token that was on its way is for whoever needs it', t => {
   const fixture = new Fixture()
   const claim = fixture.claim(100, 'a')
   fixture.tokens.answered({ token: 'later', number: 1, due: 50 })
   fixture.tokens.release(claim)
   fixture.tokens.release(claim)
   t.deepEqual(fixture.asked, ['ask a 1', 'drop a 1'])
+  t.true(fixture.tokens.answered({ token: 'grant', number: 1 }))
+  t.true(fixture.tokens.has('a'))
+  t.false(fixture.tokens.answered({ token: 'grant', number: 1 }))
+})
+
+test('a token that comes long after its request has left gives none', t => {
+  const fixture = new Fixture()
+  fixture.tokens.release(fixture.claim(100, 'a'))
+  fixture.clock.advance(51)
   t.false(fixture.tokens.answered({ token: 'grant', number: 1 }))
+  t.false(fixture.tokens.has('a'))
+})
+
+test('a request that takes the token of another one leaves it its own ask', t => {
+  const fixture = new Fixture()
+  const { tokens } = fixture
+  const first = fixture.claim(100, 'a')
+  const second = fixture.claim(100, 'a')
+  tokens.answered({ token: 'grant', number: 1 })
+  tokens.take('a', second)
+  tokens.release(second)
+  tokens.pursue(first, ['a'])
+  t.deepEqual(fixture.asked, ['ask a 1', 'ask a 2'])
+  t.true(tokens.answered({ token: 'grant', number: 2 }))
+  tokens.take('a', first)
+  t.deepEqual([tokens.received, tokens.used], [2, 2])
 })
 
 test('a process that stood still does not use a token that it reads long after', t => {
--- a/packages/peers/test/peers.test.ts
+++ b/packages/peers/test/peers.test.ts
@@ -27,6 +27,16 @@
   t.deepEqual(decode(Buffer.from(datagram))?.loads, {})
 })
 
+test('limits of upstreams are sent with the time since they were said, and a datagram without them has none', t => {
+  const limits = { u: [1.6, 20], 'v@k3': [null, 3000] } as const
+  const text = encode(heartbeat({ limits }))
+  t.is(text, datagram.replace('"served":true}', '"served":true,"limits":{"u":[1.6,20],"v@k3":[null,3000]}}'))
+  t.deepEqual(decode(Buffer.from(text))?.limits, { u: [1.6, 20], 'v@k3': [null, 3000] })
+  t.is(encode(heartbeat({ limits: {} })), datagram)
+  t.is(decode(Buffer.from(datagram))?.limits, undefined)
+  t.is(decode(Buffer.from(text.replace('1.6', '-1'))), undefined)
+})
+
 test('upstreams that are leaving are sent under a key of their own, and a datagram without it has none', t => {
   const leaving = ['u', 'v@k3']
   const text = encode(heartbeat({ leaving }))
