--- a/packages/clock/src/suspension.ts
+++ b/packages/clock/src/suspension.ts
@@ -4,7 +4,7 @@
  * early; a step back counts as nothing, and hides a suspension only if both fall between two looks.
  */
 
-/** Least gain of the time of day between two looks that counts as a suspension, in ms: above what adjusting the time of day gains meanwhile. Chosen, not measured. */
+/** Least gain of the time of day between two looks that counts as a suspension, in ms: above what adjusting the time of day gains meanwhile. */
 const leastSuspension = 50
 
 /** Adds up suspensions. */
--- a/packages/config/src/writer.ts
+++ b/packages/config/src/writer.ts
@@ -19,10 +19,10 @@
 /** Records at which the older ones are moved out. */
 const fullAudit = 200
 
-/** How long to go on finding out what became of a write, unless set, in ms. Chosen, not measured. */
+/** How long to go on finding out what became of a write, unless set, in ms. */
 const defaultPatience = 5000
 
-/** Pause between two reads while the store does not answer, in ms. Chosen, not measured. */
+/** Pause between two reads while the store does not answer, in ms. */
 const readPause = 100
 
 /** Digits of the revision in an audit object's key, so that keys sort by revision. */
--- a/packages/crashes/src/crashes.ts
+++ b/packages/crashes/src/crashes.ts
@@ -46,7 +46,7 @@
   readonly blocked: (request: string, upstreams: readonly string[]) => void
 }
 
-/** Time in which the attempts at a crashed upstream break, one connection after another, in ms. Chosen, not measured. */
+/** Time in which the attempts at a crashed upstream break, one connection after another, in ms. */
 const gatherTime = 5
 
 /** Requests that are known to be, or suspected of being, the cause of crashes. */
--- a/packages/crashes/src/history.ts
+++ b/packages/crashes/src/history.ts
@@ -48,20 +48,20 @@
 
 /**
  * Time in which reports of one crash by different gateways are one crash, in ms: an engine that crashes is back after some seconds, perhaps under
- * the same id, and can crash again only then. Chosen, not measured.
+ * the same id, and can crash again only then.
  */
 const sameCrash = 1500
 
 /**
  * Time between a crash and the verdict on it, in ms, in which the other gateways report who else was in flight there: many times the way between
- * gateways, and far below the time after which callers leave a silent stream (2 s). Chosen, not measured.
+ * gateways, and far below the time after which callers leave a silent stream (2 s).
  */
 const settleTime = 150
 
-/** How long a request that is not blocked is remembered after the last crash, in ms. Chosen, not measured: callers have returned after half a minute. */
+/** How long a request that is not blocked is remembered after the last crash, in ms: callers have returned after half a minute. */
 const suspicionMemory = 10 * 60_000
 
-/** Time after which a blocked request may run once more, as a suspect, in ms: its engines may have been mended. Chosen, not measured. */
+/** Time after which a blocked request may run once more, as a suspect, in ms: its engines may have been mended. */
 const blockTime = 60 * 60_000
 
 /**
--- a/packages/crashes/src/reports.ts
+++ b/packages/crashes/src/reports.ts
@@ -14,10 +14,10 @@
   readonly requests: readonly string[]
 }
 
-/** How long a report is repeated, in ms: four regular heartbeats of a small fleet. Chosen, not measured. */
+/** How long a report is repeated, in ms: four regular heartbeats of a small fleet. */
 const reportTime = 1000
 
-/** Crashes, and requests of one crash and clearances, that are reported at once: below 6 kB together. Chosen, not measured. */
+/** Crashes, and requests of one crash and clearances, that are reported at once: below 6 kB together. */
 const mostCrashes = 4
 const mostRequests = 64
 
--- a/packages/crashes/src/trials.ts
+++ b/packages/crashes/src/trials.ts
@@ -17,7 +17,7 @@
 
 /**
  * Time that a suspect has to run after the first part of its answer before another one may join it, in ms. Requests that crash their engine did so 50 to 90
- * ms after they began to run. Chosen, not measured.
+ * ms after they began to run.
  */
 const provingTime = 300
 
--- a/packages/detect/src/backoff.ts
+++ b/packages/detect/src/backoff.ts
@@ -10,13 +10,13 @@
  */
 const tolerated = 1
 
-/** First pause, in ms: a replica that is full has room again after about as long, since one of some twenty requests of one to three seconds ends there. Chosen, not measured. */
+/** First pause, in ms: a replica that is full has room again after about as long, since one of some twenty requests of one to three seconds ends there. */
 const firstPause = 100
 
-/** Longest pause, in ms: an upstream that refuses everything costs each gateway one attempt in this time. Chosen, not measured. */
+/** Longest pause, in ms: an upstream that refuses everything costs each gateway one attempt in this time. */
 const longestPause = 800
 
-/** Time without a refusal after which the next one counts as the first, in ms: well above the longest pause. Chosen, not measured. */
+/** Time without a refusal after which the next one counts as the first, in ms: well above the longest pause. */
 const memory = 15_000
 
 /** The refusals of one upstream. */
--- a/packages/detect/src/liveness.ts
+++ b/packages/detect/src/liveness.ts
@@ -37,31 +37,31 @@
   readonly failed: (error: unknown) => void
 }
 
-/** Time between two probes of one engine, in ms: twice the time-out of a probe (280 ms), rounded up. Chosen, not measured. */
+/** Time between two probes of one engine, in ms: twice the time-out of a probe (280 ms), rounded up. */
 const probeInterval = 600
 
 /**
  * Orders to close in a row without an answer after which an unlisted head that answers no probe either is dead, in orders. Orders
- * alone do not show it: an engine may leave a third of them unanswered for a while and serve on. Chosen, not measured.
+ * alone do not show it: an engine may leave a third of them unanswered for a while and serve on.
  */
 const unansweredLimit = 2
 
 /**
  * Probes in a row that an engine may leave unanswered before it counts as unreachable, unless the gateways agree that its replica has
- * stalled. A single lost packet delays a new connection by a second, far beyond the time-out of a probe. Chosen, not measured alone.
+ * stalled. A single lost packet delays a new connection by a second, far beyond the time-out of a probe.
  */
 const missedProbes = 2
 
 /**
  * Heartbeat intervals after which a heartbeat count that has not risen has stopped: one interval, and 0.4 of one for the
- * store's delay and our own reading. Chosen, not measured.
+ * store's delay and our own reading.
  */
 const missedIntervals = 1.4
 
 /**
  * Readings of a heartbeat count within the time after which it has stopped, beside the first: each is a call of the store, which is paid
  * for. A head that dies has written its last heartbeat before its silence is noticed, so the first and the last reading decide; one
- * between them costs less time where a heartbeat came late. Chosen, not measured alone.
+ * between them costs less time where a heartbeat came late.
  */
 const readings = 2
 
--- a/packages/detect/src/pauses.ts
+++ b/packages/detect/src/pauses.ts
@@ -5,12 +5,12 @@
  */
 import { type Clock, type Subscription } from '@eiderwind/clock'
 
-/** Time between two ticks, in ms: an eighth of the shortest silence that is judged (400 ms). Chosen, not measured. */
+/** Time between two ticks, in ms: an eighth of the shortest silence that is judged (400 ms). */
 const tickInterval = 50
 
 /**
  * Gap between two ticks that counts as a pause, in ms: below the 400 ms of silence that make a suspect, and above the delays of a busy
- * process on half a core. Chosen after soak 140 (docs/INCIDENTS.md), not measured.
+ * process on half a core.
  */
 const pauseGap = 300
 
--- a/packages/detect/src/rests.ts
+++ b/packages/detect/src/rests.ts
@@ -3,15 +3,13 @@
  * (`backoff.ts`). Owns these rests, in memory only: another gateway is asked for itself. Relies on `Intake` to ask `has` before each send, and on identities that differ between two lives of an upstream, so that a rest ends with
  * the life that asked for it.
  *
- * An upstream that refuses at once always has the fewest requests in flight, so without this it is chosen before all others. With three gateways before two
- * heads of ten that asked for 3 s, 223 requests reached them within their rests and 114 of 201 requests were not served; with it none reach them, and only
- * requests that meet both heads before either has asked are not served (platform/test/rest.test.ts).
+ * An upstream that refuses at once always has the fewest requests in flight, so without this it is chosen before all others.
  */
 import { type Clock } from '@eiderwind/clock'
 
 /**
  * Longest rest that is kept to, in ms. One that asks for more is asked again after this: a number without sense must not take an upstream out of use for
- * ever. Chosen, not measured: far above the seconds that an overload lasts.
+ * ever. Far above the seconds that an overload lasts.
  */
 const longestRest = 3_600_000
 
--- a/packages/detect/src/stalls.ts
+++ b/packages/detect/src/stalls.ts
@@ -30,18 +30,18 @@
   readonly suspected: () => void
 }
 
-/** Time between two checks, in ms: an eighth of the silence that is looked for. Chosen, not measured. */
+/** Time between two checks, in ms: an eighth of the silence that is looked for. */
 const checkInterval = 50
 
 /**
  * How long a single stream may be silent before it may move, in ms: well above what a first event takes at a full replica, and early
- * enough that the stream goes on elsewhere before its caller leaves, after 2,000 ms or more (a bound of the deployments).
+ * enough that the stream goes on elsewhere before its caller leaves, after 2,000 ms or more.
  */
 const streamSilence = 1200
 
 /**
  * How long all streams of a head may be silent before that counts without the word of other gateways, in ms: a first event takes 0.1 s, and
- * 0.3 s where the head reads long prompts for others; at a full head it may take longer than `silence`. Chosen, not measured alone.
+ * 0.3 s where the head reads long prompts for others; at a full head it may take longer than `silence`.
  */
 const loneSilence = 1000
 
--- a/packages/detect/src/suspects.ts
+++ b/packages/detect/src/suspects.ts
@@ -8,7 +8,7 @@
 
 /**
  * Time between two tries of a suspect with one request, in ms. A replica that is repaired gets another name, which clears
- * the suspicion at once; this is only for false suspicions, so it may be long. Chosen, not measured.
+ * the suspicion at once; this is only for false suspicions, so it may be long.
  */
 const tryInterval = 2500
 
--- a/packages/dispatch/src/budget.ts
+++ b/packages/dispatch/src/budget.ts
@@ -17,12 +17,12 @@
   readonly gateways: () => number
 }
 
-/** Parts into which the window is cut; their size is the precision of the count. Chosen, not measured. */
+/** Parts into which the window is cut; their size is the precision of the count. */
 const parts = 10
 
 /**
  * The part of the allowed retries that is used, so that the bound also holds in windows that begin at other times than
- * ours. Chosen, not measured; a test checks the bound over windows at every tenth of a second.
+ * ours.
  */
 const caution = 0.75
 
--- a/packages/dispatch/src/choice.ts
+++ b/packages/dispatch/src/choice.ts
@@ -25,15 +25,15 @@
 }
 
 /**
- * Requests that a replica is sent beyond its slots, as a share of the slots; they wait there. Measured against 0.5 on
- * three days (commit 6614ae7; docs/design/platform.md, Requests): what waits longer at a full replica comes late.
+ * Requests that a replica is sent beyond its slots, as a share of the slots; they wait there. What waits longer at a full
+ * replica comes late.
  */
 const overhang = 0.1
 
-/** Added to the cost of an upstream in another data centre: half a request in flight, or half a ms. Chosen, not measured. */
+/** Added to the cost of an upstream in another data centre: half a request in flight, or half a ms. */
 const distanceCost = 0.5
 
-/** Greatest random part of a cost, so that gateways do not all choose the same one of several equals. Chosen, not measured. */
+/** Greatest random part of a cost, so that gateways do not all choose the same one of several equals. */
 const tieBreak = 0.1
 
 /** Chooses upstreams by their load at all gateways. */
@@ -58,9 +58,8 @@
 
   /**
    * Of how many of the least loaded heads one is drawn: as many as the requests that other gateways have sent since the heartbeats by which
-   * the load is known, at most half of all. If each took the least loaded one, all would send to the same head until they hear of it. In a model
-   * of 35 gateways before 48 heads at three quarters of their load (gateway/test/choice.test.ts), 7 to 9 in 100 requests then meet a head
-   * that is full already; with the draw 0 to 1 in 100.
+   * the load is known, at most half of all. If each took the least loaded one, all would send to the same head until they hear of it, and
+   * meet a head that is full already.
    */
   #herd (model: string, heads: number, others: number): number {
     const { inFlight, peers } = this.#options
--- a/packages/dispatch/src/observations.ts
+++ b/packages/dispatch/src/observations.ts
@@ -3,18 +3,18 @@
  * failures. Owns these averages, in memory only; an upstream that was never observed is taken to be fast.
  */
 
-/** Weight of the newest observation in the averages. Chosen, not measured. */
+/** Weight of the newest observation in the averages. */
 const weight = 0.2
 
-/** Cost of an upstream whose every request fails, in parts of one that never fails, less one. Chosen, not measured. */
+/** Cost of an upstream whose every request fails, in parts of one that never fails, less one. */
 const failureCost = 8
 
-/** Time that an upstream is taken to need before its first observation, and the least that is reckoned with, in ms. Chosen, not measured. */
+/** Time that an upstream is taken to need before its first observation, and the least that is reckoned with, in ms. */
 const leastTime = 1
 
 /**
  * Upstreams of which averages are kept. Those of upstreams that went away are never removed singly; beyond this number
- * all are forgotten. Chosen, not measured: far above the plain upstreams of the deployments (3).
+ * all are forgotten: far above the plain upstreams of one service.
  */
 const maxUpstreams = 1000
 
--- a/packages/dispatch/src/refusals.ts
+++ b/packages/dispatch/src/refusals.ts
@@ -4,41 +4,39 @@
  * another one. Two more refusals arise in `readBody` of `@eiderwind/wire` while the body is read: `too-large`, and
  * `bad-request` for a body that broke off; neither has a `Retry-After`.
  *
- * Bounds of the deployments that the numbers refer to: callers heed `Retry-After` up to a third of the time that they
- * have left, retry once, on a new connection, and have deadlines of 1 to 1.5 s (plain requests) or 6 to 8 s (streams).
- * All numbers were chosen, and none was varied alone in a run; docs/INCIDENTS.md (inc-3feb, inc-af04) has days on which
- * most refusals were of callers that had retried and were refused again.
+ * The numbers suit callers that heed `Retry-After` up to a third of the time that they have left, retry once, on a new
+ * connection, and have deadlines of 1 to 1.5 s (plain requests) or 6 to 8 s (streams).
  */
 import { Fault, kinds } from '@eiderwind/fault'
 
 /**
  * After `behind` and `leaving`, in seconds. Another gateway can usually serve the request at once and the new connection
- * may reach it, so a longer wait would gain nothing. Chosen, not measured.
+ * may reach it, so a longer wait would gain nothing.
  */
 const otherGateway = 0.2
 
 /**
  * After `upstream-down`, in seconds. Nearly the longest wait that a caller with a deadline of 1 s heeds (0.33 s): the
- * upstreams get as much time as possible to take connections again. Chosen, not measured.
+ * upstreams get as much time as possible to take connections again.
  */
 const upstreamReturn = 0.3
 
 /**
  * After `no-replica`, in seconds. Below the 2 s that a caller with a deadline of 6 s heeds, and as long as a replica needs
  * that is mended with weights from host memory (1.6 s and 0.2 s to join); where weights come from the weight store (12
- * to 16 s) the caller is refused again. Raised from 1.5 in a54e6b1, whose runs measured it only together with other changes.
+ * to 16 s) the caller is refused again.
  */
 const replicaMended = 1.8
 
 /**
  * After `busy`, in seconds. Some of the requests that run now will have ended by then, and a caller with a deadline of 6 s has
- * over 5 s left. Raised from 0.4 in a54e6b1, whose runs measured it only together with other changes.
+ * over 5 s left.
  */
 const roomFreed = 0.9
 
 /**
  * After `busy` where no upstream takes a request by its own word: callers are spread over this time after the first does, in seconds, so that they do not all
- * come back in the moment in which one upstream takes requests again. Chosen, not measured.
+ * come back in the moment in which one upstream takes requests again.
  */
 const returnSpread = 0.5
 
--- a/packages/dispatch/src/waiting.ts
+++ b/packages/dispatch/src/waiting.ts
@@ -4,16 +4,13 @@
  */
 
 /**
- * Longest wait before the first attempt, as a share of the route's latency objective: 42 ms of 193 ms up to 110 ms of
- * 500 ms on the present deployments. A caller that waits so long still has most of its objective left, and can
- * retry early. Chosen when this program was first written (c937403), never varied in a run: it lies
- * just below the quarter of the objective up to which the deployments count a refusal as timely.
+ * Longest wait before the first attempt, as a share of the route's latency objective. A caller that waits so long still has
+ * most of its objective left, and can retry early.
  */
 const firstWaitShare = 0.22
 
 /**
- * Longest wait of a stream for its next upstream, in ms. Callers leave after 2,000 ms without an event (a bound of the
- * deployments), of which about 400 ms (setting `silence`) pass before a stall is noticed. Chosen, not measured.
+ * Longest wait of a stream for its next upstream, in ms. Callers leave after 2,000 ms without an event, of which about 400 ms (setting `silence`) pass before a stall is noticed.
  */
 const resumeWait = 1500
 
@@ -35,8 +32,7 @@
 /**
  * Longest wait for an upstream with room, in ms. Where none serves what is asked for, room cannot appear in a wait as short as the
  * first one: the caller is refused at once and told when to come back. A plain request that was offered before does not wait: if no
- * other upstream has room now, its caller gets the result of the last attempts at once. Chosen, not measured. Where none takes a
- * request within that time, by its own word, there is nothing to wait for.
+ * other upstream has room now, its caller gets the result of the last attempts at once. Where none takes a request within that time, by its own word, there is nothing to wait for.
  */
 export function waitForRoom (inputs: WaitInputs): number {
   const time = longestWait(inputs)
--- a/packages/forming/src/activity.ts
+++ b/packages/forming/src/activity.ts
@@ -7,7 +7,7 @@
 
 /**
  * Time after which a domain is looked at whatever has happened, in ms: what changes with time alone waits this long at the most, such as the
- * demand by which targets rise. Chosen, not measured.
+ * demand by which targets rise.
  */
 const quietInterval = 500
 
--- a/packages/forming/src/composition.ts
+++ b/packages/forming/src/composition.ts
@@ -11,7 +11,7 @@
 
 /**
  * A model with this many intact replicas or fewer takes engines of other models, and gives none. Taking them at any lack was worse
- * (rdp quiet-1, score 0.69; docs/design/platform.md).
+ * (docs/design/platform.md).
  */
 const scarceReplicas = 1
 
--- a/packages/forming/src/fleet.ts
+++ b/packages/forming/src/fleet.ts
@@ -5,8 +5,8 @@
 import { type Counts, type DomainSize } from './targets.js'
 
 /**
- * All engines of a first start have appeared once no further one has for this long, in ms. Grown sites showed the need: their
- * engines list themselves over 3.5 s (docs/INCIDENTS.md). The time itself was chosen, not measured.
+ * All engines of a first start have appeared once no further one has for this long, in ms: those of a large site
+ * list themselves over some seconds.
  */
 const arrivalTime = 600
 
@@ -34,7 +34,7 @@
 
 /**
  * A domain's targets wait this long at the most while its engines appear one after the other, in ms: one that is added each second should not
- * keep the others idle. Chosen, not measured.
+ * keep the others idle.
  */
 const longestArrival = 2000
 
@@ -48,9 +48,8 @@
 
 /**
  * Notices domains that were dark and whose engines are still appearing. Their targets must not rise yet: those for the first few
- * engines are of the smaller models, and last. Of a domain of 37 that came back within 0.3 s, with weights for one replica of 16 engines
- * and four of 4 in its hosts, targets for the first few left 16 engines idle for the rest of the day. A domain that has room for any replica does not
- * wait when single engines come: in domains of 10 one comes each second or two. That exception was chosen; no difference was measured.
+ * engines are of the smaller models, and last: the engines of a large replica would stay idle. A domain that has room for any replica does not
+ * wait when single engines come: each would keep the others idle for a while.
  */
 export class Appearances {
   readonly #clock: Clock
--- a/packages/forming/src/history.ts
+++ b/packages/forming/src/history.ts
@@ -5,16 +5,16 @@
 import { type Clock } from '@eiderwind/clock'
 import { type Order, type OrderResult, type UnfencedOrder } from './orders.js'
 
-/** Time after which the same order is given again, in ms. Chosen, not measured; above the 700 ms that an order may take. */
+/** Time after which the same order is given again, in ms: above the 700 ms that an order may take. */
 const repeatAfter = 900
 
 /**
- * How long a head that took an order to open may be listed as not open, in ms. Soak seed 140 showed the need
- * (docs/INCIDENTS.md); the time was chosen, not measured.
+ * How long a head that took an order to open may be listed as not open, in ms: its entry in the
+ * list comes after its answer.
  */
 const listTime = 3000
 
-/** Entries are forgotten after this, in ms. Chosen, not measured: far above the time that a replica takes to be dissolved. */
+/** Entries are forgotten after this, in ms: far above the time that a replica takes to be dissolved. */
 const memory = 26_000
 
 /** What tells orders apart. */
--- a/packages/forming/src/loadlimit.ts
+++ b/packages/forming/src/loadlimit.ts
@@ -13,7 +13,7 @@
  */
 const burst = 2
 
-/** A load that is never seen to end counts as ended after this many times its own time. Chosen, not measured. */
+/** A load that is never seen to end counts as ended after this many times its own time. */
 const loadPatience = 3
 
 /** A load that is to begin. */
--- a/packages/forming/src/permits.ts
+++ b/packages/forming/src/permits.ts
@@ -7,14 +7,14 @@
 import { type LoadLimit } from './loadlimit.js'
 import { type Order } from './orders.js'
 
-/** Part of the loads at a time that a load nothing waits for leaves free, for repairs. Chosen, not measured. */
+/** Part of the loads at a time that a load nothing waits for leaves free, for repairs. */
 const repairShare = 0.5
 
 /** Whether an order may be given now. One that may not is planned and asked about again at the next look. */
 export function mayGive (order: Order, facts: DomainFacts, history: OrderHistory, loads: LoadLimit): boolean {
   if (!history.isDue(order)) return false
   if (!order.loads) return true
-  // A load in progress is not ordered again, which would take a permit from another one (docs/INCIDENTS.md, rdp quiet-1).
+  // A load in progress is not ordered again, which would take a permit from another one.
   if (loads.loading(order.node) === order.model && (loads.isOthers(order.node) || history.wasTaken(order))) return false
   return acquireLoad(order, facts, loads)
 }
--- a/packages/forming/src/reconciler.ts
+++ b/packages/forming/src/reconciler.ts
@@ -23,11 +23,10 @@
 
 /**
  * Time between two looks at the domains, in ms, beside those after each change of the roster and each answer of an engine.
- * Chosen, not measured.
  */
 const lookInterval = 100
 
-/** Time between two reports of what the engines of a domain do, in ms: one line a second and domain. Chosen, not measured. */
+/** Time between two reports of what the engines of a domain do, in ms: one line a second and domain. */
 const surveyInterval = 1000
 
 /** Dependencies of `Reconciler`. */
--- a/packages/forming/src/staging.ts
+++ b/packages/forming/src/staging.ts
@@ -9,8 +9,7 @@
 import { type Pool } from './pool.js'
 
 /**
- * Spares of a domain that hold each model. Worth with one of each, and with two of the largest: coop trouble-3 0.617 and 0.526,
- * rdp trouble-3 0.572 and 0.314, but coop quiet-1 0.711 and 0.743 (docs/design/platform.md).
+ * Spares of a domain that hold each model. One of each lets any replica be repaired without a load (docs/design/platform.md).
  */
 const sparesPerModel = 1
 
@@ -25,12 +24,12 @@
   if (facts.arriving) return stagingForArrivals(empty, models, pool)
   const awaited = stagingForLacking(pool)
   if (awaited.length > 0) return awaited
-  // Further spares hold the largest model, which needs the most engines (chosen, not measured).
+  // Further spares hold the largest model, which needs the most engines.
   if (empty.length > 0) return distribute(empty, { pool, models, wanted: () => sparesPerModel, rest: models[0] })
   return stagingOnServing(pool, models[0])
 }
 
-/** At the first start: a replica and a spare of each model, the largest first. The rest load the smallest (not measured). */
+/** At the first start: a replica and a spare of each model, the largest first. The rest load the smallest. */
 function stagingForArrivals (empty: readonly Upstream[], models: readonly Model[], pool: Pool): Staging[] {
   const wanted = ({ size }: Model): number => size + sparesPerModel
   return distribute(empty, { pool, models, wanted, rest: models[models.length - 1] })
--- a/packages/forming/src/targets.ts
+++ b/packages/forming/src/targets.ts
@@ -11,21 +11,21 @@
 export type Counts = Readonly<Record<string, number>>
 
 /**
- * Replicas of a model, over all domains, that go before more of any other. Three, so that two are left when one dies: with
- * two the large model starved after one death (rdp quiet-1, score 0.09; docs/design/platform.md).
+ * Replicas of a model, over all domains, that go before more of any other. Three, so that two are left when one dies: one
+ * alone cannot serve a model.
  */
 const minReplicas = 3
 
 /**
- * Engines of each domain left without a replica, so that a repair needs no load: one for each of the deployments' two
- * models. The number was chosen, not measured; what the two hold was (`sparesPerModel` in staging.ts).
+ * Engines of each domain left without a replica, so that a repair needs no load: one for each of two models
+ * (`sparesPerModel` in staging.ts).
  */
 const sparesPerDomain = 2
 
 /** Need from which a replica is planned on the spares too: every model below `minReplicas` has at least this. */
 const urgentNeed = 1
 
-/** A model with no replica counts as having this many, so that its need is finite and above that with one. Chosen, not measured. */
+/** A model with no replica counts as having this many, so that its need is finite and above that with one. */
 const noReplica = 0.5
 
 /** A domain, as far as its targets depend on it. */
--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -13,13 +13,13 @@
 import { outgoingCall } from './outgoing.js'
 import { type CallerRequest } from './request.js'
 
-/** Longest answer that is collected, in bytes. A bound on memory; chosen, not measured. */
+/** Longest answer that is collected, in bytes: a bound on memory. */
 const maxCollected = 8 * 2 ** 20
 
 /** Errors of a connection that did not come up, after which the upstream is suspected. */
 const unreachable = new Set(['UND_ERR_CONNECT_TIMEOUT', 'ECONNREFUSED', 'EHOSTUNREACH'])
 
-/** Characters of an upstream's own text that the log shows. Chosen, not measured. */
+/** Characters of an upstream's own text that the log shows. */
 const longestShown = 40
 
 /** Options of an attempt. */
--- a/packages/gateway/src/blocklist.ts
+++ b/packages/gateway/src/blocklist.ts
@@ -23,7 +23,7 @@
   readonly connections: Connections
 }
 
-/** How long an answer may take, in ms. Chosen, not measured. */
+/** How long an answer may take, in ms. */
 const answerTime = 500
 
 /** Digits of a digest, in hexadecimal. */
--- a/packages/gateway/src/budgets.ts
+++ b/packages/gateway/src/budgets.ts
@@ -10,7 +10,7 @@
 
 /**
  * Gateways that are assumed until the list of them is known, so that a fleet that starts together stays within the slack. More than
- * any site in use has (4 and 5). Chosen, not measured.
+ * small sites have.
  */
 const assumedGateways = 8
 
--- a/packages/gateway/src/callers.ts
+++ b/packages/gateway/src/callers.ts
@@ -34,7 +34,7 @@
 /** Longest head of a request that is read at all, in bytes: far above the configuration's limit, which then names the refusal. */
 const headLimit = 64 * 1024
 
-/** Time between two checks of connections that are slow to send, in ms: their limits are seconds. Chosen, not measured. */
+/** Time between two checks of connections that are slow to send, in ms: their limits are seconds. */
 const checkInterval = 500
 
 /** Bytes that each raw header name or value takes beside itself: `: ` or the line break. */
--- a/packages/gateway/src/changelog.ts
+++ b/packages/gateway/src/changelog.ts
@@ -21,7 +21,7 @@
   readonly wait: number
 }
 
-/** Changes that are kept: those of many seconds, so that only an asker that was away gets the whole list. Chosen, not measured. */
+/** Changes that are kept: those of many seconds, so that only an asker that was away gets the whole list. */
 const kept = 500
 
 interface NumberedChange {
--- a/packages/gateway/src/confirmations.ts
+++ b/packages/gateway/src/confirmations.ts
@@ -21,19 +21,19 @@
   readonly informed: () => readonly string[]
 }
 
-/** Age of the newest confirmation from which others are asked, in ms: those that poll get one each second. Chosen, not measured. */
+/** Age of the newest confirmation from which others are asked, in ms: those that poll get one each second. */
 const oldAge = 1100
 
-/** Time between two checks, in ms. Chosen, not measured: well below the second within which a gateway without configuration should serve. */
+/** Time between two checks, in ms: well below the second within which a gateway without configuration should serve. */
 const checkInterval = 100
 
-/** Time between two times that others are asked by a gateway that has a configuration, in ms. Chosen, not measured. */
+/** Time between two times that others are asked by a gateway that has a configuration, in ms. */
 const askInterval = 400
 
-/** Gateways that are asked at each check: two, so that one that hangs delays nothing. Chosen, not measured. */
+/** Gateways that are asked at each check: two, so that one that hangs delays nothing. */
 const askedPeers = 2
 
-/** How long an answer may take, in ms. Chosen, not measured. */
+/** How long an answer may take, in ms. */
 const answerTime = 500
 
 /** Asks other gateways for confirmations, and for a configuration that they have and this one lacks. */
--- a/packages/gateway/src/demand.ts
+++ b/packages/gateway/src/demand.ts
@@ -4,10 +4,10 @@
  */
 import { type Demand } from '@eiderwind/forming'
 
-/** Weight of the newest of two samples a second, so that a change counts by two thirds after 5 s. Chosen, not measured. */
+/** Weight of the newest of two samples a second, so that a change counts by two thirds after 5 s. */
 const newestWeight = 0.1
 
-/** Requests in flight, over all gateways, below which shares by model say nothing. Chosen, not measured. */
+/** Requests in flight, over all gateways, below which shares by model say nothing. */
 const fewestRequests = 8
 
 /** Requests in flight at all gateways by model, smoothed. */
--- a/packages/gateway/src/election.ts
+++ b/packages/gateway/src/election.ts
@@ -29,7 +29,7 @@
   readonly changed: () => void
 }
 
-/** Time between the moments at which two candidates stand, in ms: above the two calls of an election, 8 ms. Chosen, not measured. */
+/** Time between the moments at which two candidates stand, in ms: above the two calls of an election, 8 ms. */
 const placeTime = 100
 
 /**
@@ -38,7 +38,7 @@
  */
 const unablePatience = 1000
 
-/** Pause after an election that failed, or that another gateway won, in ms: its heartbeats arrive meanwhile. Chosen, not measured. */
+/** Pause after an election that failed, or that another gateway won, in ms: its heartbeats arrive meanwhile. */
 const retryPause = 500
 
 /** Elects the leader of one service. */
--- a/packages/gateway/src/fleetview.ts
+++ b/packages/gateway/src/fleetview.ts
@@ -25,7 +25,7 @@
 
 /**
  * How long a gateway that is no longer heard counts for the size of the fleet, in ms: a fleet is not small because many restart, or because
- * this process was paused. Chosen, not measured.
+ * this process was paused.
  */
 const fleetMemory = 10_000
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,7 +31,7 @@
 import { type GatewayOptions } from './settings.js'
 import { UpstreamFeed } from './upstreamfeed.js'
 
-/** Time between two heartbeats to other gateways, and silence after which one counts as gone, in ms. Chosen, not measured. */
+/** Time between two heartbeats to other gateways, and silence after which one counts as gone, in ms. */
 const heartbeatInterval = 250
 const heartbeatTimeout = 1000
 
@@ -40,7 +40,7 @@
 
 /**
  * How long a gateway that follows this one waits for a change of the upstreams: a share of the age that it accepts, so that it hears
- * several times within that time, and at most this long, in ms. Chosen, not measured.
+ * several times within that time, and at most this long, in ms.
  */
 const changeWaitShare = 0.2
 const longestChangeWait = 1000
--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -33,7 +33,7 @@
 
 /**
  * A gateway that has started, or resumed after a pause, plans once it has heard every other one: after `Peers.settleTime`, and this
- * margin, in ms. A gateway that has heard few others takes the fleet for small and itself for the one to watch. The margin was chosen, not measured.
+ * margin, in ms. A gateway that has heard few others takes the fleet for small and itself for the one to watch.
  */
 const settleMargin = 100
 
@@ -45,7 +45,7 @@
 
 /**
  * Gateways that would take the place of those that watch. Like these they send heartbeats at the full rate, so that one that is gone
- * already is not taken for the next. Chosen, not measured.
+ * already is not taken for the next.
  */
 const successors = 2
 
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -13,7 +13,7 @@
 /** Paths of the messages. Every other path is answered like `confirmation`. */
 export const paths = { confirmation: '/confirmation', order: '/order', upstreams: '/upstreams', blocked: '/blocked' } as const
 
-/** Longest relayed order, in bytes; an order names at most 32 nodes. Chosen, not measured. */
+/** Longest relayed order, in bytes; an order names at most 32 nodes. */
 export const orderLimit = 65_536
 
 /** Age that stands for "never confirmed", in ms: JSON has no infinity. */
--- a/packages/gateway/src/orderrelay.ts
+++ b/packages/gateway/src/orderrelay.ts
@@ -18,7 +18,7 @@
   readonly connections: Connections
 }
 
-/** Gateways that an order is relayed through at the same time: silence of all is evidence, see `detect`. Chosen, not measured. */
+/** Gateways that an order is relayed through at the same time: silence of all is evidence, see `detect`. */
 const relays = 3
 
 /** How long a relayed order may take, in ms: the 700 ms that the other gateway gives the engine, and the way there and back. */
--- a/packages/gateway/src/planning.ts
+++ b/packages/gateway/src/planning.ts
@@ -30,7 +30,7 @@
   readonly served: () => boolean
 }
 
-/** How long the loads of a planner that is no longer heard still count, in ms: the longest load of the deployments (16 s). */
+/** How long the loads of a planner that is no longer heard still count, in ms: the longest load (16 s). */
 const loadMemory = 16_000
 
 /** The reconciler of this gateway, not started. */
--- a/packages/gateway/src/requestlog.ts
+++ b/packages/gateway/src/requestlog.ts
@@ -7,7 +7,7 @@
 import { type Log } from '@eiderwind/log'
 import { type Metrics } from './metrics.js'
 
-/** One ordinary success in this many is logged: at 100 requests a second two lines a second. Chosen, not measured. */
+/** One ordinary success in this many is logged: at 100 requests a second two lines a second. */
 const sampling = 50
 
 /** Outcomes of an ordinary success: a collected answer, and a stream that was passed on to its end. */
--- a/packages/gateway/src/sampling.ts
+++ b/packages/gateway/src/sampling.ts
@@ -25,7 +25,7 @@
   readonly servesKeys: () => boolean
 }
 
-/** Time between two samples, in ms. The weights in `demand.ts` are chosen for it. Chosen, not measured. */
+/** Time between two samples, in ms. The weights in `demand.ts` are chosen for it. */
 const interval = 500
 
 /** Samples at a steady interval. */
--- a/packages/gateway/src/upstreamfeed.ts
+++ b/packages/gateway/src/upstreamfeed.ts
@@ -30,22 +30,22 @@
   readonly failed: (error: unknown) => void
 }
 
-/** Pause before sources are looked for again, in ms. Chosen, not measured: a start should take well under a second. */
+/** Pause before sources are looked for again, in ms: a start should take well under a second. */
 const lookInterval = 100
 
-/** Time between two checks of the age of the newest word, in ms. Chosen, not measured: small beside any `patience`. */
+/** Time between two checks of the age of the newest word, in ms: small beside any `patience`. */
 const checkInterval = 50
 
 /**
  * Pause after an answer, in which changes gather, in ms. It bounds what a gateway that is followed by many has to send; a watch of the
- * store gathers as long or longer (platform/src/platform.ts). Chosen, not measured alone.
+ * store gathers as long or longer (platform/src/platform.ts).
  */
 const gatherPause = 150
 
-/** How long an answer may take beyond the time for which the other gateway may wait for a change, in ms. Chosen, not measured. */
+/** How long an answer may take beyond the time for which the other gateway may wait for a change, in ms. */
 const answerTime = 1500
 
-/** How long the first answer of a source may take, which does not wait for a change, in ms. Chosen, not measured. */
+/** How long the first answer of a source may take, which does not wait for a change, in ms. */
 const firstAnswerTime = 500
 
 /** Follows other gateways' lists of upstreams. */
--- a/packages/lease/src/granter.ts
+++ b/packages/lease/src/granter.ts
@@ -50,7 +50,7 @@
   readonly answer: Answer
 }
 
-/** Share by which two clocks may run apart, unless set. A chosen bound, not measured (docs/design/leases.md). */
+/** Share by which two clocks may run apart, unless set. docs/design/leases.md says what follows from it. */
 const defaultDrift = 0.01
 
 /** Options of a granter. */
--- a/packages/log/src/linewriter.ts
+++ b/packages/log/src/linewriter.ts
@@ -10,13 +10,13 @@
 /** File descriptor of standard output. */
 const standardOutput = 1
 
-/** Lines a second on average. Chosen, not measured. */
+/** Lines a second on average. */
 const rate = 100
 
-/** Lines at once after a pause: three seconds' worth. Chosen, not measured. */
+/** Lines at once after a pause: three seconds' worth. */
 const burst = 300
 
-/** Bytes that wait for a slow reader: somewhat more than a burst of lines of 800 bytes. Chosen, not measured. */
+/** Bytes that wait for a slow reader: somewhat more than a burst of lines of 800 bytes. */
 const bufferSize = 256 * 1024
 
 /** Options of a line writer. */
--- a/packages/log/src/metric.ts
+++ b/packages/log/src/metric.ts
@@ -7,7 +7,7 @@
 /** Largest datagram, in bytes: fits into an Ethernet frame of 1500 together with the IP and UDP headers. */
 const datagramSize = 1400
 
-/** How long metrics are gathered into one datagram, in ms. Chosen, not measured. */
+/** How long metrics are gathered into one datagram, in ms. */
 const flushInterval = 500
 
 /** Every metric, with its kind and meaning. */
--- a/packages/peers/src/peers.ts
+++ b/packages/peers/src/peers.ts
@@ -45,7 +45,7 @@
 
 /**
  * Heartbeats that one gateway sends in a second at most, and so receives: what bounds processor time and bytes in fleets of any size.
- * Fleets of up to 41 gateways send at the full rate with an interval of 250 ms. Chosen, not measured alone.
+ * Fleets of up to 41 gateways send at the full rate with an interval of 250 ms.
  */
 const sendRate = 160
 
--- a/packages/roster/src/outage.ts
+++ b/packages/roster/src/outage.ts
@@ -6,19 +6,19 @@
 import { type Clock } from '@eiderwind/clock'
 
 /**
- * Shortest outage in which records may lapse, in ms. Chosen, not measured, below the three heartbeats of silence after
+ * Shortest outage in which records may lapse, in ms: below the three heartbeats of silence after
  * which the store drops a record (3.6 s where a heartbeat takes 1.2 s).
  */
 const minimumOutage = 2500
 
 /**
- * Failed calls in a row that make an outage: a single lost answer makes none (docs/INCIDENTS.md, rdp hunt-4e68-11).
+ * Failed calls in a row that make an outage: a single lost answer makes none.
  */
 const minimumFailures = 2
 
 /**
  * Time after an outage within which the records that lapsed during it are listed again, in ms. The platform states
- * about two seconds; the rest is a margin that was chosen, not measured.
+ * about two seconds; the rest is a margin.
  */
 const relistTime = 2600
 
--- a/packages/roster/src/roster.ts
+++ b/packages/roster/src/roster.ts
@@ -26,8 +26,8 @@
 }
 
 /**
- * How long the departure of an upstream that is gone is remembered, in ms. Chosen, not measured: many times the longest
- * deadline of a request (8 s on the deployments), so that the end of a call to it can still be judged by its record.
+ * How long the departure of an upstream that is gone is remembered, in ms: many times the longest
+ * deadline of a request (8 s), so that the end of a call to it can still be judged by its record.
  */
 const departureMemory = 60_000
 
@@ -151,7 +151,7 @@
 
   /**
    * Takes an upstream's record. One that was ever leaving stays so: a record that says otherwise is an older one that came
-   * late (docs/INCIDENTS.md, rdp mix 1055587222585). That holds for one life: a later one begins anew, and a record of an earlier one is
+   * late. That holds for one life: a later one begins anew, and a record of an earlier one is
    * not taken. Returns whether the record says anything new.
    */
   #update (record: Upstream): boolean {
--- a/packages/route/src/affinity.ts
+++ b/packages/route/src/affinity.ts
@@ -4,16 +4,16 @@
  */
 import { digest } from '@eiderwind/hash'
 
-/** Characters in one block of a prompt's prefix. Chosen, not measured. */
+/** Characters in one block of a prompt's prefix. */
 const blockSize = 256
 
-/** Blocks of a prompt that are looked at, from its start. Chosen, not measured. */
+/** Blocks of a prompt that are looked at, from its start. */
 const mostBlocks = 32
 
-/** Replicas remembered for one block. Chosen, not measured. */
+/** Replicas remembered for one block. */
 const replicasPerBlock = 3
 
-/** Blocks that are remembered. Chosen, not measured: a bound of memory. */
+/** Blocks that are remembered: a bound of memory. */
 const defaultLimit = 20_000
 
 /** The digests of a prompt's prefixes, one for each whole block, shortest first. */
--- a/packages/route/src/balanced.ts
+++ b/packages/route/src/balanced.ts
@@ -15,13 +15,13 @@
   readonly factor?: number
 }
 
-/** Requests more than the least busy candidate that a warm one may have open. Measured: 4 against 2 (routing.md). */
+/** Requests more than the least busy candidate that a warm one may have open. */
 const defaultSlack = 4
 
-/** Times as many as the least busy candidate that a warm one may have open. From the paper that routing.md names; not varied. */
+/** Times as many as the least busy candidate that a warm one may have open. From the paper that routing.md names. */
 const defaultFactor = 1.5
 
-/** Replicas whose last turn is remembered. Chosen, not measured: far above the replicas that one entry sees. */
+/** Replicas whose last turn is remembered: far above the replicas that one entry sees. */
 const mostTurns = 10_000
 
 /**
--- a/packages/route/src/budget.ts
+++ b/packages/route/src/budget.ts
@@ -4,16 +4,16 @@
  */
 import { type Clock } from '@eiderwind/clock'
 
-/** Retries allowed for each first attempt. Chosen, not measured. */
+/** Retries allowed for each first attempt. */
 const defaultShare = 0.1
 
-/** Retries a second that are always allowed. Chosen, not measured. */
+/** Retries a second that are always allowed. */
 const defaultFloor = 2
 
-/** Most retries that can be saved up. Chosen, not measured. */
+/** Most retries that can be saved up. */
 const defaultMost = 50
 
-/** Seconds of the floor with which a budget starts. Chosen, not measured. */
+/** Seconds of the floor with which a budget starts. */
 const startSeconds = 5
 
 /** The settings of a retry budget. */
--- a/packages/run/src/attempts.ts
+++ b/packages/run/src/attempts.ts
@@ -6,10 +6,10 @@
 /** What became of an attempt, as the worker that was to run it knows. */
 export type Fate = 'tombstoned' | 'started'
 
-/** Most attempts that are remembered on each side, unless set. Chosen, not measured: a bound of memory. */
+/** Most attempts that are remembered on each side, unless set: a bound of memory. */
 const defaultLimit = 100_000
 
-/** How long a tombstone stands, unless set, in ms. Chosen, not measured: longer than a request can be under way. */
+/** How long a tombstone stands, unless set, in ms: longer than a request can be under way. */
 const defaultKeep = 600_000
 
 /** The bounds of what is remembered of attempts. */
--- a/packages/run/src/book.ts
+++ b/packages/run/src/book.ts
@@ -26,16 +26,16 @@
   | { readonly type: 'replay', readonly answer: StoredAnswer }
   | { readonly type: 'refuse', readonly fault: Fault }
 
-/** How far two wall clocks may differ, unless set, in ms. Chosen, not measured. */
+/** How far two wall clocks may differ, unless set, in ms. */
 const defaultSkew = 2000
 
-/** How long a key is remembered after its minting, unless set, in ms. Chosen, not measured. */
+/** How long a key is remembered after its minting, unless set, in ms. */
 const defaultKeep = 600_000
 
-/** Most keys that are remembered at once, unless set. Chosen, not measured: a bound of memory. */
+/** Most keys that are remembered at once, unless set: a bound of memory. */
 const defaultLimit = 50_000
 
-/** Most bytes of answers that are kept, unless set. Chosen, not measured: a bound of memory. */
+/** Most bytes of answers that are kept, unless set: a bound of memory. */
 const defaultBytes = 16 * 2 ** 20
 
 /** The bounds of a book. All spans are in ms. */
--- a/packages/store/src/http.ts
+++ b/packages/store/src/http.ts
@@ -22,10 +22,10 @@
   readonly body: unknown
 }
 
-/** How long a call may take unless the settings say otherwise, in ms. Chosen, not measured. */
+/** How long a call may take unless the settings say otherwise, in ms. */
 const defaultTimeout = 2000
 
-/** Most connections to the object API, and how long an idle one is kept, in ms. Chosen, not measured. */
+/** Most connections to the object API, and how long an idle one is kept, in ms. */
 const mostConnections = 32
 const keepAlive = 10_000
 
--- a/packages/wire/src/answer.ts
+++ b/packages/wire/src/answer.ts
@@ -4,7 +4,7 @@
 import { type Fault } from '@eiderwind/fault'
 import { callerHeaders } from './headers.js'
 
-/** Longest time that the rest of a refused body is read, in ms. Chosen, not measured. */
+/** Longest time that the rest of a refused body is read, in ms. */
 const lingerTime = 1000
 
 /** Answers with a fault. Where an answer has begun, closes the connection instead, so that the answer cannot look whole. */
--- a/packages/wire/src/client.ts
+++ b/packages/wire/src/client.ts
@@ -5,10 +5,10 @@
 import { callsPath } from './headers.js'
 import { callStatuses } from './serve.js'
 
-/** Longest time for a call, in ms. Chosen, not measured. */
+/** Longest time for a call, in ms. */
 const callTimeout = 1500
 
-/** Connections to one address. Chosen, not measured. */
+/** Connections to one address. */
 const connections = 4
 
 /** How long an idle connection is kept, in ms: shorter than servers keep it (60 s, `serve.ts`). */
--- a/packages/wire/src/connections.ts
+++ b/packages/wire/src/connections.ts
@@ -15,16 +15,16 @@
   readonly idleTime?: number
 }
 
-/** Defaults of the options, in ms. Chosen, not measured. */
+/** Defaults of the options, in ms. */
 const defaultConnectTime = 1000
 const defaultIdleTime = 1000
 
-/** Idle connections kept to one address. Chosen, not measured. */
+/** Idle connections kept to one address. */
 const maxIdle = 32
 
 /**
  * A connection is given up this long before the other side will close it by its `Keep-Alive`, in ms, so that no call is
- * sent on a connection that is being closed. Chosen, not measured.
+ * sent on a connection that is being closed.
  */
 const keepAliveMargin = 600
 
--- a/packages/wire/src/serve.ts
+++ b/packages/wire/src/serve.ts
@@ -6,10 +6,10 @@
 import { readBody } from './body.js'
 import { callsPath } from './headers.js'
 
-/** Longest body of a call between processes, in bytes: a configuration is the longest. Chosen, not measured. */
+/** Longest body of a call between processes, in bytes: a configuration is the longest. */
 const callLimit = 8 * 2 ** 20
 
-/** How long an idle connection is kept, in ms. Chosen, not measured. */
+/** How long an idle connection is kept, in ms. */
 const keepAliveTime = 60_000
 
 /** Longest time for a request's head, in ms. Longer than an idle connection is kept, as Node.js advises. */
@@ -72,7 +72,7 @@
 /**
  * Serves a router's procedures on Node's own requests and responses. tRPC checks the input and finds the procedure;
  * its own HTTP adapter is not used, because it makes web requests, responses and streams for each call, which cost
- * more than eight times as much (docs/design/spread.md has the figures).
+ * more than eight times as much.
  */
 function callsHandler (router: EntryRouter | WorkerRouter): Handler {
   const caller = router.createCaller({}) as unknown as Readonly<Record<string, Procedure | undefined>>
