Count a place as taken when it is chosen, not when the attempt begins

Callers under overload were refused by full heads although the gateway knew them to be full: when a place got free, all that waited chose by the same counts, since an attempt counts in flight a turn later. Change: a path keeps the place from its choice until its attempt has begun.

--- a/packages/detect/src/inflight.ts
+++ b/packages/detect/src/inflight.ts
@@ -49,6 +49,8 @@
   readonly #clock: Clock
   readonly #loads = new Map<string, Load>()
   readonly #models = new Map<string, number>()
+  /** Places at upstreams that are kept for requests about to be sent there. */
+  readonly #kept = new Map<string, number>()
   /** When the requests of the last second began, by model, on `Clock.now`. */
   readonly #begun = new Map<string, number[]>()
   readonly #ended: () => void
@@ -59,8 +61,25 @@
     this.#ended = ended
   }
 
+  /** Requests in flight at an upstream, and those about to be sent there. */
   count (upstream: string): number {
-    return this.#loads.get(upstream)?.requests.size ?? 0
+    return (this.#loads.get(upstream)?.requests.size ?? 0) + (this.#kept.get(upstream) ?? 0)
+  }
+
+  /**
+   * Keeps a place at an upstream for a request that was chosen for it, until it begins: of several that wait for room, the next one then sees that it is taken.
+   * Returns what ends that.
+   */
+  keep (upstream: string): () => void {
+    this.#kept.set(upstream, (this.#kept.get(upstream) ?? 0) + 1)
+    let isKept = true
+    return () => {
+      if (!isKept) return
+      isKept = false
+      const left = (this.#kept.get(upstream) ?? 1) - 1
+      if (left === 0) this.#kept.delete(upstream)
+      else this.#kept.set(upstream, left)
+    }
   }
 
   /** All requests in flight. */
--- a/packages/dispatch/test/dispatch.test.ts
+++ b/packages/dispatch/test/dispatch.test.ts
@@ -83,3 +83,16 @@
   }
   t.is(choice.head('s', 'm', engine, new Set()), undefined)
 })
+
+test('a place that is kept for a request about to be sent is not chosen for another one, until it is free again', t => {
+  const clock = new ManualClock()
+  const flights = new InFlight(clock, () => {})
+  const frees = [flights.keep('a'), flights.keep('a')]
+  flights.begin('a', 'm')
+  t.is(flights.count('a'), 3)
+  t.is(flights.total, 1)
+  t.deepEqual(flights.counts, { a: 1 })
+  for (const free of [frees[0], frees[0], frees[1]]) free()
+  t.is(flights.count('a'), 1)
+  t.is(flights.count('b'), 0)
+})
--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -24,6 +24,8 @@
   protected readonly request: CallerRequest
   /** The trial of the attempt that comes next, where the request is suspected of crashing its upstreams. */
   protected trial: Trial | undefined
+  /** Ends the place that is kept at the upstream of the attempt that comes next. */
+  #free: (() => void) | undefined
 
   constructor (context: Context, request: CallerRequest) {
     this.context = context
@@ -37,10 +39,12 @@
     let latest: AttemptResult
     do {
       const upstream = await this.#findUpstream()
-      if (request.ended) return this.trial?.end()
+      if (request.ended) return this.#giveUp()
       if (upstream === 'blocked') return this.#concludeBlocked()
       if (upstream === undefined || upstream === 'closed') break
-      latest = await this.attempt(upstream)
+      const attempt = this.attempt(upstream)
+      this.#free?.()
+      latest = await attempt
       if (request.ended) return
       request.endAttempt(upstream.id, latest, this.lastEvent)
       result = this.prefer(result, latest)
@@ -48,6 +52,12 @@
     this.conclude(result)
   }
 
+  /** The request has ended before the attempt that was about to begin. */
+  #giveUp (): void {
+    this.#free?.()
+    this.trial?.end()
+  }
+
   protected abstract readonly kind: 'plain' | 'stream'
 
   /** Id of the last event that the caller has, on a stream. */
@@ -129,11 +139,18 @@
     if (standing === 'blocked') return standing
     const mayBeSent = standing === 'trusted' || crashes.mayTry(request)
     const upstream = mayBeSent ? this.#choose(standing) : undefined
-    if (upstream !== undefined) intake.take(upstream.id, claim)
+    if (upstream !== undefined) this.#take(upstream, claim)
     else if (mayBeSent) intake.pursue(claim, this.upstreams, request.tried)
     return standing === 'suspected' ? this.#try(upstream) : upstream
   }
 
+  /** Has a place and a token of an upstream count as taken from now on. */
+  #take ({ id }: Upstream, claim: Claim | undefined): void {
+    const { inFlight, intake } = this.context
+    intake.take(id, claim)
+    this.#free = inFlight.keep(id)
+  }
+
   /** A suspect is sent to no upstream at which another one is tried; any other request only where there is no choice. */
   #choose (standing: 'trusted' | 'suspected'): Upstream | undefined {
     const { request: { tried }, context: { crashes: { underTrial } } } = this
--- a/packages/forward/test/retry.test.ts
+++ b/packages/forward/test/retry.test.ts
@@ -1,7 +1,7 @@
 /** Whether a request is sent again, case by case, with the outcomes that the plain and the stream path had before they shared one rule. */
 import test from 'ava'
 import { ManualClock } from '@eiderwind/clock'
-import { Rests } from '@eiderwind/detect'
+import { InFlight, Rests } from '@eiderwind/detect'
 import { Intake, Queue, refusals, type AttemptResult, type RetryBudget } from '@eiderwind/dispatch'
 import { type Fault } from '@eiderwind/fault'
 import { type Upstream } from '@eiderwind/roster'
@@ -68,7 +68,7 @@
   const clock = new ManualClock()
   const rests = new Rests({ clock, begun: () => {}, ended: () => {} })
   const intake = new Intake({ clock, rests })
-  const context = { clock, crashes, intake, queue: new Queue(clock), retryBudget: () => budget as unknown as RetryBudget } as unknown as Context
+  const context = { clock, crashes, inFlight: new InFlight(clock, () => {}), intake, queue: new Queue(clock), retryBudget: () => budget as unknown as RetryBudget } as unknown as Context
   return { context, asked: () => asked }
 }
 
