--- a/packages/ctl/src/explain.ts
+++ b/packages/ctl/src/explain.ts
@@ -56,8 +56,12 @@
 function isRelated (line: LogLine, end: LogLine): boolean {
   if (!relatedEvents.has(line.name)) return false
   const apart = Date.parse(end.time) - Date.parse(line.time)
-  // A request that was refused since upstreams rest has no attempt that would name them.
-  if (line.name === 'upstream-resting' && String(end.outcome).startsWith('busy')) return line.node === end.node && apart >= 0 && apart < Number(line.rest)
+  // A request that was refused since upstreams rest, or their limits are used up, has no attempt that would name them.
+  if (String(end.outcome).startsWith('busy') && line.node === end.node && apart >= 0) {
+    if (line.name === 'upstream-resting') return apart < Number(line.rest)
+    // A limit holds until the next line about it.
+    if (line.name === 'upstream-limited') return true
+  }
   if (apart < 0 || apart > relatedTime) return false
   const upstreams = attemptedUpstreams(end)
   if (upstreams.some(each => line.upstream === each || String(line.note ?? '').includes(each))) return true
@@ -79,6 +83,7 @@
   const evidence = [
     ...suspected.length > 0 ? [`${[...new Set(suspected)].join(', ')} stalled`] : [],
     ...resting,
+    ...limitsOf(around.filter(each => each.node === end.node)),
     ...dissolved.length > 0 ? [`the planner found: ${dissolved.join('; ')}`] : []
   ].join('; ')
   const [code] = outcome.split(' ')
@@ -91,13 +96,20 @@
   return `the upstream ${String(upstream)} asked for rest until ${new Date(Date.parse(time) + Number(rest)).toISOString()}`
 }
 
+/** The limits that upstreams named last, where they had not lifted them again. */
+function limitsOf (lines: readonly LogLine[]): string[] {
+  const inOrder = lines.filter(each => each.name === 'upstream-limited').sort((a, b) => Date.parse(a.time) - Date.parse(b.time))
+  const last = new Map(inOrder.map(({ upstream, limit }) => [String(upstream), limit]))
+  return [...last].flatMap(([upstream, limit]) => limit === undefined ? [] : [`${upstream} was limited by its own word to ${String(limit)} requests a second`])
+}
+
 /** What happened, by the code of a refusal or the first word of an outcome. */
 const reasons: Readonly<Record<string, string>> = {
   'unknown-path': 'no route of the configuration in force fits its host and path',
   'bad-key': 'its key belongs to no team of the configuration in force',
   behind: 'the gateway had no configuration that it could trust',
   leaving: 'the gateway was about to end',
-  busy: 'every replica of its model was full or had asked for rest, and it was refused before it waited too long; it did not run',
+  busy: 'every replica of its model was full, had asked for rest or took no more requests a second, and it was refused before it waited too long; it did not run',
   'no-replica': 'no replica of its model was open; it did not run',
   'upstream-down': 'no upstream took it; it did not run',
   lost: 'an upstream took it and its answer was lost, so it may have run and was not repeated',
--- a/packages/ctl/test/explain.test.ts
+++ b/packages/ctl/test/explain.test.ts
@@ -39,6 +39,20 @@
   t.notRegex(cause, /i-4|i-5/)
 })
 
+test('a request that was refused since limits were used up names their upstreams, whenever they named them, unless they lifted them', t => {
+  const limits = [
+    '{"time":"2026-12-02T09:00:02.500Z","event":424,"name":"upstream-limited","node":"entry-2","upstream":"i-3"}',
+    '{"time":"2026-12-02T09:00:01.500Z","event":424,"name":"upstream-limited","node":"entry-2","upstream":"i-3","limit":9}',
+    '{"time":"2026-12-02T08:00:00.000Z","event":424,"name":"upstream-limited","node":"entry-2","upstream":"i-4","limit":3}',
+    '{"time":"2026-12-02T08:30:00.000Z","event":424,"name":"upstream-limited","node":"entry-2","upstream":"i-4","limit":1.6,"from":"entry-1"}',
+    '{"time":"2026-12-02T08:30:00.000Z","event":424,"name":"upstream-limited","node":"entry-1","upstream":"i-5","limit":1.6}',
+    '{"time":"2026-12-02T11:30:00.000Z","event":424,"name":"upstream-limited","node":"entry-2","upstream":"i-6","limit":1.6}'
+  ].map(readLine).filter(each => each !== undefined)
+  const { cause } = explain([...lines, ...limits], 'r3')
+  t.regex(cause, /i-4 was limited by its own word to 1\.6 requests a second/)
+  t.notRegex(cause, /i-3|i-5|i-6/)
+})
+
 test('an upstream and a replica have stories too, and an unknown id says so', t => {
   t.is(explain(lines, 'i-2').story.length, 1)
   t.is(explain(lines, 'd.4').story.length, 1)
--- a/packages/gateway/src/limiting.ts
+++ b/packages/gateway/src/limiting.ts
@@ -74,13 +74,21 @@
 
   /** What the heartbeats to other gateways say. */
   get news (): Pick<Heartbeat, 'limits'> {
-    const { roster } = this.#options
     this.#owners.look()
-    this.limits.keepOnly(id => roster.find(id) !== undefined || roster.departure(id) !== undefined)
-    for (const id of this.#issuer.upstreams) if (!this.limits.isLimited(id) || this.#otherOwner(id) !== undefined) this.#issuer.end(id)
+    this.#forget()
     return { limits: this.limits.news }
   }
 
+  /** Forgets the upstreams that nobody remembers, and those whose tokens this gateway no longer issues. */
+  #forget (): void {
+    const { roster } = this.#options
+    const isRemembered = (id: string): boolean => roster.find(id) !== undefined || roster.departure(id) !== undefined
+    this.limits.keepOnly(isRemembered)
+    for (const id of this.#logged.keys()) if (!isRemembered(id)) this.#logged.delete(id)
+    for (const id of this.#issuer.upstreams) if (!this.limits.isLimited(id) || this.#otherOwner(id) !== undefined) this.#issuer.end(id)
+    this.tokens.forget()
+  }
+
   /** Takes what the heartbeat of another gateway says. */
   hear ({ id: from, limits = {} }: Heartbeat): void {
     for (const [id, report] of Object.entries(limits)) this.#hear(id, report, from)
--- a/packages/limits/src/tokens.ts
+++ b/packages/limits/src/tokens.ts
@@ -124,6 +124,13 @@
     return Math.max(0, due.at - this.#options.clock.now())
   }
 
+  /** Forgets what is over. */
+  forget (): void {
+    const now = this.#options.clock.now()
+    for (const [upstream, { at }] of this.#dues) if (at <= now) this.#dues.delete(upstream)
+    for (const upstream of [...this.#held.keys()]) this.#holds(upstream)
+  }
+
   claim (priority: number, until: number): Claim {
     return { priority, until, refused: new Set(), ask: undefined }
   }
--- a/packages/limits/test/tokens.test.ts
+++ b/packages/limits/test/tokens.test.ts
@@ -180,3 +180,15 @@
   fixture.claim(0, 'a')
   t.deepEqual(fixture.sent, [])
 })
+
+test('what is over is forgotten', t => {
+  const fixture = new Fixture()
+  const { tokens, clock } = fixture
+  fixture.claim(100, 'a')
+  tokens.answered({ token: 'later', number: 1, due: 300 })
+  tokens.forget()
+  t.is(tokens.due('a', 1), 300)
+  clock.advance(300)
+  tokens.forget()
+  t.is(tokens.due('a', 1), 0)
+})
