Refuse with 429 where the next token of a limit is not known

Callers of a plain service got 503, as if its upstream were gone, where the limit was used up and the gateway that issues its tokens had not answered in time, or its word on the next token had just passed. Cause: a limit whose next token is not known counted as none in the refusal. Change: such a limit refuses with 429 and the time that a busy caller is told; tests of limits and rests share the way to their heads.

--- a/packages/dispatch/src/refusals.ts
+++ b/packages/dispatch/src/refusals.ts
@@ -94,11 +94,11 @@
 
   /**
    * All upstreams that could serve it name limits, and those are used up for longer than it may wait.
-   * @param time until the first of them has a token for it, in ms
+   * @param time until the first of them has a token for it, in ms; undefined where the gateway that issues it has not said
    * @param random in [0, 1)
    */
-  limited (time: number, random: number): Fault {
-    return new Fault('busy', { retryAfter: returnTime(time, random), remedy: 'Come back after the time given; all upstreams that could serve this take only so many requests a second now.' })
+  limited (time: number | undefined, random: number): Fault {
+    return new Fault('busy', { retryAfter: time === undefined ? roomFreed : returnTime(time, random), remedy: 'Come back after the time given; all upstreams that could serve this take only so many requests a second now.' })
   },
 
   /**
--- a/packages/dispatch/test/decisions.test.ts
+++ b/packages/dispatch/test/decisions.test.ts
@@ -35,6 +35,9 @@
   t.true((refusals.resting(1, 0.999).retryAfter ?? 9) <= 0.501)
   t.is(refusals.resting(1500, 0).status, 429)
   t.is(refusals.resting(1500, 0).outcome, 'not-run')
+  t.is(refusals.limited(1500, 0.5).retryAfter, 1.75)
+  t.is(refusals.limited(undefined, 0.5).retryAfter, 0.9)
+  t.is(refusals.limited(1500, 0).outcome, 'not-run')
 })
 
 test('a stalled stream may be moved only if it may run again, and attempts and retries are left', t => {
--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -120,16 +120,13 @@
     return first === undefined ? 0 : first.end - clock.now()
   }
 
-  /**
-   * The refusal where no upstream takes a request by its own word. When one takes requests again that only refuses, or whose limit is kept by a gateway that does
-   * not answer, is not known.
-   */
+  /** The refusal where no upstream takes a request by its own word. When one takes requests again that only refuses is not known. */
   #closedRefusal (): Fault | undefined {
     const { clock, intake, random } = this.context
     const first = intake.first(this.upstreams, none, this.request.priority)
-    const time = first === undefined ? 0 : first.end - clock.now()
-    if (first === undefined || time <= 0 || first.cause === 'pause') return undefined
-    return first.cause === 'rest' ? refusals.resting(time, random()) : refusals.limited(time, random())
+    if (first === undefined || first.cause === 'pause') return undefined
+    const time = first.end - clock.now()
+    return first.cause === 'rest' ? refusals.resting(time, random()) : refusals.limited(time > 0 ? time : undefined, random())
   }
 
   /** The upstream to send the request to now, by what is known of its crashes; undefined where it has to wait. What lacks nothing but a token is asked for one. */
--- a/packages/gateway/src/limiting.ts
+++ b/packages/gateway/src/limiting.ts
@@ -1,6 +1,6 @@
 /**
- * The limits that upstreams name, between this gateway and the others: what one was told goes to all by heartbeat, at once where it is new; the tokens of each limited
- * upstream are issued by one gateway and asked of it by datagram. Owns the limits, the issuer and the tokens. Relies on `Peers` for who lives.
+ * The limits that upstreams name, between this gateway and the others: what one reads in an answer goes to all by heartbeat, at once where it is new; the tokens of each limited
+ * upstream are issued by one gateway, which the others ask by datagram. Owns the limits, the issuer and the tokens. Relies on `Peers` for who lives.
  */
 import { type Clock, type Random } from '@eiderwind/clock'
 import { type InFlight } from '@eiderwind/detect'
@@ -45,7 +45,7 @@
   readonly #options: LimitingOptions
   readonly #issuer: Issuer
   readonly #owners: Owners
-  /** The limit that the log was told last, and when, by upstream. */
+  /** The limit that was logged last, and when, by upstream. */
   readonly #logged = new Map<string, { readonly rate: number, readonly at: number }>()
 
   constructor (options: LimitingOptions) {
@@ -79,7 +79,7 @@
     return { limits: this.limits.news }
   }
 
-  /** Forgets the upstreams that nobody remembers, and those whose tokens this gateway no longer issues. */
+  /** Forgets the upstreams that are not remembered any more, and those whose tokens this gateway no longer issues. */
   #forget (): void {
     const { roster } = this.#options
     const isRemembered = (id: string): boolean => roster.find(id) !== undefined || roster.departure(id) !== undefined
@@ -150,7 +150,7 @@
     return owner === this.#options.id ? undefined : owner
   }
 
-  /** Nobody issued tokens before a limit was named, so the first owner begins at once. */
+  /** No gateway issued tokens before a limit was named, so the first owner begins at once. */
   #begin (upstream: string): number {
     const now = this.#options.clock.now()
     return now - (this.limits.since(upstream) ?? now) > takeover ? now + takeover : now
--- a/packages/limits/src/bucket.ts
+++ b/packages/limits/src/bucket.ts
@@ -14,13 +14,13 @@
   /** When all tokens taken so far are paid for; the next may be taken `#tolerance` before that. */
   #paid: number
 
-  /** @param rate tokens a second @param firstAt when the first token is there */
+  /** @param rate tokens a second @param firstAt when the first token may be taken */
   constructor (rate: number, firstAt: number) {
     this.#interval = 1000 / rate
     this.#paid = firstAt + this.#tolerance
   }
 
-  /** Goes on with another rate; what is owed counts in requests, not in time. */
+  /** Changes the rate; what is owed counts in requests, not in time. */
   setRate (rate: number, now: number): void {
     const interval = 1000 / rate
     if (interval === this.#interval) return
@@ -36,7 +36,7 @@
     return true
   }
 
-  /** Time until there is a token for one that lets `ahead` others go first, in ms; 0 where it is there. */
+  /** Time until there is a token for one that lets `ahead` others go first, in ms; 0 where there is one now. */
   due (now: number, ahead = 0): number {
     return Math.max(0, this.#paid + ahead * this.#interval - this.#tolerance - now)
   }
--- a/packages/limits/src/issuer.ts
+++ b/packages/limits/src/issuer.ts
@@ -54,7 +54,7 @@
     this.#options = options
   }
 
-  /** Whether there is a token that nobody waits for. */
+  /** Whether there is a token for which no request waits. */
   has (upstream: string): boolean {
     const now = this.#options.clock.now()
     const issue = this.#issue(upstream, now)
@@ -88,7 +88,7 @@
     if (issue !== undefined) issue.waiting = issue.waiting.filter(each => each.from !== from || each.number !== number)
   }
 
-  /** Ends all that is kept for an upstream: another gateway keeps its tokens now, or nobody has to. */
+  /** Ends all that is kept for an upstream: another gateway issues its tokens now, or it has no limit any more. */
   end (upstream: string): void {
     this.#issues.get(upstream)?.timer?.cancel()
     this.#issues.delete(upstream)
--- a/packages/limits/src/limits.ts
+++ b/packages/limits/src/limits.ts
@@ -1,11 +1,11 @@
 /**
- * What is known of the limits that upstreams name: which rate, since when, and who was told. Owns these beliefs, by the identity of an upstream's life. The newest word
- * holds, by the time at which the head of the answer was read, whoever read it. What this gateway was told itself goes to the others for a while; what it has
- * from another gateway it does not pass on, so that no old word outlives a newer one.
+ * What is known of the limits that upstreams name: which rate, since when, and from which source. Owns these beliefs, by the identity of an upstream's life. The newest report
+ * holds, by the time at which the head of the answer was read, at any gateway. A gateway reports to the others for a while what it read itself, and never what it has
+ * from another gateway, so that no old report outlives a newer one.
  */
 import { type Clock } from '@eiderwind/clock'
 
-/** Requests a second by an upstream's own word, null where it takes any number, and the time since that was read, in ms. */
+/** Requests a second that an upstream takes, null for any number, and the time since the answer that says so was read, in ms. */
 export type LimitReport = readonly [rate: number | null, age: number]
 
 /**
@@ -13,8 +13,8 @@
  */
 const lowestRate = 0.1
 
-/** How long a word goes to the other gateways after it was heard, in ms: as long as one that was cut off may take to come back. */
-const toldFor = 10_000
+/** How long the other gateways get a report after the answer was read, in ms: one that was cut off for a while gets it too. */
+const reportTime = 10_000
 
 interface Known {
   /** Requests a second; Infinity where the upstream takes any number again. */
@@ -23,7 +23,7 @@
   readonly saidAt: number
   /** Since when it has named a limit without a break, on `Clock.now`. */
   readonly since: number
-  /** Whether this gateway was told itself. */
+  /** Whether this gateway read it itself. */
   readonly own: boolean
 }
 
@@ -63,7 +63,7 @@
     return this.rate(id) !== before
   }
 
-  /** Takes what another gateway was told, unless that is older. Returns whether it is another limit than before. */
+  /** Takes the report of another gateway, unless it is older. Returns whether it is another limit than before. */
   heard (id: string, [rate, age]: LimitReport): boolean {
     const saidAt = this.#clock.now() - age
     const known = this.#known.get(id)
@@ -74,21 +74,21 @@
     return this.rate(id) !== before
   }
 
-  /** What the other gateways should hear: all that this one was told itself lately. */
+  /** The reports for the other gateways: all that this one read itself lately. */
   get news (): Record<string, LimitReport> {
     const now = this.#clock.now()
-    const told = [...this.#known].filter(([_id, { own, saidAt }]) => own && now - saidAt < toldFor)
+    const told = [...this.#known].filter(([_id, { own, saidAt }]) => own && now - saidAt < reportTime)
     return Object.fromEntries(told.map(([id, { rate, saidAt }]) => [id, [Number.isFinite(rate) ? rate : null, now - saidAt]]))
   }
 
-  /** What is known of one upstream, for a gateway that may not have heard. */
+  /** What is known of one upstream, for a gateway that may lack it. */
   report (id: string): LimitReport {
     const known = this.#known.get(id)
-    if (known === undefined) return [null, toldFor]
+    if (known === undefined) return [null, reportTime]
     return [Number.isFinite(known.rate) ? known.rate : null, this.#clock.now() - known.saidAt]
   }
 
-  /** Forgets the upstreams that nobody remembers any more. */
+  /** Forgets the upstreams that are not remembered any more. */
   keepOnly (isRemembered: (id: string) => boolean): void {
     for (const id of this.#known.keys()) if (!isRemembered(id)) this.#known.delete(id)
   }
--- a/packages/limits/src/messages.ts
+++ b/packages/limits/src/messages.ts
@@ -18,6 +18,7 @@
   /** There will be a token for it in `due` ms: it gets that one if its patience lasts so long, else none. */
   z.object({ token: z.literal('later'), number, due: time })
 ])
+/** A message between the gateway that issues an upstream's tokens and one that asks for them. */
 export type TokenMessage = z.infer<typeof TokenMessage>
 
 /** The datagram of a message. */
--- a/packages/limits/src/tokens.ts
+++ b/packages/limits/src/tokens.ts
@@ -51,11 +51,11 @@
 const firstNumbers = 2 ** 40
 
 interface OpenAsk {
-  /** Undefined where it waits no longer: a token that was on its way is for whoever needs it. */
+  /** Undefined where it waits no longer: a token that was on its way is for any other request. */
   claim: Claim | undefined
   readonly upstream: string
   readonly owner: string | undefined
-  /** How long its owner was told that it can wait, in ms. */
+  /** How long it can wait, by what its owner knows, in ms. */
   readonly patience: number
   timer: Subscription
 }
