--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -640,11 +640,41 @@
     point: 3,
     rule: 'a request that waits for its connection is withdrawn when its upstream asks for rest',
     file: 'packages/forward/dist/src/attempt.js',
-    find: "this.#cancel?.(new Error('the upstream asked for rest'))",
-    replace: 'undefined',
+    find: 'if (!this.#written)',
+    replace: 'if (false)',
     test: 'packages/forward/dist/test/attempt.test.js',
     title: 'a request that waits for its connection*'
   },
+  {
+    name: 'limit-not-kept',
+    point: 3,
+    rule: 'an upstream that names a limit gets no more requests a second than that (LIMIT)',
+    file: 'packages/limits/dist/src/tokens.js',
+    find: 'if (!limits.isLimited(upstream) || this.#holds(upstream))',
+    replace: 'if (true)',
+    test: 'platform/dist/test/limit.test.js',
+    title: 'heads that name a limit*'
+  },
+  {
+    name: 'limit-kept-alone',
+    point: 3,
+    rule: 'all gateways together keep a limit, not each for itself (LIMIT)',
+    file: 'packages/gateway/dist/src/limiting.js',
+    find: 'return owner === this.#options.id ? undefined : owner',
+    replace: 'return undefined',
+    test: 'packages/gateway/dist/test/limitfleet.test.js',
+    title: '13 gateways keep a limit together*'
+  },
+  {
+    name: 'place-not-kept',
+    point: 3,
+    rule: 'requests that wait together are not all sent to the place that one of them has taken',
+    file: 'packages/detect/dist/src/inflight.js',
+    find: 'requests.size ?? 0) + (this.#kept.get(upstream) ?? 0)',
+    replace: 'requests.size ?? 0)',
+    test: 'packages/gateway/dist/test/overload.test.js',
+    title: 'of 1 gateways none sends*'
+  },
   {
     name: 'silent-alone',
     point: 3,
