--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -133,7 +133,7 @@
     single('eiderwind_connections_opened_total', 'Connections opened to upstreams.', () => connections.opened)
     single('eiderwind_resting', 'Upstreams that rest now, or are left out for a moment since they refuse.', () => rests.count)
     single('eiderwind_limited', 'Upstreams that name the requests a second that they take from all gateways together.', () => limits.limited.length)
-    single('eiderwind_limit_tokens_received_total', 'Tokens for limited upstreams that other gateways issued to this one.', () => tokens.received)
+    single('eiderwind_limit_tokens_received_total', 'Tokens for limited upstreams that requests of this gateway asked for and got.', () => tokens.received)
     single('eiderwind_limit_tokens_used_total', 'Of those, tokens with which a request was sent; the others lapsed.', () => tokens.used)
     single('eiderwind_memory_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss())
     labelled('eiderwind_engines', 'Engines by the state of their membership.', 'state', () => this.#engines())
--- a/packages/limits/src/tokens.ts
+++ b/packages/limits/src/tokens.ts
@@ -82,7 +82,7 @@
   readonly #held = new Map<string, Held[]>()
   readonly #dues = new Map<string, Due>()
   #number: number
-  /** Tokens that came from other gateways, and those of them that were used. */
+  /** Tokens that requests of this gateway asked for and got, and those of them that were used. */
   received = 0
   used = 0
 
@@ -98,7 +98,10 @@
     return owner(upstream) === undefined && issuer.has(upstream)
   }
 
-  /** Takes the token of a request that is about to be sent. The first in the queue gets the token, whichever asked for it: they change asks. */
+  /**
+   * Takes the token of a request that is about to be sent. The first in the queue gets it, whichever asked for it: that one goes on with the ask of the first.
+   * @param claim of the request, where it waited
+   */
   take (upstream: string, claim?: Claim): void {
     const { limits, issuer } = this.#options
     if (!limits.isLimited(upstream)) return
