Have the gateway that issues an upstream's tokens report its limit, and others a change alone

Cause: each gateway reported for ten seconds what it read, so that with many upstreams limited each heartbeat named most of them. Change: a gateway that reads a change reports it for five seconds; from then on the one that issues the tokens does, as long as the limit holds.

--- a/packages/gateway/src/limiting.ts
+++ b/packages/gateway/src/limiting.ts
@@ -76,7 +76,7 @@
   get news (): Pick<Heartbeat, 'limits'> {
     this.#owners.look()
     this.#forget()
-    return { limits: this.limits.news }
+    return { limits: this.limits.reports(id => this.#otherOwner(id) === undefined) }
   }
 
   /** Forgets the upstreams that are not remembered any more, and those whose tokens this gateway no longer issues. */
--- a/packages/limits/src/limits.ts
+++ b/packages/limits/src/limits.ts
@@ -1,7 +1,7 @@
 /**
  * What is known of the limits that upstreams name: which rate, since when, and from which source. Owns these beliefs, by the identity of an upstream's life. The newest report
- * holds, by the time at which the head of the answer was read, at any gateway. A gateway reports to the others for a while what it read itself, and never what it has
- * from another gateway, so that no old report outlives a newer one.
+ * holds, by the time at which the head of the answer was read, at any gateway. A gateway that reads a change reports it to the others for a while; from then on only the one that
+ * issues the upstream's tokens does, so that heartbeats stay short however many upstreams are limited.
  */
 import { type Clock } from '@eiderwind/clock'
 
@@ -13,8 +13,11 @@
  */
 const lowestRate = 0.1
 
-/** How long the other gateways get a report after the answer was read, in ms: one that was cut off for a while gets it too. */
-const reportTime = 10_000
+/** How long a change is reported by the gateway that read it, in ms: over two heartbeats of a fleet of 300. */
+const changeTime = 5000
+
+/** How long the end of a limit is reported by the gateway that issued its tokens, in ms: as long as another one that was cut off may take to come back. */
+const endTime = 10_000
 
 interface Known {
   /** Requests a second; Infinity where the upstream takes any number again. */
@@ -23,8 +26,8 @@
   readonly saidAt: number
   /** Since when it has named a limit without a break, on `Clock.now`. */
   readonly since: number
-  /** Whether this gateway read it itself. */
-  readonly own: boolean
+  /** When this gateway read that the rate is another one than it knew, on `Clock.now`; -Infinity where it heard so first. */
+  readonly changedAt: number
 }
 
 /** The limits of upstreams. */
@@ -59,7 +62,7 @@
   /** Takes the limit that an answer to this gateway names; Infinity where it names none. Returns whether it is another one than before. */
   named (id: string, rate: number): boolean {
     const before = this.rate(id)
-    if (Number.isFinite(rate) || this.#known.has(id)) this.#set(id, rate, this.#clock.now(), true)
+    if (Number.isFinite(rate) || this.#known.has(id)) this.#set(id, rate, true)
     return this.rate(id) !== before
   }
 
@@ -70,21 +73,22 @@
     const before = this.rate(id)
     if (known === undefined && rate === null) return false
     if (known !== undefined && saidAt <= known.saidAt) return false
-    this.#set(id, rate ?? Infinity, saidAt, false)
+    this.#set(id, rate ?? Infinity, false, saidAt)
     return this.rate(id) !== before
   }
 
-  /** The reports for the other gateways: all that this one read itself lately. */
-  get news (): Record<string, LimitReport> {
+  /** The reports for the other gateways. @param issues whether this gateway issues the tokens of an upstream */
+  reports (issues: (id: string) => boolean): Record<string, LimitReport> {
     const now = this.#clock.now()
-    const told = [...this.#known].filter(([_id, { own, saidAt }]) => own && now - saidAt < reportTime)
-    return Object.fromEntries(told.map(([id, { rate, saidAt }]) => [id, [Number.isFinite(rate) ? rate : null, now - saidAt]]))
+    const isReported = (id: string, { rate, saidAt, changedAt }: Known): boolean => now - changedAt < changeTime || ((Number.isFinite(rate) || now - saidAt < endTime) && issues(id))
+    const reported = [...this.#known].filter(([id, known]) => isReported(id, known))
+    return Object.fromEntries(reported.map(([id]) => [id, this.report(id)]))
   }
 
   /** What is known of one upstream, for a gateway that may lack it. */
   report (id: string): LimitReport {
     const known = this.#known.get(id)
-    if (known === undefined) return [null, reportTime]
+    if (known === undefined) return [null, endTime]
     return [Number.isFinite(known.rate) ? known.rate : null, this.#clock.now() - known.saidAt]
   }
 
@@ -93,8 +97,12 @@
     for (const id of this.#known.keys()) if (!isRemembered(id)) this.#known.delete(id)
   }
 
-  #set (id: string, rate: number, saidAt: number, own: boolean): void {
-    const since = this.since(id) ?? saidAt
-    this.#known.set(id, { rate: Math.max(rate, lowestRate), saidAt, since, own })
+  /** @param isOwn whether this gateway read it in an answer */
+  #set (id: string, named: number, isOwn: boolean, saidAt = this.#clock.now()): void {
+    const known = this.#known.get(id)
+    const rate = Math.max(named, lowestRate)
+    const isSame = rate === this.rate(id)
+    const changedAt = isSame ? known?.changedAt ?? -Infinity : isOwn ? this.#clock.now() : -Infinity
+    this.#known.set(id, { rate, saidAt, since: this.since(id) ?? saidAt, changedAt })
   }
 }
