Refuse by what kept a request from its upstreams at the last look

Callers of a plain service got 503, as if it were gone, where the token of its limit came just as their wait was over: the refusal looked anew and found nothing closed. Change: a path keeps the closure of its last look for the refusal.

--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -4,7 +4,7 @@
  * when its deadline passes or its caller leaves; after that a path does nothing more.
  */
 import { type Trial } from '@eiderwind/crashes'
-import { decideRetry, refusals, waitForRoom, type AttemptResult } from '@eiderwind/dispatch'
+import { decideRetry, refusals, waitForRoom, type AttemptResult, type Closure } from '@eiderwind/dispatch'
 import { type Fault } from '@eiderwind/fault'
 import { type Claim } from '@eiderwind/limits'
 import { type Upstream } from '@eiderwind/roster'
@@ -24,6 +24,8 @@
   protected readonly request: CallerRequest
   /** The trial of the attempt that comes next, where the request is suspected of crashing its upstreams. */
   protected trial: Trial | undefined
+  /** What kept the request from the upstreams that may be tried when one was last looked for. */
+  #closure: Closure | undefined
   /** Ends the place that is kept at the upstream of the attempt that comes next. */
   #free: (() => void) | undefined
 
@@ -90,6 +92,7 @@
   async #findUpstream (): Promise<Upstream | 'blocked' | 'closed' | undefined> {
     const { request, context: { clock, intake, queue } } = this
     this.trial = undefined
+    this.#closure = undefined
     const time = this.#wait
     const until = clock.now() + time
     const claim = intake.claim(request.priority, until)
@@ -108,25 +111,33 @@
 
   /** Says that waiting until a time, on `Clock.now`, is in vain, where none of those that may be tried takes a request before that. */
   #hopeless (until: number): 'closed' | undefined {
-    const time = this.#closedFor
-    return time > 0 && this.context.clock.now() + time > until ? 'closed' : undefined
+    this.#closure = this.#firstClosure
+    const end = this.#closure?.end ?? -Infinity
+    return end > until && end > this.context.clock.now() ? 'closed' : undefined
   }
 
   /** Time until the first upstream that may still be tried takes a request by its own word, in ms; 0 where one of them does, or it is not known. */
   get #closedFor (): number {
-    const { clock, intake } = this.context
+    const first = this.#firstClosure
+    return first === undefined ? 0 : first.end - this.context.clock.now()
+  }
+
+  /** Why, and until when, none of the upstreams that may still be tried takes a request by its own word. */
+  get #firstClosure (): Closure | undefined {
     const { tried, priority } = this.request
-    const first = intake.first(this.upstreams, tried, priority)
-    return first === undefined ? 0 : first.end - clock.now()
+    return this.context.intake.first(this.upstreams, tried, priority)
   }
 
-  /** The refusal where no upstream takes a request by its own word. When one takes requests again that only refuses is not known. */
+  /**
+   * The refusal where no upstream takes a request by its own word, now or when one was last looked for: a token may have come since. When one takes requests again that
+   * only refuses is not known.
+   */
   #closedRefusal (): Fault | undefined {
     const { clock, intake, random } = this.context
-    const first = intake.first(this.upstreams, none, this.request.priority)
+    const first = intake.first(this.upstreams, none, this.request.priority) ?? this.#closure
     if (first === undefined || first.cause === 'pause') return undefined
     const time = first.end - clock.now()
-    return first.cause === 'rest' ? refusals.resting(time, random()) : refusals.limited(time > 0 ? time : undefined, random())
+    return first.cause === 'rest' ? refusals.resting(Math.max(0, time), random()) : refusals.limited(time > 0 ? time : undefined, random())
   }
 
   /** The upstream to send the request to now, by what is known of its crashes; undefined where it has to wait. What lacks nothing but a token is asked for one. */
