Ask the roster in one place whether an upstream is remembered

Cause: limits and leaving asked the same two questions of the roster, each for itself. Change: Roster.remembers. Behaviour as before. Result: tests of conditions, limiting and the roster pass; linter clean.

--- a/packages/gateway/src/conditions.ts
+++ b/packages/gateway/src/conditions.ts
@@ -62,7 +62,7 @@
   /** What the heartbeats to other gateways say. */
   get news (): Pick<Heartbeat, 'leaving'> {
     const { roster } = this.#options
-    for (const id of this.#leaving) if (roster.find(id) === undefined && roster.departure(id) === undefined) this.#leaving.delete(id)
+    for (const id of this.#leaving) if (!roster.remembers(id)) this.#leaving.delete(id)
     return { leaving: [...this.#leaving] }
   }
 
--- a/packages/gateway/src/limiting.ts
+++ b/packages/gateway/src/limiting.ts
@@ -82,9 +82,8 @@
   /** Forgets the upstreams that are not remembered any more, and those whose tokens this gateway no longer issues. */
   #forget (): void {
     const { roster } = this.#options
-    const isRemembered = (id: string): boolean => roster.find(id) !== undefined || roster.departure(id) !== undefined
-    this.limits.keepOnly(isRemembered)
-    for (const id of this.#logged.keys()) if (!isRemembered(id)) this.#logged.delete(id)
+    this.limits.keepOnly(id => roster.remembers(id))
+    for (const id of this.#logged.keys()) if (!roster.remembers(id)) this.#logged.delete(id)
     for (const id of this.#issuer.upstreams) if (!this.limits.isLimited(id) || this.#otherOwner(id) !== undefined) this.#issuer.end(id)
     this.tokens.forget()
   }
--- a/packages/roster/src/roster.ts
+++ b/packages/roster/src/roster.ts
@@ -77,6 +77,11 @@
     return this.#upstreams.get(id)
   }
 
+  /** Whether an upstream is listed, or its departure is not forgotten yet. */
+  remembers (id: string): boolean {
+    return this.find(id) !== undefined || this.departure(id) !== undefined
+  }
+
   /** The departure of an upstream that is leaving or gone. */
   departure (id: string): Departure | undefined {
     return this.#departures.get(id)
