Move a gateway's elections out of its leadership into a module of their own

Change: `Elections` keeps them and logs who leads; `Leadership` says who may stand. No behaviour changes.

--- a/packages/gateway/src/leadership.ts
+++ b/packages/gateway/src/leadership.ts
@@ -3,7 +3,7 @@
  * a large fleet, which two watch the store's upstreams for all others.
  * Who plans is elected (`election.ts`). The rest is not agreed: each gateway ranks the ids it has heard lately by rendezvous hashing, so
  * for a moment more may watch or poll while their views differ, which costs calls of the store.
- * Owns the elections, and which services this gateway plans, for the log. Relies on heartbeats (`Peers`) and on the board.
+ * Owns the elections (`elections.ts`). Relies on heartbeats (`Peers`) and on the board.
  */
 import { type Clock } from '@eiderwind/clock'
 import { type Pauses } from '@eiderwind/detect'
@@ -11,7 +11,7 @@
 import { type Log } from '@eiderwind/log'
 import { type PeerAddress, type Peers } from '@eiderwind/peers'
 import { type Outage } from '@eiderwind/roster'
-import { Election } from './election.js'
+import { Elections } from './elections.js'
 import { type GatewayBoard } from './facts.js'
 import { FleetView, type View } from './fleetview.js'
 import { type Leaders } from './leaders.js'
@@ -60,14 +60,24 @@
 export class Leadership {
   readonly #options: LeadershipOptions
   readonly #startedAt: number
-  readonly #services = new Set<string>()
-  readonly #elections = new Map<string, Election>()
+  readonly #elections: Elections
   readonly #fleetView: FleetView
 
   constructor (options: LeadershipOptions) {
+    const { clock, log, leaders, peers, id } = options
     this.#options = options
-    this.#fleetView = new FleetView(options.peers)
-    this.#startedAt = options.clock.now()
+    this.#fleetView = new FleetView(peers)
+    this.#startedAt = clock.now()
+    this.#elections = new Elections({
+      clock,
+      log,
+      leaders,
+      id,
+      eligible: () => this.eligible,
+      candidates: () => this.#candidates,
+      others: () => this.#view.leaders,
+      changed: () => peers.send()
+    })
   }
 
   /** Whether this gateway may plan at all; other gateways read it in its heartbeat. */
@@ -128,58 +138,27 @@
 
   /** Whether this gateway plans any service now. */
   get planning (): boolean {
-    return this.#services.size > 0
+    return this.#elections.leading
   }
 
-  /** Whether this gateway plans the replicas of a service now: it leads, and has the store's own list. Logs each change of who leads. */
+  /** Whether this gateway plans the replicas of a service now: it leads, and has the store's own list. */
   plans (service: string): boolean {
-    const { log, board } = this.#options
-    const election = this.#electionOf(service)
-    election.look()
-    const leads = election.term !== undefined && this.eligible
-    if (leads !== this.#services.has(service)) {
-      const able = this.#candidates.length
-      if (leads) log.write('planner-acts', { service, able, term: election.term })
-      else log.write('planner-rests', { service, able })
-      if (leads) this.#services.add(service)
-      else this.#services.delete(service)
-    }
-    return leads && board.read('upstreamsFrom') === 'store'
+    return this.#elections.leads(service) && this.#options.board.read('upstreamsFrom') === 'store'
   }
 
   /** The services that this gateway leads, each with its term. */
   get terms (): Record<string, number> {
-    const terms: Record<string, number> = {}
-    for (const [service, { term }] of this.#elections) if (term !== undefined) terms[service] = term
-    return terms
+    return this.#elections.terms
   }
 
   /** Another gateway has changed what this one plans: it may have been replaced. */
   async contested (service: string): Promise<void> {
-    await this.#electionOf(service).check()
+    await this.#elections.contested(service)
   }
 
   /** Gives up every service, at a planned stop. */
   resign (): void {
-    for (const election of this.#elections.values()) election.resign()
-  }
-
-  #electionOf (service: string): Election {
-    const known = this.#elections.get(service)
-    if (known !== undefined) return known
-    const { clock, leaders, peers, id } = this.#options
-    const election = new Election({
-      clock,
-      leaders,
-      service,
-      id,
-      eligible: () => this.eligible,
-      place: () => Math.max(0, this.#candidates.indexOf(id)),
-      others: () => this.#view.leaders.filter(each => each.service === service),
-      changed: () => peers.send()
-    })
-    this.#elections.set(service, election)
-    return election
+    this.#elections.resign()
   }
 
   /**
@@ -231,16 +210,11 @@
   get #watchCandidates (): readonly string[] {
     const { watchCandidates, leaders } = this.#view
     const leading = new Set(leaders.map(each => each.id))
-    if (this.#leads) leading.add(this.#options.id)
+    if (this.#elections.elected) leading.add(this.#options.id)
     if (leading.size === 0) return watchCandidates
     return [...watchCandidates.filter(each => leading.has(each)), ...watchCandidates.filter(each => !leading.has(each))]
   }
 
-  /** Whether this gateway was elected for any service. */
-  get #leads (): boolean {
-    return [...this.#elections.values()].some(each => each.term !== undefined)
-  }
-
   get #view (): View {
     return this.#fleetView.now(this.canWatch ? this.#options.id : undefined)
   }
