Send nothing to data centres that the operator has evacuated

No gateway read the operator's evacuations. Each now watches them where the setting gives the bound, tells them to the others by heartbeat with the store's revision, and sends no new request there from then on; long streams that may be resumed move. The planner keeps the replicas there idle and has the models that were served there alone formed elsewhere.

--- a/packages/detect/src/inflight.ts
+++ b/packages/detect/src/inflight.ts
@@ -9,6 +9,8 @@
 export interface InFlightHandlers {
   /** Called when the upstream is suspected of having stalled, or this request alone has. */
   readonly stalled?: (() => void) | undefined
+  /** Called when the request should go on elsewhere, with the reason, although its upstream works. Returns whether it does. */
+  readonly moved?: ((why: string) => boolean) | undefined
   /** Called when the upstream has certainly ended. */
   readonly lost?: () => void
   /** Called when nothing more may be sent to the upstream, with the reason: a request that has not left yet must not. */
--- a/packages/emulator/src/engines.ts
+++ b/packages/emulator/src/engines.ts
@@ -69,8 +69,8 @@
   }
 
   /** Adds an engine. @param staged what its host holds; nothing in a new one */
-  add (id: string, domain: string, staged: readonly string[] = []): void {
-    const upstream: Upstream = { id, service: this.#service.name, address: `${id}:1`, dataCentre: 'dc', leaving: false, domain, loaded: [], staged: [...staged] }
+  add (id: string, domain: string, staged: readonly string[] = [], dataCentre = 'dc'): void {
+    const upstream: Upstream = { id, service: this.#service.name, address: `${id}:1`, dataCentre, leaving: false, domain, loaded: [], staged: [...staged] }
     this.#nodes.set(id, { upstream, alive: true, reachable: true, seenEpoch: 0, pulse: 0 })
     this.roster.replace([...this.roster.upstreams, upstream])
   }
--- a/packages/forming/src/composition.ts
+++ b/packages/forming/src/composition.ts
@@ -50,7 +50,28 @@
     donors.push(donor)
     lacking -= given(donor)
   }
-  return lacking > 0 ? [] : donors
+  return lacking > 0 ? surplusFor(model, pool) : donors
+}
+
+/**
+ * Replicas beyond the targets of their models, enough for one of a model that has none while others are evacuated: its weights are loaded once they have gone.
+ * Empty where they would not suffice.
+ */
+function surplusFor (model: Model, { draft: { placement, snapshot }, free }: Pool): PlannedReplica[] {
+  if (!snapshot.facts.evacuating || snapshot.intact(model.name) > 0) return []
+  const candidates = placement.replicas.filter(each => snapshot.intact(each.model) > scarceReplicas && snapshot.isServing(each))
+  const beyond = new Map<string, number>()
+  for (const each of candidates) beyond.set(each.model, (beyond.get(each.model) ?? -(placement.targets[each.model] ?? 0)) + 1)
+  const donors: PlannedReplica[] = []
+  let engines = free.length
+  for (const each of candidates) {
+    const surplus = beyond.get(each.model) ?? 0
+    if (engines >= model.size || surplus <= 0) continue
+    beyond.set(each.model, surplus - 1)
+    donors.push(each)
+    engines += each.members.length
+  }
+  return engines >= model.size ? donors : []
 }
 
 /** Whether a model may give a replica up for another one. */
--- a/packages/forming/src/draft.ts
+++ b/packages/forming/src/draft.ts
@@ -68,9 +68,9 @@
     this.notes.push(`${[...names].join(' ')} retired for ${model.name}`)
   }
 
-  /** Intact replicas of a model in this domain; retiring ones count until they are dissolved. */
+  /** Intact replicas of a model in this domain that are not evacuated; retiring ones count until they are dissolved. */
   #count (model: string): number {
-    return this.#placement.replicas.filter(each => each.model === model && this.snapshot.isIntact(each)).length
+    return this.#placement.replicas.filter(each => each.model === model && this.snapshot.isIntact(each) && !this.snapshot.isEvacuated(each)).length
   }
 }
 
--- a/packages/forming/src/facts.ts
+++ b/packages/forming/src/facts.ts
@@ -12,7 +12,9 @@
   readonly intact: Counts
   /** How much each model needs one more replica: its work for each intact one. */
   readonly needs: Readonly<Record<string, number>>
-  /** Whether every domain has as many open replicas as its targets ask for. */
+  /** Whether some engines are in data centres that are evacuated, so that the others take over their models. */
+  readonly evacuating: boolean
+  /** Whether every domain that is not evacuated has as many open replicas as its targets ask for. */
   readonly targetsMet: boolean
   /** Whether no caller was ever served, so that loads slow no request and the weight store's rate does not apply. */
   readonly beforeTraffic: boolean
@@ -31,6 +33,8 @@
   readonly unreachable: ReadonlySet<string>
   /** Ids of engines whose entries are missing since an outage of the store: they keep their place and get no new one. */
   readonly lapsed: ReadonlySet<string>
+  /** Ids of engines in data centres that are evacuated: those in replicas keep their place, and none gets a new one. */
+  readonly evacuated: ReadonlySet<string>
   /** Ids of heads that are certain not to serve any more. */
   readonly dead: ReadonlySet<string>
   /** Names of replicas that this process planned and whose heads have not joined yet. */
--- a/packages/forming/src/fleet.ts
+++ b/packages/forming/src/fleet.ts
@@ -1,5 +1,6 @@
 /** What all domains of a service show together. Owns one rule: when all engines of a first start have appeared. */
 import { type Clock } from '@eiderwind/clock'
+import { type Upstream } from '@eiderwind/roster'
 import { type Domain } from './domains.js'
 import { isStaying } from './engines.js'
 import { type Counts, type DomainSize } from './targets.js'
@@ -78,21 +79,36 @@
   }
 }
 
+/** Engines that do not count now: those that do not answer, and those in data centres that are evacuated. */
+export interface Absent {
+  readonly unreachable: ReadonlySet<string>
+  readonly evacuated: ReadonlySet<string>
+}
+
+/** Whether all engines of a domain are evacuated. */
+export function isEvacuated ({ upstreams }: Pick<Domain, 'upstreams'>, evacuated: ReadonlySet<string>): boolean {
+  return upstreams.length > 0 && upstreams.every(({ id }) => evacuated.has(id))
+}
+
 /** What the targets of a domain depend on. @param appearing whether further engines are still appearing there */
-export function domainSize ({ key, placement, upstreams }: Domain, unreachable: ReadonlySet<string>, appearing: boolean): DomainSize {
-  return { key, nodes: upstreams.filter(each => isStaying(each, unreachable)).length, targets: placement.targets, appearing }
+export function domainSize ({ key, placement, upstreams }: Domain, absent: Absent, appearing: boolean): DomainSize {
+  return { key, nodes: upstreams.filter(each => counts(each, absent)).length, targets: placement.targets, appearing }
+}
+
+function counts (upstream: Upstream, { unreachable, evacuated }: Absent): boolean {
+  return isStaying(upstream, unreachable) && !evacuated.has(upstream.id)
 }
 
 /** Replicas of each model that have all their members. */
-export function intactReplicas (domains: readonly Domain[], unreachable: ReadonlySet<string>): Counts {
-  const counts: Record<string, number> = {}
+export function intactReplicas (domains: readonly Domain[], absent: Absent): Counts {
+  const intact: Record<string, number> = {}
   for (const { placement, upstreams } of domains) {
-    const staying = new Set(upstreams.filter(each => isStaying(each, unreachable)).map(each => each.id))
+    const staying = new Set(upstreams.filter(each => counts(each, absent)).map(each => each.id))
     for (const { model, members } of placement.replicas) {
-      if (members.every(({ id }) => staying.has(id))) counts[model] = (counts[model] ?? 0) + 1
+      if (members.every(({ id }) => staying.has(id))) intact[model] = (intact[model] ?? 0) + 1
     }
   }
-  return counts
+  return intact
 }
 
 /** Whether every domain has targets, and as many open replicas as they ask for. */
--- a/packages/forming/src/pool.ts
+++ b/packages/forming/src/pool.ts
@@ -21,10 +21,10 @@
   /** Engines in no planned replica that can be counted on and may enter another one, in the order of the roster. */
   get free (): Upstream[] {
     const { placement, snapshot } = this.draft
-    const { lapsed, upstreams } = snapshot.facts
+    const { evacuated, lapsed, upstreams } = snapshot.facts
     const used = new Set(placement.replicas.flatMap(({ members }) => members.map(({ id }) => id)))
     const unused = upstreams.filter(each => !used.has(each.id) && !snapshot.isMissing(each.id))
-    return unused.filter(each => !lapsed.has(each.id) && snapshot.isMovable(each))
+    return unused.filter(each => !lapsed.has(each.id) && !evacuated.has(each.id) && snapshot.isMovable(each))
   }
 
   /** Free engines that a replica of `model` may take: not those whose weights another lacking model needs. */
--- a/packages/forming/src/reconciler.ts
+++ b/packages/forming/src/reconciler.ts
@@ -11,7 +11,7 @@
 import { Domains, domainKey, type Domain } from './domains.js'
 import { holds } from './engines.js'
 import { type DomainFacts, type FleetFacts, type Step } from './facts.js'
-import { Appearances, Arrivals, domainSize, intactReplicas, targetsMet } from './fleet.js'
+import { Appearances, Arrivals, domainSize, intactReplicas, isEvacuated, targetsMet } from './fleet.js'
 import { OrderHistory } from './history.js'
 import { LoadLimit } from './loadlimit.js'
 import { type Order, type OrderResult, type Orders } from './orders.js'
@@ -19,7 +19,7 @@
 import { type Placements } from './placement.js'
 import { Planner } from './planner.js'
 import { type Survey } from './survey.js'
-import { repairNeeds, retarget, type Counts, type Demand } from './targets.js'
+import { covered, repairNeeds, retarget, type Counts, type Demand, type DomainSize } from './targets.js'
 
 /**
  * Time between two looks at the domains, in ms, beside those after each change of the roster and each answer of an engine.
@@ -174,15 +174,16 @@
     const { dead, unreachable } = this.#liveness
     const demand = this.#options.demand(service.name)
     const largest = Math.max(...engine.models.map(each => each.size))
-    const sizes = domains.map(each => domainSize(each, unreachable, this.#appearances.underWay(each, largest)))
-    const targets = retarget(engine.models, sizes, demand)
-    const fleet = this.#fleetFacts(domains, engine, demand)
+    const evacuated = this.#evacuated(domains)
+    const sizes = domains.map(each => domainSize(each, { unreachable, evacuated }, this.#appearances.underWay(each, largest)))
+    const targets = this.#targets(engine, sizes.filter((_each, index) => !isEvacuated(domains[index], evacuated)), demand, evacuated.size > 0)
+    const fleet = this.#fleetFacts(domains, engine, demand, evacuated)
     const { needs: _needs, ...shared } = fleet
-    this.#activity.shared(JSON.stringify([service.name, shared, [...dead], [...unreachable], [...this.#options.roster.lapsed], [...targets]]))
+    this.#activity.shared(JSON.stringify([service.name, shared, [...dead], [...unreachable], [...evacuated], [...this.#options.roster.lapsed], [...targets]]))
     for (const domain of domains) {
       if (this.#domains.isWriting(domain.key)) continue
       if (!this.#activity.isDue(domain.key) && !this.#surveyIsDue(domain.key)) continue
-      const step = this.#planner.step(this.#domainFacts(domain, engine, targets.get(domain.key) as Counts, fleet))
+      const step = this.#planner.step(this.#domainFacts(domain, engine, targets.get(domain.key) ?? domain.placement.targets, fleet, evacuated))
       this.#survey(domain.key, step)
       this.#activity.planned(domain.key, step.quiet, newest)
       if (step.placement === domain.placement) this.#giveAll(domain, step)
@@ -242,16 +243,29 @@
     for (const note of notes) this.#options.decided(domain, note, placement.epoch)
   }
 
-  #fleetFacts (domains: readonly Domain[], engine: Engine, demand: Demand): FleetFacts {
-    const intact = intactReplicas(domains, this.#liveness.unreachable)
+  /** Ids of the engines in data centres that are evacuated. */
+  #evacuated (domains: readonly Domain[]): ReadonlySet<string> {
+    const { evacuatedDataCentres } = this.#options.roster
+    if (evacuatedDataCentres.size === 0) return new Set()
+    return new Set(domains.flatMap(each => each.upstreams).filter(each => evacuatedDataCentres.has(each.dataCentre)).map(each => each.id))
+  }
+
+  /** What each domain should hold that is not evacuated. One that is keeps its targets, for the time after. */
+  #targets ({ models }: Engine, domains: readonly DomainSize[], demand: Demand, evacuating: boolean): Map<string, Counts> {
+    const targets = retarget(models, domains, demand)
+    return evacuating ? covered(models, domains, targets, demand) : targets
+  }
+
+  #fleetFacts (domains: readonly Domain[], engine: Engine, demand: Demand, evacuated: ReadonlySet<string>): FleetFacts {
+    const intact = intactReplicas(domains, { unreachable: this.#liveness.unreachable, evacuated })
     const beforeTraffic = this.#options.beforeTraffic()
     const arriving = beforeTraffic && this.#arrivals.underWay(domains)
-    return { intact, needs: repairNeeds(engine.models, intact, demand), targetsMet: targetsMet(domains), beforeTraffic, arriving }
+    return { intact, needs: repairNeeds(engine.models, intact, demand), targetsMet: targetsMet(domains.filter(each => !isEvacuated(each, evacuated))), beforeTraffic, arriving, evacuating: evacuated.size > 0 }
   }
 
-  #domainFacts ({ placement, upstreams }: Domain, engine: Engine, targets: Counts, fleet: FleetFacts): DomainFacts {
+  #domainFacts ({ placement, upstreams }: Domain, engine: Engine, targets: Counts, fleet: FleetFacts, evacuated: ReadonlySet<string>): DomainFacts {
     const { dead, unreachable } = this.#liveness
-    return { ...fleet, engine, placement, upstreams, unreachable, dead, lapsed: this.#options.roster.lapsed, unjoined: this.#unjoined, targets }
+    return { ...fleet, engine, placement, upstreams, unreachable, dead, lapsed: this.#options.roster.lapsed, evacuated, unjoined: this.#unjoined, targets }
   }
 
   /** Gives an order without waiting for its end; another look follows that. */
--- a/packages/forming/src/snapshot.ts
+++ b/packages/forming/src/snapshot.ts
@@ -8,25 +8,35 @@
 export class Snapshot {
   readonly facts: DomainFacts
   readonly #upstreams: ReadonlyMap<string, Upstream>
+  /** Evacuated engines of replicas that have other members too: these serve on without them. */
+  readonly #withdrawn: ReadonlySet<string>
 
   constructor (facts: DomainFacts) {
     this.facts = facts
     this.#upstreams = new Map(facts.upstreams.map(each => [each.id, each]))
+    const partly = facts.evacuated.size === 0 ? [] : facts.placement.replicas.filter(each => !this.isEvacuated(each))
+    this.#withdrawn = new Set(partly.flatMap(({ members }) => members.map(({ id }) => id)).filter(id => facts.evacuated.has(id)))
   }
 
   find (id: string): Upstream | undefined {
     return this.#upstreams.get(id)
   }
 
-  /** Whether an engine can't be counted on: it is not listed, leaves, or is unreachable. */
+  /** Whether an engine can't be counted on: it is not listed, leaves, is unreachable, or is evacuated while other members of its replica are not. */
   isMissing (id: string): boolean {
     const upstream = this.find(id)
-    return upstream === undefined || !isStaying(upstream, this.facts.unreachable)
+    return upstream === undefined || !isStaying(upstream, this.facts.unreachable) || this.#withdrawn.has(id)
   }
 
-  /** Whether an engine leaves as announced and still answers. */
+  /** Whether an engine leaves as announced, or is evacuated, and still answers. */
   isLeaving (id: string): boolean {
-    return this.find(id)?.leaving === true && !this.facts.unreachable.has(id)
+    const leaves = this.find(id)?.leaving === true || this.#withdrawn.has(id)
+    return leaves && !this.facts.unreachable.has(id)
+  }
+
+  /** Whether all members of a replica are evacuated. It is kept as it is: idle, and ready for the end of the evacuation. */
+  isEvacuated ({ members }: PlannedReplica): boolean {
+    return members.every(({ id }) => this.facts.evacuated.has(id))
   }
 
   /** Whether an engine says that it is in a replica, under the planned epoch. */
@@ -51,7 +61,7 @@
   }
 
   isServing (replica: PlannedReplica): boolean {
-    return this.headState(replica) === 'open' && this.isIntact(replica)
+    return this.headState(replica) === 'open' && this.isIntact(replica) && !this.isEvacuated(replica)
   }
 
   /** Whether an engine may enter another replica: the head of its present one is not seen to serve. */
@@ -63,7 +73,7 @@
     return head?.state !== 'open' && head?.state !== 'closing'
   }
 
-  /** Intact replicas of a model in all domains. */
+  /** Intact replicas of a model in all domains, without those that are evacuated. */
   intact (model: string): number {
     return this.facts.intact[model] ?? 0
   }
--- a/packages/forming/src/targets.ts
+++ b/packages/forming/src/targets.ts
@@ -53,6 +53,37 @@
   return targets
 }
 
+/**
+ * Targets by which each model has a replica, where engines allow it: a model that has none gets room in the domain where the fewest engines have to be taken, from models
+ * that keep at least one. For fleets of which a part is evacuated: models that were served there alone have to be served by what is left.
+ */
+export function covered (models: readonly Model[], domains: readonly DomainSize[], targets: ReadonlyMap<string, Counts>, demand: Demand): Map<string, Counts> {
+  const result = new Map(targets)
+  for (const model of models.filter(each => total(result, each.name) === 0)) {
+    const ways = domains.filter(each => !each.appearing).flatMap(({ key, nodes }) => {
+      const present = result.get(key) as Counts
+      const counts = withRoomFor(model, models, nodes, present, result, demand)
+      return counts === undefined ? [] : [{ key, counts, taken: used(models, present) - used(models, counts) }]
+    })
+    const best = ways.sort((a, b) => a.taken - b.taken)[0]
+    if (best !== undefined) result.set(best.key, { ...best.counts, [model.name]: 1 })
+  }
+  return result
+}
+
+/** Targets of a domain that leave room for one replica of a model, undefined where others would lose their last one; first those that need theirs least give. */
+function withRoomFor (model: Model, models: readonly Model[], nodes: number, present: Counts, all: ReadonlyMap<string, Counts>, demand: Demand): Counts | undefined {
+  const counts: Record<string, number> = { ...present }
+  const left = ({ name }: Model): number => total(all, name) - (present[name] ?? 0) + (counts[name] ?? 0)
+  while (used(models, counts) + model.size > nodes) {
+    const givers = models.filter(each => (counts[each.name] ?? 0) > 0 && left(each) > 1)
+    if (givers.length === 0) return undefined
+    const giver = givers.reduce((a, b) => needOf(b, left(b) - 1, demand) < needOf(a, left(a) - 1, demand) ? b : a)
+    counts[giver.name]--
+  }
+  return counts
+}
+
 /** How much a model needs a replica, once its number has changed by `change`. */
 type Need = (model: Model, change: number) => number
 
--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -35,8 +35,8 @@
   readonly newConnection: boolean
   /** What is told how a request fares that is suspected of crashing its upstreams. */
   readonly trial: Trial | undefined
-  /** Called when the upstream is suspected of having stalled; perhaps several times. */
-  readonly onStall?: () => void
+  /** Called when the request should go on elsewhere, with the reason; perhaps several times. Returns whether it does. */
+  readonly onMove?: (why: string) => boolean
   /** Called once, with the result. */
   readonly onEnd: (result: AttemptResult) => void
 }
@@ -79,11 +79,12 @@
   }
 
   start (): void {
-    const { context, request, upstream, model, lastEvent, newConnection, onStall } = this.#options
+    const { context, request, upstream, model, lastEvent, newConnection, onMove } = this.#options
     request.beginAttempt(upstream.id)
     context.suspects.tried(upstream.id)
     this.#inFlight = context.inFlight.begin(upstream.id, model, {
-      stalled: onStall,
+      stalled: () => { onMove?.('the upstream stalled') },
+      moved: onMove,
       lost: () => this.#lose('the upstream has started again', true),
       withdrawn: why => this.#withdraw(why)
     })
--- a/packages/forward/src/streampath.ts
+++ b/packages/forward/src/streampath.ts
@@ -65,7 +65,11 @@
         newConnection: false,
         trial,
         progress: this.#progress,
-        onStall: () => { if (this.#moves()) attempt.abort('the upstream stalled') },
+        onMove: why => {
+          const moves = this.#moves()
+          if (moves) attempt.abort(why)
+          return moves
+        },
         onEnd: resolve
       })
       attempt.start()
@@ -96,7 +100,7 @@
     return refusals.noRoom(this.upstreams.length)
   }
 
-  /** Whether a stream whose upstream is suspected of having stalled is moved: it may be, and another upstream has room. */
+  /** Whether a stream whose upstream is suspected of having stalled, or is to be emptied, is moved: it may be, and another upstream has room. */
   #moves (): boolean {
     const { service, repeatable, hasAttemptsLeft, tried } = this.request
     const retriesLeft = this.context.retryBudget(service).left
--- a/packages/gateway/src/facts.ts
+++ b/packages/gateway/src/facts.ts
@@ -3,6 +3,7 @@
  * from other gateways write it; admission, leadership and the health check read it.
  */
 import { Board } from '@eiderwind/board'
+import { type Evacuation } from '@eiderwind/peers'
 import { RouteTable, TeamTable, type Traffic } from '@eiderwind/traffic'
 import { type Completeness } from './platform.js'
 
@@ -29,6 +30,8 @@
   readonly upstreamsAt: number
   /** The store's revision up to which that list lacks nothing; undefined before there is one, or where its source did not say. */
   readonly upstreamsRevision: number | undefined
+  /** The data centres that are evacuated; undefined before anything is known of them. */
+  readonly evacuation: Evacuation | undefined
   /** Whether the list came from another gateway last although the store could be reached: outages of the store may have gone unnoticed. */
   readonly followed: boolean
   /** Whether the list of gateways was ever read. */
@@ -42,7 +45,7 @@
 
 /** The board of a process that knows nothing yet. */
 export function gatewayBoard (): GatewayBoard {
-  return new Board<GatewayFacts>({ inForce: undefined, confirmedAt: -Infinity, upstreamsFrom: undefined, upstreamsAt: -Infinity, upstreamsRevision: undefined, followed: false, store: false, listed: false, stopping: false })
+  return new Board<GatewayFacts>({ inForce: undefined, confirmedAt: -Infinity, upstreamsFrom: undefined, upstreamsAt: -Infinity, upstreamsRevision: undefined, evacuation: undefined, followed: false, store: false, listed: false, stopping: false })
 }
 
 /** Puts a configuration into force, unless one as new is in force. Returns whether it did. Nothing older ever replaces it. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import { Confirmations } from './confirmations.js'
 import { CrashWatch } from './crashwatch.js'
 import { ModelLoad } from './demand.js'
+import { Evacuating } from './evacuating.js'
 import { gatewayBoard, revisionInForce } from './facts.js'
 import { Limiting } from './limiting.js'
 import { platformListener } from './listener.js'
@@ -62,6 +63,7 @@
   readonly #crashWatch: CrashWatch
   readonly #conditions: Conditions
   readonly #limiting: Limiting
+  readonly #evacuating: Evacuating
   readonly #queue: Queue
   readonly #inFlight: InFlight
   readonly #peers: Peers
@@ -93,7 +95,8 @@
     this.#crashWatch = new CrashWatch({ clock, log, id: settings.id, roster: this.#roster, peers, connections: this.#connections, blocks: platform.blocks, connectTime, changed: () => this.#queue.wake() })
     this.#limiting = new Limiting({ clock, log, id: settings.id, roster: this.#roster, peers, inFlight: this.#inFlight, queue: this.#queue, random: Math.random })
     this.#conditions = new Conditions({ clock, log, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, tell: () => peers.send(), limited: (id, rate) => this.#limiting.named(id, rate), rested: () => this.#metrics.rested() })
-    this.#metrics = new Metrics({ clock, board, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, connections: this.#connections, budgets: this.#budgets, rests: this.#conditions.rests, limiting: this.#limiting })
+    this.#evacuating = new Evacuating({ clock, log, board, roster: this.#roster, inFlight: this.#inFlight, span: settings.evacuation })
+    this.#metrics = new Metrics({ clock, board, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, connections: this.#connections, budgets: this.#budgets, rests: this.#conditions.rests, limiting: this.#limiting, evacuating: this.#evacuating })
     this.#callers = this.#makeCallers()
     this.#confirmations = new Confirmations({ clock, board, peers, connections: this.#connections, informed: () => this.#leadership.informed })
     this.#upstreamFeed = this.#makeUpstreamFeed()
@@ -130,11 +133,12 @@
     this.#confirmations.start()
     this.#upstreamFeed.start()
     if (settings.metrics !== '') await this.#metrics.start(settings.metrics)
-    platform.watch(platformListener({ clock, log, board: this.#board, roster: this.#roster, outage: this.#outage, peers: this.#peers, conditions: this.#conditions }))
+    platform.watch(platformListener({ clock, log, board: this.#board, roster: this.#roster, outage: this.#outage, peers: this.#peers, conditions: this.#conditions, evacuating: this.#evacuating }))
     platform.register({ id: settings.id, address: settings.peers })
     if (!settings.first) this.#crashWatch.start()
     this.#pauses.start()
     this.#stalls.start()
+    this.#evacuating.start()
     this.#reconciler.start()
     this.#sampling.start()
   }
@@ -154,7 +158,7 @@
       await clock.wait(stopInterval)
     }
     this.#callers.close()
-    for (const part of [this.#sampling, this.#reconciler, this.#stalls, this.#pauses, this.#confirmations, this.#upstreamFeed, this.#peerServer, this.#peers, this.#health, this.#metrics, this.#options.platform]) part.stop()
+    for (const part of [this.#sampling, this.#reconciler, this.#stalls, this.#evacuating, this.#pauses, this.#confirmations, this.#upstreamFeed, this.#peerServer, this.#peers, this.#health, this.#metrics, this.#options.platform]) part.stop()
     this.#connections.close()
   }
 
@@ -230,6 +234,7 @@
     this.#crashWatch.hear(heartbeat, from)
     this.#conditions.hear(heartbeat)
     this.#limiting.hear(heartbeat)
+    this.#evacuating.hear(heartbeat)
   }
 
   /** What other gateways hear of this one. */
@@ -247,7 +252,8 @@
       terms: this.#leadership.terms,
       ...this.#crashWatch.news,
       ...this.#conditions.news,
-      ...this.#limiting.news
+      ...this.#limiting.news,
+      ...this.#evacuating.news
     }
   }
 }
--- a/packages/gateway/src/listener.ts
+++ b/packages/gateway/src/listener.ts
@@ -1,12 +1,13 @@
 /**
  * Passes what the platform delivers to its owner: the configuration and its confirmations to the board, upstreams to the
- * roster, gateways to the peers, answers and failures of the store to outage detection. Logs what changes the gateway's view.
+ * roster, gateways to the peers, evacuations to `Evacuating`, answers and failures of the store to outage detection. Logs what changes the gateway's view.
  */
 import { type Clock } from '@eiderwind/clock'
 import { type Log } from '@eiderwind/log'
 import { type Peers } from '@eiderwind/peers'
 import { type Outage, type Roster } from '@eiderwind/roster'
 import { type Conditions } from './conditions.js'
+import { type Evacuating } from './evacuating.js'
 import { complete, confirm, enforce, type GatewayBoard } from './facts.js'
 import { type PlatformListener } from './platform.js'
 
@@ -19,11 +20,12 @@
   readonly outage: Outage
   readonly peers: Peers
   readonly conditions: Conditions
+  readonly evacuating: Evacuating
 }
 
 /** The listener of a gateway's platform. */
 export function platformListener (options: PlatformListenerOptions): PlatformListener {
-  const { clock, log, board, outage, peers, conditions } = options
+  const { clock, log, board, outage, peers, conditions, evacuating } = options
   return {
     ...upstreamListener(options),
     configuration: (traffic, askedAt) => {
@@ -34,6 +36,7 @@
       if (board.read('inForce')?.traffic.revision === traffic.revision) confirm(board, askedAt)
     },
     confirmed: askedAt => confirm(board, askedAt),
+    evacuations: (dataCentres, revision) => evacuating.take({ dataCentres, revision }),
     gateways: all => {
       board.write('listed', true)
       peers.setAddresses(all)
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -11,6 +11,7 @@
 import { type Roster } from '@eiderwind/roster'
 import { listen, type Connections } from '@eiderwind/wire'
 import { type Budgets } from './budgets.js'
+import { type Evacuating } from './evacuating.js'
 import { type Limiting } from './limiting.js'
 import { revisionInForce, type GatewayBoard } from './facts.js'
 
@@ -25,6 +26,7 @@
   readonly budgets: Budgets
   readonly rests: Rests
   readonly limiting: Limiting
+  readonly evacuating: Evacuating
 }
 
 const path = '/metrics'
@@ -110,7 +112,7 @@
   }
 
   #gauges (registers: Registry[]): void {
-    const { clock, board, inFlight, queue, connections, budgets, rests, limiting: { limits, tokens } } = this.#options
+    const { clock, board, inFlight, queue, connections, budgets, rests, limiting: { limits, tokens }, evacuating } = this.#options
     const single = (name: string, help: string, read: () => number): void => {
       const gauge: Gauge = new Gauge({ name, help, registers, collect: () => gauge.set(read()) })
     }
@@ -135,6 +137,9 @@
     single('eiderwind_limited', 'Upstreams that name the requests a second that they take from all gateways together.', () => limits.limited.length)
     single('eiderwind_limit_tokens_received_total', 'Tokens for limited upstreams that requests of this gateway asked for and got.', () => tokens.received)
     single('eiderwind_limit_tokens_used_total', 'Of those, tokens with which a request was sent; the others lapsed.', () => tokens.used)
+    single('eiderwind_evacuated_data_centres', 'Data centres that the operator has evacuated, by what this gateway knows.', () => evacuating.dataCentres.length)
+    single('eiderwind_evacuated_flights', 'Requests in flight at upstreams of evacuated data centres.', () => evacuating.running)
+    single('eiderwind_evacuated_streams_moved_total', 'Streams that were resumed elsewhere since their data centre is evacuated.', () => evacuating.moved)
     single('eiderwind_memory_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss())
     labelled('eiderwind_engines', 'Engines by the state of their membership.', 'state', () => this.#engines())
     labelled('eiderwind_repeats_left', 'Retries left in the running window.', 'service', () => budgets.left)
--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -34,6 +34,8 @@
   upstreamsComplete (upTo: Completeness): void
   /** The store's revision up to which the list of upstreams is known, from whomever; undefined before there is one. */
   upstreamsRevision (): number | undefined
+  /** The data centres that the operator has evacuated, all of them, as of one of the store's revisions. */
+  evacuations (dataCentres: readonly string[], revision: number): void
   /** The whole list of gateways, this one included. */
   gateways (all: readonly PeerAddress[]): void
   /** An upstream's answer to an order said this of its condition. */
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -39,6 +39,8 @@
   readonly silence: number
   /** Age of what another gateway says of the upstreams from which this one watches the store itself (`upstreamfeed.ts`). */
   readonly patience: number
+  /** Time within which streams leave a data centre once this gateway knows that it is evacuated; undefined where evacuations are not looked for. */
+  readonly evacuation: number | undefined
   /** Time between two heartbeats of an upstream at the platform. */
   readonly pulse: number
   /** Times since the signal to stop: when the balancer has noticed, when new requests are refused, when the process ends. */
--- a/packages/peers/src/heartbeat.ts
+++ b/packages/peers/src/heartbeat.ts
@@ -8,6 +8,12 @@
 import { parseJson } from '@eiderwind/wire'
 import { z } from 'zod'
 
+/** The data centres that the operator has evacuated, all of them, as they stood at one of the store's revisions. */
+export interface Evacuation {
+  readonly revision: number
+  readonly dataCentres: readonly string[]
+}
+
 /** What a gateway says of itself, several times a second. */
 export interface Heartbeat {
   /** The sender. */
@@ -44,6 +50,8 @@
   readonly leaving?: readonly string[]
   /** Limits that upstreams named, or lifted, in answers to the sender lately, by upstream id. Absent where there are none, and from builds that do not say. */
   readonly limits?: Readonly<Record<string, LimitReport>>
+  /** The data centres that are evacuated, as far as the sender knows. Absent where none was lately, and from builds that do not say. */
+  readonly evacuation?: Evacuation
   /** Digest of the requests that the sender has blocked. Absent where there are none. */
   readonly blocked?: string
 }
@@ -80,11 +88,13 @@
   /** `leaving`. Absent where there are none. */
   leaving: z.array(z.string()).optional(),
   /** `limits`. Absent where there are none. */
-  limits: z.record(z.string(), z.tuple([z.number().nonnegative().nullable(), z.number().nonnegative()])).optional()
+  limits: z.record(z.string(), z.tuple([z.number().nonnegative().nullable(), z.number().nonnegative()])).optional(),
+  /** `evacuation`. Absent where none was lately. */
+  evacuation: z.object({ revision: z.int(), dataCentres: z.array(z.string()) }).optional()
 })
 
 /** The datagram of a heartbeat. */
-export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads, interval, asks, terms, crashes, cleared, trials, blocked, leaving, limits }: Heartbeat): string {
+export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads, interval, asks, terms, crashes, cleared, trials, blocked, leaving, limits, evacuation }: Heartbeat): string {
   return JSON.stringify({
     id,
     revision,
@@ -103,7 +113,8 @@
     trials: unlessEmpty(trials),
     blocked,
     leaving: unlessEmpty(leaving),
-    limits: unlessEmpty(limits)
+    limits: unlessEmpty(limits),
+    evacuation
   })
 }
 
--- a/packages/peers/test/peers.test.ts
+++ b/packages/peers/test/peers.test.ts
@@ -46,6 +46,15 @@
   t.is(decode(Buffer.from(datagram))?.leaving, undefined)
 })
 
+test('evacuated data centres are sent with the store\'s revision, also where there are none any more, and a datagram without them has none', t => {
+  for (const evacuation of [{ revision: 70, dataCentres: ['dc-1'] }, { revision: 71, dataCentres: [] }]) {
+    const text = encode(heartbeat({ evacuation }))
+    t.is(text, datagram.replace('"served":true}', `"served":true,"evacuation":{"revision":${evacuation.revision},"dataCentres":${JSON.stringify(evacuation.dataCentres)}}}`))
+    t.deepEqual(decode(Buffer.from(text))?.evacuation, evacuation)
+  }
+  t.is(decode(Buffer.from(datagram))?.evacuation, undefined)
+})
+
 /** A socket that notes what it receives. */
 interface Peer {
   readonly id: string
--- a/packages/roster/src/index.ts
+++ b/packages/roster/src/index.ts
@@ -1,5 +1,6 @@
 /** The upstreams that the store lists, the replicas that their engines report, and when each upstream left. */
 export { Membership, Upstream, listedName } from './upstream.js'
+export { evacuatedUpstreams } from './evacuation.js'
 export { Roster, type Absence, type Departure, type RosterChange } from './roster.js'
 export { Outage } from './outage.js'
 export { type Condition } from './condition.js'
--- a/packages/roster/src/roster.ts
+++ b/packages/roster/src/roster.ts
@@ -5,6 +5,7 @@
  */
 import { isDeepStrictEqual } from 'node:util'
 import { type Clock } from '@eiderwind/clock'
+import { evacuatedUpstreams } from './evacuation.js'
 import { type Outage } from './outage.js'
 import { listedName, type Upstream } from './upstream.js'
 
@@ -47,9 +48,12 @@
   readonly #endListeners = new Set<(upstream: Upstream) => void>()
   /** Lives whose end the listeners have not heard of yet. */
   #untold: Upstream[] = []
-  /** Indexes for `available` and `heads`, made when they are first asked for after a change. */
+  /** Data centres whose upstreams take no new requests. */
+  #dataCentres: ReadonlySet<string> = new Set()
+  /** Indexes for `available`, `heads` and `isEvacuated`, made when they are first asked for after a change. */
   #byService: Map<string, Upstream[]> | undefined
   #heads: Map<string, Upstream[]> | undefined
+  #evacuated: ReadonlySet<string> | undefined
   #hasList = false
 
   /** @param outage without it, an upstream that is not listed is gone at once */
@@ -94,16 +98,38 @@
 
   /** Upstreams of a service that take new requests. */
   available (service: string): readonly Upstream[] {
-    this.#byService ??= groupBy(this.upstreams.filter(each => !each.leaving), each => each.service)
+    this.#byService ??= groupBy(this.#open.filter(each => !each.leaving), each => each.service)
     return this.#byService.get(service) ?? []
   }
 
   /** Heads of open replicas of a model that take new requests. */
   heads (service: string, model: string): readonly Upstream[] {
-    this.#heads ??= groupBy(this.upstreams.filter(isOpenHead), each => headKey(each.service, each.loaded[0] ?? ''))
+    this.#heads ??= groupBy(this.#open.filter(isOpenHead), each => headKey(each.service, each.loaded[0] ?? ''))
     return this.#heads.get(headKey(service, model)) ?? []
   }
 
+  /** Whether an upstream takes no new requests since its data centre, or that of a member of its replica, is evacuated. */
+  isEvacuated (id: string): boolean {
+    this.#evacuated ??= evacuatedUpstreams(this.upstreams, this.#dataCentres)
+    return this.#evacuated.has(id)
+  }
+
+  /** The data centres that are evacuated. */
+  get evacuatedDataCentres (): ReadonlySet<string> {
+    return this.#dataCentres
+  }
+
+  /** Takes the data centres that are evacuated from now on, all of them. */
+  evacuate (dataCentres: ReadonlySet<string>): void {
+    this.#dataCentres = dataCentres
+    this.#changed([])
+  }
+
+  /** Upstreams in no data centre that is evacuated. */
+  get #open (): Upstream[] {
+    return this.#dataCentres.size === 0 ? this.upstreams : this.upstreams.filter(({ id }) => !this.isEvacuated(id))
+  }
+
   /** Takes the whole list: an upstream that is not on it is no longer listed. */
   replace (upstreams: readonly Upstream[], absence: Absence = 'judged'): void {
     const listed = new Set(upstreams.map(listedName))
@@ -121,6 +147,7 @@
   #changed (effective: readonly RosterChange[]): void {
     this.#byService = undefined
     this.#heads = undefined
+    this.#evacuated = undefined
     this.#forgetDepartures()
     this.#tellEnds()
     for (const listener of this.#listeners) listener(effective)
--- a/packages/settings/src/shapes.ts
+++ b/packages/settings/src/shapes.ts
@@ -89,11 +89,17 @@
 const Time = z.string().regex(/^\d+(\.\d+)? ?(ms|s)?$/, 'a time such as 250 ms or 8 s').transform(text => parseFloat(text) * (/[^m]s$/.test(text) ? 1000 : 1))
 const Share = z.string().regex(/^\d+(\.\d+)?$/, 'a number of 0 or more').transform(Number)
 
+/** A time of which another program has filled in nothing but its unit. */
+const emptyTime = /^ ?(ms|s)?$/
+
 /** A time that another program fills in and may leave empty, with or without its unit; `fallback` then counts. */
 function time (fallback: string) {
-  return z.string().default('').transform(text => /^ ?(ms|s)?$/.test(text) ? fallback : text).pipe(Time)
+  return z.string().default('').transform(text => emptyTime.test(text) ? fallback : text).pipe(Time)
 }
 
+/** A time that another program fills in and may leave empty, with or without its unit; what it bounds is then not done. */
+const OptionalTime = z.string().default('').transform(text => emptyTime.test(text) ? undefined : text).pipe(Time.optional())
+
 /** A share that another program fills in and may leave empty; `fallback` then counts. */
 function share (fallback: string) {
   return z.string().default('').transform(text => text === '' ? fallback : text).pipe(Share)
@@ -127,6 +133,8 @@
     strict_keys: z.union([z.literal('').transform(() => true), Flag]).default(true),
     /** How long after an upstream said that it leaves it may still get requests. */
     drain: time('2 s'),
+    /** How long after the operator has evacuated a data centre its upstreams may still get requests; without it evacuations are not looked for. */
+    evacuate: OptionalTime,
     /** Time from SIGTERM until the platform kills the process. */
     grace: time('8 s'),
     /** Time between two heartbeats of an upstream. */
