--- a/packages/ctl/src/explain.ts
+++ b/packages/ctl/src/explain.ts
@@ -24,7 +24,10 @@
 const relatedTime = 8000
 
 /** Events about an upstream, or about what a gateway believed. */
-const relatedEvents = new Set(['upstream-suspected', 'upstream-resting', 'upstream-leaving', 'upstream-limited', 'replica-decided', 'engine-order', 'store-lost', 'store-back', 'configuration-unconfirmed', 'configuration-confirmed', 'stopping'])
+const relatedEvents = new Set(['upstream-suspected', 'upstream-resting', 'upstream-leaving', 'upstream-limited', 'evacuation-begun', 'evacuation-ended', 'replica-decided', 'engine-order', 'store-lost', 'store-back', 'configuration-unconfirmed', 'configuration-confirmed', 'stopping'])
+
+/** Outcomes of requests for which no upstream was found. */
+const roomless = new Set(['busy', 'no-replica', 'upstream-down'])
 
 /** Decodes one line of a log file; undefined where it is no event. Anything may stand before the JSON. */
 export function readLine (text: string): LogLine | undefined {
@@ -38,7 +41,7 @@
   }
 }
 
-/** Explains a request, an upstream, a replica, a domain or a revision of the configuration. */
+/** Explains a request, an upstream, a replica, a domain, a data centre or a revision of the configuration. */
 export function explain (lines: readonly LogLine[], id: string): Explanation {
   const own = lines.filter(line => names(line, id))
   const end = own.find(line => line.request === id && (line.name === 'request-ended' || line.name === 'request-refused'))
@@ -48,7 +51,7 @@
 }
 
 function names (line: LogLine, id: string): boolean {
-  if (line.request === id || line.upstream === id || line.replica === id || line.domain === id || String(line.revision) === id) return true
+  if (line.request === id || line.upstream === id || line.replica === id || line.domain === id || line.dataCentre === id || String(line.revision) === id) return true
   return line.name === 'replica-decided' && String(line.note).split(/[ :]/).includes(id)
 }
 
@@ -62,6 +65,8 @@
     // A limit holds until the next line about it.
     if (line.name === 'upstream-limited') return true
   }
+  // So does an evacuation.
+  if (line.name.startsWith('evacuation-') && line.node === end.node && apart >= 0) return roomless.has(String(end.outcome).split(' ')[0])
   if (apart < 0 || apart > relatedTime) return false
   const upstreams = attemptedUpstreams(end)
   if (upstreams.some(each => line.upstream === each || String(line.note ?? '').includes(each))) return true
@@ -84,6 +89,7 @@
     ...suspected.length > 0 ? [`${[...new Set(suspected)].join(', ')} stalled`] : [],
     ...resting,
     ...limitsOf(around.filter(each => each.node === end.node)),
+    ...evacuationsOf(around),
     ...dissolved.length > 0 ? [`the planner found: ${dissolved.join('; ')}`] : []
   ].join('; ')
   const [code] = outcome.split(' ')
@@ -103,6 +109,13 @@
   return [...last].flatMap(([upstream, limit]) => limit === undefined ? [] : [`${upstream} was limited by its own word to ${String(limit)} requests a second`])
 }
 
+/** The data centres that were evacuated, where that was not over. */
+function evacuationsOf (lines: readonly LogLine[]): string[] {
+  const inOrder = lines.filter(each => each.name.startsWith('evacuation-')).sort((a, b) => Date.parse(a.time) - Date.parse(b.time))
+  const last = new Map(inOrder.map(({ dataCentre, name }) => [String(dataCentre), name]))
+  return [...last].flatMap(([dataCentre, name]) => name === 'evacuation-begun' ? [`the data centre ${dataCentre} was evacuated`] : [])
+}
+
 /** What happened, by the code of a refusal or the first word of an outcome. */
 const reasons: Readonly<Record<string, string>> = {
   'unknown-path': 'no route of the configuration in force fits its host and path',
--- a/packages/ctl/test/explain.test.ts
+++ b/packages/ctl/test/explain.test.ts
@@ -53,6 +53,20 @@
   t.notRegex(cause, /i-3|i-5|i-6/)
 })
 
+test('a request that was refused while data centres were evacuated names them, unless that was over or was known to another gateway only', t => {
+  const evacuations = [
+    '{"time":"2026-12-02T08:00:00.000Z","event":425,"name":"evacuation-begun","node":"entry-2","dataCentre":"dc-1"}',
+    '{"time":"2026-12-02T08:00:00.000Z","event":425,"name":"evacuation-begun","node":"entry-2","dataCentre":"dc-2","from":"entry-1"}',
+    '{"time":"2026-12-02T08:30:00.000Z","event":426,"name":"evacuation-ended","node":"entry-2","dataCentre":"dc-2"}',
+    '{"time":"2026-12-02T08:00:00.000Z","event":425,"name":"evacuation-begun","node":"entry-1","dataCentre":"dc-3"}',
+    '{"time":"2026-12-02T11:30:00.000Z","event":425,"name":"evacuation-begun","node":"entry-2","dataCentre":"dc-4"}'
+  ].map(readLine).filter(each => each !== undefined)
+  const { cause } = explain([...lines, ...evacuations], 'r3')
+  t.regex(cause, /the data centre dc-1 was evacuated/)
+  t.notRegex(cause, /dc-2|dc-3|dc-4/)
+  t.is(explain(evacuations, 'dc-2').story.length, 2)
+})
+
 test('an upstream and a replica have stories too, and an unknown id says so', t => {
   t.is(explain(lines, 'i-2').story.length, 1)
   t.is(explain(lines, 'd.4').story.length, 1)
