--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -665,6 +665,46 @@
     test: 'packages/gateway/dist/test/limitfleet.test.js',
     title: '13 gateways keep a limit together*'
   },
+  {
+    name: 'evacuation-not-kept',
+    point: 3,
+    rule: 'no upstream of an evacuated data centre gets a new request (EVAC)',
+    file: 'packages/roster/dist/src/roster.js',
+    find: 'this.upstreams.filter(({ id }) => !this.isEvacuated(id))',
+    replace: 'this.upstreams',
+    test: 'platform/dist/test/evacuation.test.js',
+    title: 'after the bound no request reaches*'
+  },
+  {
+    name: 'evacuation-not-told',
+    point: 3,
+    rule: 'a gateway without the store learns from others what is evacuated (EVAC)',
+    file: 'packages/gateway/dist/src/evacuating.js',
+    find: 'evacuation !== undefined && isNews ? { evacuation } : {}',
+    replace: '{}',
+    test: 'platform/dist/test/evacuation.test.js',
+    title: 'a gateway that has lost the store*'
+  },
+  {
+    name: 'evacuation-older',
+    point: 3,
+    rule: 'nothing older replaces what is known of evacuations',
+    file: 'packages/gateway/dist/src/evacuating.js',
+    find: 'evacuation.revision <= known.revision',
+    replace: 'false',
+    test: 'packages/gateway/dist/test/evacuating.test.js',
+    title: 'the later revision holds*'
+  },
+  {
+    name: 'evacuated-engine-taken',
+    point: 3,
+    rule: 'no evacuated engine is taken for a replica or a load',
+    file: 'packages/forming/dist/src/pool.js',
+    find: ' && !evacuated.has(each.id)',
+    replace: '',
+    test: 'packages/emulator/dist/test/evacuation.test.js',
+    title: 'replicas of an evacuated data centre are kept*'
+  },
   {
     name: 'place-not-kept',
     point: 3,
