--- a/packages/forming/src/pool.ts
+++ b/packages/forming/src/pool.ts
@@ -37,7 +37,8 @@
   availableSoon (model: Model): Upstream[] {
     const { placement, snapshot } = this.draft
     const survivors = placement.replicas.filter(each => !snapshot.isIntact(each)).flatMap(each => snapshot.staying(each))
-    return [...this.freeFor(model), ...survivors].filter(each => holds(each, model.name))
+    const available = [...this.freeFor(model), ...survivors].filter(each => holds(each, model.name))
+    return available.filter(({ id }) => !snapshot.facts.evacuated.has(id))
   }
 
   /** Whether an engine loads weights by this planner's order; those of `model`, where it is given. */
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -703,7 +703,7 @@
     find: ' && !evacuated.has(each.id)',
     replace: '',
     test: 'packages/emulator/dist/test/evacuation.test.js',
-    title: 'replicas of an evacuated data centre are kept*'
+    title: 'an evacuated replica that loses a member*'
   },
   {
     name: 'place-not-kept',
