Keep a cold upstream's rate for the whole fleet, as a limit

The time for which an engine is still cold was decoded and dropped, and no answer's cold header was read, so that nothing bounded what cold engines got.

The rate that the configuration gives for cold upstreams is a limit now, kept by the tokens of the gateway that issues them: from a worker's first listing during traffic, whenever its record or an answer says so, until the time is over or its record says that it is. Off where the settings give no bound.

--- a/packages/gateway/src/conditions.ts
+++ b/packages/gateway/src/conditions.ts
@@ -23,6 +23,8 @@
   readonly tell: () => void
   /** Takes the limit that an upstream's answer to this gateway names. */
   readonly limited: (id: string, rate: number) => void
+  /** Takes that an upstream is cold for so many ms by its answer to this gateway. */
+  readonly cold: (id: string, remaining: number) => void
   /** Called when an upstream has asked for rest. */
   readonly rested: () => void
 }
@@ -42,9 +44,10 @@
   }
 
   /** Takes the condition of an upstream by any of its answers. */
-  take (id: string, { leaving, rest, limit }: Condition): void {
+  take (id: string, { leaving, rest, limit, cold }: Condition): void {
     if (rest > 0) this.#asked(id, rest)
     if (limit !== undefined) this.#options.limited(id, limit)
+    if (cold !== undefined) this.#options.cold(id, cold)
     if (leaving) this.#leave(id)
   }
 
--- a/packages/gateway/src/limiting.ts
+++ b/packages/gateway/src/limiting.ts
@@ -1,14 +1,16 @@
 /**
- * The limits that upstreams name, between this gateway and the others: what one reads in an answer goes to all by heartbeat, at once where it is new; the tokens of each limited
- * upstream are issued by one gateway, which the others ask by datagram. Owns the limits, the issuer and the tokens. Relies on `Peers` for who lives.
+ * The limits of upstreams, those that they name and those of cold ones, between this gateway and the others: what one reads goes to all by heartbeat, at once where it is new; the
+ * tokens of each limited upstream are issued by one gateway, which the others ask by datagram. Owns the limits, the issuer and the tokens. Relies on `Peers` for who lives.
  */
 import { type Clock, type Random } from '@eiderwind/clock'
 import { type InFlight } from '@eiderwind/detect'
 import { type Queue } from '@eiderwind/dispatch'
-import { Issuer, Limits, Owners, Tokens, decodeMessage, encodeMessage, ownAsk, type LimitReport, type Reply, type TokenMessage } from '@eiderwind/limits'
+import { ColdUpstreams, Issuer, Limits, Owners, Tokens, coldRate, decodeMessage, encodeMessage, ownAsk, type ColdReport, type LimitReport, type Reply, type TokenMessage } from '@eiderwind/limits'
 import { type Log } from '@eiderwind/log'
 import { type Heartbeat, type Peers } from '@eiderwind/peers'
 import { type Roster } from '@eiderwind/roster'
+import { type Service } from '@eiderwind/traffic'
+import { ColdStarts } from './coldstarts.js'
 
 /** Dependencies of `Limiting`. */
 export interface LimitingOptions {
@@ -21,6 +23,16 @@
   readonly inFlight: InFlight
   readonly queue: Queue
   readonly random: Random
+  /** Undefined where upstreams do not count as cold. */
+  readonly coldBound?: ColdBound | undefined
+  /** A service of the configuration in force. Absent: there is none. */
+  readonly service?: (name: string) => Service | undefined
+}
+
+/** Most requests that a cold upstream may get in a second: the rate that it bears times `overshoot`, and `slack`. */
+export interface ColdBound {
+  readonly overshoot: number
+  readonly slack: number
 }
 
 /**
@@ -42,21 +54,27 @@
 export class Limiting {
   readonly limits: Limits
   readonly tokens: Tokens
+  readonly cold: ColdUpstreams
   readonly #options: LimitingOptions
   readonly #issuer: Issuer
   readonly #owners: Owners
+  /** Undefined where upstreams do not count as cold. */
+  readonly #starts: ColdStarts | undefined
   /** The limit that was logged last, and when, by upstream. */
   readonly #logged = new Map<string, { readonly rate: number, readonly at: number }>()
 
   constructor (options: LimitingOptions) {
-    const { clock, id, peers, queue, random } = options
+    const { clock, id, roster, peers, queue, random, coldBound } = options
     this.#options = options
-    this.limits = new Limits(clock)
+    this.cold = new ColdUpstreams({ clock, rate: upstream => this.#coldRate(upstream), ended: () => queue.wake() })
+    this.#starts = coldBound === undefined ? undefined : new ColdStarts({ roster, cold: this.cold, startTime: service => this.#startTime(service), began: ids => this.#began(ids) })
+    this.limits = new Limits(clock, this.cold)
     this.#owners = new Owners({ clock, live: () => [id, ...peers.live.map(each => each.id)], fleet: () => peers.heardWithin(partMemory).length + 1, settleTime: takeover })
     this.#issuer = new Issuer({ clock, rate: upstream => this.limits.rate(upstream) * this.#owners.part, begin: upstream => this.#begin(upstream), deliver: (to, reply) => this.#deliver(to, reply) })
     this.tokens = new Tokens({
       clock,
       limits: this.limits,
+      cold: this.cold,
       issuer: this.#issuer,
       owner: upstream => this.#otherOwner(upstream),
       post: (gateway, message) => peers.post(gateway, encodeMessage(message)),
@@ -72,25 +90,33 @@
     if (isNew && this.limits.isLimited(id)) this.#options.peers.send()
   }
 
+  /** Takes that an upstream is cold by an answer to this gateway. */
+  coldAnswer (id: string, remaining: number): void {
+    this.#starts?.answered(id, remaining)
+  }
+
   /** What the heartbeats to other gateways say. */
-  get news (): Pick<Heartbeat, 'limits'> {
+  get news (): Pick<Heartbeat, 'limits' | 'cold'> {
     this.#owners.look()
     this.#forget()
-    return { limits: this.limits.reports(id => this.#otherOwner(id) === undefined) }
+    const issues = (id: string): boolean => this.#otherOwner(id) === undefined
+    return { limits: this.limits.reports(issues), cold: this.cold.reports(issues) }
   }
 
   /** Forgets the upstreams that are not remembered any more, and those whose tokens this gateway no longer issues. */
   #forget (): void {
     const { roster } = this.#options
     this.limits.keepOnly(id => roster.remembers(id))
+    this.#starts?.forget()
     for (const id of this.#logged.keys()) if (!roster.remembers(id)) this.#logged.delete(id)
     for (const id of this.#issuer.upstreams) if (!this.limits.isLimited(id) || this.#otherOwner(id) !== undefined) this.#issuer.end(id)
     this.tokens.forget()
   }
 
   /** Takes what the heartbeat of another gateway says. */
-  hear ({ id: from, limits = {} }: Heartbeat): void {
+  hear ({ id: from, limits = {}, cold = {} }: Heartbeat): void {
     for (const [id, report] of Object.entries(limits)) this.#hear(id, report, from)
+    this.#hearCold(cold)
   }
 
   /** Takes a datagram that is no heartbeat. One that is no message either is dropped, as any other that is foreign. */
@@ -108,8 +134,9 @@
   }
 
   /** An ask for an upstream that another gateway seems to own is left without an answer: its asker counts it as refused. */
-  #asked ({ upstream, limit, ...ask }: Extract<TokenMessage, { token: 'ask' }>, from: string): void {
+  #asked ({ upstream, limit, cold, ...ask }: Extract<TokenMessage, { token: 'ask' }>, from: string): void {
     this.#hear(upstream, limit, from)
+    if (cold !== undefined) this.#hearCold({ [upstream]: cold })
     if (this.#otherOwner(upstream) === undefined) this.#issuer.ask(upstream, { ...ask, from })
   }
 
@@ -124,6 +151,41 @@
     if (this.limits.heard(id, report)) this.#changed(id, isNew, from)
   }
 
+  #hearCold (reports: Readonly<Record<string, ColdReport>>): void {
+    const begun = Object.entries(reports).filter(([id, report]) => this.cold.heard(id, report)).map(([id]) => id)
+    if (begun.length > 0) this.#began(begun)
+  }
+
+  /**
+   * Upstreams are cold now. What has not left yet for them is withdrawn, since it has no token, and who waits looks again. The gateway that issues the tokens says so at once: one
+   * that cannot reach the store hears of it by that alone.
+   */
+  #began (ids: readonly string[]): void {
+    const { log, inFlight, queue, peers } = this.#options
+    const limited = ids.filter(id => this.limits.isLimited(id))
+    const own = limited.filter(id => this.#otherOwner(id) === undefined)
+    for (const id of limited) inFlight.withdraw(id, 'the upstream is cold')
+    for (const id of own) {
+      // Its bucket begins to fill now, and not only with the first request.
+      this.#issuer.has(id)
+      log.write('upstream-cold', { upstream: id, limit: this.cold.rate(id), remaining: Math.ceil(this.cold.remaining(id)) })
+    }
+    if (own.length > 0) peers.send()
+    if (limited.length > 0) queue.wake()
+  }
+
+  /** Requests a second to a cold upstream by the configuration; Infinity where it does not say. */
+  #coldRate (id: string): number {
+    const { roster, service, coldBound } = this.#options
+    const upstream = coldBound === undefined ? undefined : roster.find(id)
+    const rate = upstream === undefined ? undefined : service?.(upstream.service)?.coldRate
+    return rate === undefined || coldBound === undefined ? Infinity : coldRate(rate, coldBound.overshoot, coldBound.slack)
+  }
+
+  #startTime (name: string): number {
+    return this.#options.service?.(name)?.coldTime ?? 0
+  }
+
   /** What has not left yet for an upstream that names a limit first is withdrawn: it has no token. Who waits looks again. */
   #changed (id: string, isNew: boolean, from?: string): void {
     const { inFlight, queue } = this.#options
@@ -134,7 +196,7 @@
 
   #write (id: string, from: string | undefined): void {
     const { clock, log } = this.#options
-    const rate = this.limits.rate(id)
+    const rate = this.limits.namedRate(id)
     const before = this.#logged.get(id)
     const now = clock.now()
     if (before !== undefined && (before.rate === rate || now - before.at < lineInterval)) return
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -110,7 +110,7 @@
   }
 
   #gauges (registers: Registry[]): void {
-    const { clock, board, inFlight, queue, connections, budgets, rests, limiting: { limits, tokens } } = this.#options
+    const { clock, board, inFlight, queue, connections, budgets, rests, limiting: { limits, tokens, cold } } = this.#options
     const single = (name: string, help: string, read: () => number): void => {
       const gauge: Gauge = new Gauge({ name, help, registers, collect: () => gauge.set(read()) })
     }
@@ -133,6 +133,7 @@
     single('eiderwind_connections_opened_total', 'Connections opened to upstreams.', () => connections.opened)
     single('eiderwind_resting', 'Upstreams that rest now, or are left out for a moment since they refuse.', () => rests.count)
     single('eiderwind_limited', 'Upstreams that name the requests a second that they take from all gateways together.', () => limits.limited.length)
+    single('eiderwind_cold', 'Upstreams that are cold now, each with a limit for all gateways together.', () => cold.ids.length)
     single('eiderwind_limit_tokens_received_total', 'Tokens for limited upstreams that requests of this gateway asked for and got.', () => tokens.received)
     single('eiderwind_limit_tokens_used_total', 'Of those, tokens with which a request was sent; the others lapsed.', () => tokens.used)
     single('eiderwind_memory_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss())
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -4,6 +4,7 @@
  */
 import { type Clock } from '@eiderwind/clock'
 import { type Log } from '@eiderwind/log'
+import { type ColdBound } from './limiting.js'
 import { type Platform } from './platform.js'
 
 /** What a gateway is made from. */
@@ -35,6 +36,8 @@
   readonly retryRatio: number
   readonly retrySlack: number
   readonly retryWindow: number
+  /** What a cold upstream may get; undefined where upstreams do not count as cold. */
+  readonly coldBound: ColdBound | undefined
   /** How long all streams of a replica's head may be silent before it is suspected. */
   readonly silence: number
   /** Age of what another gateway says of the upstreams from which this one watches the store itself (`upstreamfeed.ts`). */
--- a/packages/gateway/test/conditions.test.ts
+++ b/packages/gateway/test/conditions.test.ts
@@ -27,6 +27,7 @@
   readonly queue = new Queue(this.clock)
   readonly lines: string[] = []
   readonly limits: string[] = []
+  readonly cold: string[] = []
   told = 0
   rested = 0
   readonly conditions = new Conditions({
@@ -37,6 +38,7 @@
     queue: this.queue,
     tell: () => { this.told++ },
     limited: (id, rate) => { this.limits.push(`${id} ${rate}`) },
+    cold: (id, remaining) => { this.cold.push(`${id} ${remaining}`) },
     rested: () => { this.rested++ }
   })
 
--- a/packages/gateway/test/overload.ts
+++ b/packages/gateway/test/overload.ts
@@ -127,7 +127,7 @@
     const heartbeat = (): Heartbeat => ({ id, revision: 1, canPlan: false, inFlight: inFlight.counts, suspects: [], inFlightByModel: {}, served: true, loads: {} })
     const peers = new Peers({ clock, id, address, datagrams: new ModelDatagrams(network, address), heartbeat, interval: 250, timeout: 1000 })
     const log = { write: () => {} } as unknown as Log
-    const conditions = new Conditions({ clock, log, roster, inFlight, queue, tell: () => {}, limited: () => {}, rested: () => {} })
+    const conditions = new Conditions({ clock, log, roster, inFlight, queue, tell: () => {}, limited: () => {}, cold: () => {}, rested: () => {} })
     const intake = new Intake({ clock, rests: conditions.rests })
     const budget = new RetryBudget(clock, { ratio: 0.2, window: 10_000, slack: 200, gateways: () => gateways })
     const context = {
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,5 +1,6 @@
-/** Limits that upstreams name for all gateways together. */
+/** Limits of upstreams that all gateways keep together. */
 export { Bucket } from './bucket.js'
+export { ColdUpstreams, coldRate, type ColdReport, type ColdUpstreamsOptions } from './cold.js'
 export { Issuer, type Ask, type IssuerOptions, type Reply } from './issuer.js'
 export { Limits, type LimitReport } from './limits.js'
 export { decodeMessage, encodeMessage, type TokenMessage } from './messages.js'
--- a/packages/limits/src/limits.ts
+++ b/packages/limits/src/limits.ts
@@ -1,9 +1,10 @@
 /**
- * What is known of the limits that upstreams name: which rate, since when, and from which source. Owns these beliefs, by the identity of an upstream's life. The newest report
+ * What is known of the limits of upstreams: those that they name, and those of cold ones; the lower holds. Of a named one: which rate, since when, and from which source. Owns these beliefs, by the identity of an upstream's life. The newest report
  * holds, by the time at which the head of the answer was read, at any gateway. A gateway that reads a change reports it to the others for a while; from then on only the one that
  * issues the upstream's tokens does, so that heartbeats stay short however many upstreams are limited.
  */
 import { type Clock } from '@eiderwind/clock'
+import { type ColdUpstreams } from './cold.js'
 
 /** Requests a second that an upstream takes, null for any number, and the time since the answer that says so was read, in ms. */
 export type LimitReport = readonly [rate: number | null, age: number]
@@ -33,14 +34,22 @@
 /** The limits of upstreams. */
 export class Limits {
   readonly #clock: Clock
+  readonly #cold: ColdUpstreams | undefined
   readonly #known = new Map<string, Known>()
 
-  constructor (clock: Clock) {
+  /** @param cold absent where no upstream is ever cold */
+  constructor (clock: Clock, cold?: ColdUpstreams) {
     this.#clock = clock
+    this.#cold = cold
   }
 
-  /** Requests a second that an upstream takes from all gateways together; Infinity where it has named no limit. */
+  /** Requests a second that an upstream takes from all gateways together; Infinity where it has no limit. */
   rate (id: string): number {
+    return Math.min(this.namedRate(id), this.#cold?.rate(id) ?? Infinity)
+  }
+
+  /** Of those, what the upstream itself has named; Infinity where it has named no limit. */
+  namedRate (id: string): number {
     return this.#known.get(id)?.rate ?? Infinity
   }
 
@@ -48,33 +57,33 @@
     return Number.isFinite(this.rate(id))
   }
 
-  /** Since when an upstream has named a limit, on `Clock.now`; undefined where it names none. */
+  /** Since when an upstream has had a limit, on `Clock.now`; undefined where it has none. */
   since (id: string): number | undefined {
-    const known = this.#known.get(id)
-    return known === undefined || !Number.isFinite(known.rate) ? undefined : known.since
+    const begins = [this.#namedSince(id), this.#cold?.since(id)].filter(each => each !== undefined)
+    return begins.length === 0 ? undefined : Math.min(...begins)
   }
 
   /** Ids of the upstreams that name a limit. */
   get limited (): string[] {
-    return [...this.#known.keys()].filter(id => this.isLimited(id))
+    return [...this.#known.keys()].filter(id => Number.isFinite(this.namedRate(id)))
   }
 
   /** Takes the limit that an answer to this gateway names; Infinity where it names none. Returns whether it is another one than before. */
   named (id: string, rate: number): boolean {
-    const before = this.rate(id)
+    const before = this.namedRate(id)
     if (Number.isFinite(rate) || this.#known.has(id)) this.#set(id, rate, true)
-    return this.rate(id) !== before
+    return this.namedRate(id) !== before
   }
 
   /** Takes the report of another gateway, unless it is older. Returns whether it is another limit than before. */
   heard (id: string, [rate, age]: LimitReport): boolean {
     const saidAt = this.#clock.now() - age
     const known = this.#known.get(id)
-    const before = this.rate(id)
+    const before = this.namedRate(id)
     if (known === undefined && rate === null) return false
     if (known !== undefined && saidAt <= known.saidAt) return false
     this.#set(id, rate ?? Infinity, false, saidAt)
-    return this.rate(id) !== before
+    return this.namedRate(id) !== before
   }
 
   /** The reports for the other gateways. @param issues whether this gateway issues the tokens of an upstream */
@@ -97,12 +106,17 @@
     for (const id of this.#known.keys()) if (!isRemembered(id)) this.#known.delete(id)
   }
 
+  #namedSince (id: string): number | undefined {
+    const known = this.#known.get(id)
+    return known === undefined || !Number.isFinite(known.rate) ? undefined : known.since
+  }
+
   /** @param isOwn whether this gateway read it in an answer */
   #set (id: string, named: number, isOwn: boolean, saidAt = this.#clock.now()): void {
     const known = this.#known.get(id)
     const rate = Math.max(named, lowestRate)
-    const isSame = rate === this.rate(id)
+    const isSame = rate === this.namedRate(id)
     const changedAt = isSame ? known?.changedAt ?? -Infinity : isOwn ? this.#clock.now() : -Infinity
-    this.#known.set(id, { rate, saidAt, since: this.since(id) ?? saidAt, changedAt })
+    this.#known.set(id, { rate, saidAt, since: this.#namedSince(id) ?? saidAt, changedAt })
   }
 }
--- a/packages/limits/src/messages.ts
+++ b/packages/limits/src/messages.ts
@@ -9,8 +9,11 @@
 const time = z.number().nonnegative()
 
 const TokenMessage = z.discriminatedUnion('token', [
-  /** A request waits for a token of an upstream, for `patience` ms. `limit` is what the sender knows of the upstream's limit. */
-  z.object({ token: z.literal('ask'), upstream: z.string(), number, priority: z.number(), patience: time, limit: z.tuple([time.nullable(), time]) }),
+  /**
+   * A request waits for a token of an upstream, for `patience` ms. `limit` is what the sender knows of the upstream's limit, `cold` how much it gets while it is cold and for how much longer;
+   * absent where it is not, and from builds that do not say.
+   */
+  z.object({ token: z.literal('ask'), upstream: z.string(), number, priority: z.number(), patience: time, limit: z.tuple([time.nullable(), time]), cold: z.tuple([z.number().positive(), time]).optional() }),
   /** It waits no longer. */
   z.object({ token: z.literal('drop'), upstream: z.string(), number }),
   /** It has the token. */
--- a/packages/limits/src/tokens.ts
+++ b/packages/limits/src/tokens.ts
@@ -4,6 +4,7 @@
  * bucket itself, and on datagrams else, which may be lost: an ask that is not answered in time counts as refused.
  */
 import { type Clock, type Random, type Subscription } from '@eiderwind/clock'
+import { type ColdReport, type ColdUpstreams } from './cold.js'
 import { type Issuer, type Reply } from './issuer.js'
 import { type Limits } from './limits.js'
 import { type TokenMessage } from './messages.js'
@@ -24,6 +25,8 @@
 export interface TokensOptions {
   readonly clock: Clock
   readonly limits: Limits
+  /** Absent where no upstream is ever cold. */
+  readonly cold?: ColdUpstreams
   readonly issuer: Issuer
   /** The id of the gateway that keeps an upstream's bucket; undefined where that is this one. */
   readonly owner: (upstream: string) => string | undefined
@@ -180,14 +183,14 @@
   }
 
   #ask (claim: Claim, upstream: string): void {
-    const { clock, limits, issuer, owner: ownerOf, post } = this.#options
+    const { clock, limits, cold, issuer, owner: ownerOf, post } = this.#options
     const owner = ownerOf(upstream)
     const number = ++this.#number
     const patience = Math.max(0, claim.until - clock.now() - (owner === undefined ? 0 : wayTime))
     claim.ask = number
     this.#asks.set(number, { claim, upstream, owner, patience, timer: this.#expiry(number, replyTime) })
     if (owner === undefined) issuer.ask(upstream, { from: ownAsk, number, priority: claim.priority, patience })
-    else post(owner, { token: 'ask', upstream, number, priority: claim.priority, patience, limit: [...limits.report(upstream)] })
+    else post(owner, { token: 'ask', upstream, number, priority: claim.priority, patience, limit: [...limits.report(upstream)], ...coldField(cold?.report(upstream)) })
   }
 
   #granted (number: number, { upstream, claim }: OpenAsk): boolean {
@@ -247,3 +250,8 @@
     return held.length > 0
   }
 }
+
+/** What an ask says of a cold upstream. */
+function coldField (report: ColdReport | undefined): { cold?: [rate: number, remaining: number] } {
+  return report === undefined ? {} : { cold: [...report] }
+}
--- /dev/null
+++ b/packages/limits/test/cold.test.ts
@@ -0,0 +1,131 @@
+/** How long an upstream counts as cold, by what is read and heard of it in whatever order, and what it gets meanwhile. */
+import test from 'ava'
+import { ManualClock } from '@eiderwind/clock'
+import { ColdUpstreams, Limits, coldRate } from '../src/index.js'
+
+/** This gateway issues the tokens of no upstream. */
+const none = (): boolean => false
+
+function coldUpstreams (rate = 32): { clock: ManualClock, cold: ColdUpstreams, ended: string[] } {
+  const clock = new ManualClock()
+  const ended: string[] = []
+  const cold = new ColdUpstreams({ clock, rate: () => rate, ended: id => { ended.push(`${id} ${clock.now()}`) } })
+  return { clock, cold, ended }
+}
+
+test('an upstream is cold for as long as was read, and its end is told once', t => {
+  const { clock, cold, ended } = coldUpstreams()
+  t.true(cold.read('a', 3000))
+  t.false(cold.read('a', 2000))
+  t.is(cold.rate('a'), 32)
+  t.is(cold.rate('b'), Infinity)
+  t.is(cold.since('a'), 0)
+  clock.advance(2999)
+  t.deepEqual(cold.ids, ['a'])
+  clock.advance(1)
+  t.is(cold.rate('a'), Infinity)
+  t.is(cold.since('a'), undefined)
+  t.deepEqual(ended, ['a 3000'])
+  t.true(cold.read('a', 10))
+})
+
+test('the longer time holds, also where it is read first', t => {
+  for (const times of [[1000, 5000], [5000, 1000]]) {
+    const { clock, cold, ended } = coldUpstreams()
+    for (const each of times) cold.read('a', each)
+    clock.advance(10_000)
+    t.deepEqual(ended, ['a 5000'])
+  }
+})
+
+test('a time without sense is none, and an enormous one ends after an hour', t => {
+  const { clock, cold, ended } = coldUpstreams()
+  for (const each of [0, -1, NaN]) t.false(cold.read('a', each))
+  cold.read('a', 1e15)
+  clock.advance(3_600_000)
+  t.deepEqual(ended, ['a 3600000'])
+})
+
+test('what ends it ends it at once', t => {
+  const { cold, ended } = coldUpstreams()
+  cold.read('a', 3000)
+  cold.end('a')
+  cold.end('b')
+  t.is(cold.rate('a'), Infinity)
+  t.deepEqual(ended, ['a 0'])
+})
+
+test('a gateway that does not know the upstream or its service keeps to the rate that it hears', t => {
+  const { cold } = coldUpstreams(Infinity)
+  cold.read('b', 3000)
+  t.is(cold.rate('b'), Infinity, 'no rate is configured, so it is not limited')
+  t.deepEqual(cold.reports(() => true), {})
+  t.true(cold.heard('a', [32, 3000]))
+  t.is(cold.rate('a'), 32)
+})
+
+test('a report that was under way does not make a belief last', t => {
+  const { clock, cold } = coldUpstreams()
+  cold.read('a', 3000)
+  for (let round = 0; round < 20; round++) {
+    const { a } = cold.reports(() => true)
+    clock.advance(100)
+    if (a !== undefined) cold.heard('a', a)
+  }
+  t.is(Math.round(cold.remaining('a')), 1000)
+  t.false(cold.heard('a', [32, 2000]))
+  t.is(Math.round(cold.remaining('a')), 2000, 'a later coldness holds')
+})
+
+test('a gateway reports what it has read lately, and what it issues the tokens of as long as that lasts', t => {
+  const { clock, cold } = coldUpstreams()
+  cold.read('a', 3000)
+  cold.heard('b', [20, 3000])
+  t.deepEqual(cold.reports(none), { a: [32, 3000] })
+  clock.advance(600)
+  t.deepEqual(cold.reports(none), {})
+  t.deepEqual(cold.reports(id => id === 'b'), { b: [20, 2400] })
+  clock.advance(2400)
+  t.deepEqual(cold.reports(() => true), {})
+})
+
+test('however many upstreams start at once, the report stays short', t => {
+  const { cold } = coldUpstreams()
+  for (let index = 0; index < 3000; index++) cold.read(`u${index}`, 3000)
+  t.is(Object.keys(cold.reports(none)).length, 64)
+})
+
+test('of a named limit and being cold the lower holds', t => {
+  for (const [named, rate, both] of [[3, 32, 3], [50, 32, 32], [Infinity, 32, 32], [3, Infinity, 3]]) {
+    const { clock, cold } = coldUpstreams(rate)
+    const limits = new Limits(clock, cold)
+    limits.named('a', named)
+    cold.read('a', 3000)
+    t.is(limits.rate('a'), both)
+    clock.advance(3000)
+    t.is(limits.rate('a'), named)
+  }
+})
+
+test('an upstream is limited since it was cold, or since it named a limit, whichever came first', t => {
+  const { clock, cold } = coldUpstreams()
+  const limits = new Limits(clock, cold)
+  clock.advance(100)
+  cold.read('a', 3000)
+  clock.advance(100)
+  limits.named('a', 3)
+  t.is(limits.since('a'), 100)
+  clock.advance(3000)
+  t.is(limits.since('a'), 200)
+  t.true(limits.named('a', Infinity))
+  t.is(limits.since('a'), undefined)
+})
+
+test('the rate leaves room in the bound for bursts, a token held over, and two gateways that issue for a moment', t => {
+  for (const [rate, overshoot, slack] of [[32, 1.5, 5], [32, 1, 0], [10, 1, 5], [4, 1.5, 5], [2, 1, 1], [1000, 1.5, 5]]) {
+    const given = coldRate(rate, overshoot, slack)
+    t.true(given <= rate)
+    t.true(given * 1.1 * 1.4 + 3 <= rate * overshoot + slack + 1e-9 || given === 0, `${rate} ${overshoot} ${slack}`)
+  }
+  t.is(coldRate(32, 1.5, 5), 32)
+})
--- a/packages/limits/test/messages.test.ts
+++ b/packages/limits/test/messages.test.ts
@@ -5,6 +5,7 @@
 const messages: ReadonlyArray<readonly [TokenMessage, string]> = [
   [{ token: 'ask', upstream: 'u', number: 7, priority: 1, patience: 66, limit: [1.6, 20] }, '{"token":"ask","upstream":"u","number":7,"priority":1,"patience":66,"limit":[1.6,20]}'],
   [{ token: 'ask', upstream: 'u', number: 7, priority: 1, patience: 66, limit: [null, 20] }, '{"token":"ask","upstream":"u","number":7,"priority":1,"patience":66,"limit":[null,20]}'],
+  [{ token: 'ask', upstream: 'u', number: 7, priority: 1, patience: 66, limit: [null, 20], cold: [32, 1500] }, '{"token":"ask","upstream":"u","number":7,"priority":1,"patience":66,"limit":[null,20],"cold":[32,1500]}'],
   [{ token: 'drop', upstream: 'u', number: 7 }, '{"token":"drop","upstream":"u","number":7}'],
   [{ token: 'grant', number: 7 }, '{"token":"grant","number":7}'],
   [{ token: 'later', number: 7, due: 12.5 }, '{"token":"later","number":7,"due":12.5}']
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -57,6 +57,7 @@
   'upstream-resting': { number: 422, level: 'info', text: 'An upstream turned a request away and asked for rest: it gets nothing from this gateway for `rest` ms.' },
   'upstream-leaving': { number: 423, level: 'info', text: 'An upstream said in an answer that it is leaving, to this gateway or to the one named in `from`: it gets no new request.' },
   'upstream-limited': { number: 424, level: 'info', text: 'An upstream named the requests a second that it takes from all gateways together, `limit`, to this gateway or to the one named in `from`; no `limit`: it takes any number again.' },
+  'upstream-cold': { number: 427, level: 'info', text: 'An upstream is cold: this gateway issues the tokens for the requests that it gets from all together, `limit` a second, for `remaining` ms.' },
   'configuration-unconfirmed': { number: 430, level: 'warn', text: 'The configuration was not confirmed in time; requests with API keys are refused.' },
   'configuration-confirmed': { number: 431, level: 'info', text: 'The configuration is confirmed again.' },
   'planner-acts': { number: 440, level: 'info', text: 'This gateway now plans the replicas of a service.' },
--- a/packages/peers/src/heartbeat.ts
+++ b/packages/peers/src/heartbeat.ts
@@ -4,7 +4,7 @@
  * must be optional.
  */
 import { type CrashReport } from '@eiderwind/crashes'
-import { type LimitReport } from '@eiderwind/limits'
+import { type ColdReport, type LimitReport } from '@eiderwind/limits'
 import { parseJson } from '@eiderwind/wire'
 import { z } from 'zod'
 
@@ -44,6 +44,8 @@
   readonly leaving?: readonly string[]
   /** Limits that upstreams named, or lifted, in answers to the sender lately, by upstream id. Absent where there are none, and from builds that do not say. */
   readonly limits?: Readonly<Record<string, LimitReport>>
+  /** Cold upstreams that the sender has read of lately or issues the tokens of, by id. Absent where there are none, and from builds that do not say. */
+  readonly cold?: Readonly<Record<string, ColdReport>>
   /** Digest of the requests that the sender has blocked. Absent where there are none. */
   readonly blocked?: string
 }
@@ -80,11 +82,13 @@
   /** `leaving`. Absent where there are none. */
   leaving: z.array(z.string()).optional(),
   /** `limits`. Absent where there are none. */
-  limits: z.record(z.string(), z.tuple([z.number().nonnegative().nullable(), z.number().nonnegative()])).optional()
+  limits: z.record(z.string(), z.tuple([z.number().nonnegative().nullable(), z.number().nonnegative()])).optional(),
+  /** `cold`. Absent where there are none. */
+  cold: z.record(z.string(), z.tuple([z.number().positive(), z.number().nonnegative()])).optional()
 })
 
 /** The datagram of a heartbeat. */
-export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads, interval, asks, terms, crashes, cleared, trials, blocked, leaving, limits }: Heartbeat): string {
+export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads, interval, asks, terms, crashes, cleared, trials, blocked, leaving, limits, cold }: Heartbeat): string {
   return JSON.stringify({
     id,
     revision,
@@ -103,7 +107,8 @@
     trials: unlessEmpty(trials),
     blocked,
     leaving: unlessEmpty(leaving),
-    limits: unlessEmpty(limits)
+    limits: unlessEmpty(limits),
+    cold: unlessEmpty(cold)
   })
 }
 
--- a/packages/peers/test/peers.test.ts
+++ b/packages/peers/test/peers.test.ts
@@ -27,6 +27,15 @@
   t.deepEqual(decode(Buffer.from(datagram))?.loads, {})
 })
 
+test('cold upstreams are sent with what each gets and for how much longer, and a datagram without them has none', t => {
+  const cold = { u: [32, 1500], 'v@k3': [0.5, 0] } as const
+  const text = encode(heartbeat({ cold }))
+  t.is(text, datagram.replace('"served":true}', '"served":true,"cold":{"u":[32,1500],"v@k3":[0.5,0]}}'))
+  t.deepEqual(decode(Buffer.from(text))?.cold, { u: [32, 1500], 'v@k3': [0.5, 0] })
+  t.is(encode(heartbeat({ cold: {} })), datagram)
+  t.is(decode(Buffer.from(datagram))?.cold, undefined)
+})
+
 test('limits of upstreams are sent with the time since they were said, and a datagram without them has none', t => {
   const limits = { u: [1.6, 20], 'v@k3': [null, 3000] } as const
   const text = encode(heartbeat({ limits }))
--- a/packages/roster/src/condition.ts
+++ b/packages/roster/src/condition.ts
@@ -11,4 +11,6 @@
    * answer does not tell.
    */
   readonly limit?: number
+  /** For how much longer it is cold, in ms from the answer. Absent where the answer does not say that it is. */
+  readonly cold?: number
 }
--- a/packages/roster/src/upstream.ts
+++ b/packages/roster/src/upstream.ts
@@ -37,6 +37,11 @@
   loaded: z.array(z.string()),
   /** Models whose weights lie in the host's memory. */
   staged: z.array(z.string()),
+  /**
+   * For how much longer it is cold, in ms from when its record is read: a time left, since machines' clocks differ, and one that is read late must not end early. Absent where its
+   * record does not say that it is cold.
+   */
+  cold: z.number().positive().optional(),
   /** Absent where the engine is in no replica. */
   membership: Membership.optional()
 })
--- a/packages/settings/src/shapes.ts
+++ b/packages/settings/src/shapes.ts
@@ -99,6 +99,9 @@
   return z.string().default('').transform(text => text === '' ? fallback : text).pipe(Share)
 }
 
+/** A share that another program fills in and may leave empty: what it is for is then off. */
+const optionalShare = z.string().default('').transform(text => text === '' ? undefined : text).pipe(Share.optional())
+
 /**
  * Settings of the role `direct`: a gateway on the users' platform, which calls upstreams directly. The role keeps its name
  * since operators write it (`eiderwind check --role direct`). The template of these files is `platform/settings.ini`.
@@ -136,7 +139,11 @@
     /** Retries beside those that all gateways together may make in a window. */
     retry_slack: share('20'),
     /** Length of the sliding window in which retries are counted. */
-    retry_window: time('10 s')
+    retry_window: time('10 s'),
+    /** What a cold upstream may get from all gateways in a second: this times the rate that the configuration gives, and `cold_slack`. Empty: upstreams do not count as cold. */
+    cold_overshoot: optionalShare,
+    /** Requests beside those. */
+    cold_slack: optionalShare
   }).prefault({}),
   observe: z.strictObject({
     level: Level,
--- a/packages/settings/test/forms.test.ts
+++ b/packages/settings/test/forms.test.ts
@@ -6,7 +6,7 @@
   '[process]', 'id = entry-1', 'data_centre = dc-1', 'region = region-1', 'first = true',
   '[listen]', 'callers = 10.0.0.1:8080', 'health = 10.0.0.1:8081', 'peers = 10.0.0.1:7340',
   '[platform]', 'store = 10.0.9.1:8223',
-  '[bounds]', 'revoke = 5000 ms', 'strict_keys = false', 'drain = 4000 ms', 'grace = 8 s', 'pulse = 1200 ms', 'retry_ratio = 0.2', 'retry_slack = 160', 'retry_window = 10 s',
+  '[bounds]', 'revoke = 5000 ms', 'strict_keys = false', 'drain = 4000 ms', 'grace = 8 s', 'pulse = 1200 ms', 'retry_ratio = 0.2', 'retry_slack = 160', 'retry_window = 10 s', 'cold_overshoot = 1.5', 'cold_slack = 5',
   '[observe]', 'level = debug', 'metrics = 10.0.0.1:7341'
 ].join('\n')
 
@@ -17,18 +17,18 @@
       process: { id: 'entry-1', data_centre: 'dc-1', region: 'region-1', first: true },
       listen: { callers: '10.0.0.1:8080', health: '10.0.0.1:8081', peers: '10.0.0.1:7340' },
       platform: { store: '10.0.9.1:8223' },
-      bounds: { revoke: 5000, strict_keys: false, drain: 4000, grace: 8000, pulse: 1200, retry_ratio: 0.2, retry_slack: 160, retry_window: 10_000 },
+      bounds: { revoke: 5000, strict_keys: false, drain: 4000, grace: 8000, pulse: 1200, retry_ratio: 0.2, retry_slack: 160, retry_window: 10_000, cold_overshoot: 1.5, cold_slack: 5 },
       observe: { level: 'debug', metrics: '10.0.0.1:7341' }
     }
   })
 })
 
 test('what is left out or empty has its default', t => {
-  const short = text.split('\n').filter(each => !/^(first|revoke|strict_keys|drain|grace|pulse|retry_|level|metrics)/.test(each)).join('\n')
-  const settings = checkSettings('x.ini', short.replace('[bounds]', '[bounds]\nrevoke =\nstrict_keys =\ndrain =\ngrace =\npulse =\nretry_ratio =\nretry_slack =\nretry_window =').replace('[observe]', '[observe]\nmetrics =')).unwrap() as { direct: object }
+  const short = text.split('\n').filter(each => !/^(first|revoke|strict_keys|drain|grace|pulse|retry_|cold_|level|metrics)/.test(each)).join('\n')
+  const settings = checkSettings('x.ini', short.replace('[bounds]', '[bounds]\nrevoke =\nstrict_keys =\ndrain =\ngrace =\npulse =\nretry_ratio =\nretry_slack =\nretry_window =\ncold_overshoot =\ncold_slack =').replace('[observe]', '[observe]\nmetrics =')).unwrap() as { direct: object }
   t.like(settings.direct, {
     process: { first: false },
-    bounds: { revoke: 5000, strict_keys: true, drain: 2000, grace: 8000, pulse: 1200, retry_ratio: 0.1, retry_slack: 20, retry_window: 10_000 },
+    bounds: { revoke: 5000, strict_keys: true, drain: 2000, grace: 8000, pulse: 1200, retry_ratio: 0.1, retry_slack: 20, retry_window: 10_000, cold_overshoot: undefined, cold_slack: undefined },
     observe: { level: 'info', metrics: '' }
   })
 })
--- a/packages/traffic/src/shape.ts
+++ b/packages/traffic/src/shape.ts
@@ -85,7 +85,11 @@
   name: z.string(),
   /** Connections that one upstream accepts from all gateways together. Nothing reads it. */
   connections: z.int().min(1),
-  engine: Engine.optional()
+  engine: Engine.optional(),
+  /** Requests a second that one cold upstream bears from all gateways together. Absent: upstreams are never cold. */
+  coldRate: z.number().positive().optional(),
+  /** How long an upstream that starts during traffic is cold. */
+  coldTime: Span.optional()
 })
 export type Service = z.infer<typeof Service>
 
