--- /dev/null
+++ b/packages/gateway/test/limitmember.ts
@@ -0,0 +1,100 @@
+/** The parts of a gateway that keep limits, in a model of a fleet: the real `Peers`, `Limiting`, `Intake` and `Queue` over a modelled network. */
+import { type Clock, type Random } from '@eiderwind/clock'
+import { InFlight, Rests } from '@eiderwind/detect'
+import { Intake, Queue } from '@eiderwind/dispatch'
+import { type Log } from '@eiderwind/log'
+import { Peers, type Heartbeat, type PeerAddress } from '@eiderwind/peers'
+import { Roster, type Upstream } from '@eiderwind/roster'
+import { type Service } from '@eiderwind/traffic'
+import { Limiting, type ColdBound } from '../src/limiting.js'
+import { ModelDatagrams, type Network } from './network.js'
+
+export const heartbeatInterval = 250
+const heartbeatTimeout = 1000
+
+/** Dependencies of `Member`. */
+export interface MemberOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly network: Network
+  readonly id: string
+  /** Called with each datagram about tokens that it gets. */
+  readonly took?: () => void
+  /** The service of all upstreams, where they may be cold. */
+  readonly service?: Service
+  readonly coldBound?: ColdBound
+}
+
+/** One gateway of the model. */
+export class Member {
+  readonly roster: Roster
+  readonly peers: Peers
+  readonly limiting: Limiting
+  readonly #clock: Clock
+  readonly #intake: Intake
+  readonly #queue: Queue
+
+  constructor ({ clock, random, network, id, took = () => {}, service, coldBound }: MemberOptions) {
+    const address = addressOf(id)
+    this.#clock = clock
+    this.roster = new Roster(clock)
+    this.#queue = new Queue(clock)
+    this.peers = new Peers({
+      clock,
+      id,
+      address,
+      datagrams: new ModelDatagrams(network, address),
+      heartbeat: (): Heartbeat => ({ id, revision: 1, canPlan: false, inFlight: {}, suspects: [], inFlightByModel: {}, served: true, loads: {}, ...this.limiting.news }),
+      heard: each => this.limiting.hear(each),
+      other: (datagram, from) => {
+        took()
+        this.limiting.receive(datagram, from)
+      },
+      interval: heartbeatInterval,
+      timeout: heartbeatTimeout
+    })
+    const log = { write: () => {} } as unknown as Log
+    this.limiting = new Limiting({ clock, log, id, roster: this.roster, peers: this.peers, inFlight: new InFlight(clock, () => {}), queue: this.#queue, random, coldBound, service: () => service })
+    this.#intake = new Intake({ clock, rests: new Rests({ clock, begun: () => {}, ended: () => {} }), tokens: this.limiting.tokens })
+  }
+
+  /**
+   * A request comes that any of some upstreams may serve, the first of them with room.
+   * @param sent called with the upstream when the request is sent; never where it is refused
+   */
+  ask (upstreams: readonly string[], patience: number, sent: (upstream: string) => void): void {
+    const claim = this.#intake.claim(1, this.#clock.now() + patience)
+    const find = (): string | undefined => {
+      const found = upstreams.find(each => this.#intake.has(each))
+      if (found === undefined) this.#intake.pursue(claim, upstreams.map(id => ({ id })), new Set())
+      else this.#intake.take(found, claim)
+      return found
+    }
+    this.#queue.wait(1, patience, find).then(found => {
+      this.#intake.release(claim)
+      if (found !== undefined) sent(found)
+    }, error => { throw error })
+  }
+}
+
+export function addressOf (id: string): string {
+  return `${id}:1`
+}
+
+export function addressesOf (ids: readonly string[]): PeerAddress[] {
+  return ids.map(id => ({ id, address: addressOf(id) }))
+}
+
+/** An upstream as the list has it. */
+export function listed (id: string, cold = 0): Upstream {
+  return { id, service: 's', address: `${id}:1`, dataCentre: 'dc', leaving: false, loaded: [], staged: [], ...cold > 0 ? { cold } : {} }
+}
+
+/** Most of some times, in order, within a window. */
+export function most (times: readonly number[], window: number): number {
+  let first = 0
+  return times.reduce((greatest, time, index) => {
+    while (times[first] <= time - window) first++
+    return Math.max(greatest, index - first + 1)
+  }, 0)
+}
--- a/packages/limits/src/cold.ts
+++ b/packages/limits/src/cold.ts
@@ -21,7 +21,7 @@
 const longest = 3_600_000
 
 /** By how much a report of another gateway has to exceed what is known, in ms: the time that it was under way must not make a belief last. */
-const leastExtension = 300
+const leastExtension = 50
 
 /** How long a gateway that has read that an upstream is cold reports it, in ms: over two heartbeats. What it costs must not grow with the upstreams that start at once. */
 const readTime = 600
