--- a/packages/limits/src/cold.ts
+++ b/packages/limits/src/cold.ts
@@ -38,16 +38,16 @@
 }
 
 /**
- * Requests a second that a cold upstream may be sent, so that it gets no more than `rate` x `overshoot` + `slack` in any one second. Two buckets of which each begins empty, at a
- * hand-over or a partial partition, add two bursts and together issue at most two fifths more than one; a token that is held for 100 ms of a second moves a tenth more into it.
+ * Requests a second that a cold upstream may be sent, so that it gets no more than `rate` x `overshoot` + `slack` in any one second. Two gateways may issue for it at once, where the
+ * fleet has come apart in part: together up to two fifths more, with a burst each. Tokens that are held for 100 ms move a tenth of a second's into the next.
  * @param rate that it bears, in requests a second
  */
 export function coldRate (rate: number, overshoot: number, slack: number): number {
-  const bursts = 3
+  const burst = 1.5
   const issuedTwice = 1.4
   const heldOver = 1.1
   const bound = rate * overshoot + slack
-  return Math.min(rate, Math.max(0, bound - bursts) / (issuedTwice * heldOver))
+  return Math.min(rate, Math.max(0, bound - 2 * burst) / (issuedTwice * heldOver))
 }
 
 /** The cold upstreams. */
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -665,6 +665,26 @@
     test: 'packages/gateway/dist/test/limitfleet.test.js',
     title: '13 gateways keep a limit together*'
   },
+  {
+    name: 'cold-not-kept',
+    point: 3,
+    rule: 'a cold upstream gets no more requests a second than it bears (FAILBACK)',
+    file: 'packages/limits/dist/src/limits.js',
+    find: 'return Math.min(this.namedRate(id), this.#cold?.rate(id) ?? Infinity)',
+    replace: 'return this.namedRate(id)',
+    test: 'platform/dist/test/cold.test.js',
+    title: 'cold heads get no more*'
+  },
+  {
+    name: 'cold-not-reported',
+    point: 3,
+    rule: 'a gateway without the store hears from the others that an upstream is cold (FAILBACK)',
+    file: 'packages/gateway/dist/src/limiting.js',
+    find: 'cold: this.cold.reports(issues)',
+    replace: 'cold: {}',
+    test: 'packages/gateway/dist/test/coldfleet.test.js',
+    title: '*store-cut'
+  },
   {
     name: 'place-not-kept',
     point: 3,
