--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -59,6 +59,7 @@
   'upstream-limited': { number: 424, level: 'info', text: 'An upstream named the requests a second that it takes from all gateways together, `limit`, to this gateway or to the one named in `from`; no `limit`: it takes any number again.' },
   'evacuation-begun': { number: 425, level: 'warn', text: 'The operator has evacuated the data centre `dataCentre`: its upstreams get no new request. Known from the store, or from the gateway named in `from`.' },
   'evacuation-ended': { number: 426, level: 'info', text: 'The operator has taken back the evacuation of the data centre `dataCentre`: its upstreams get requests again.' },
+  'upstream-cold': { number: 427, level: 'info', text: 'An upstream is cold: this gateway issues the tokens for the requests that it gets from all together, `limit` a second, for `remaining` ms.' },
   'configuration-unconfirmed': { number: 430, level: 'warn', text: 'The configuration was not confirmed in time; requests with API keys are refused.' },
   'configuration-confirmed': { number: 431, level: 'info', text: 'The configuration is confirmed again.' },
   'planner-acts': { number: 440, level: 'info', text: 'This gateway now plans the replicas of a service.' },
--- a/packages/log/test/forms.test.ts
+++ b/packages/log/test/forms.test.ts
@@ -45,6 +45,7 @@
   '424 upstream-limited info',
   '425 evacuation-begun warn',
   '426 evacuation-ended info',
+  '427 upstream-cold info',
   '430 configuration-unconfirmed warn',
   '431 configuration-confirmed info',
   '440 planner-acts info',
--- a/packages/peers/src/heartbeat.ts
+++ b/packages/peers/src/heartbeat.ts
@@ -4,7 +4,7 @@
  * must be optional.
  */
 import { type CrashReport } from '@eiderwind/crashes'
-import { type LimitReport } from '@eiderwind/limits'
+import { type ColdReport, type LimitReport } from '@eiderwind/limits'
 import { parseJson } from '@eiderwind/wire'
 import { z } from 'zod'
 
@@ -52,6 +52,8 @@
   readonly limits?: Readonly<Record<string, LimitReport>>
   /** The data centres that are evacuated, as far as the sender knows. Absent where none was lately, and from builds that do not say. */
   readonly evacuation?: Evacuation
+  /** Cold upstreams that the sender has read of lately or issues the tokens of, by id. Absent where there are none, and from builds that do not say. */
+  readonly cold?: Readonly<Record<string, ColdReport>>
   /** Digest of the requests that the sender has blocked. Absent where there are none. */
   readonly blocked?: string
 }
@@ -90,11 +92,13 @@
   /** `limits`. Absent where there are none. */
   limits: z.record(z.string(), z.tuple([z.number().nonnegative().nullable(), z.number().nonnegative()])).optional(),
   /** `evacuation`. Absent where none was lately. */
-  evacuation: z.object({ revision: z.int(), dataCentres: z.array(z.string()) }).optional()
+  evacuation: z.object({ revision: z.int(), dataCentres: z.array(z.string()) }).optional(),
+  /** `cold`. Absent where there are none. */
+  cold: z.record(z.string(), z.tuple([z.number().positive(), z.number().nonnegative()])).optional()
 })
 
 /** The datagram of a heartbeat. */
-export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads, interval, asks, terms, crashes, cleared, trials, blocked, leaving, limits, evacuation }: Heartbeat): string {
+export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads, interval, asks, terms, crashes, cleared, trials, blocked, leaving, limits, evacuation, cold }: Heartbeat): string {
   return JSON.stringify({
     id,
     revision,
@@ -114,7 +118,8 @@
     blocked,
     leaving: unlessEmpty(leaving),
     limits: unlessEmpty(limits),
-    evacuation
+    evacuation,
+    cold: unlessEmpty(cold)
   })
 }
 
