--- a/packages/fairness/src/decaying.ts
+++ b/packages/fairness/src/decaying.ts
@@ -36,11 +36,15 @@
     this.#total = total
   }
 
-  /** How many names were ever counted. */
+  /** How many names are known. */
   get size (): number {
     return this.#sums.size
   }
 
+  get names (): Name[] {
+    return [...this.#sums.keys()]
+  }
+
   add (name: Name, amount: number, now: number): void {
     const sum = this.#sums.get(name) ?? new DecayingSum(this.#halfLife)
     sum.add(amount, now)
@@ -56,7 +60,19 @@
     return this.#total.at(now)
   }
 
+  /** Forgets names of which less than `least` is left. The total keeps what they had. */
+  forget (now: number, least: number): void {
+    for (const [name, sum] of this.#sums) {
+      if (sum.at(now) < least) this.#sums.delete(name)
+    }
+  }
+
   copy (): DecayingSums<Name> {
     return new DecayingSums(this.#halfLife, new Map([...this.#sums].map(([name, sum]) => [name, sum.copy()])), this.#total.copy())
   }
 }
+
+/** The time over which a decaying sum counts that began so long ago. Times are in ms. */
+export function countedTime (halfLife: number, time: number): number {
+  return halfLife / Math.LN2 * (1 - 2 ** (-time / halfLife))
+}
--- a/packages/fairness/src/usage.ts
+++ b/packages/fairness/src/usage.ts
@@ -2,7 +2,7 @@
  * What teams were served lately, and what they usually ask for: by both, whether a team is above its share. Owns its sums, in memory only.
  * Times are on `Clock.now`, in ms; work is in units of the mean request of its service.
  */
-import { DecayingSums } from './decaying.js'
+import { DecayingSums, countedTime } from './decaying.js'
 
 /** Half-life of what was served, in ms: longer than callers of a stream wait (6 to 8 s), so that a surge counts until its callers have given up. */
 const servedHalfLife = 10_000
@@ -90,8 +90,3 @@
     return time <= 0 ? 0 : this.#asked.of(team, now) * countedTime(servedHalfLife, time) / countedTime(usualHalfLife, time)
   }
 }
-
-/** The time over which a decaying sum counts that began so long ago. */
-function countedTime (halfLife: number, time: number): number {
-  return halfLife / Math.LN2 * (1 - 2 ** (-time / halfLife))
-}
--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -4,7 +4,7 @@
  * when its deadline passes or its caller leaves; after that a path does nothing more.
  */
 import { type Trial } from '@eiderwind/crashes'
-import { decideRetry, refusals, waitForRoom, type AttemptResult, type Closure } from '@eiderwind/dispatch'
+import { decideRetry, refusals, waitForRoom, type AttemptResult, type Closure, type Seeker, type WaitHandlers } from '@eiderwind/dispatch'
 import { type Fault } from '@eiderwind/fault'
 import { type Claim } from '@eiderwind/limits'
 import { type Upstream } from '@eiderwind/roster'
@@ -15,6 +15,9 @@
 /** Why a request that has crashed an upstream is not sent to another one. */
 const crashesUpstreams = 'each upstream that began to run this request has crashed'
 
+/** A caller that spent less than this before it came back did not wait as it was told, in ms: no refusal gives a shorter time. */
+const earliestReturn = 200
+
 /** No upstream. */
 const none: ReadonlySet<string> = new Set()
 
@@ -65,6 +68,11 @@
   /** Id of the last event that the caller has, on a stream. */
   protected abstract readonly lastEvent: number | undefined
 
+  /** What it looks for room in. */
+  protected get room (): string {
+    return this.request.service
+  }
+
   /** The upstreams that serve what is asked for, whether they have room or not. */
   protected abstract get upstreams (): readonly Upstream[]
 
@@ -96,11 +104,23 @@
     const time = this.#wait
     const until = clock.now() + time
     const claim = intake.claim(request.priority, until)
-    const found = await queue.wait(request.priority, time, () => this.#find(claim) ?? this.#hopeless(until), cancel => request.cancelWith(cancel))
+    const found = await queue.wait(this.#seeker(until), () => this.#find(claim) ?? this.#hopeless(until), this.#waitHandlers)
     intake.release(claim)
     return found
   }
 
+  /** The request as one that waits for room. @param until on `Clock.now`, in ms */
+  #seeker (until: number): Seeker {
+    const { room, request: { priority, team, arrivedAt, spent, offered, route: { objective } } } = this
+    const early = spent > 0 && spent < earliestReturn
+    return { room, offered, priority, team: team?.name ?? '', work: 1, arrivedAt, inTimeUntil: offered ? until : arrivedAt - spent + objective, until, early }
+  }
+
+  get #waitHandlers (): WaitHandlers {
+    const { request } = this
+    return { onWait: cancel => request.cancelWith(cancel), onShortage: ({ rule }) => { request.rule = rule } }
+  }
+
   /** Longest wait for an upstream with room, in ms. */
   get #wait (): number {
     const { request, kind, upstreams, context: { crashes } } = this
--- a/packages/forward/src/request.ts
+++ b/packages/forward/src/request.ts
@@ -6,7 +6,7 @@
 import { type IncomingMessage, type ServerResponse } from 'node:http'
 import { type Clock, type Subscription } from '@eiderwind/clock'
 import { fingerprint } from '@eiderwind/crashes'
-import { refusals, type AttemptResult } from '@eiderwind/dispatch'
+import { refusals, type AttemptResult, type Shortage } from '@eiderwind/dispatch'
 import { type Fault } from '@eiderwind/fault'
 import { type Route, type Team } from '@eiderwind/traffic'
 import { answerFault } from '@eiderwind/wire'
@@ -25,6 +25,8 @@
   readonly arrivedAt: number
   /** The earlier of the caller's deadline and the end of the route's time limit. */
   readonly endsAt: number
+  /** How much of its time its caller had spent before, on earlier tries; 0 on the first one, or where that is not known. */
+  readonly spent?: number
   /** The header in which the request's id is returned on a refusal. */
   readonly idHeader: string
   /** Called once, when the request has ended, with its outcome. */
@@ -42,12 +44,15 @@
   readonly team: Team | undefined
   readonly arrivedAt: number
   readonly endsAt: number
+  readonly spent: number
   /** One line for each attempt that has ended: upstream, kind of result, details. Written to the log. */
   readonly attempts: string[] = []
   /** Where its time went. */
   readonly timing: Timing
   /** Whether it is sent to no upstream any more, since it crashes them. */
   blocked = false
+  /** Why it found no room, if it did not and the queue says so. */
+  rule: Shortage['rule'] | undefined
   readonly #clock: Clock
   readonly #idHeader: string
   readonly #onEnd: (request: CallerRequest, outcome: string) => void
@@ -72,6 +77,7 @@
     this.arrivedAt = options.arrivedAt
     this.timing = new Timing(options.arrivedAt)
     this.endsAt = options.endsAt
+    this.spent = options.spent ?? 0
     this.#clock = options.clock
     this.#idHeader = options.idHeader
     this.#onEnd = options.onEnd
--- a/packages/forward/src/streampath.ts
+++ b/packages/forward/src/streampath.ts
@@ -38,6 +38,10 @@
     return this.#progress.lastEvent
   }
 
+  protected override get room (): string {
+    return `${this.request.service} ${this.#target.model}`
+  }
+
   protected get upstreams (): readonly Upstream[] {
     const { roster } = this.context
     const { service } = this.request
--- a/packages/gateway/src/callers.ts
+++ b/packages/gateway/src/callers.ts
@@ -6,6 +6,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type Random } from '@eiderwind/clock'
 import { refusals } from '@eiderwind/dispatch'
+import { type UsualPatience } from '@eiderwind/fairness'
 import { Fault } from '@eiderwind/fault'
 import { CallerRequest, PlainPath, StreamPath, type Context } from '@eiderwind/forward'
 import { pickShare } from '@eiderwind/traffic'
@@ -25,6 +26,8 @@
   readonly strictKeys: boolean
   /** Draws the service of a request whose route is split between several. */
   readonly random: Random
+  /** What callers of each route usually say they wait; absent where it does not matter who came back. */
+  readonly patience: UsualPatience | undefined
   /** Called with the code of each request that is refused before anything is chosen for it. */
   readonly refused: (code: string) => void
   /** Called once for each admitted request, with its outcome. */
@@ -136,7 +139,7 @@
 
   /** The request of an admitted caller; a fault where its own headers are not in order. */
   #request (incoming: IncomingMessage, response: ServerResponse, body: Buffer, { route, team }: Admission, arrivedAt: number): CallerRequest | Fault {
-    const { context, random, ended } = this.#options
+    const { context, random, ended, patience } = this.#options
     const { names, clock } = context
     const id = header(incoming, names.request)
     if (id === undefined) return refusals.badRequest(`The header ${names.request} is missing.`)
@@ -154,6 +157,7 @@
       team,
       arrivedAt,
       endsAt: arrivedAt + Math.min(span, route.timeout),
+      spent: patience?.spent(route.name, span, arrivedAt),
       idHeader: names.request,
       onEnd: (request, outcome) => {
         this.#open.delete(request)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,8 @@
  */
 import { randomUUID } from 'node:crypto'
 import { InFlight, Pauses, Stalls, Suspects } from '@eiderwind/detect'
-import { Choice, Intake, Queue } from '@eiderwind/dispatch'
+import { Choice, FairQueue, Intake, Queue } from '@eiderwind/dispatch'
+import { UsualPatience } from '@eiderwind/fairness'
 import { type Reconciler } from '@eiderwind/forming'
 import { type Context } from '@eiderwind/forward'
 import { Peers, type Heartbeat, type PeerAddress } from '@eiderwind/peers'
@@ -84,7 +85,7 @@
     this.#outage = new Outage(clock)
     this.#roster = new Roster(clock, this.#outage)
     this.#suspects = new Suspects(clock, this.#roster)
-    this.#queue = new Queue(clock)
+    this.#queue = settings.fair ? new FairQueue(clock) : new Queue(clock)
     this.#inFlight = new InFlight(clock, () => this.#queue.wake())
     this.#peers = new Peers({ clock, id: settings.id, address: settings.peers, heartbeat: () => this.#heartbeat(), heard: (heartbeat, from) => this.#hear(heartbeat, from), other: (datagram, from) => this.#limiting.receive(datagram, from), interval: heartbeatInterval, timeout: heartbeatTimeout, urgent: () => this.#leadership.isUrgent })
     const peers = this.#peers
@@ -165,7 +166,7 @@
   }
 
   #makeCallers (): Callers {
-    const { clock, log, platform, settings: { dataCentre, callers: address, freshness, strictKeys } } = this.#options
+    const { clock, log, platform, settings: { dataCentre, callers: address, freshness, strictKeys, fair } } = this.#options
     const conditions = this.#conditions
     const intake = new Intake({ clock, rests: conditions.rests, tokens: this.#limiting.tokens })
     const shared = { clock, roster: this.#roster, inFlight: this.#inFlight, suspects: this.#suspects, intake, crashes: this.#crashWatch.crashes, random: Math.random }
@@ -188,6 +189,7 @@
       freshness,
       strictKeys,
       random: Math.random,
+      patience: fair ? new UsualPatience() : undefined,
       refused: code => this.#metrics.refused(code),
       ended: (request, outcome) => requests.ended(request, outcome)
     })
--- a/packages/gateway/test/conditions.test.ts
+++ b/packages/gateway/test/conditions.test.ts
@@ -62,7 +62,7 @@
   t.is(withdrawn, 1)
   t.deepEqual(lines, ['upstream-resting a 1000'])
   t.is(fixture.rested, 1)
-  const found = queue.wait(1, 5000, () => conditions.rests.has('a') ? undefined : clock.now())
+  const found = queue.wait({ room: 's', offered: false, priority: 1, team: '', work: 1, arrivedAt: clock.now(), inTimeUntil: Infinity, until: clock.now() + 5000 }, () => conditions.rests.has('a') ? undefined : clock.now())
   clock.advance(1000)
   t.is(await found, 1000)
 })
--- a/packages/gateway/test/digest.test.ts
+++ b/packages/gateway/test/digest.test.ts
@@ -123,7 +123,7 @@
   const all: Array<Promise<void>> = []
   for (let step = 0; step < 600; step++) {
     clock.advance(Math.floor(random() * 30))
-    const found = waiting.wait(Math.floor(random() * 4), random() * 200, () => free.shift())
+    const found = waiting.wait({ room: 's', offered: false, priority: Math.floor(random() * 4), team: '', work: 1, arrivedAt: clock.now(), inTimeUntil: Infinity, until: clock.now() + random() * 200 }, () => free.shift())
     all.push(found.then(value => { lines.push(`${step} ${value ?? '-'} ${waiting.count}`) }))
     if (random() < 0.4) free.push(step)
     if (random() < 0.4) waiting.wake()
--- a/packages/gateway/test/limitfleet.ts
+++ b/packages/gateway/test/limitfleet.ts
@@ -189,7 +189,7 @@
       intake.pursue(claim, [{ id: upstream }], new Set())
       return undefined
     }
-    queue.wait(1, patience, find).then(found => {
+    queue.wait({ room: 's', offered: false, priority: 1, team: '', work: 1, arrivedAt: clock.now(), inTimeUntil: Infinity, until: clock.now() + patience }, find).then(found => {
       intake.release(claim)
       if (found === true && this.#members.get(gateway) === member) sent()
     }, error => { throw error })
--- a/packages/gateway/test/limiting.test.ts
+++ b/packages/gateway/test/limiting.test.ts
@@ -97,7 +97,7 @@
   const withdrawn: string[] = []
   inFlight.begin('a', '', { withdrawn: why => { withdrawn.push(why) } })
   inFlight.begin('b', '', { withdrawn: () => t.fail() })
-  const looked = queue.wait(1, 5000, () => limiting.limits.isLimited('a') ? clock.now() : undefined)
+  const looked = queue.wait({ room: 's', offered: false, priority: 1, team: '', work: 1, arrivedAt: clock.now(), inTimeUntil: Infinity, until: clock.now() + 5000 }, () => limiting.limits.isLimited('a') ? clock.now() : undefined)
   limiting.named('a', 3)
   limiting.named('a', 2)
   t.deepEqual(withdrawn, ['the upstream named a limit'])
--- a/packages/settings/src/shapes.ts
+++ b/packages/settings/src/shapes.ts
@@ -138,6 +138,10 @@
     /** Length of the sliding window in which retries are counted. */
     retry_window: time('10 s')
   }).prefault({}),
+  room: z.strictObject({
+    /** Whether requests that wait for room are served by teams' shares and by the time they have left, instead of by age. */
+    fair: Flag.default(false)
+  }).prefault({}),
   observe: z.strictObject({
     level: Level,
     /** `host:port` on which the metrics are served in text form; they are not served where it is empty. */
