--- a/packages/dispatch/src/queue.ts
+++ b/packages/dispatch/src/queue.ts
@@ -2,7 +2,7 @@
  * Requests that wait for an upstream with room. Owns their order: the most urgent first, among equals the oldest.
  * Relies on `wake` being called whenever room may have appeared. How long a request may wait is decided in `waiting.ts`.
  */
-import { type Clock, type Subscription } from '@eiderwind/clock'
+import { type Clock } from '@eiderwind/clock'
 import { type Rule, type Waiting } from '@eiderwind/fairness'
 
 /** A request that looks for room. */
@@ -60,9 +60,8 @@
 
   protected enqueue<Value> (seeker: Seeker, find: () => Value | undefined, { onWait }: WaitHandlers, onTimeout?: () => void): Promise<Value | undefined> {
     return new Promise(resolve => {
-      let timer: Subscription | undefined
       const end = (value: Value | undefined): void => {
-        timer?.cancel()
+        timer.cancel()
         this.#remove(waiter)
         resolve(value)
       }
@@ -72,7 +71,7 @@
         return value !== undefined
       }
       const waiter: Waiter = { seeker, retry }
-      timer = this.clock.after(seeker.until - this.clock.now(), () => {
+      const timer = this.clock.after(seeker.until - this.clock.now(), () => {
         onTimeout?.()
         end(undefined)
       })
