--- a/packages/fairness/src/order.ts
+++ b/packages/fairness/src/order.ts
@@ -18,6 +18,8 @@
   readonly inTimeUntil: number
   /** When it waits no longer. */
   readonly until: number
+  /** Whether its caller was refused before and came back. */
+  readonly again?: boolean
   /** Whether its caller came back sooner than it was told to. */
   readonly early?: boolean
 }
@@ -36,7 +38,7 @@
 }
 
 /** Why a request goes after another one. */
-export type Rule = 'came back early' | 'team above its share' | 'late' | 'less urgent' | 'team was served more' | 'more time left' | 'came later'
+export type Rule = 'came back early' | 'team above its share' | 'late' | 'less urgent' | 'came back' | 'team was served more' | 'more time left' | 'came later'
 
 /** The rules, first to last: the first by which two requests differ decides. Negative: `a` goes first. */
 const rules: ReadonlyArray<readonly [Rule, (a: Standing<Waiting>, b: Standing<Waiting>) => number]> = [
@@ -44,6 +46,7 @@
   ['team above its share', (a, b) => Number(a.above) - Number(b.above)],
   ['late', (a, b) => Number(a.late) - Number(b.late)],
   ['less urgent', (a, b) => a.request.priority - b.request.priority],
+  ['came back', (a, b) => Number(a.request.again === true) - Number(b.request.again === true)],
   ['team was served more', (a, b) => a.relative - b.relative],
   ['more time left', (a, b) => a.request.inTimeUntil - b.request.inTimeUntil],
   ['came later', (a, b) => a.request.arrivedAt - b.request.arrivedAt]
@@ -81,9 +84,9 @@
   return inTimeUntil < now
 }
 
-/** The requests among which a part of the room is shared out: of one priority, in time or not. */
+/** The requests among which a part of the room is shared out: of one priority, late, come back in time, or first tries. */
 export function kindOf (request: Waiting, now: number): string {
-  return `${request.priority} ${isLate(request, now) ? 'late' : 'in time'}`
+  return `${request.priority} ${isLate(request, now) ? 'late' : request.again === true ? 'again' : 'first'}`
 }
 
 function compare (a: Standing<Waiting>, b: Standing<Waiting>): number {
--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -113,7 +113,7 @@
   #seeker (until: number): Seeker {
     const { room, request: { priority, team, arrivedAt, spent, offered, route: { objective } } } = this
     const early = spent > 0 && spent < earliestReturn
-    return { room, offered, priority, team: team?.name ?? '', work: 1, arrivedAt, inTimeUntil: offered ? until : arrivedAt - spent + objective, until, early }
+    return { room, offered, priority, team: team?.name ?? '', work: 1, arrivedAt, inTimeUntil: offered ? until : arrivedAt - spent + objective, until, again: spent > 0, early }
   }
 
   get #waitHandlers (): WaitHandlers {
--- a/packages/gateway/test/modelhead.ts
+++ b/packages/gateway/test/modelhead.ts
@@ -1,5 +1,5 @@
 /** A replica head of the overload model: so many streams at once, a short queue, and a refusal at once beyond that. */
-import { type ManualClock, type Random } from '@eiderwind/clock'
+import { type ManualClock } from '@eiderwind/clock'
 import { type AnswerHeaders, type Cancel, type Receiver } from '@eiderwind/wire'
 
 /** How a head that has no place left turns requests away: by its queue's length alone, or with the time until it has a place. */
@@ -21,13 +21,14 @@
 interface Waiting {
   readonly id: string
   readonly receiver: Receiver
+  /** Of its run time, in parts of the mean. */
+  readonly size: number
   over: boolean
 }
 
 /** One head. It notes what it turned away, and what came in spite of a rest that it had asked for. */
 export class ModelHead {
   readonly #clock: ManualClock
-  readonly #random: Random
   readonly #time: number
   readonly #refusing: Refusing
   readonly #queue: Waiting[] = []
@@ -37,18 +38,17 @@
   /** By gateway: when it was asked for rest, and until when. */
   readonly #asked = new Map<string, { readonly at: number, readonly until: number }>()
 
-  constructor (clock: ManualClock, random: Random, time: number, refusing: Refusing) {
+  constructor (clock: ManualClock, time: number, refusing: Refusing) {
     this.#clock = clock
-    this.#random = random
     this.#time = time
     this.#refusing = refusing
   }
 
-  arrive (gateway: string, id: string, receiver: Receiver): Cancel {
+  arrive (gateway: string, id: string, receiver: Receiver, size: number): Cancel {
     const now = this.#clock.now()
     const asked = this.#asked.get(gateway)
     if (asked !== undefined && now > asked.at + onTheWay && now < asked.until) this.unheeded++
-    const request: Waiting = { id, receiver, over: false }
+    const request: Waiting = { id, receiver, size, over: false }
     if (this.#running < slots) this.#run(request)
     else if (this.#queue.length < queueLength) this.#queue.push(request)
     else this.#refuse(gateway, request)
@@ -66,7 +66,7 @@
       request.receiver.head(200, { id: request.id, 'transfer-encoding': 'chunked' }, flow)
       request.receiver.data(Buffer.from('id: 1\ndata: x\n\n'))
     })
-    this.#clock.after(this.#time * (0.5 + this.#random()), () => {
+    this.#clock.after(this.#time * request.size, () => {
       this.#running--
       this.#answer(() => {
         if (!request.over) request.receiver.end()
--- a/packages/gateway/test/overload.ts
+++ b/packages/gateway/test/overload.ts
@@ -6,7 +6,8 @@
 import { Socket } from 'node:net'
 import { ManualClock, seeded, type Random } from '@eiderwind/clock'
 import { InFlight, Suspects } from '@eiderwind/detect'
-import { Choice, Intake, Queue, RetryBudget } from '@eiderwind/dispatch'
+import { Choice, FairQueue, Intake, Queue, RetryBudget } from '@eiderwind/dispatch'
+import { UsualPatience } from '@eiderwind/fairness'
 import { CallerRequest, StreamPath, type AnswerHead, type Context } from '@eiderwind/forward'
 import { type Log } from '@eiderwind/log'
 import { Peers, type Heartbeat } from '@eiderwind/peers'
@@ -30,6 +31,10 @@
   readonly impatient: number
   /** Whether gateways take anything from a refusal but that the request did not run. */
   readonly heeds: boolean
+  /** Whether room is shared out fairly. */
+  readonly fair?: boolean
+  /** The first of the teams sends so many times its usual once requests count; 1 where it is left out. */
+  readonly surge?: number
 }
 
 /** What came of it. */
@@ -40,6 +45,13 @@
   readonly answered: number
   /** Share of callers served in time, the more urgent ones first. */
   readonly served: readonly number[]
+  /** Likewise of each team. */
+  readonly teams: readonly number[]
+  /** Share of the largest tenth of the callers that were answered, over the share of all. */
+  readonly largest: number
+  /** Share of those refused once who were answered in the end, and the share of second tries that were, of callers who came back when told to. */
+  readonly refusedOnce: number
+  readonly returns: number
   /** Time from a try to its refusal, 99 in 100, in ms. */
   readonly refusalTime: number
   /** Requests that reached a head from a gateway between half a second after it had asked for rest and the end of the rest. */
@@ -52,6 +64,8 @@
 /** Mean time of a stream, in ms; between half and one and a half of that. */
 const runTime = 1500
 const slowness = 2
+/** Teams of callers, which usually send as much as each other. */
+const teams = 5
 /** Length of a run, and of its beginning and end that do not count, in ms. */
 const span = 14_000
 const ignored = 4000
@@ -68,6 +82,9 @@
   readonly sentAt: number
   readonly urgent: boolean
   readonly impatient: boolean
+  readonly team: number
+  /** Of its run time, in parts of the mean. */
+  readonly size: number
   tries: number
   firstAt: number | undefined
   served: boolean
@@ -79,7 +96,8 @@
   readonly #clock = new ManualClock()
   readonly #random: Random
   readonly #heads: ModelHead[]
-  readonly #gateways: Context[] = []
+  readonly #gateways: Array<{ readonly context: Context, readonly patience: UsualPatience }> = []
+  readonly #sizes = new Map<string, number>()
   readonly #callers: Caller[] = []
   readonly #refusals: number[] = []
   #id = 0
@@ -87,7 +105,7 @@
   constructor (options: Overload) {
     this.#options = options
     this.#random = seeded(options.seed)
-    this.#heads = Array.from({ length: heads }, (_each, index) => new ModelHead(this.#clock, this.#random, runTime * (index < heads * options.slow ? slowness : 1), options.refusing))
+    this.#heads = Array.from({ length: heads }, (_each, index) => new ModelHead(this.#clock, runTime * (index < heads * options.slow ? slowness : 1), options.refusing))
   }
 
   async play (): Promise<OverloadResult> {
@@ -96,7 +114,8 @@
     const capacity = heads * slots / runTime * (1 - slow + slow / slowness)
     let due = 0
     for (let now = 0; now < span; now += step) {
-      for (due += load * capacity * step; due >= 1; due--) this.#arrive()
+      const surge = now < ignored ? 1 : this.#options.surge ?? 1
+      for (due += load * capacity * step * (surge + teams - 1) / teams; due >= 1; due--) this.#arrive(surge)
       this.#clock.advance(step)
       // Lets what waits for promises go on.
       await new Promise(resolve => setImmediate(resolve))
@@ -109,7 +128,7 @@
     const list = Array.from({ length: this.#options.gateways }, (_each, index) => ({ id: `g${index}`, address: `g${index}:1` }))
     for (const { id, address } of list) {
       const { context, peers } = this.#gateway(id, address, network, list.length)
-      this.#gateways.push(context)
+      this.#gateways.push({ context, patience: new UsualPatience() })
       peers.setAddresses(list)
       await peers.start()
       this.#clock.advance(250 / list.length)
@@ -121,7 +140,7 @@
     const random = this.#random
     const roster = new Roster(clock)
     roster.replace(Array.from({ length: heads }, (_each, index) => head(index)))
-    const queue = new Queue(clock)
+    const queue = this.#options.fair === true ? new FairQueue(clock) : new Queue(clock)
     const inFlight = new InFlight(clock, () => queue.wake())
     const suspects = new Suspects(clock, roster)
     const heartbeat = (): Heartbeat => ({ id, revision: 1, canPlan: false, inFlight: inFlight.counts, suspects: [], inFlightByModel: {}, served: true, loads: {} })
@@ -157,7 +176,7 @@
     let cancelled: Error | undefined
     receiver.begun()
     this.#clock.after(distance, () => {
-      if (cancelled === undefined) cancel = this.#heads[Number(/h(\d+)/.exec(origin)?.[1])].arrive(gateway, headers.id, receiver)
+      if (cancelled === undefined) cancel = this.#heads[Number(/h(\d+)/.exec(origin)?.[1])].arrive(gateway, headers.id, receiver, this.#sizes.get(headers.id) ?? 1)
     })
     return error => {
       cancelled = error
@@ -166,8 +185,9 @@
     }
   }
 
-  #arrive (): void {
-    const caller: Caller = { sentAt: this.#clock.now(), urgent: this.#random() < 0.5, impatient: this.#random() < this.#options.impatient, tries: 0, firstAt: undefined, served: false }
+  #arrive (surge: number): void {
+    const team = Math.max(0, Math.floor(this.#random() * (surge + teams - 1) - surge + 1))
+    const caller: Caller = { team, size: 0.5 + this.#random(), sentAt: this.#clock.now(), urgent: this.#random() < 0.5, impatient: this.#random() < this.#options.impatient, tries: 0, firstAt: undefined, served: false }
     this.#callers.push(caller)
     this.#try(caller)
   }
@@ -178,6 +198,8 @@
     if (timeLeft <= 0) return
     caller.tries++
     const id = `r${++this.#id}`
+    this.#sizes.set(id, caller.size)
+    const { context, patience } = this.#gateways[Math.floor(this.#random() * this.#gateways.length)]
     const incoming = new IncomingMessage(new Socket())
     incoming.headers = { id, model: 'm' }
     const response = new ServerResponse(incoming)
@@ -190,9 +212,10 @@
       body: undefined,
       route: route(caller.urgent ? 1 : 3),
       service: 's',
-      team: undefined,
+      team: { name: `t${caller.team}`, keys: [] },
       arrivedAt,
       endsAt: arrivedAt + timeLeft,
+      spent: patience.spent('r', timeLeft, arrivedAt),
       idHeader: 'id',
       onEnd: ({ timing }, outcome) => {
         if (timing.first !== undefined) caller.firstAt ??= arrivedAt + timing.first
@@ -200,7 +223,6 @@
         else this.#refused(caller, clock.now() - arrivedAt, Number(response.getHeader('retry-after') ?? 0) * 1000)
       }
     })
-    const context = this.#gateways[Math.floor(this.#random() * this.#gateways.length)]
     context.retryBudget('s').request()
     new StreamPath(context, request, { model: 'm', engine }).serve().catch(error => { throw error })
   }
@@ -216,12 +238,17 @@
   #result (capacity: number): OverloadResult {
     const counted = this.#callers.filter(each => each.sentAt >= ignored && each.sentAt < span - ignored)
     const inTime = counted.filter(isInTime)
-    const share = (urgent: boolean): number => inTime.filter(each => each.urgent === urgent).length / counted.filter(each => each.urgent === urgent).length
+    const part = (of: (each: Caller) => boolean, among: (each: Caller) => boolean = () => true): number => counted.filter(each => among(each) && of(each)).length / counted.filter(among).length
+    const largest = [...counted].sort((a, b) => a.size - b.size)[Math.floor(counted.length * 0.9)]?.size
     const refusals = this.#refusals.sort((a, b) => a - b)
     return {
       goodput: inTime.length / (capacity * (span - 2 * ignored)),
       answered: counted.filter(each => each.served).length / (capacity * (span - 2 * ignored)),
-      served: [share(true), share(false)],
+      served: [part(isInTime, each => each.urgent), part(isInTime, each => !each.urgent)],
+      teams: Array.from({ length: teams }, (_each, index) => part(isInTime, ({ team }) => team === index)),
+      largest: part(isServed, ({ size }) => size >= largest) / part(isServed),
+      refusedOnce: part(isServed, ({ tries }) => tries > 1),
+      returns: part(isServed, ({ tries, impatient }) => tries > 1 && !impatient),
       refusalTime: refusals[Math.floor(refusals.length * 0.99)] ?? 0,
       unheeded: this.#heads.reduce((sum, each) => sum + each.unheeded, 0),
       turnedAway: this.#heads.reduce((sum, each) => sum + each.turnedAway, 0) / this.#callers.length
@@ -229,6 +256,10 @@
   }
 }
 
+function isServed ({ served }: Caller): boolean {
+  return served
+}
+
 /** Whether the answer began within the objective, counted from the first try, and ended or is still under way. */
 function isInTime ({ sentAt, firstAt, served }: Caller): boolean {
   return served && firstAt !== undefined && firstAt - sentAt <= objective
