--- a/packages/forward/src/request.ts
+++ b/packages/forward/src/request.ts
@@ -52,7 +52,7 @@
   /** Whether it is sent to no upstream any more, since it crashes them. */
   blocked = false
   /** Why it found no room, if it did not and the queue says so. */
-  rule: Shortage['rule'] | undefined
+  shortage: Shortage | undefined
   readonly #clock: Clock
   readonly #idHeader: string
   readonly #onEnd: (request: CallerRequest, outcome: string) => void
--- a/packages/gateway/src/requestlog.ts
+++ b/packages/gateway/src/requestlog.ts
@@ -45,7 +45,7 @@
     const { id, route, service, team, attempts: ended, currentUpstream, timing } = request
     const underWay = currentUpstream === undefined ? [] : [`${currentUpstream} under way`]
     const attempts = [...ended, ...underWay].join('; ')
-    this.#options.log.write('request-ended', { request: id, route: route.name, service, team: team?.name, outcome, took, ...times(timing), late: timing.lateness(route), attempts, rule: request.rule, fingerprint: request.lost || request.blocked ? request.fingerprint : undefined })
+    this.#options.log.write('request-ended', { request: id, route: route.name, service, team: team?.name, outcome, took, ...times(timing), late: timing.lateness(route), attempts, rule: request.shortage, fingerprint: request.lost || request.blocked ? request.fingerprint : undefined })
   }
 }
 
--- a/packages/gateway/test/overload.ts
+++ b/packages/gateway/test/overload.ts
@@ -35,6 +35,8 @@
   readonly fair?: boolean
   /** The first of the teams sends so many times its usual once requests count; 1 where it is left out. */
   readonly surge?: number
+  /** Whether the load is a burst of so many ms, again and again after as long a time at half of what the heads can serve. */
+  readonly burst?: number
 }
 
 /** What came of it. */
@@ -52,6 +54,9 @@
   /** Share of those refused once who were answered in the end, and the share of second tries that were, of callers who came back when told to. */
   readonly refusedOnce: number
   readonly returns: number
+  /** Share answered of those who were told a time to come back that they heed in full, and how many of those refused that is. */
+  readonly kept: number
+  readonly told: number
   /** Time from a try to its refusal, 99 in 100, in ms. */
   readonly refusalTime: number
   /** Requests that reached a head from a gateway between half a second after it had asked for rest and the end of the rest. */
@@ -64,6 +69,7 @@
 /** Mean time of a stream, in ms; between half and one and a half of that. */
 const runTime = 1500
 const slowness = 2
+const betweenBursts = 0.5
 /** Teams of callers, which usually send as much as each other. */
 const teams = 5
 /** Length of a run, and of its beginning and end that do not count, in ms. */
@@ -85,6 +91,8 @@
   readonly team: number
   /** Of its run time, in parts of the mean. */
   readonly size: number
+  /** Whether it was told a time that it heeds in full, when it was first refused. */
+  told: boolean
   tries: number
   firstAt: number | undefined
   served: boolean
@@ -110,12 +118,12 @@
 
   async play (): Promise<OverloadResult> {
     await this.#start()
-    const { load, slow } = this.#options
+    const { slow } = this.#options
     const capacity = heads * slots / runTime * (1 - slow + slow / slowness)
     let due = 0
     for (let now = 0; now < span; now += step) {
       const surge = now < ignored ? 1 : this.#options.surge ?? 1
-      for (due += load * capacity * step * (surge + teams - 1) / teams; due >= 1; due--) this.#arrive(surge)
+      for (due += this.#loadAt(now) * capacity * step * (surge + teams - 1) / teams; due >= 1; due--) this.#arrive(surge)
       this.#clock.advance(step)
       // Lets what waits for promises go on.
       await new Promise(resolve => setImmediate(resolve))
@@ -123,6 +131,11 @@
     return this.#result(capacity)
   }
 
+  #loadAt (now: number): number {
+    const { load, burst } = this.#options
+    return burst !== undefined && Math.floor(now / burst) % 2 === 0 ? betweenBursts : load
+  }
+
   async #start (): Promise<void> {
     const network = new Network(this.#random)
     const list = Array.from({ length: this.#options.gateways }, (_each, index) => ({ id: `g${index}`, address: `g${index}:1` }))
@@ -187,7 +200,7 @@
 
   #arrive (surge: number): void {
     const team = Math.max(0, Math.floor(this.#random() * (surge + teams - 1) - surge + 1))
-    const caller: Caller = { team, size: 0.5 + this.#random(), sentAt: this.#clock.now(), urgent: this.#random() < 0.5, impatient: this.#random() < this.#options.impatient, tries: 0, firstAt: undefined, served: false }
+    const caller: Caller = { told: false, team, size: 0.5 + this.#random(), sentAt: this.#clock.now(), urgent: this.#random() < 0.5, impatient: this.#random() < this.#options.impatient, tries: 0, firstAt: undefined, served: false }
     this.#callers.push(caller)
     this.#try(caller)
   }
@@ -230,6 +243,7 @@
   #refused (caller: Caller, time: number, retryAfter: number): void {
     this.#refusals.push(time)
     const timeLeft = caller.sentAt + deadline - this.#clock.now()
+    if (caller.tries === 1) caller.told = retryAfter <= timeLeft / 3
     if (caller.impatient) {
       if (caller.tries < impatientTries) this.#clock.after(impatientPause, () => this.#try(caller))
     } else if (caller.tries < 2) this.#clock.after(Math.min(retryAfter, timeLeft / 3), () => this.#try(caller))
@@ -248,6 +262,8 @@
       teams: Array.from({ length: teams }, (_each, index) => part(isInTime, ({ team }) => team === index)),
       largest: part(isServed, ({ size }) => size >= largest) / part(isServed),
       refusedOnce: part(isServed, ({ tries }) => tries > 1),
+      kept: part(isServed, ({ tries, impatient, told }) => tries > 1 && !impatient && told),
+      told: part(({ told }) => told, ({ tries }) => tries > 1),
       returns: part(isServed, ({ tries, impatient }) => tries > 1 && !impatient),
       refusalTime: refusals[Math.floor(refusals.length * 0.99)] ?? 0,
       unheeded: this.#heads.reduce((sum, each) => sum + each.unheeded, 0),
