--- a/packages/fairness/src/order.ts
+++ b/packages/fairness/src/order.ts
@@ -96,7 +96,7 @@
 
 /** Whether a request was promised a place, and such requests had no more than their part of the room. */
 function isOwed (request: Waiting, usage: TeamUsage, now: number): boolean {
-  return request.promised === true && usage.partOf(promised, now) < mostPromised
+  return request.promised === true && (usage.partOf(promised, now) ?? 0) < mostPromised
 }
 
 /** The requests among which a part of the room is shared out: of one priority, late, come back in time, or first tries. */
@@ -140,7 +140,7 @@
     else of.push(each)
   }
   for (const [kind, of] of kinds) {
-    if (usage.partOf(kind, now) < leastPart * of.length / waiting.length) return of
+    if ((usage.partOf(kind, now) ?? 1) < leastPart * of.length / waiting.length) return of
   }
   return undefined
 }
--- /dev/null
+++ b/packages/fairness/test/order.test.ts
@@ -0,0 +1,124 @@
+/** The order of requests that wait: tables of the rules, and what holds for any of them. */
+import test from 'ava'
+import fc from 'fast-check'
+import { TeamUsage, compareWaiting, decidingRule, kindOf as kind, nextServed, servingOrder, type Rule, type Waiting } from '../src/index.js'
+
+const now = 100_000
+
+function waiting (change: Partial<Waiting> = {}): Waiting {
+  return { priority: 1, team: 'a', work: 1, arrivedAt: now - 50, inTimeUntil: now + 400, until: now + 60, ...change }
+}
+
+/** Of two teams, `b` was served ten times as much as `a`. */
+function unequal (): TeamUsage {
+  const usage = new TeamUsage()
+  for (let count = 0; count < 20; count++) usage.served('a', 1, now)
+  for (let count = 0; count < 200; count++) usage.served('b', 1, now)
+  return usage
+}
+
+const pairs: ReadonlyArray<readonly [Rule, Partial<Waiting>, Partial<Waiting>]> = [
+  ['places promised to others', { promised: true, early: true, team: 'b' }, {}],
+  ['came back early', { team: 'b' }, { early: true, again: true }],
+  ['team above its share', { inTimeUntil: now - 1, priority: 3 }, { team: 'b' }],
+  ['late', { priority: 3 }, { inTimeUntil: now - 1 }],
+  ['less urgent', { again: true }, { priority: 2 }],
+  ['came back', { inTimeUntil: now + 500 }, { again: true }],
+  ['more time left', { arrivedAt: now }, { inTimeUntil: now + 500 }],
+  ['came later', {}, { arrivedAt: now - 49 }]
+]
+
+for (const [rule, first, second] of pairs) {
+  test(`one goes after another: ${rule}`, t => {
+    const [a, b] = [waiting(first), waiting(second)]
+    const usage = unequal()
+    t.is(decidingRule(b, a, usage, now), rule)
+    t.is(decidingRule(a, b, usage, now), undefined)
+    t.is(nextServed([b, a], usage, now), a)
+  })
+}
+
+test('of two teams within their shares, the one that was served less for what it usually asks for goes first', t => {
+  const usage = new TeamUsage()
+  for (let time = now - 60_000; time < now; time += 1000) {
+    usage.asked('b', 3, time)
+    usage.asked('a', 1, time)
+  }
+  for (let count = 0; count < 12; count++) usage.served('a', 1, now)
+  for (let count = 0; count < 24; count++) usage.served('b', 1, now)
+  t.is(decidingRule(waiting(), waiting({ team: 'b' }), usage, now), 'team was served more')
+})
+
+test('who waits no longer is not served', t => {
+  t.is(nextServed([waiting({ until: now - 1 })], new TeamUsage(), now), undefined)
+  t.deepEqual(servingOrder([waiting({ until: now - 1 })], new TeamUsage(), now), [])
+})
+
+const any = fc.record({
+  priority: fc.integer({ min: 0, max: 3 }),
+  team: fc.constantFrom('a', 'b', 'c'),
+  work: fc.constant(1),
+  arrivedAt: fc.integer({ min: now - 100, max: now }),
+  inTimeUntil: fc.integer({ min: now - 300, max: now + 300 }),
+  until: fc.integer({ min: now, max: now + 100 }),
+  again: fc.boolean(),
+  early: fc.boolean(),
+  promised: fc.boolean()
+})
+
+/** How much each of the teams was served. */
+const amounts = fc.tuple(...Array.from({ length: 3 }, () => fc.integer({ min: 0, max: 300 })))
+
+function usageOf (counts: readonly number[]): TeamUsage {
+  const usage = new TeamUsage()
+  for (const [index, team] of ['a', 'b', 'c'].entries()) usage.served(team, counts[index], now, '1 first')
+  return usage
+}
+
+test('the order is total: any two compare, the opposite way round if turned, and alike through a third', t => {
+  t.notThrows(() => fc.assert(fc.property(any, any, any, amounts, (a, b, c, counts) => {
+    const usage = usageOf(counts)
+    const order = (x: Waiting, y: Waiting): number => Math.sign(compareWaiting(x, y, usage, now))
+    if (order(a, b) + order(b, a) !== 0) return false
+    return !(order(a, b) <= 0 && order(b, c) <= 0) || order(a, c) <= 0
+  }), { seed: 3, numRuns: 3000 }))
+})
+
+test('a team within its share never waits for one above it, but for places that were promised or kept for a kind', t => {
+  t.notThrows(() => fc.assert(fc.property(fc.array(any, { minLength: 1, maxLength: 20 }), amounts, (some, counts) => {
+    const usage = usageOf(counts)
+    const present = some.map(each => ({ ...each, promised: false, early: false, priority: 1, inTimeUntil: now, again: false }))
+    const next = nextServed(present, usage, now)
+    return next !== undefined && (!usage.isAbove(next.team, now) || present.every(each => usage.isAbove(each.team, now)))
+  }), { seed: 5, numRuns: 1000 }))
+})
+
+/** Serves from full queues: each of some requests is there again as soon as it was served. Returns how often each was. */
+function serveAlways (requests: readonly Waiting[], places: number, usage = new TeamUsage()): number[] {
+  const counts = requests.map(() => 0)
+  for (let place = 0; place < places; place++) {
+    const time = now + place * 10
+    const present = requests.map(each => ({ ...each, until: Infinity, arrivedAt: time, inTimeUntil: each.inTimeUntil - now + time }))
+    const next = nextServed(present, usage, time)
+    if (next === undefined) break
+    counts[present.indexOf(next)]++
+    usage.served(next.team, next.work, time, kind(next, time))
+  }
+  return counts
+}
+
+test('teams that always ask for more share room evenly in work, whatever the size of their requests', t => {
+  t.notThrows(() => fc.assert(fc.property(fc.array(fc.integer({ min: 1, max: 8 }), { minLength: 2, maxLength: 6 }), sizes => {
+    const counts = serveAlways(sizes.map((work, index) => waiting({ team: `t${index}`, work })), 400)
+    const work = counts.map((count, index) => count * sizes[index])
+    return Math.max(...work) - Math.min(...work) <= 2 * Math.max(...sizes) * sizes.length
+  }), { seed: 7, numRuns: 50 }))
+})
+
+test('nothing starves: of requests that always wait, each kind is served within a bound of places', t => {
+  t.notThrows(() => fc.assert(fc.property(fc.array(any, { minLength: 2, maxLength: 6 }), some => {
+    const kinds = new Set(some.map(each => kind(each, now)))
+    const counts = serveAlways(some, 400)
+    return [...kinds].every(each => some.some((one, index) => kind(one, now) === each && counts[index] > 0))
+  }), { seed: 9, numRuns: 100 }))
+})
