--- a/packages/ctl/src/explain.ts
+++ b/packages/ctl/src/explain.ts
@@ -88,7 +88,8 @@
   ].join('; ')
   const [code] = outcome.split(' ')
   const reason = reasons[code] ?? `it ended as "${outcome}"`
-  return `${gateway} had it for ${String(end.took)} ms: ${reason}. Attempts: ${attempts === '' ? 'none' : attempts}.${evidence === '' ? '' : ` Shortly before: ${evidence}.`}`
+  const rule = end.rule === undefined || code !== 'busy' ? '' : ` What went before it: ${shortages[String(end.rule)] ?? String(end.rule)}.`
+  return `${gateway} had it for ${String(end.took)} ms: ${reason}.${rule} Attempts: ${attempts === '' ? 'none' : attempts}.${evidence === '' ? '' : ` Shortly before: ${evidence}.`}`
 }
 
 /** Until when an upstream had asked for rest. */
@@ -103,6 +104,21 @@
   return [...last].flatMap(([upstream, limit]) => limit === undefined ? [] : [`${upstream} was limited by its own word to ${String(limit)} requests a second`])
 }
 
+/** What kept a request from the places that came free, by the rule in `request-ended`. */
+const shortages: Readonly<Record<string, string>> = {
+  'no room': 'nothing, no place came free',
+  'queue too long': 'more requests than places that could come free while it would have waited, so it did not wait',
+  'places promised to others': 'requests of callers who were promised a place when they were refused before',
+  'came back early': 'others, since its caller came back sooner than it was told',
+  'team above its share': 'requests of other teams, since its own was served more than its share lately (eiderwind_teams_above_share)',
+  late: 'requests that could still be in time, since it could not',
+  'less urgent': 'more urgent requests',
+  'came back': 'requests that came for the first time',
+  'team was served more': 'requests of teams that were served less for what they usually ask for',
+  'more time left': 'requests that had less time left',
+  'came later': 'requests that had come before it'
+}
+
 /** What happened, by the code of a refusal or the first word of an outcome. */
 const reasons: Readonly<Record<string, string>> = {
   'unknown-path': 'no route of the configuration in force fits its host and path',
--- a/packages/ctl/test/explain.test.ts
+++ b/packages/ctl/test/explain.test.ts
@@ -28,6 +28,12 @@
   t.regex(explain(lines, 'r3').cause, /every replica of its model was full.*it did not run\. Attempts: none\./)
 })
 
+test('a request that was refused under load names the rule that put others before it', t => {
+  const line = readLine('{"time":"2026-12-02T10:00:03.000Z","event":411,"name":"request-ended","node":"entry-2","request":"r4","outcome":"busy 429","took":66,"attempts":"","rule":"team above its share"}')
+  if (line === undefined) throw new Error('not a line')
+  t.regex(explain([line], 'r4').cause, /What went before it: requests of other teams, since its own was served more than its share lately/)
+})
+
 test('a request that was refused since upstreams rest names them, and until when', t => {
   const rests = [
     '{"time":"2026-12-02T10:00:02.500Z","event":422,"name":"upstream-resting","node":"entry-2","upstream":"i-3","rest":3000}',
--- a/packages/dispatch/src/fairqueue.ts
+++ b/packages/dispatch/src/fairqueue.ts
@@ -16,6 +16,11 @@
 export class FairQueue extends Queue {
   readonly #rooms = new Map<string, Room>()
 
+  override get teamsAbove (): number {
+    const now = this.clock.now()
+    return new Set([...this.#rooms.values()].flatMap(({ usage }) => usage.above(now))).size
+  }
+
   override wait<Value> (seeker: Seeker, find: () => Value | undefined, handlers: WaitHandlers = {}): Promise<Value | undefined> {
     const now = this.clock.now()
     const room = this.#room(seeker.room)
--- a/packages/dispatch/src/queue.ts
+++ b/packages/dispatch/src/queue.ts
@@ -44,6 +44,11 @@
     return this.waiters.length
   }
 
+  /** Teams that are above their share of a room. */
+  get teamsAbove (): number {
+    return 0
+  }
+
   /** Resolves with what `find` returns as soon as that is defined, or with undefined when the request waits no longer. */
   wait<Value> (seeker: Seeker, find: () => Value | undefined, handlers: WaitHandlers = {}): Promise<Value | undefined> {
     const found = find()
--- a/packages/fairness/src/decaying.ts
+++ b/packages/fairness/src/decaying.ts
@@ -41,7 +41,7 @@
     return this.#sums.size
   }
 
-  get names (): Name[] {
+  get names (): readonly Name[] {
     return [...this.#sums.keys()]
   }
 
--- a/packages/fairness/src/returns.ts
+++ b/packages/fairness/src/returns.ts
@@ -23,10 +23,11 @@
 
   /**
    * After how long a caller should come back, in ms.
-   * @param rate places that are taken a second, at least
+   * @param rate places that are taken a second, at least; 0 where that is not known, so that nothing can be promised
    * @param timeLeft of the caller, in ms
    */
   tell (rate: number, timeLeft: number, now: number): number {
+    if (rate <= 0) return leastReturn
     const time = Math.max(now + leastReturn, this.#last + 1000 / (rate * promisedPart))
     if (time - now > longestPromise(timeLeft)) return Math.max(leastReturn, timeLeft * unpromisedPart)
     this.#last = time
--- a/packages/fairness/src/usage.ts
+++ b/packages/fairness/src/usage.ts
@@ -70,6 +70,11 @@
     return this.of(team, now) > share + chance * Math.sqrt(share) + 1
   }
 
+  /** The teams that are above their share. */
+  above (now: number): string[] {
+    return this.#served.names.filter(team => this.isAbove(team, now))
+  }
+
   /** A copy that counts what is served for itself. */
   copy (): TeamUsage {
     return new TeamUsage(this.#served.copy(), this.#kinds.copy(), this.#usual, this.#since)
--- a/packages/fairness/test/expectation.test.ts
+++ b/packages/fairness/test/expectation.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava'
 import fc from 'fast-check'
 import { PlaceRate, TeamUsage, expectedWait, mostRate, nextServed, type Waiting } from '../src/index.js'
+import { drawn } from './requests.js'
 
 const now = 50_000
 
@@ -22,15 +23,7 @@
   test(`a request waits for ${what}`, t => t.is(expectedWait(waiting(), others, new TeamUsage(), rate, now), wait))
 }
 
-const any = fc.record({
-  priority: fc.integer({ min: 0, max: 3 }),
-  team: fc.constantFrom('a', 'b', 'c'),
-  work: fc.constant(1),
-  arrivedAt: fc.integer({ min: now - 100, max: now }),
-  inTimeUntil: fc.integer({ min: now - 300, max: now + 300 }),
-  until: fc.integer({ min: now, max: now + 200 }),
-  again: fc.boolean()
-})
+const any = drawn(now)
 
 /** Plays what comes: a place every `1 / rate` s, and nobody else. Returns when one request is served, if it is. */
 function served (request: Waiting, others: readonly Waiting[], rate: number): number {
@@ -44,7 +37,7 @@
 }
 
 test('one that is refused at once would not have been served if nobody else came, and the time that is told is met', t => {
-  const alike = any.map(each => ({ ...each, team: 'a', priority: 1, again: false, inTimeUntil: now + 1000 }))
+  const alike = any.map(each => ({ ...each, team: 'a', priority: 1, again: false, early: false, promised: false, inTimeUntil: now + 1000 }))
   t.notThrows(() => fc.assert(fc.property(alike, fc.array(alike, { maxLength: 30 }), fc.integer({ min: 1, max: 300 }), (request, others, rate) => {
     const told = expectedWait(request, others, new TeamUsage(), rate, now)
     const at = served(request, others, rate)
--- a/packages/fairness/test/order.test.ts
+++ b/packages/fairness/test/order.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava'
 import fc from 'fast-check'
 import { TeamUsage, compareWaiting, decidingRule, kindOf as kind, nextServed, servingOrder, type Rule, type Waiting } from '../src/index.js'
+import { drawn, teams } from './requests.js'
 
 const now = 100_000
 
@@ -54,24 +55,14 @@
   t.deepEqual(servingOrder([waiting({ until: now - 1 })], new TeamUsage(), now), [])
 })
 
-const any = fc.record({
-  priority: fc.integer({ min: 0, max: 3 }),
-  team: fc.constantFrom('a', 'b', 'c'),
-  work: fc.constant(1),
-  arrivedAt: fc.integer({ min: now - 100, max: now }),
-  inTimeUntil: fc.integer({ min: now - 300, max: now + 300 }),
-  until: fc.integer({ min: now, max: now + 100 }),
-  again: fc.boolean(),
-  early: fc.boolean(),
-  promised: fc.boolean()
-})
+const any = drawn(now)
 
 /** How much each of the teams was served. */
-const amounts = fc.tuple(...Array.from({ length: 3 }, () => fc.integer({ min: 0, max: 300 })))
+const amounts = fc.tuple(...teams.map(() => fc.integer({ min: 0, max: 300 })))
 
 function usageOf (counts: readonly number[]): TeamUsage {
   const usage = new TeamUsage()
-  for (const [index, team] of ['a', 'b', 'c'].entries()) usage.served(team, counts[index], now, '1 first')
+  for (const [index, team] of teams.entries()) usage.served(team, counts[index], now, '1 first')
   return usage
 }
 
--- a/packages/fairness/test/usage.test.ts
+++ b/packages/fairness/test/usage.test.ts
@@ -83,6 +83,9 @@
   t.deepEqual(told, [900, 1233, 1567, 3000, 3000, 3000])
   t.is(Math.round(returns.tell(100, 6000, 1100)), 3000)
   t.is(Math.round(returns.tell(100, 6000, 1300)), 1600)
+  for (const fresh of [new Returns(), returns]) t.is(fresh.tell(0, 6000, 1300), 900)
+  t.is(new Returns().tell(0.001, 6000, 1300), 900)
+  t.is(new Returns().tell(100, 500, 1300), 900)
 })
 
 test('a return shows whether it was promised a place', t => {
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -40,6 +40,7 @@
   readonly #options: MetricsOptions
   readonly #requests: Counter<'kind' | 'service' | 'outcome'>
   readonly #refusals: Counter<'code'>
+  readonly #shortages: Counter<'rule'>
   readonly #times: Histogram<'kind'>
   readonly #attempts: Counter<'kind' | 'ending'>
   readonly #suspicions: Counter
@@ -52,6 +53,7 @@
     const registers = [this.#registry]
     this.#requests = new Counter({ name: 'eiderwind_requests_total', help: 'Requests that ended, by how.', labelNames: ['kind', 'service', 'outcome'], registers })
     this.#refusals = new Counter({ name: 'eiderwind_refusals_total', help: 'Requests refused before any upstream was chosen, by code.', labelNames: ['code'], registers })
+    this.#shortages = new Counter({ name: 'eiderwind_shortages_total', help: 'Requests refused for lack of room, by the rule that put others before them; none where room is not shared out fairly.', labelNames: ['rule'], registers })
     this.#times = new Histogram({ name: 'eiderwind_request_seconds', help: 'Time from a request to its end.', labelNames: ['kind'], buckets, registers })
     this.#attempts = new Counter({ name: 'eiderwind_attempts_total', help: 'Sends to upstreams, by how they ended.', labelNames: ['kind', 'ending'], registers })
     this.#suspicions = new Counter({ name: 'eiderwind_suspicions_total', help: 'Heads suspected of having stalled.', registers })
@@ -86,9 +88,10 @@
     return await this.#registry.metrics()
   }
 
-  ended ({ route: { kind }, service, attempts }: CallerRequest, outcome: string, seconds: number): void {
+  ended ({ route: { kind }, service, attempts, shortage }: CallerRequest, outcome: string, seconds: number): void {
     this.#requests.inc({ kind, service, outcome })
     this.#times.observe({ kind }, seconds)
+    if (shortage !== undefined && outcome.startsWith('busy')) this.#shortages.inc({ rule: shortage })
     for (const each of attempts) this.#attempts.inc({ kind, ending: each.split(' ')[1] })
     if (kind === 'stream' && attempts.length > 1 && outcome.startsWith('answered 2')) this.#resumptions.inc()
   }
@@ -130,6 +133,7 @@
     single('eiderwind_confirmation_age_seconds', 'Age of the newest confirmation of the configuration.', () => (clock.bootNow() - board.read('confirmedAt')) / 1000)
     single('eiderwind_flights', 'Requests in flight at upstreams.', () => inFlight.total)
     single('eiderwind_waiting', 'Requests queued for an upstream.', () => queue.count)
+    single('eiderwind_teams_above_share', 'Teams that were served more than their share lately.', () => queue.teamsAbove)
     single('eiderwind_connections_opened_total', 'Connections opened to upstreams.', () => connections.opened)
     single('eiderwind_resting', 'Upstreams that rest now, or are left out for a moment since they refuse.', () => rests.count)
     single('eiderwind_limited', 'Upstreams that name the requests a second that they take from all gateways together.', () => limits.limited.length)
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -49,7 +49,7 @@
   'answer-foreign': { number: 402, level: 'warn', text: 'An answer that belongs to another attempt was dropped.' },
   'caller-gone': { number: 403, level: 'debug', text: 'The caller disconnected; its request was cancelled.' },
   'request-refused': { number: 410, level: 'info', text: 'A request was refused before it was sent to an upstream; the code gives the reason.' },
-  'request-ended': { number: 411, level: 'info', text: 'A request ended; lists every attempt with its ending, and the request\'s fingerprint if an answer was lost or it is blocked. Ordinary successes are sampled.' },
+  'request-ended': { number: 411, level: 'info', text: 'A request ended; lists every attempt with its ending, and the request\'s fingerprint if an answer was lost or it is blocked; `rule` says what went before one that found no room. Ordinary successes are sampled.' },
   'request-failed': { number: 412, level: 'error', text: 'An internal error ended a request; the caller\'s connection was closed.' },
   'request-blocked': { number: 413, level: 'warn', text: 'A request is blocked, by its fingerprint: each upstream that began to run it has crashed. It is refused for `remaining` ms.' },
   'upstream-suspected': { number: 420, level: 'warn', text: 'All streams of a replica head are silent; it is suspected and gets only occasional trial requests.' },
