--- /dev/null
+++ b/packages/dispatch/test/fairqueue.test.ts
@@ -0,0 +1,116 @@
+/** The queue that shares room out: who is served, who is refused at once, and what is told. */
+import test from 'ava'
+import { ManualClock } from '@eiderwind/clock'
+import { FairQueue, type Seeker, type Shortage } from '../src/index.js'
+
+class Fixture {
+  readonly clock = new ManualClock()
+  readonly queue = new FairQueue(this.clock)
+  readonly free: object[] = []
+  readonly ended: string[] = []
+  readonly shortages: Shortage[] = []
+
+  /** Frees places, as if requests had ended. */
+  release (count: number): void {
+    for (let index = 0; index < count; index++) this.free.push({})
+    this.queue.wake()
+  }
+
+  wait (name: string, change: Partial<Seeker> = {}): Promise<void> {
+    const now = this.clock.now()
+    const seeker = { room: 's', offered: false, priority: 1, team: 'a', work: 1, arrivedAt: now, inTimeUntil: now + 500, until: now + 110, ...change }
+    return this.queue.wait(seeker, () => this.free.shift(), { onShortage: shortage => this.shortages.push(shortage) }).then(found => {
+      this.ended.push(`${name} ${found === undefined ? 'nothing' : 'place'}`)
+    })
+  }
+
+  /** Two seconds in which a place comes free every 50 ms, and others always wait. */
+  async contend (): Promise<void> {
+    const waits: Array<Promise<void>> = []
+    for (let time = 0; time < 2000; time += 50) {
+      waits.push(this.wait('before'), this.wait('before'))
+      this.clock.advance(50)
+      this.release(1)
+    }
+    this.clock.advance(500)
+    await Promise.all(waits)
+    this.ended.length = 0
+    this.shortages.length = 0
+  }
+}
+
+test('whoever waits is served by the rules, and one that is not is told which', async t => {
+  const fixture = new Fixture()
+  const all = [fixture.wait('late', { inTimeUntil: -1 }), fixture.wait('less urgent', { priority: 2 }), fixture.wait('again', { again: true }), fixture.wait('urgent')]
+  fixture.release(2)
+  fixture.clock.advance(200)
+  await Promise.all(all)
+  t.deepEqual(fixture.ended, ['urgent place', 'again place', 'late nothing', 'less urgent nothing'])
+  t.deepEqual(fixture.shortages, ['late', 'no room'])
+})
+
+test('one that comes takes no place past those that go before it', async t => {
+  const fixture = new Fixture()
+  const all = [fixture.wait('first')]
+  fixture.free.push({})
+  all.push(fixture.wait('less urgent', { priority: 3 }))
+  fixture.clock.advance(200)
+  await Promise.all(all)
+  t.deepEqual(fixture.ended, ['first place', 'less urgent nothing'])
+})
+
+test('requests of one room do not wait for those of another', async t => {
+  const fixture = new Fixture()
+  const all = [fixture.wait('here', { priority: 0, until: 1e6 })]
+  fixture.free.push({})
+  all.push(fixture.wait('there', { room: 'other' }))
+  await all[1]
+  t.deepEqual(fixture.ended, ['there place'])
+})
+
+test('a request whose queue is too long is refused at once, and one for which a place may come free is not', async t => {
+  const fixture = new Fixture()
+  await fixture.contend()
+  // Places come free 20 a second: two in 110 ms, and more than seven less than once in twenty times.
+  const all = Array.from({ length: 9 }, (_each, index) => fixture.wait(String(index)))
+  await Promise.resolve()
+  await Promise.resolve()
+  t.true(fixture.shortages.length > 0 && fixture.shortages.length < 7, String(fixture.shortages.length))
+  t.true(fixture.shortages.every(each => each === 'queue too long'))
+  t.false(fixture.ended.includes('0 nothing'))
+  t.false(fixture.ended.includes('2 nothing'))
+  fixture.clock.advance(200)
+  await Promise.all(all)
+})
+
+test('without a rate that is known nobody is refused before its time', async t => {
+  const fixture = new Fixture()
+  const all = Array.from({ length: 50 }, (_each, index) => fixture.wait(String(index)))
+  await Promise.resolve()
+  t.is(fixture.queue.count, 50)
+  fixture.clock.advance(111)
+  await Promise.all(all)
+  t.is(fixture.queue.count, 0)
+})
+
+test('one whose caller leaves waits no longer and counts for nothing', async t => {
+  const fixture = new Fixture()
+  let cancel = (): void => {}
+  const seeker = { room: 's', offered: false, priority: 1, team: 'a', work: 1, arrivedAt: 0, inTimeUntil: 500, until: 110 }
+  const left = fixture.queue.wait(seeker, () => fixture.free.shift(), { onWait: stop => { cancel = stop } })
+  cancel()
+  t.is(await left, undefined)
+  t.is(fixture.queue.count, 0)
+  fixture.release(1)
+  t.is(fixture.free.length, 1)
+})
+
+test('callers are told 0.9 s where nothing is known, and are spread as places come free', async t => {
+  const fixture = new Fixture()
+  t.is(fixture.queue.comeBack('s', 6000), 900)
+  await fixture.contend()
+  const told = Array.from({ length: 3 }, () => fixture.queue.comeBack('s', 6000))
+  t.is(told[0], 900)
+  t.true(told[1] > 1000 || told[1] === 3000)
+  t.is(told[2], 3000)
+})
--- a/packages/gateway/test/overload.ts
+++ b/packages/gateway/test/overload.ts
@@ -47,8 +47,9 @@
   readonly answered: number
   /** Share of callers served in time, the more urgent ones first. */
   readonly served: readonly number[]
-  /** Likewise of each team. */
+  /** Share of the callers of each team who were served in time, and of those who were answered at all. */
   readonly teams: readonly number[]
+  readonly answeredTeams: readonly number[]
   /** Share of the largest tenth of the callers that were answered, over the share of all. */
   readonly largest: number
   /** Share of those refused once who were answered in the end, and the share of second tries that were, of callers who came back when told to. */
@@ -260,6 +261,7 @@
       answered: counted.filter(each => each.served).length / (capacity * (span - 2 * ignored)),
       served: [part(isInTime, each => each.urgent), part(isInTime, each => !each.urgent)],
       teams: Array.from({ length: teams }, (_each, index) => part(isInTime, ({ team }) => team === index)),
+      answeredTeams: Array.from({ length: teams }, (_each, index) => part(isServed, ({ team }) => team === index)),
       largest: part(isServed, ({ size }) => size >= largest) / part(isServed),
       refusedOnce: part(isServed, ({ tries }) => tries > 1),
       kept: part(isServed, ({ tries, impatient, told }) => tries > 1 && !impatient && told),
--- a/packages/gateway/test/overloadtable.ts
+++ b/packages/gateway/test/overloadtable.ts
@@ -1,4 +1,7 @@
-/** `npm run overload [-- SEED]`: plays the model of overload over load, gateways and ways of refusing, and prints a table in Markdown. */
+/**
+ * `npm run overload [-- SEED]`: plays the model of overload over load, gateways and ways of refusing, and prints a table in Markdown; then another one with room by
+ * age and shared out, by teams, sizes and returns.
+ */
 import { type Refusing } from './modelhead.js'
 import { playOverload } from './overload.js'
 
@@ -18,3 +21,15 @@
     }
   }
 }
+
+process.stdout.write('\n| Gateways | Load | First team sends | Room | In time, of what the heads could serve | All answers, likewise | In time: urgent, others | In time: first team, other teams | Largest tenth answered, over all | Refused once, answered | Told a time that they heed | Of those, answered |\n')
+process.stdout.write(`|${' --- |'.repeat(12)}\n`)
+for (const gateways of [1, 13]) {
+  for (const [load, surge] of [[1, 1], [1.5, 1], [2, 1], [4, 1], [0.7, 1], [0.7, 10]]) {
+    for (const fair of [false, true]) {
+      const { goodput, answered, served, teams: [first, ...others], largest, refusedOnce, told, kept } = await playOverload({ seed, gateways, load, surge, fair, refusing: 'queue', slow: 0.2, impatient: 1 / 3, heeds: true })
+      const rest = others.reduce((sum, each) => sum + each, 0) / others.length
+      process.stdout.write(`| ${gateways} | ${load} | ${surge} times its usual | ${fair ? 'shared out' : 'by age'} | ${percent(goodput)} | ${percent(answered)} | ${served.map(percent).join(', ')} | ${percent(first)}, ${percent(rest)} | ${largest.toFixed(2)} | ${percent(refusedOnce)} | ${percent(told)} | ${percent(kept)} |\n`)
+    }
+  }
+}
