--- a/packages/forward/src/streampath.ts
+++ b/packages/forward/src/streampath.ts
@@ -38,6 +38,10 @@
     return this.#progress.lastEvent
   }
 
+  protected override get room (): string {
+    return `${this.request.service} ${this.#target.model}`
+  }
+
   protected get upstreams (): readonly Upstream[] {
     const { roster } = this.context
     const { service } = this.request
@@ -97,7 +101,7 @@
   }
 
   protected refusal (): Fault {
-    return refusals.noRoom(this.upstreams.length)
+    return refusals.noRoom(this.upstreams.length, this.context.queue.comeBack(this.room, this.request.timeLeft))
   }
 
   /** Whether a stream whose upstream is suspected of having stalled, or is to be emptied, is moved: it may be, and another upstream has room. */
--- a/packages/gateway/test/limitmember.ts
+++ b/packages/gateway/test/limitmember.ts
@@ -8,6 +8,7 @@
 import { type Service } from '@eiderwind/traffic'
 import { Limiting, type ColdBound } from '../src/limiting.js'
 import { ModelDatagrams, type Network } from './network.js'
+import { seeker } from './seeker.js'
 
 export const heartbeatInterval = 250
 const heartbeatTimeout = 1000
@@ -70,7 +71,7 @@
       else this.#intake.take(found, claim)
       return found
     }
-    this.#queue.wait(1, patience, find).then(found => {
+    this.#queue.wait(seeker(this.#clock.now(), this.#clock.now() + patience), find).then(found => {
       this.#intake.release(claim)
       if (found !== undefined) sent(found)
     }, error => { throw error })
--- a/packages/settings/src/shapes.ts
+++ b/packages/settings/src/shapes.ts
@@ -153,6 +153,10 @@
     /** Requests beside those. */
     cold_slack: optionalShare
   }).prefault({}),
+  room: z.strictObject({
+    /** Whether requests that wait for room are served by teams' shares and by the time they have left, instead of by age. */
+    fair: Flag.default(false)
+  }).prefault({}),
   observe: z.strictObject({
     level: Level,
     /** `host:port` on which the metrics are served in text form; they are not served where it is empty. */
