Have the model's gateways read the record as it is, and cold upstreams stay cold or end

A record that was replaced before it was read was read by nobody for up to 0.6 s, and one that was cold again in the last moments of being cold was counted as if it had never been warm: excesses of the model, not of the gateways.

--- a/packages/gateway/test/coldfleet.ts
+++ b/packages/gateway/test/coldfleet.ts
@@ -107,6 +107,8 @@
     const now = this.#clock.now()
     const time = 500 + this.#random() * 3500
     const last = engine.spans.at(-1)
+    // One that is cold again just when it was over has been warm for those that read late.
+    if (last !== undefined && last.to > now && last.to < now + noticeTime) return
     const to = Math.max(now + time, last?.to ?? 0)
     if (last !== undefined && last.to > now) last.to = to
     else engine.spans.push({ from: now, to })
@@ -116,14 +118,14 @@
 
   #write (engine: Engine, said: number): void {
     engine.said = said
-    for (const id of this.#ids) this.#tell(id, engine, said)
+    for (const id of this.#ids) this.#tell(id, engine)
   }
 
-  #tell (id: string, engine: Engine, said: number): void {
+  #tell (id: string, engine: Engine): void {
     const member = this.#members.get(id)
     this.#clock.after(this.#random() * longestLag, () => {
-      // Records are read in order: one that another has replaced meanwhile is not read any more.
-      if (!this.#storeless.has(id) && engine.said === said) member?.roster.apply([{ upstream: listed(engine.id, said) }])
+      // Another record may have replaced the one of which it is told.
+      if (!this.#storeless.has(id)) member?.roster.apply([{ upstream: listed(engine.id, engine.said) }])
     })
   }
 
@@ -154,7 +156,7 @@
     this.#storeless.add(id)
     this.#clock.after(time, () => {
       this.#storeless.delete(id)
-      for (const each of this.#engines) this.#tell(id, each, each.said)
+      for (const each of this.#engines) this.#tell(id, each)
     })
   }
 
