Predict when a stream's first event comes, and hold it against what came

The load of a head is a count of requests, though prompts differ many times over. A new package, work, counts a request in mean requests of its service and predicts its first event by the engine's figures. Nothing is chosen by it: request-ended has what was expected, and a metric how far off it was.

--- a/packages/dispatch/src/choice.ts
+++ b/packages/dispatch/src/choice.ts
@@ -83,6 +83,10 @@
   }
 
   /** Requests in flight at an upstream: from this gateway, and from the others by their last heartbeats. */
+  load (id: string): number {
+    return this.#load(id, this.#options.peers.live)
+  }
+
   #load (id: string, heartbeats: readonly Heartbeat[]): number {
     const others = heartbeats.reduce((sum, { inFlight }) => sum + (inFlight[id] ?? 0), 0)
     return this.#options.inFlight.count(id) + others
--- a/packages/forward/src/context.ts
+++ b/packages/forward/src/context.ts
@@ -6,6 +6,7 @@
 import { type Log } from '@eiderwind/log'
 import { type Roster, type Upstream } from '@eiderwind/roster'
 import { type AnswerHeaders, type Connections } from '@eiderwind/wire'
+import { type Unread } from '@eiderwind/work'
 import { type HeaderNames } from './names.js'
 
 /** The head of an upstream's answer to a request. */
@@ -31,6 +32,8 @@
   readonly intake: Intake
   readonly crashes: Crashes
   readonly queue: Queue
+  /** Prompts that were sent and are not read yet. Absent: no first event is predicted. */
+  readonly unread?: Unread
   readonly random: Random
   /** The retry budget of a service. */
   readonly retryBudget: (service: string) => RetryBudget
--- a/packages/forward/src/names.ts
+++ b/packages/forward/src/names.ts
@@ -18,6 +18,10 @@
   readonly urgency: string
   /** Present on an answer if the request was not run. */
   readonly notRun: string
+  /** Tokens of the prompt and the most of the answer, by the caller, as `1460,80`. Absent where callers do not say. */
+  readonly tokens?: string
+  /** Tokens of the answer that the caller expects. Absent where callers do not say. */
+  readonly length?: string
 }
 
 /** Id of the last event that the reader of a stream has (HTML, server-sent events). */
--- a/packages/forward/src/streamattempt.ts
+++ b/packages/forward/src/streamattempt.ts
@@ -25,6 +25,8 @@
 /** Options of an attempt at a stream. */
 export interface StreamAttemptOptions extends AttemptOptions {
   readonly progress: Progress
+  /** Called when its first event has come. */
+  readonly onFirst?: (() => void) | undefined
 }
 
 /** The only status with which a stream is passed on while it arrives; any other answer is collected. */
@@ -35,10 +37,12 @@
   readonly #progress: Progress
   readonly #splitter = new EventSplitter()
   #framed = true
+  #onFirst: (() => void) | undefined
 
   constructor (options: StreamAttemptOptions) {
     super(options)
     this.#progress = options.progress
+    this.#onFirst = options.onFirst
   }
 
   protected passesOn (status: number): boolean {
@@ -60,6 +64,8 @@
   protected onChunk (chunk: Buffer): void {
     const events = this.#splitter.push(chunk).filter(({ id }) => this.#isNew(id))
     if (events.length === 0) return
+    this.#onFirst?.()
+    this.#onFirst = undefined
     for (const { id } of events) this.#progress.lastEvent = id ?? this.#progress.lastEvent
     this.request.passOn()
     if (!this.request.response.write(joined(events))) this.#pauseUntilDrained()
--- a/packages/forward/src/streampath.ts
+++ b/packages/forward/src/streampath.ts
@@ -7,6 +7,7 @@
 import { type Fault } from '@eiderwind/fault'
 import { type Upstream } from '@eiderwind/roster'
 import { type Engine } from '@eiderwind/traffic'
+import { expectedFirst, requestTokens } from '@eiderwind/work'
 import { type Context } from './context.js'
 import { lastEventName } from './names.js'
 import { Path } from './path.js'
@@ -55,6 +56,7 @@
   protected attempt (upstream: Upstream): Promise<AttemptResult> {
     const { context, request, lastEvent, trial } = this
     const { model } = this.#target
+    const read = this.#expect(upstream)
     return new Promise(resolve => {
       const attempt = new StreamAttempt({
         context,
@@ -65,13 +67,31 @@
         newConnection: false,
         trial,
         progress: this.#progress,
+        onFirst: read,
         onStall: () => { if (this.#moves()) attempt.abort('the upstream stalled') },
-        onEnd: resolve
+        onEnd: result => {
+          read?.()
+          resolve(result)
+        }
       })
       attempt.start()
     })
   }
 
+  /**
+   * Predicts when the first event comes from a head, and counts the prompt as unread there until the returned function is called. The place of the request is counted
+   * already.
+   */
+  #expect ({ id }: Upstream): (() => void) | undefined {
+    const { request, context: { choice, names, unread } } = this
+    const { model, engine } = this.#target
+    if (unread === undefined || engine === undefined) return undefined
+    const { prompt } = requestTokens(header(request, names.tokens), header(request, names.length), engine)
+    const pace = engine.models.find(({ name }) => name === model)?.pace ?? 1
+    if (!request.offered) request.timing.expect(expectedFirst(prompt, { inFlight: Math.max(0, choice.load(id) - 1), unread: unread.of(id) }, engine, pace))
+    return unread.add(id, prompt)
+  }
+
   /** The state of a stream is that of its latest attempt. */
   protected prefer (_before: AttemptResult | undefined, latest: AttemptResult): AttemptResult {
     return latest
@@ -103,3 +123,9 @@
     return mayMove({ repeatable, hasAttemptsLeft, retriesLeft }) && this.choose(tried) !== undefined
   }
 }
+
+/** A header of a caller's request that comes once. */
+function header ({ incoming }: CallerRequest, name: string | undefined): string | undefined {
+  const value = name === undefined ? undefined : incoming.headers[name]
+  return typeof value === 'string' ? value : undefined
+}
--- a/packages/forward/src/timing.ts
+++ b/packages/forward/src/timing.ts
@@ -14,6 +14,7 @@
 export class Timing {
   readonly #arrivedAt: number
   #sentAt: number | undefined
+  #expected: number | undefined
   #sends = 0
   /** Sends until the first part of the answer came. */
   #sendsBefore = 0
@@ -33,6 +34,11 @@
     this.#sends++
   }
 
+  /** Records in what time from its first send the first part of the answer is expected, in ms. */
+  expect (time: number): void {
+    this.#expected = time
+  }
+
   /** Records that the caller gets a part of its answer. */
   passed (now: number): void {
     if (this.#firstAt === undefined) {
@@ -56,6 +62,17 @@
     return this.#firstAt === undefined ? undefined : this.#firstAt - this.#arrivedAt
   }
 
+  /** Time from the first send in which the first part was expected, in ms; undefined where nothing was, or another attempt brought it. */
+  get expected (): number | undefined {
+    return this.#sendsBefore === 1 ? this.#expected : undefined
+  }
+
+  /** By how much later than expected the first part came, in ms; undefined where nothing was expected. */
+  get error (): number | undefined {
+    const { expected, first, waited } = this
+    return expected === undefined || first === undefined || waited === undefined ? undefined : first - waited - expected
+  }
+
   /** The longest pause between two parts of the answer, in ms. */
   get pause (): number {
     return this.#longestPause
--- a/packages/forward/test/timing.test.ts
+++ b/packages/forward/test/timing.test.ts
@@ -28,3 +28,16 @@
   const { waited, first, pause } = timing(['sent', 20], ['passed', 90], ['passed', 150], ['passed', 160])
   t.deepEqual([waited, first, pause], [20, 90, 60])
 })
+
+test('what was expected of the first send is held against the first part, unless another attempt brought it', t => {
+  const error = (...steps: Parameters<typeof timing>): number | undefined => {
+    const made = timing(...steps)
+    made.expect(60)
+    return made.error
+  }
+  t.is(error(['sent', 20], ['passed', 90]), 10)
+  t.is(error(['sent', 20], ['passed', 50], ['passed', 400]), -30)
+  t.is(error(['sent', 20], ['sent', 60], ['passed', 90]), undefined)
+  t.is(error(['sent', 20]), undefined)
+  t.is(timing(['sent', 20], ['passed', 90]).error, undefined)
+})
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import { Peers, type Heartbeat, type PeerAddress } from '@eiderwind/peers'
 import { Outage, Roster } from '@eiderwind/roster'
 import { Connections } from '@eiderwind/wire'
+import { Unread } from '@eiderwind/work'
 import { Budgets } from './budgets.js'
 import { Callers } from './callers.js'
 import { ChangeLog } from './changelog.js'
@@ -177,6 +178,7 @@
       connections: this.#connections,
       choice,
       queue: this.#queue,
+      unread: new Unread(),
       retryBudget: service => this.#budgets.of(service),
       answered: (upstream, head) => conditions.answered(upstream, head, platform.conditionOf(head.status, head.headers))
     }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -33,6 +33,9 @@
 /** Bounds of the histogram, in s: around the objectives (0.2 to 0.5 s) and deadlines (1 to 8 s) of both sites. */
 const buckets = [0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4, 8]
 
+/** Bounds of the errors, in s: from a step of an engine to an objective. */
+const errorBuckets = [0.005, 0.01, 0.015, 0.03, 0.06, 0.1, 0.15, 0.3, 0.6, 1.2]
+
 /** Counters, a latency histogram and gauges. Labels are kinds, services and outcomes, which are few. */
 export class Metrics {
   readonly #registry = new Registry()
@@ -41,6 +44,7 @@
   readonly #requests: Counter<'kind' | 'service' | 'outcome'>
   readonly #refusals: Counter<'code'>
   readonly #times: Histogram<'kind'>
+  readonly #errors: Histogram
   readonly #attempts: Counter<'kind' | 'ending'>
   readonly #suspicions: Counter
   readonly #resumptions: Counter
@@ -53,6 +57,7 @@
     this.#requests = new Counter({ name: 'eiderwind_requests_total', help: 'Requests that ended, by how.', labelNames: ['kind', 'service', 'outcome'], registers })
     this.#refusals = new Counter({ name: 'eiderwind_refusals_total', help: 'Requests refused before any upstream was chosen, by code.', labelNames: ['code'], registers })
     this.#times = new Histogram({ name: 'eiderwind_request_seconds', help: 'Time from a request to its end.', labelNames: ['kind'], buckets, registers })
+    this.#errors = new Histogram({ name: 'eiderwind_first_event_error_seconds', help: 'Time by which the first event of a stream came earlier or later than expected.', buckets: errorBuckets, registers })
     this.#attempts = new Counter({ name: 'eiderwind_attempts_total', help: 'Sends to upstreams, by how they ended.', labelNames: ['kind', 'ending'], registers })
     this.#suspicions = new Counter({ name: 'eiderwind_suspicions_total', help: 'Heads suspected of having stalled.', registers })
     this.#resumptions = new Counter({ name: 'eiderwind_resumptions_total', help: 'Streams that were resumed at another replica.', registers })
@@ -86,9 +91,10 @@
     return await this.#registry.metrics()
   }
 
-  ended ({ route: { kind }, service, attempts }: CallerRequest, outcome: string, seconds: number): void {
+  ended ({ route: { kind }, service, attempts, timing: { error } }: CallerRequest, outcome: string, seconds: number): void {
     this.#requests.inc({ kind, service, outcome })
     this.#times.observe({ kind }, seconds)
+    if (error !== undefined) this.#errors.observe(Math.abs(error) / 1000)
     for (const each of attempts) this.#attempts.inc({ kind, ending: each.split(' ')[1] })
     if (kind === 'stream' && attempts.length > 1 && outcome.startsWith('answered 2')) this.#resumptions.inc()
   }
--- a/packages/gateway/src/requestlog.ts
+++ b/packages/gateway/src/requestlog.ts
@@ -50,7 +50,7 @@
 }
 
 /** The times of a request for the log, in whole ms; those that there are none of are left out. */
-function times ({ waited, first, pause }: CallerRequest['timing']): Record<string, number | undefined> {
+function times ({ waited, first, expected, pause }: CallerRequest['timing']): Record<string, number | undefined> {
   const whole = (time: number | undefined): number | undefined => time === undefined ? undefined : Math.round(time)
-  return { waited: whole(waited), first: whole(first), pause: first === undefined ? undefined : Math.round(pause) }
+  return { waited: whole(waited), first: whole(first), expected: whole(expected), pause: first === undefined ? undefined : Math.round(pause) }
 }
--- /dev/null
+++ b/packages/work/test/work.test.ts
@@ -0,0 +1,69 @@
+/** Tables of what requests cost, from the figures of an engine. */
+import test from 'ava'
+import { Unread, expectedFirst, requestTokens, workOf } from '../src/index.js'
+
+const engine = { slots: 40, step: 8, stepPerRequest: 0.1, readRate: 50_000, prompt: 1000, answer: 100 }
+
+test('tokens are those that the caller says, within the most, and the means of the service where it says none', t => {
+  const table: ReadonlyArray<readonly [string | undefined, string | undefined, number, number]> = [
+    ['1460,80', '50', 1460, 50],
+    ['1460,80', '500', 1460, 80],
+    ['1460,80', undefined, 1460, 80],
+    ['1460,800', undefined, 1460, 100],
+    [' 1460 , 800 ', ' 120 ', 1460, 120],
+    [undefined, '50', 1000, 50],
+    [undefined, undefined, 1000, 100],
+    ['0,0', '0', 0, 0],
+    ...['', 'x', '1460', '1460;80', '-5,80', '1e9,5', '1.5,2', '99999999999,1'].map(usage => [usage, 'some', 1000, 100] as const)
+  ]
+  for (const [usage, hint, prompt, answer] of table) t.deepEqual(requestTokens(usage, hint, engine), { prompt, answer }, `${usage} ${hint}`)
+})
+
+test('work is counted in mean requests', t => {
+  t.is(workOf(engine, engine), 1)
+  t.is(workOf({ prompt: 2000, answer: 200 }, engine), 2)
+  t.is(workOf({ prompt: 0, answer: 0 }, engine), 0)
+  // 20 ms of reading beside 30 ms of writing.
+  t.is(workOf({ prompt: 1000, answer: 0 }, engine), 0.4)
+  t.is(workOf({ prompt: 6000, answer: 100 }, engine), 3)
+})
+
+test('where the configuration gives no means, each request counts as one', t => {
+  t.is(workOf({ prompt: 6000, answer: 100 }, { ...engine, prompt: 0, answer: 0 }), 1)
+})
+
+test('the first event comes once all prompts before are read, the own one too, and a step is done', t => {
+  const table: ReadonlyArray<readonly [string, number, number, number, number, number]> = [
+    ['an empty head', 1000, 0, 0, 1, 20 + 8.1],
+    ['prompts before', 1000, 4, 3000, 1, 80 + 8.5],
+    ['a longer prompt', 5000, 4, 3000, 1, 160 + 8.5],
+    ['the last slot', 0, 39, 0, 1, 12],
+    ['one waits for a slot: each 30 ms one of 40 ends', 0, 40, 0, 1, 30 + 12],
+    ['four wait', 0, 43, 0, 1, 120 + 12],
+    ['a slow model', 1000, 4, 3000, 2, 177]
+  ]
+  for (const [what, prompt, inFlight, unread, pace, time] of table) t.is(Number(expectedFirst(prompt, { inFlight, unread }, engine, pace).toFixed(6)), Number(time.toFixed(6)), what)
+})
+
+test('more before a request never has it come sooner', t => {
+  for (let inFlight = 0; inFlight < 60; inFlight++) {
+    const time = (more: number, unread: number): number => expectedFirst(700, { inFlight: inFlight + more, unread }, engine, 1)
+    t.true(time(1, 0) >= time(0, 0))
+    t.true(time(0, 100) > time(0, 0))
+  }
+})
+
+test('a prompt is unread from its sending to its first event or the end of its attempt, and counted off once', t => {
+  const unread = new Unread()
+  const first = unread.add('a', 1000)
+  const second = unread.add('a', 500)
+  unread.add('b', 7)
+  t.is(unread.of('a'), 1500)
+  first()
+  first()
+  t.is(unread.of('a'), 500)
+  second()
+  t.is(unread.of('a'), 0)
+  t.is(unread.of('b'), 7)
+  t.is(unread.of('c'), 0)
+})
