--- a/packages/detect/src/inflight.ts
+++ b/packages/detect/src/inflight.ts
@@ -53,10 +53,10 @@
   readonly #kept = new Map<string, number>()
   /** When the requests of the last second began, by model, on `Clock.now`. */
   readonly #begun = new Map<string, number[]>()
-  readonly #ended: () => void
+  readonly #ended: (request: InFlightRequest) => void
 
   /** @param ended called after each request has ended, when its place is free again */
-  constructor (clock: Clock, ended: () => void) {
+  constructor (clock: Clock, ended: (request: InFlightRequest) => void) {
     this.#clock = clock
     this.#ended = ended
   }
@@ -131,7 +131,7 @@
     if (load?.requests.delete(request) !== true) return
     if (load.requests.size === 0) this.#loads.delete(request.upstream)
     this.#models.set(request.model, (this.#models.get(request.model) ?? 1) - 1)
-    this.#ended()
+    this.#ended(request)
   }
 
   /** Whether anything was received for a request that is in flight at an upstream. */
--- a/packages/dispatch/src/choice.ts
+++ b/packages/dispatch/src/choice.ts
@@ -30,6 +30,11 @@
  */
 const overhang = 0.1
 
+/** Requests in flight up to which a head has room. */
+export function capacity ({ slots }: Pick<Engine, 'slots'>): number {
+  return slots * (1 + overhang)
+}
+
 /** Added to the cost of an upstream in another data centre: half a request in flight, or half a ms. */
 const distanceCost = 0.5
 
@@ -47,15 +52,21 @@
 
   /** The head with most room for a request of a model, or undefined if none has room. @param avoided ids of heads that it must not be */
   head (service: string, model: string, engine: Engine, avoided: ReadonlySet<string>): Upstream | undefined {
-    const { roster, suspects, intake, peers } = this.#options
-    const heads = roster.heads(service, model).filter(({ id }) => !avoided.has(id) && intake.has(id) && suspects.mayTry(id))
+    const { peers } = this.#options
+    const heads = this.heads(service, model).filter(({ id }) => !avoided.has(id))
     const heartbeats = peers.live
     const load = ({ id }: Upstream): number => this.#load(id, heartbeats)
-    const ordered = this.#byCost(heads, load).filter(each => load(each) < engine.slots * (1 + overhang))
+    const ordered = this.#byCost(heads, load).filter(each => load(each) < capacity(engine))
     const among = Math.min(ordered.length, this.#herd(model, heads.length, heartbeats.length))
     return among > 1 ? ordered[Math.floor(this.#options.random() * among)] : ordered[0]
   }
 
+  /** The heads of a model that take a request now, full or not. */
+  heads (service: string, model: string): Upstream[] {
+    const { roster, suspects, intake } = this.#options
+    return roster.heads(service, model).filter(({ id }) => intake.has(id) && suspects.mayTry(id))
+  }
+
   /**
    * Of how many of the least loaded heads one is drawn: as many as the requests that other gateways have sent since the heartbeats by which
    * the load is known, at most half of all. If each took the least loaded one, all would send to the same head until they hear of it, and
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,5 +1,5 @@
 /** The decisions about a request: where it goes, how long it waits for room, whether it is sent again, and how it is refused. */
-export { Choice, type ChoiceOptions } from './choice.js'
+export { Choice, capacity, type ChoiceOptions } from './choice.js'
 export { Intake, type Closure, type IntakeOptions } from './intake.js'
 export { Queue } from './queue.js'
 export { RetryBudget, type RetryBudgetOptions } from './budget.js'
--- a/packages/dispatch/src/intake.ts
+++ b/packages/dispatch/src/intake.ts
@@ -42,6 +42,11 @@
     return this.#options.rests.has(id)
   }
 
+  /** Whether an upstream takes requests only with a token for each. */
+  isLimited (id: string): boolean {
+    return this.#options.tokens?.isLimited(id) === true
+  }
+
   /** Counts a request that is about to be sent to an upstream. */
   take (id: string, claim: Claim | undefined): void {
     this.#options.tokens?.take(id, claim)
--- a/packages/dispatch/src/refusals.ts
+++ b/packages/dispatch/src/refusals.ts
@@ -101,6 +101,15 @@
     return new Fault('busy', { retryAfter: time === undefined ? roomFreed : returnTime(time, random), remedy: 'Come back after the time given; all upstreams that could serve this take only so many requests a second now.' })
   },
 
+  /**
+   * The queue for all gateways is so long that it would not be served in time.
+   * @param time until those that wait now are served, in ms
+   * @param random in [0, 1)
+   */
+  queued (time: number, random: number): Fault {
+    return new Fault('busy', { retryAfter: returnTime(time, random), remedy: 'Come back after the time given; more requests wait for the replicas that could serve this than they can serve in time.' })
+  },
+
   /**
    * Each upstream that began to run it has crashed. Its caller is refused for as long as it stays so: an earlier return would crash one more.
    * @param time for which it stays blocked, in ms
--- a/packages/dispatch/src/waiting.ts
+++ b/packages/dispatch/src/waiting.ts
@@ -9,6 +9,12 @@
  */
 const firstWaitShare = 0.22
 
+/**
+ * The same where one queue is kept for all gateways, as a share of the objective: whoever has no prospect there is refused at once, so one that waits is likely served, and
+ * what is left of the objective is enough for its first event.
+ */
+const sharedWaitShare = 0.8
+
 /**
  * Longest wait of a stream for its next upstream, in ms. Callers leave after 2,000 ms without an event, of which about 400 ms (setting `silence`) pass before a stall is noticed.
  */
@@ -27,6 +33,8 @@
   readonly objective: number
   /** Time until the request's deadline. */
   readonly timeLeft: number
+  /** Whether the request waits in a queue that is kept for all gateways. Absent: no. */
+  readonly shared?: boolean
 }
 
 /**
@@ -39,7 +47,7 @@
   return inputs.closed > time ? 0 : time
 }
 
-function longestWait ({ path, offered, upstreams, objective, timeLeft }: WaitInputs): number {
-  if (!offered) return upstreams === 0 ? 0 : Math.min(firstWaitShare * objective, timeLeft)
+function longestWait ({ path, offered, upstreams, objective, timeLeft, shared = false }: WaitInputs): number {
+  if (!offered) return upstreams === 0 ? 0 : Math.min((shared ? sharedWaitShare : firstWaitShare) * objective, timeLeft)
   return path === 'stream' ? Math.min(resumeWait, timeLeft) : 0
 }
--- a/packages/forward/src/context.ts
+++ b/packages/forward/src/context.ts
@@ -4,6 +4,7 @@
 import { type InFlight, type Suspects } from '@eiderwind/detect'
 import { type Choice, type Intake, type Queue, type RetryBudget } from '@eiderwind/dispatch'
 import { type Log } from '@eiderwind/log'
+import { type Asker } from '@eiderwind/places'
 import { type Roster, type Upstream } from '@eiderwind/roster'
 import { type AnswerHeaders, type Connections } from '@eiderwind/wire'
 import { type HeaderNames } from './names.js'
@@ -32,6 +33,8 @@
   readonly crashes: Crashes
   readonly queue: Queue
   readonly random: Random
+  /** Asks for places where room is contended. Absent where each gateway looks for room alone. */
+  readonly places?: Asker
   /** The retry budget of a service. */
   readonly retryBudget: (service: string) => RetryBudget
   /** Takes what the head of an upstream's answer says of the upstream itself. */
--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -7,9 +7,11 @@
 import { decideRetry, refusals, waitForRoom, type AttemptResult, type Closure } from '@eiderwind/dispatch'
 import { type Fault } from '@eiderwind/fault'
 import { type Claim } from '@eiderwind/limits'
+import { type Room } from '@eiderwind/places'
 import { type Upstream } from '@eiderwind/roster'
 import { sendAnswer } from './answers.js'
 import { type Context } from './context.js'
+import { Placing } from './placing.js'
 import { type CallerRequest } from './request.js'
 
 /** Why a request that has crashed an upstream is not sent to another one. */
@@ -26,6 +28,8 @@
   protected trial: Trial | undefined
   /** What kept the request from the upstreams that may be tried when one was last looked for. */
   #closure: Closure | undefined
+  /** The search for room that is under way, or the last one, where places may be issued. */
+  #placing: Placing | undefined
   /** Ends the place that is kept at the upstream of the attempt that comes next. */
   #free: (() => void) | undefined
 
@@ -68,6 +72,16 @@
   /** The upstreams that serve what is asked for, whether they have room or not. */
   protected abstract get upstreams (): readonly Upstream[]
 
+  /** The room for which the request competes with others at all gateways. By default none. */
+  protected get room (): Room | undefined {
+    return undefined
+  }
+
+  /** The latest start at which its next event still comes in time, on `Clock.now`. */
+  protected get inTimeUntil (): number {
+    return this.request.arrivedAt + this.request.route.objective
+  }
+
   /** An upstream that has room now and is none of those to avoid. */
   protected abstract choose (avoided: ReadonlySet<string>): Upstream | undefined
 
@@ -85,7 +99,7 @@
     const { request } = this
     if (result?.kind === 'answered') return sendAnswer(request, result)
     if (result?.kind === 'lost') return request.refuse(refusals.lost(result.why))
-    request.refuse(this.#closedRefusal() ?? this.refusal(result))
+    request.refuse(this.#queuedRefusal ?? this.#closedRefusal() ?? this.refusal(result))
   }
 
   /** A suspect waits like a request that was offered before: it may have to wait until another one of its kind has been tried. */
@@ -96,17 +110,45 @@
     const time = this.#wait
     const until = clock.now() + time
     const claim = intake.claim(request.priority, until)
+    this.#placing = time > 0 ? this.#place(until) : undefined
     const found = await queue.wait(request.priority, time, () => this.#find(claim) ?? this.#hopeless(until), cancel => request.cancelWith(cancel))
     intake.release(claim)
+    this.#placing?.end()
     return found
   }
 
   /** Longest wait for an upstream with room, in ms. */
   get #wait (): number {
+    const { room, context: { places } } = this
+    return this.#waitFor(room !== undefined && places?.isContended(room) === true)
+  }
+
+  /** @param shared whether it waits in a queue that is kept for all gateways */
+  #waitFor (shared: boolean): number {
     const { request, kind, upstreams, context: { crashes } } = this
     const { timeLeft, route: { objective } } = request
     const offered = request.offered || crashes.standing(request) !== 'trusted'
-    return waitForRoom({ path: kind, offered, upstreams: upstreams.length, closed: this.#closedFor, objective, timeLeft })
+    return waitForRoom({ path: kind, offered, upstreams: upstreams.length, closed: this.#closedFor, objective, timeLeft, shared })
+  }
+
+  /** Begins a search in which places may be asked for; none for a suspect, whose upstream depends on the trials here. */
+  #place (until: number): Placing | undefined {
+    const { request, room, context: { clock, places, intake, suspects, crashes } } = this
+    if (room === undefined || places === undefined || crashes.standing(request) !== 'trusted') return undefined
+    const { priority, team, arrivedAt, route: { objective }, tried } = request
+    return new Placing({
+      asker: places,
+      intake,
+      upstreams: () => this.upstreams,
+      choose: besides => besides.size === 0 ? this.#choose('trusted') : this.choose(new Set([...tried, ...besides])),
+      mayUse: ({ id }) => !tried.has(id) && !crashes.underTrial.has(id) && intake.has(id) && suspects.mayTry(id)
+    }, { room, priority, team: team?.name ?? '', work: 1, arrivedAt, inTimeUntil: this.inTimeUntil, until, aloneUntil: clock.now() + this.#waitFor(false), objective })
+  }
+
+  /** The refusal where the queue for all gateways is too long. */
+  get #queuedRefusal (): Fault | undefined {
+    const { comeBack } = this.#placing ?? {}
+    return comeBack === undefined ? undefined : refusals.queued(comeBack, this.context.random())
   }
 
   /** Says that waiting until a time, on `Clock.now`, is in vain, where none of those that may be tried takes a request before that. */
@@ -141,12 +183,13 @@
   }
 
   /** The upstream to send the request to now, by what is known of its crashes; undefined where it has to wait. What lacks nothing but a token is asked for one. */
-  #find (claim: Claim | undefined): Upstream | 'blocked' | undefined {
+  #find (claim: Claim | undefined): Upstream | 'blocked' | 'closed' | undefined {
     const { request, context: { crashes, intake } } = this
     const standing = crashes.standing(request)
     if (standing === 'blocked') return standing
     const mayBeSent = standing === 'trusted' || crashes.mayTry(request)
-    const upstream = mayBeSent ? this.#choose(standing) : undefined
+    const upstream = mayBeSent ? this.#seek(standing) : undefined
+    if (upstream === 'closed') return upstream
     if (upstream !== undefined) this.#take(upstream, claim)
     else if (mayBeSent) intake.pursue(claim, this.upstreams, request.tried)
     return standing === 'suspected' ? this.#try(upstream) : upstream
@@ -157,6 +200,11 @@
     const { inFlight, intake } = this.context
     intake.take(id, claim)
     this.#free = inFlight.keep(id)
+    this.#placing?.taken()
+  }
+
+  #seek (standing: 'trusted' | 'suspected'): Upstream | 'closed' | undefined {
+    return standing === 'trusted' && this.#placing !== undefined ? this.#placing.find() : this.#choose(standing)
   }
 
   /** A suspect is sent to no upstream at which another one is tried; any other request only where there is no choice. */
--- a/packages/forward/src/streampath.ts
+++ b/packages/forward/src/streampath.ts
@@ -5,6 +5,7 @@
  */
 import { mayMove, refusals, type AttemptResult } from '@eiderwind/dispatch'
 import { type Fault } from '@eiderwind/fault'
+import { roomOf, type Room } from '@eiderwind/places'
 import { type Upstream } from '@eiderwind/roster'
 import { type Engine } from '@eiderwind/traffic'
 import { type Context } from './context.js'
@@ -45,6 +46,18 @@
     return engine === undefined ? roster.available(service) : roster.heads(service, model)
   }
 
+  protected override get room (): Room | undefined {
+    const { model, engine } = this.#target
+    return engine === undefined ? undefined : roomOf(this.request.service, model)
+  }
+
+  protected override get inTimeUntil (): number {
+    const { context: { clock }, request: { route: { gap } } } = this
+    if (this.#progress.started) return clock.now() + gap
+    const { engine } = this.#target
+    return super.inTimeUntil - (engine === undefined ? 0 : firstEventTime(engine))
+  }
+
   protected choose (avoided: ReadonlySet<string>): Upstream | undefined {
     const { choice } = this.context
     const { service } = this.request
@@ -103,3 +116,8 @@
     return mayMove({ repeatable, hasAttemptsLeft, retriesLeft }) && this.choose(tried) !== undefined
   }
 }
+
+/** Time from the start of a usual request to its first event, in ms. */
+function firstEventTime ({ prompt, readRate, step }: Engine): number {
+  return prompt / readRate * 1000 + step
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,7 @@
 import { PeerServer } from './peerserver.js'
 import { makeReconciler } from './planning.js'
 import { RequestLog } from './requestlog.js'
+import { Rooms } from './rooms.js'
 import { Sampling } from './sampling.js'
 import { type GatewayOptions } from './settings.js'
 import { UpstreamFeed } from './upstreamfeed.js'
@@ -62,6 +63,10 @@
   readonly #crashWatch: CrashWatch
   readonly #conditions: Conditions
   readonly #limiting: Limiting
+  readonly #intake: Intake
+  readonly #choice: Choice
+  /** Undefined where each gateway looks for room alone. */
+  readonly #rooms: Rooms | undefined
   readonly #queue: Queue
   readonly #inFlight: InFlight
   readonly #peers: Peers
@@ -85,15 +90,21 @@
     this.#roster = new Roster(clock, this.#outage)
     this.#suspects = new Suspects(clock, this.#roster)
     this.#queue = new Queue(clock)
-    this.#inFlight = new InFlight(clock, () => this.#queue.wake())
-    this.#peers = new Peers({ clock, id: settings.id, address: settings.peers, heartbeat: () => this.#heartbeat(), heard: (heartbeat, from) => this.#hear(heartbeat, from), other: (datagram, from) => this.#limiting.receive(datagram, from), interval: heartbeatInterval, timeout: heartbeatTimeout, urgent: () => this.#leadership.isUrgent })
+    this.#inFlight = new InFlight(clock, request => {
+      this.#rooms?.ended(request)
+      this.#queue.wake()
+    })
+    this.#peers = new Peers({ clock, id: settings.id, address: settings.peers, heartbeat: () => this.#heartbeat(), heard: (heartbeat, from) => this.#hear(heartbeat, from), other: (datagram, from) => this.#receive(datagram, from), interval: heartbeatInterval, timeout: heartbeatTimeout, urgent: () => this.#leadership.isUrgent })
     const peers = this.#peers
     this.#leadership = new Leadership({ clock, log, board, outage: this.#outage, pauses: this.#pauses, peers, leaders: platform.leaders, id: settings.id, firstStart: settings.first })
     this.#budgets = new Budgets({ clock, board, peers, settings })
     this.#crashWatch = new CrashWatch({ clock, log, id: settings.id, roster: this.#roster, peers, connections: this.#connections, blocks: platform.blocks, connectTime, changed: () => this.#queue.wake() })
     this.#limiting = new Limiting({ clock, log, id: settings.id, roster: this.#roster, peers, inFlight: this.#inFlight, queue: this.#queue, random: Math.random })
     this.#conditions = new Conditions({ clock, log, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, tell: () => peers.send(), limited: (id, rate) => this.#limiting.named(id, rate), rested: () => this.#metrics.rested() })
-    this.#metrics = new Metrics({ clock, board, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, connections: this.#connections, budgets: this.#budgets, rests: this.#conditions.rests, limiting: this.#limiting })
+    this.#intake = new Intake({ clock, rests: this.#conditions.rests, tokens: this.#limiting.tokens })
+    this.#choice = new Choice({ roster: this.#roster, inFlight: this.#inFlight, suspects: this.#suspects, intake: this.#intake, random: Math.random, peers, dataCentre: settings.dataCentre })
+    this.#rooms = settings.sharedRoom === true ? this.#makeRooms() : undefined
+    this.#metrics = new Metrics({ clock, board, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, connections: this.#connections, budgets: this.#budgets, rests: this.#conditions.rests, limiting: this.#limiting, rooms: this.#rooms })
     this.#callers = this.#makeCallers()
     this.#confirmations = new Confirmations({ clock, board, peers, connections: this.#connections, informed: () => this.#leadership.informed })
     this.#upstreamFeed = this.#makeUpstreamFeed()
@@ -134,6 +145,7 @@
     platform.register({ id: settings.id, address: settings.peers })
     if (!settings.first) this.#crashWatch.start()
     this.#pauses.start()
+    this.#rooms?.start()
     this.#stalls.start()
     this.#reconciler.start()
     this.#sampling.start()
@@ -154,6 +166,7 @@
       await clock.wait(stopInterval)
     }
     this.#callers.close()
+    this.#rooms?.stop()
     for (const part of [this.#sampling, this.#reconciler, this.#stalls, this.#pauses, this.#confirmations, this.#upstreamFeed, this.#peerServer, this.#peers, this.#health, this.#metrics, this.#options.platform]) part.stop()
     this.#connections.close()
   }
@@ -165,20 +178,28 @@
   }
 
   #makeCallers (): Callers {
-    const { clock, log, platform, settings: { dataCentre, callers: address, freshness, strictKeys } } = this.#options
+    const { clock, log, platform, settings: { callers: address, freshness, strictKeys } } = this.#options
     const conditions = this.#conditions
-    const intake = new Intake({ clock, rests: conditions.rests, tokens: this.#limiting.tokens })
-    const shared = { clock, roster: this.#roster, inFlight: this.#inFlight, suspects: this.#suspects, intake, crashes: this.#crashWatch.crashes, random: Math.random }
-    const choice = new Choice({ ...shared, peers: this.#peers, dataCentre })
+    const rooms = this.#rooms
     const context: Context = {
-      ...shared,
+      clock,
       log,
+      roster: this.#roster,
+      inFlight: this.#inFlight,
+      suspects: this.#suspects,
+      intake: this.#intake,
+      crashes: this.#crashWatch.crashes,
+      random: Math.random,
       names: platform.names,
       connections: this.#connections,
-      choice,
+      choice: this.#choice,
       queue: this.#queue,
+      places: rooms?.asker,
       retryBudget: service => this.#budgets.of(service),
-      answered: (upstream, head) => conditions.answered(upstream, head, platform.conditionOf(head.status, head.headers))
+      answered: (upstream, head) => {
+        conditions.answered(upstream, head, platform.conditionOf(head.status, head.headers))
+        rooms?.answered(upstream, head)
+      }
     }
     const requests = new RequestLog({ clock, log, metrics: this.#metrics })
     return new Callers({
@@ -193,6 +214,25 @@
     })
   }
 
+  #makeRooms (): Rooms {
+    const { clock, log, settings: { id, dataCentre } } = this.#options
+    return new Rooms({
+      clock,
+      log,
+      id,
+      dataCentre,
+      roster: this.#roster,
+      peers: this.#peers,
+      inFlight: this.#inFlight,
+      rests: this.#conditions.rests,
+      queue: this.#queue,
+      choice: this.#choice,
+      intake: this.#intake,
+      engine: service => this.#board.read('inForce')?.traffic.services.find(each => each.name === service)?.engine,
+      random: Math.random
+    })
+  }
+
   #makeUpstreamFeed (): UpstreamFeed {
     const { clock, log, platform } = this.#options
     return new UpstreamFeed({
@@ -230,6 +270,12 @@
     this.#crashWatch.hear(heartbeat, from)
     this.#conditions.hear(heartbeat)
     this.#limiting.hear(heartbeat)
+    this.#rooms?.hear(heartbeat, from)
+  }
+
+  /** Takes a datagram that is no heartbeat. */
+  #receive (datagram: Buffer, from: string): void {
+    if (this.#rooms?.receive(datagram, from) !== true) this.#limiting.receive(datagram, from)
   }
 
   /** What other gateways hear of this one. */
@@ -247,7 +293,8 @@
       terms: this.#leadership.terms,
       ...this.#crashWatch.news,
       ...this.#conditions.news,
-      ...this.#limiting.news
+      ...this.#limiting.news,
+      ...this.#rooms?.news
     }
   }
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -12,6 +12,7 @@
 import { listen, type Connections } from '@eiderwind/wire'
 import { type Budgets } from './budgets.js'
 import { type Limiting } from './limiting.js'
+import { type Rooms } from './rooms.js'
 import { revisionInForce, type GatewayBoard } from './facts.js'
 
 /** The parts that the gauges read. */
@@ -25,6 +26,8 @@
   readonly budgets: Budgets
   readonly rests: Rests
   readonly limiting: Limiting
+  /** Absent where each gateway looks for room alone. */
+  readonly rooms: Rooms | undefined
 }
 
 const path = '/metrics'
@@ -135,11 +138,25 @@
     single('eiderwind_limited', 'Upstreams that name the requests a second that they take from all gateways together.', () => limits.limited.length)
     single('eiderwind_limit_tokens_received_total', 'Tokens for limited upstreams that requests of this gateway asked for and got.', () => tokens.received)
     single('eiderwind_limit_tokens_used_total', 'Of those, tokens with which a request was sent; the others lapsed.', () => tokens.used)
+    this.#roomGauges(single)
     single('eiderwind_memory_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss())
     labelled('eiderwind_engines', 'Engines by the state of their membership.', 'state', () => this.#engines())
     labelled('eiderwind_repeats_left', 'Retries left in the running window.', 'service', () => budgets.left)
   }
 
+  #roomGauges (single: (name: string, help: string, read: () => number) => void): void {
+    const { rooms } = this.#options
+    if (rooms === undefined) return
+    const { asker, issuer, contention } = rooms
+    single('eiderwind_rooms_contended', 'Models whose places are issued, since room at their heads is scarce.', () => contention.count)
+    single('eiderwind_places_asked_total', 'Places that requests of this gateway asked for.', () => asker.asked)
+    single('eiderwind_places_received_total', 'Of those, places that they got.', () => asker.received)
+    single('eiderwind_places_refused_total', 'Of those, asks that were refused: no place in time.', () => asker.refused)
+    single('eiderwind_places_alone_total', 'Requests that looked for room alone although it was contended: the issuer did not answer, or its places could not be used.', () => asker.alone)
+    single('eiderwind_places_issued_total', 'Places that this gateway gave to requests of any gateway.', () => issuer.given)
+    single('eiderwind_places_waiting', 'Requests of any gateway that wait here for a place.', () => issuer.waiting)
+  }
+
   /** Listed upstreams by the state of their membership, `none` for those in no replica. */
   #engines (): Record<string, number> {
     const counts: Record<string, number> = {}
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -35,6 +35,8 @@
   readonly retryRatio: number
   readonly retrySlack: number
   readonly retryWindow: number
+  /** Whether one gateway issues the places at a model's heads for all where they are scarce (`rooms.ts`). Absent: no. */
+  readonly sharedRoom?: boolean
   /** How long all streams of a replica's head may be silent before it is suspected. */
   readonly silence: number
   /** Age of what another gateway says of the upstreams from which this one watches the store itself (`upstreamfeed.ts`). */
--- a/packages/gateway/test/modelhead.ts
+++ b/packages/gateway/test/modelhead.ts
@@ -44,6 +44,11 @@
     this.#refusing = refusing
   }
 
+  /** Requests that run or wait here. */
+  get load (): number {
+    return this.#running + this.#queue.length
+  }
+
   arrive (gateway: string, id: string, receiver: Receiver): Cancel {
     const now = this.#clock.now()
     const asked = this.#asked.get(gateway)
--- a/packages/gateway/test/network.ts
+++ b/packages/gateway/test/network.ts
@@ -42,6 +42,22 @@
   }
 }
 
+/** A network whose datagrams arrive when its test says so, all in the order in which they were sent: no timer for each. */
+export class SteppedNetwork extends Network {
+  #held: Array<() => void> = []
+
+  override send (message: string, from: string, to: string): void {
+    this.#held.push(() => super.send(message, from, to))
+  }
+
+  /** Delivers what was sent until now. */
+  deliver (): void {
+    const held = this.#held
+    this.#held = []
+    for (const arrive of held) arrive()
+  }
+}
+
 /** Datagrams over a `Network`. */
 export class ModelDatagrams extends Datagrams {
   readonly #network: Network
--- a/packages/gateway/test/overload.ts
+++ b/packages/gateway/test/overload.ts
@@ -6,7 +6,7 @@
 import { Socket } from 'node:net'
 import { ManualClock, seeded, type Random } from '@eiderwind/clock'
 import { InFlight, Suspects } from '@eiderwind/detect'
-import { Choice, Intake, Queue, RetryBudget } from '@eiderwind/dispatch'
+import { Choice, Intake, Queue, RetryBudget, capacity } from '@eiderwind/dispatch'
 import { CallerRequest, StreamPath, type AnswerHead, type Context } from '@eiderwind/forward'
 import { type Log } from '@eiderwind/log'
 import { Peers, type Heartbeat } from '@eiderwind/peers'
@@ -15,7 +15,8 @@
 import { type Call, type Cancel, type Receiver } from '@eiderwind/wire'
 import { Conditions } from '../src/conditions.js'
 import { ModelHead, distance, slots, unavailable, type Refusing } from './modelhead.js'
-import { ModelDatagrams, Network } from './network.js'
+import { ModelDatagrams, SteppedNetwork, type Network } from './network.js'
+import { Rooms } from '../src/rooms.js'
 
 /** What is played. */
 export interface Overload {
@@ -30,8 +31,16 @@
   readonly impatient: number
   /** Whether gateways take anything from a refusal but that the request did not run. */
   readonly heeds: boolean
+  /** How gateways find room: each alone (the default), or in one of the ways that were compared. */
+  readonly way?: Way
 }
 
+/**
+ * Each gateway alone by heartbeats; places issued by one where room is contended; heartbeats ten times as often; the less loaded of two heads that are drawn, by their own
+ * word at that moment.
+ */
+export type Way = 'alone' | 'issued' | 'fresher counts' | 'two choices'
+
 /** What came of it. */
 export interface OverloadResult {
   /** Answers that began in time and were whole, in parts of what the heads could serve. */
@@ -46,6 +55,8 @@
   readonly unheeded: number
   /** Requests that heads turned away, for each request of a caller. */
   readonly turnedAway: number
+  /** Datagrams between gateways for each request of a caller. */
+  readonly datagrams: number
 }
 
 const heads = 24
@@ -82,11 +93,13 @@
   readonly #gateways: Context[] = []
   readonly #callers: Caller[] = []
   readonly #refusals: number[] = []
+  readonly #network: SteppedNetwork
   #id = 0
 
   constructor (options: Overload) {
     this.#options = options
     this.#random = seeded(options.seed)
+    this.#network = new SteppedNetwork(this.#random)
     this.#heads = Array.from({ length: heads }, (_each, index) => new ModelHead(this.#clock, this.#random, runTime * (index < heads * options.slow ? slowness : 1), options.refusing))
   }
 
@@ -98,6 +111,7 @@
     for (let now = 0; now < span; now += step) {
       for (due += load * capacity * step; due >= 1; due--) this.#arrive()
       this.#clock.advance(step)
+      this.#network.deliver()
       // Lets what waits for promises go on.
       await new Promise(resolve => setImmediate(resolve))
     }
@@ -105,7 +119,7 @@
   }
 
   async #start (): Promise<void> {
-    const network = new Network(this.#random)
+    const network = this.#network
     const list = Array.from({ length: this.#options.gateways }, (_each, index) => ({ id: `g${index}`, address: `g${index}:1` }))
     for (const { id, address } of list) {
       const { context, peers } = this.#gateway(id, address, network, list.length)
@@ -113,7 +127,9 @@
       peers.setAddresses(list)
       await peers.start()
       this.#clock.advance(250 / list.length)
+      network.deliver()
     }
+    network.sent = 0
   }
 
   #gateway (id: string, address: string, network: Network, gateways: number): { context: Context, peers: Peers } {
@@ -122,13 +138,30 @@
     const roster = new Roster(clock)
     roster.replace(Array.from({ length: heads }, (_each, index) => head(index)))
     const queue = new Queue(clock)
-    const inFlight = new InFlight(clock, () => queue.wake())
+    const inFlight = new InFlight(clock, request => {
+      rooms?.ended(request)
+      queue.wake()
+    })
     const suspects = new Suspects(clock, roster)
-    const heartbeat = (): Heartbeat => ({ id, revision: 1, canPlan: false, inFlight: inFlight.counts, suspects: [], inFlightByModel: {}, served: true, loads: {} })
-    const peers = new Peers({ clock, id, address, datagrams: new ModelDatagrams(network, address), heartbeat, interval: 250, timeout: 1000 })
+    const heartbeat = (): Heartbeat => ({ id, revision: 1, canPlan: false, inFlight: inFlight.counts, suspects: [], inFlightByModel: {}, served: true, loads: {}, ...rooms?.news })
+    const interval = this.#options.way === 'fresher counts' ? 25 : 250
+    const peers = new Peers({
+      clock,
+      id,
+      address,
+      datagrams: new ModelDatagrams(network, address),
+      heartbeat,
+      heard: (heartbeat, from) => rooms?.hear(heartbeat, from),
+      other: (datagram, from) => rooms?.receive(datagram, from),
+      interval,
+      timeout: 1000
+    })
     const log = { write: () => {} } as unknown as Log
     const conditions = new Conditions({ clock, log, roster, inFlight, queue, tell: () => {}, limited: () => {}, rested: () => {} })
     const intake = new Intake({ clock, rests: conditions.rests })
+    const choice = new (this.#options.way === 'two choices' ? this.#twoChoices : Choice)({ roster, inFlight, peers, suspects, intake, dataCentre: 'dc', random })
+    const rooms: Rooms | undefined = this.#options.way === 'issued' ? new Rooms({ clock, log, id, dataCentre: 'dc', roster, peers, inFlight, rests: conditions.rests, queue, choice, intake, engine: () => engine, random }) : undefined
+    rooms?.start()
     const budget = new RetryBudget(clock, { ratio: 0.2, window: 10_000, slack: 200, gateways: () => gateways })
     const context = {
       clock,
@@ -140,18 +173,34 @@
       intake,
       queue,
       random,
-      choice: new Choice({ roster, inFlight, peers, suspects, intake, dataCentre: 'dc', random }),
+      choice,
+      places: rooms?.asker,
       crashes: { standing: () => 'trusted', underTrial: new Set<string>(), broke: () => {}, served: () => {} },
       retryBudget: () => budget,
       connections: { send: (call: Call, receiver: Receiver) => this.#send(id, call, receiver) },
       answered: (upstream: Upstream, answer: AnswerHead) => {
         const rest = answer.status === unavailable ? Number(answer.headers['retry-after'] ?? 0) * 1000 : 0
         if (this.#options.heeds) conditions.answered(upstream, answer, { leaving: false, rest })
+        rooms?.answered(upstream, answer)
       }
     } as unknown as Context
     return { context, peers }
   }
 
+  /** Draws two heads and takes the less loaded one, by what they say at that moment. */
+  get #twoChoices (): typeof Choice {
+    const loads = this.#heads
+    const random = this.#random
+    return class extends Choice {
+      override head (service: string, model: string, engine: Engine, avoided: ReadonlySet<string>): Upstream | undefined {
+        const heads = this.heads(service, model).filter(({ id }) => !avoided.has(id))
+        const loadOf = ({ id }: Upstream): number => loads[Number(id.slice(1))].load
+        const drawn = [0, 1].flatMap(() => heads.length === 0 ? [] : [heads[Math.floor(random() * heads.length)]])
+        return drawn.filter(each => loadOf(each) < capacity(engine)).sort((a, b) => loadOf(a) - loadOf(b))[0]
+      }
+    }
+  }
+
   #send (gateway: string, { origin, headers }: Call, receiver: Receiver): Cancel {
     let cancel: Cancel | undefined
     let cancelled: Error | undefined
@@ -224,7 +273,8 @@
       served: [share(true), share(false)],
       refusalTime: refusals[Math.floor(refusals.length * 0.99)] ?? 0,
       unheeded: this.#heads.reduce((sum, each) => sum + each.unheeded, 0),
-      turnedAway: this.#heads.reduce((sum, each) => sum + each.turnedAway, 0) / this.#callers.length
+      turnedAway: this.#heads.reduce((sum, each) => sum + each.turnedAway, 0) / this.#callers.length,
+      datagrams: this.#network.sent / this.#callers.length
     }
   }
 }
--- a/packages/limits/src/tokens.ts
+++ b/packages/limits/src/tokens.ts
@@ -91,6 +91,11 @@
     this.#number = Math.floor(options.random() * firstNumbers)
   }
 
+  /** Whether an upstream names a limit. */
+  isLimited (upstream: string): boolean {
+    return this.#options.limits.isLimited(upstream)
+  }
+
   /** Whether a request may be sent to an upstream now. */
   has (upstream: string): boolean {
     const { limits, issuer, owner } = this.#options
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -57,6 +57,7 @@
   'upstream-resting': { number: 422, level: 'info', text: 'An upstream turned a request away and asked for rest: it gets nothing from this gateway for `rest` ms.' },
   'upstream-leaving': { number: 423, level: 'info', text: 'An upstream said in an answer that it is leaving, to this gateway or to the one named in `from`: it gets no new request.' },
   'upstream-limited': { number: 424, level: 'info', text: 'An upstream named the requests a second that it takes from all gateways together, `limit`, to this gateway or to the one named in `from`; no `limit`: it takes any number again.' },
+  'room-contended': { number: 428, level: 'info', text: 'Room at the heads of a model is scarce, or no longer is (`contended`): its places are issued by one gateway, `issuer`.' },
   'configuration-unconfirmed': { number: 430, level: 'warn', text: 'The configuration was not confirmed in time; requests with API keys are refused.' },
   'configuration-confirmed': { number: 431, level: 'info', text: 'The configuration is confirmed again.' },
   'planner-acts': { number: 440, level: 'info', text: 'This gateway now plans the replicas of a service.' },
--- a/packages/peers/src/heartbeat.ts
+++ b/packages/peers/src/heartbeat.ts
@@ -44,6 +44,10 @@
   readonly leaving?: readonly string[]
   /** Limits that upstreams named, or lifted, in answers to the sender lately, by upstream id. Absent where there are none, and from builds that do not say. */
   readonly limits?: Readonly<Record<string, LimitReport>>
+  /** The models at whose heads the sender has met a lack of room lately, as `places` names them. Absent where there are none, and from builds that do not say. */
+  readonly contended?: readonly string[]
+  /** The number of the last grant of a place that it got, by the gateway that gave it. Absent where there are none. */
+  readonly grants?: Readonly<Record<string, number>>
   /** Digest of the requests that the sender has blocked. Absent where there are none. */
   readonly blocked?: string
 }
@@ -80,11 +84,15 @@
   /** `leaving`. Absent where there are none. */
   leaving: z.array(z.string()).optional(),
   /** `limits`. Absent where there are none. */
-  limits: z.record(z.string(), z.tuple([z.number().nonnegative().nullable(), z.number().nonnegative()])).optional()
+  limits: z.record(z.string(), z.tuple([z.number().nonnegative().nullable(), z.number().nonnegative()])).optional(),
+  /** `contended`. Absent where there are none. */
+  contended: z.array(z.string()).optional(),
+  /** `grants`. Absent where there are none. */
+  grants: z.record(z.string(), z.int().nonnegative()).optional()
 })
 
 /** The datagram of a heartbeat. */
-export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads, interval, asks, terms, crashes, cleared, trials, blocked, leaving, limits }: Heartbeat): string {
+export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads, interval, asks, terms, crashes, cleared, trials, blocked, leaving, limits, contended, grants }: Heartbeat): string {
   return JSON.stringify({
     id,
     revision,
@@ -103,7 +111,9 @@
     trials: unlessEmpty(trials),
     blocked,
     leaving: unlessEmpty(leaving),
-    limits: unlessEmpty(limits)
+    limits: unlessEmpty(limits),
+    contended: unlessEmpty(contended),
+    grants: unlessEmpty(grants)
   })
 }
 
--- /dev/null
+++ b/packages/places/src/counts.ts
@@ -0,0 +1,46 @@
+/**
+ * Requests in flight at upstreams from the other gateways: by the newest heartbeat of each, and by what it has told of single upstreams since. Owns these counts and keeps
+ * their sums, since they are asked for with each choice; relies on `keepOnly` being called now and then, so that a gateway that ended counts nothing.
+ */
+
+/** Counts of the other gateways. */
+export class Counts {
+  readonly #counts = new Map<string, Map<string, number>>()
+  readonly #sums = new Map<string, number>()
+
+  /** Requests in flight at an upstream from all other gateways. */
+  of (upstream: string): number {
+    return this.#sums.get(upstream) ?? 0
+  }
+
+  /** Takes the heartbeat of a gateway: all that it has in flight. */
+  hear (gateway: string, inFlight: Readonly<Record<string, number>>): void {
+    const before = this.#counts.get(gateway)
+    if (before !== undefined) for (const upstream of [...before.keys()]) if (inFlight[upstream] === undefined) this.set(gateway, upstream, 0)
+    for (const [upstream, count] of Object.entries(inFlight)) this.set(gateway, upstream, count)
+  }
+
+  /** Takes what a gateway has in flight at one upstream. */
+  set (gateway: string, upstream: string, count: number): void {
+    const counts = this.#counts.get(gateway) ?? new Map<string, number>()
+    this.#counts.set(gateway, counts)
+    this.#add(upstream, count - (counts.get(upstream) ?? 0))
+    if (count === 0) counts.delete(upstream)
+    else counts.set(upstream, count)
+  }
+
+  /** Forgets the gateways that live no more. */
+  keepOnly (isLive: (gateway: string) => boolean): void {
+    for (const gateway of [...this.#counts.keys()]) {
+      if (isLive(gateway)) continue
+      this.hear(gateway, {})
+      this.#counts.delete(gateway)
+    }
+  }
+
+  #add (upstream: string, count: number): void {
+    const sum = this.of(upstream) + count
+    if (sum === 0) this.#sums.delete(upstream)
+    else this.#sums.set(upstream, sum)
+  }
+}
--- /dev/null
+++ b/packages/places/src/issuer.ts
@@ -0,0 +1,315 @@
+/**
+ * The places at the heads of the rooms that this gateway keeps for all: the one queue of each room, whose next request gets the next free place. Owns the queues and the
+ * grants that no gateway has shown yet, in memory only: a gateway that takes over knows the load by the last heartbeats, and whoever waited asks again or is served locally.
+ *
+ * The load of a head is what this gateway has in flight there, what each other one has by its newest word, and the grants that this word does not show. A grant that was
+ * lost, told back or never used is over with the next heartbeat of its gateway, so no place is lost for longer. Who is next is decided in `order.ts`.
+ */
+import { type Clock, type Random, type Subscription } from '@eiderwind/clock'
+import { type Counts } from './counts.js'
+import { TeamUsage, expectedWait, nextServed, type Waiting } from './order.js'
+import { Rate } from './rate.js'
+import { type Room } from './room.js'
+
+/** A request that waits for a place, as its gateway tells it. Times are on `Clock.now`, in ms. */
+export interface Ask extends Waiting {
+  /** Whom to answer; `deliver` knows what it means. */
+  readonly from: string
+  /** By which the asker knows it again. */
+  readonly number: number
+  /** Upstreams that it must not be sent to. */
+  readonly besides: readonly string[]
+  /** The data centre from which it is sent. */
+  readonly near: string
+}
+
+/** What becomes of an ask. */
+export type Reply =
+  | { readonly place: 'wait', readonly number: number }
+  | { readonly place: 'grant', readonly number: number, readonly upstream: string, readonly order: number }
+  | { readonly place: 'later', readonly number: number, readonly due: number }
+
+/** A head that takes requests now. */
+export interface Head {
+  readonly id: string
+  readonly dataCentre: string
+  /** Requests up to which it has room. */
+  readonly capacity: number
+}
+
+/** What a gateway says of one upstream. */
+export interface Word {
+  readonly upstream: string
+  /** Its requests in flight there. */
+  readonly count: number
+  /** The last grant that this count may show. */
+  readonly seen: number
+  /** For how long it leaves the upstream out, in ms. */
+  readonly shut?: number | undefined
+}
+
+/** Dependencies of `Issuer`. */
+export interface IssuerOptions {
+  readonly clock: Clock
+  /** The heads of a room that take requests now, full or not. */
+  readonly heads: (room: Room) => readonly Head[]
+  /** Requests in flight at an upstream from this gateway. */
+  readonly inFlight: (upstream: string) => number
+  readonly counts: Counts
+  readonly deliver: (to: string, reply: Reply) => void
+  /** Breaks ties between heads that are equally good. */
+  readonly random: Random
+}
+
+/** `Ask.from` where the ask is this gateway's own. */
+export const ownAsk = ''
+
+/** How long an asker may keep a place before it sends its request there, in ms. */
+export const useTime = 100
+
+/** Time after which a word shows a grant, even if its sender does not say that it has seen it, in ms: what is left of it was lost, or is not used any more. */
+const lapse = 2 * useTime
+
+/** Time between two looks at a queue in which nothing else has happened, in ms: heads may have opened, and requests have waited too long. */
+const lookInterval = 20
+
+/** Requests on which the expected wait is computed at most; of a longer queue a part stands for the whole. */
+const sample = 64
+
+/** How long an expected wait holds for requests alike, in ms. */
+const expectationTime = 20
+
+/** Added to the cost of a head in another data centre: half a request in flight. */
+const distanceCost = 0.5
+
+/** Least time after which a refused caller is told to come back, in ms: some of the requests that run now have ended by then. */
+const leastReturn = 900
+
+/** Numbers of grants begin with the wall time at the start, so that those of a later life are higher. */
+const grantsPerMillisecond = 1000
+
+interface Grant {
+  readonly order: number
+  readonly to: string
+  readonly upstream: string
+  readonly at: number
+}
+
+/** The queue of a room. */
+interface Queue {
+  readonly room: Room
+  waiting: Ask[]
+  readonly usage: TeamUsage
+  /** Places given a second. */
+  readonly rate: Rate
+  readonly expected: Map<string, { readonly wait: number, readonly at: number }>
+  timer: Subscription | undefined
+}
+
+/** Issues places. */
+export class Issuer {
+  readonly #options: IssuerOptions
+  readonly #queues = new Map<string, Queue>()
+  /** Grants that are not shown yet, by the gateway that has them. */
+  readonly #grants = new Map<string, Grant[]>()
+  /** How many those are, by upstream. */
+  readonly #granted = new Map<string, number>()
+  /** Until when an upstream is left out by the word of a gateway that it refused. */
+  readonly #shut = new Map<string, number>()
+  #order: number
+  /** Asks taken, places given and asks refused. */
+  asked = 0
+  given = 0
+  refused = 0
+
+  constructor (options: IssuerOptions) {
+    this.#options = options
+    this.#order = Math.floor(options.clock.wall()) * grantsPerMillisecond
+  }
+
+  /** Requests that wait here. */
+  get waiting (): number {
+    return [...this.#queues.values()].reduce((sum, { waiting }) => sum + waiting.length, 0)
+  }
+
+  /** Answers at once: with a place, that there is none in time, or that the request waits. One that waits gets another answer later. */
+  ask (room: Room, ask: Ask): void {
+    const { clock, deliver } = this.#options
+    const queue = this.#queue(room)
+    const now = clock.now()
+    this.asked++
+    this.#drop(queue, ask.from, ask.number)
+    queue.waiting.push(ask)
+    this.#serve(queue)
+    if (!queue.waiting.includes(ask)) return
+    if (now + this.#expected(queue, ask, now) > ask.until) this.#refuse(queue, ask, now)
+    else deliver(ask.from, { place: 'wait', number: ask.number })
+  }
+
+  /** Ends an ask that its gateway no longer needs. */
+  drop (room: Room, from: string, number: number): void {
+    const queue = this.#queues.get(room.key)
+    if (queue !== undefined) this.#drop(queue, from, number)
+  }
+
+  /** Takes what a gateway says of an upstream: a place may have come free there. */
+  hear (room: Room, from: string, { upstream, count, seen, shut }: Word): void {
+    const { clock, counts } = this.#options
+    if (from !== ownAsk) counts.set(from, upstream, count)
+    if (shut !== undefined) this.#shut.set(upstream, clock.now() + shut)
+    this.#shown(from, grant => grant.upstream === upstream && (grant.order <= seen || this.#hasLapsed(grant)))
+    this.serve(room)
+  }
+
+  /** Takes that the counts of a gateway's heartbeat are known. @param seen the last of this gateway's grants that they may show */
+  heard (from: string, seen: number | undefined): void {
+    this.#shown(from, grant => (seen !== undefined && grant.order <= seen) || this.#hasLapsed(grant))
+  }
+
+  /** Takes that an own request uses its place, or does not need it. */
+  settle (order: number): void {
+    this.#shown(ownAsk, grant => grant.order === order)
+  }
+
+  /** Gives the places that are free now to those that wait. To be called when something has changed. */
+  serve ({ key }: Room): void {
+    const queue = this.#queues.get(key)
+    if (queue !== undefined && queue.waiting.length > 0) this.#serve(queue)
+  }
+
+  /** The same in all rooms. */
+  serveAll (): void {
+    for (const { room } of this.#queues.values()) this.serve(room)
+  }
+
+  /** Forgets what is over. */
+  forget (isLive: (gateway: string) => boolean): void {
+    const now = this.#options.clock.now()
+    for (const from of [...this.#grants.keys()]) this.#shown(from, () => from !== ownAsk && !isLive(from))
+    for (const [upstream, until] of this.#shut) if (until <= now) this.#shut.delete(upstream)
+    for (const [key, { waiting, rate }] of this.#queues) if (waiting.length === 0 && rate.isOver(now)) this.#queues.delete(key)
+  }
+
+  #queue (room: Room): Queue {
+    const known = this.#queues.get(room.key)
+    if (known !== undefined) return known
+    const queue: Queue = { room, waiting: [], usage: new TeamUsage(), rate: new Rate(), expected: new Map(), timer: undefined }
+    this.#queues.set(room.key, queue)
+    return queue
+  }
+
+  #serve (queue: Queue): void {
+    const now = this.#options.clock.now()
+    this.#expire(queue, now)
+    const heads = this.#options.heads(queue.room).filter(({ id }) => (this.#shut.get(id) ?? 0) <= now)
+    let candidates = queue.waiting
+    while (candidates.length > 0) {
+      const open = heads.filter(({ id, capacity }) => this.#load(id) < capacity)
+      if (open.length === 0) break
+      const next = nextServed(candidates, queue.usage, now)
+      if (next === undefined) break
+      const head = this.#best(open, next)
+      candidates = candidates.filter(each => each !== next)
+      if (head !== undefined) this.#grant(queue, next, head, now)
+    }
+    this.#schedule(queue)
+  }
+
+  #best (heads: readonly Head[], { besides, near }: Ask): Head | undefined {
+    const { random } = this.#options
+    let best: Head | undefined
+    let least = Infinity
+    for (const head of heads) {
+      if (besides.includes(head.id)) continue
+      const cost = this.#load(head.id) + (head.dataCentre === near ? 0 : distanceCost) + random() * 0.1
+      if (cost >= least) continue
+      best = head
+      least = cost
+    }
+    return best
+  }
+
+  #grant (queue: Queue, ask: Ask, { id: upstream }: Head, now: number): void {
+    const { from: to, number, team, work } = ask
+    const grant = { order: ++this.#order, to, upstream, at: now }
+    queue.waiting = queue.waiting.filter(each => each !== ask)
+    queue.usage.served(team, work, now)
+    queue.rate.add(now)
+    this.#grants.set(to, [...this.#grants.get(to) ?? [], grant])
+    this.#granted.set(upstream, (this.#granted.get(upstream) ?? 0) + 1)
+    this.given++
+    this.#options.deliver(to, { place: 'grant', number, upstream, order: grant.order })
+  }
+
+  #refuse (queue: Queue, ask: Ask, now: number): void {
+    this.#drop(queue, ask.from, ask.number)
+    this.refused++
+    this.#options.deliver(ask.from, { place: 'later', number: ask.number, due: this.#return(queue, now) })
+  }
+
+  /** When a refused caller should come back, in ms: once those that wait now are served. */
+  #return ({ waiting, rate }: Queue, now: number): number {
+    const perSecond = rate.at(now)
+    return Math.max(leastReturn, perSecond === undefined ? 0 : (waiting.length + 1) / perSecond * 1000)
+  }
+
+  /** In how many ms a request that has just come would be served; 0 while it is not known how fast places come free. */
+  #expected (queue: Queue, ask: Ask, now: number): number {
+    const rate = queue.rate.at(now)
+    if (rate === undefined) return 0
+    const alike = `${ask.priority} ${ask.inTimeUntil < now ? 'late' : ''} ${ask.team}`
+    const known = queue.expected.get(alike)
+    if (known !== undefined && now - known.at < expectationTime) return known.wait
+    const each = Math.ceil(queue.waiting.length / sample)
+    const part = each === 1 ? queue.waiting : queue.waiting.filter((_ask, index) => index % each === 0)
+    const wait = expectedWait(ask, part, queue.usage, rate / each, now)
+    queue.expected.set(alike, { wait, at: now })
+    return wait
+  }
+
+  /** Those that have waited as long as they can are refused. */
+  #expire (queue: Queue, now: number): void {
+    for (const ask of queue.waiting.filter(each => each.until <= now)) this.#refuse(queue, ask, now)
+  }
+
+  #drop (queue: Queue, from: string, number: number): void {
+    queue.waiting = queue.waiting.filter(each => each.from !== from || each.number !== number)
+  }
+
+  #schedule (queue: Queue): void {
+    if (queue.waiting.length === 0) {
+      queue.timer?.cancel()
+      queue.timer = undefined
+      return
+    }
+    queue.timer ??= this.#options.clock.after(lookInterval, () => {
+      queue.timer = undefined
+      this.#serve(queue)
+    })
+  }
+
+  #load (upstream: string): number {
+    const { inFlight, counts } = this.#options
+    return inFlight(upstream) + counts.of(upstream) + (this.#granted.get(upstream) ?? 0)
+  }
+
+  /** Ends the grants of a gateway that its counts show now. */
+  #shown (gateway: string, isShown: (grant: Grant) => boolean): void {
+    const grants = this.#grants.get(gateway)
+    if (grants === undefined) return
+    const left = grants.filter(grant => !isShown(grant))
+    for (const grant of grants) if (!left.includes(grant)) this.#release(grant.upstream)
+    if (left.length > 0) this.#grants.set(gateway, left)
+    else this.#grants.delete(gateway)
+  }
+
+  #hasLapsed ({ at }: Grant): boolean {
+    return this.#options.clock.now() - at >= lapse
+  }
+
+  #release (upstream: string): void {
+    const left = (this.#granted.get(upstream) ?? 1) - 1
+    if (left > 0) this.#granted.set(upstream, left)
+    else this.#granted.delete(upstream)
+  }
+}
--- /dev/null
+++ b/packages/places/src/messages.ts
@@ -0,0 +1,44 @@
+/**
+ * The datagrams by which gateways ask each other for places. This is the only place that knows their keys on the wire: never rename, drop or retype one. A gateway of an
+ * earlier build drops them, and its requests are served without: what it has in flight is known by its heartbeats.
+ */
+import { parseJson } from '@eiderwind/wire'
+import { z } from 'zod'
+
+const number = z.int().nonnegative()
+const time = z.number().nonnegative()
+const room = { service: z.string(), model: z.string() }
+
+const PlaceMessage = z.discriminatedUnion('place', [
+  /**
+   * A request waits for a place. It came `age` ms ago, can begin for `timely` ms more and be in time (less than 0: it is late), and waits for `patience` ms, at none of the upstreams
+   * `besides`, best in the data centre `near`.
+   */
+  z.object({ place: z.literal('ask'), ...room, number, priority: z.number(), team: z.string(), work: z.number(), age: time, timely: z.number(), patience: time, besides: z.array(z.string()), near: z.string() }),
+  /** It waits no longer. */
+  z.object({ place: z.literal('drop'), ...room, number }),
+  /** It is in the queue. */
+  z.object({ place: z.literal('wait'), number }),
+  /** It has a place at an upstream: the grant `order` of the sender, whose grants have rising numbers. */
+  z.object({ place: z.literal('grant'), number, upstream: z.string(), order: number }),
+  /** It gets none in time. Its caller should come back in `due` ms. */
+  z.object({ place: z.literal('later'), number, due: time }),
+  /** What the sender has in flight at an upstream, with all grants of the receiver up to `seen`; and for how many ms it leaves the upstream out, if it does. */
+  z.object({ place: z.literal('count'), ...room, upstream: z.string(), count: number, seen: number, shut: time.optional() })
+])
+/** A message between the gateway that issues a model's places and one that asks for them. */
+export type PlaceMessage = z.infer<typeof PlaceMessage>
+
+/** How each of the datagrams begins: what is none need not be read. */
+const beginning = Buffer.from('{"place":')
+
+/** The datagram of a message. */
+export function encodeMessage ({ place, ...others }: PlaceMessage): string {
+  return JSON.stringify({ place, ...others })
+}
+
+/** The message in a datagram, or undefined where the datagram is none. */
+export function decodeMessage (datagram: Buffer): PlaceMessage | undefined {
+  if (!datagram.subarray(0, beginning.length).equals(beginning)) return undefined
+  return PlaceMessage.safeParse(parseJson(datagram.toString())).data
+}
--- a/packages/settings/src/shapes.ts
+++ b/packages/settings/src/shapes.ts
@@ -138,6 +138,10 @@
     /** Length of the sliding window in which retries are counted. */
     retry_window: time('10 s')
   }).prefault({}),
+  room: z.strictObject({
+    /** Whether one gateway issues the places at a model's heads for all gateways where they are scarce. */
+    shared: Flag.default(false)
+  }).prefault({}),
   observe: z.strictObject({
     level: Level,
     /** `host:port` on which the metrics are served in text form; they are not served where it is empty. */
--- a/packages/traffic/src/shape.ts
+++ b/packages/traffic/src/shape.ts
@@ -67,7 +67,7 @@
   stepPerRequest: Span,
   /** Prompt tokens read in a second. Nothing reads it. */
   readRate: z.number().positive(),
-  /** Mean tokens of a prompt. Nothing reads it. */
+  /** Mean tokens of a prompt. */
   prompt: z.number().min(0),
   /** Mean tokens of an answer. Nothing reads it. */
   answer: z.number().min(0),
