--- a/packages/places/src/issuer.ts
+++ b/packages/places/src/issuer.ts
@@ -3,11 +3,11 @@
  * grants that no gateway has shown yet, in memory only: a gateway that takes over knows the load by the last heartbeats, and whoever waited asks again or is served locally.
  *
  * The load of a head is what this gateway has in flight there, what each other one has by its newest word, and the grants that this word does not show. A grant that was
- * lost, told back or never used is over with the next heartbeat of its gateway, so no place is lost for longer. Who is next is decided in `order.ts`.
+ * lost, told back or never used is over with the next heartbeat of its gateway, so no place is lost for longer. Who is next is decided in `@eiderwind/fairness`.
  */
 import { type Clock, type Random, type Subscription } from '@eiderwind/clock'
+import { TeamUsage, expectedWait, kindOf, nextServed, type Waiting } from '@eiderwind/fairness'
 import { type Counts } from './counts.js'
-import { TeamUsage, expectedWait, nextServed, type Waiting } from './order.js'
 import { Rate } from './rate.js'
 import { type Room } from './room.js'
 
@@ -85,6 +85,9 @@
 /** Least time after which a refused caller is told to come back, in ms: some of the requests that run now have ended by then. */
 const leastReturn = 900
 
+/** How long an empty queue is kept, in ms: what its teams usually ask for is learnt over minutes. */
+const keptFor = 600_000
+
 /** Numbers of grants begin with the wall time at the start, so that those of a later life are higher. */
 const grantsPerMillisecond = 1000
 
@@ -98,10 +101,12 @@
 /** The queue of a room. */
 interface Queue {
   readonly room: Room
-  waiting: Ask[]
+  readonly waiting: Ask[]
+  /** When a request asked last, on `Clock.now`. */
+  usedAt: number
   readonly usage: TeamUsage
-  /** Places given a second. */
-  readonly rate: Rate
+  /** Places given a second, by the priority of who got them. */
+  readonly rates: Map<number, Rate>
   readonly expected: Map<string, { readonly wait: number, readonly at: number }>
   timer: Subscription | undefined
 }
@@ -138,7 +143,8 @@
     const queue = this.#queue(room)
     const now = clock.now()
     this.asked++
-    this.#drop(queue, ask.from, ask.number)
+    queue.usedAt = now
+    if (!this.#drop(queue, ask.from, ask.number)) queue.usage.asked(ask.team, ask.work, now)
     queue.waiting.push(ask)
     this.#serve(queue)
     if (!queue.waiting.includes(ask)) return
@@ -187,13 +193,13 @@
     const now = this.#options.clock.now()
     for (const from of [...this.#grants.keys()]) this.#shown(from, () => from !== ownAsk && !isLive(from))
     for (const [upstream, until] of this.#shut) if (until <= now) this.#shut.delete(upstream)
-    for (const [key, { waiting, rate }] of this.#queues) if (waiting.length === 0 && rate.isOver(now)) this.#queues.delete(key)
+    for (const [key, { waiting, usedAt }] of this.#queues) if (waiting.length === 0 && now - usedAt > keptFor) this.#queues.delete(key)
   }
 
   #queue (room: Room): Queue {
     const known = this.#queues.get(room.key)
     if (known !== undefined) return known
-    const queue: Queue = { room, waiting: [], usage: new TeamUsage(), rate: new Rate(), expected: new Map(), timer: undefined }
+    const queue: Queue = { room, waiting: [], usedAt: 0, usage: new TeamUsage(), rates: new Map(), expected: new Map(), timer: undefined }
     this.#queues.set(room.key, queue)
     return queue
   }
@@ -202,7 +208,7 @@
     const now = this.#options.clock.now()
     this.#expire(queue, now)
     const heads = this.#options.heads(queue.room).filter(({ id }) => (this.#shut.get(id) ?? 0) <= now)
-    let candidates = queue.waiting
+    let candidates: readonly Ask[] = queue.waiting
     while (candidates.length > 0) {
       const open = heads.filter(({ id, capacity }) => this.#load(id) < capacity)
       if (open.length === 0) break
@@ -232,9 +238,11 @@
   #grant (queue: Queue, ask: Ask, { id: upstream }: Head, now: number): void {
     const { from: to, number, team, work } = ask
     const grant = { order: ++this.#order, to, upstream, at: now }
-    queue.waiting = queue.waiting.filter(each => each !== ask)
-    queue.usage.served(team, work, now)
-    queue.rate.add(now)
+    this.#drop(queue, to, number)
+    queue.usage.served(team, work, now, kindOf(ask, now))
+    const rate = queue.rates.get(ask.priority) ?? new Rate()
+    queue.rates.set(ask.priority, rate)
+    rate.add(now)
     this.#grants.set(to, [...this.#grants.get(to) ?? [], grant])
     this.#granted.set(upstream, (this.#granted.get(upstream) ?? 0) + 1)
     this.given++
@@ -248,20 +256,24 @@
   }
 
   /** When a refused caller should come back, in ms: once those that wait now are served. */
-  #return ({ waiting, rate }: Queue, now: number): number {
-    const perSecond = rate.at(now)
-    return Math.max(leastReturn, perSecond === undefined ? 0 : (waiting.length + 1) / perSecond * 1000)
+  #return ({ waiting, rates }: Queue, now: number): number {
+    const rate = rateFor(rates, -Infinity, now)
+    return Math.max(leastReturn, rate === undefined ? 0 : (waiting.length + 1) / rate * 1000)
   }
 
-  /** In how many ms a request that has just come would be served; 0 while it is not known how fast places come free. */
+  /**
+   * In how many ms a request that has just come would be served; 0 while it is not known how fast places come free. The more urgent ones go on coming: what they got
+   * lately is not there for it.
+   */
   #expected (queue: Queue, ask: Ask, now: number): number {
-    const rate = queue.rate.at(now)
+    const rate = rateFor(queue.rates, ask.priority, now)
     if (rate === undefined) return 0
     const alike = `${ask.priority} ${ask.inTimeUntil < now ? 'late' : ''} ${ask.team}`
     const known = queue.expected.get(alike)
     if (known !== undefined && now - known.at < expectationTime) return known.wait
-    const each = Math.ceil(queue.waiting.length / sample)
-    const part = each === 1 ? queue.waiting : queue.waiting.filter((_ask, index) => index % each === 0)
+    const rivals = queue.waiting.filter(each => each.priority >= ask.priority)
+    const each = Math.ceil(rivals.length / sample)
+    const part = each === 1 ? rivals : rivals.filter((_ask, index) => index % each === 0)
     const wait = expectedWait(ask, part, queue.usage, rate / each, now)
     queue.expected.set(alike, { wait, at: now })
     return wait
@@ -272,8 +284,11 @@
     for (const ask of queue.waiting.filter(each => each.until <= now)) this.#refuse(queue, ask, now)
   }
 
-  #drop (queue: Queue, from: string, number: number): void {
-    queue.waiting = queue.waiting.filter(each => each.from !== from || each.number !== number)
+  /** Returns whether it waited. */
+  #drop (queue: Queue, from: string, number: number): boolean {
+    const index = queue.waiting.findIndex(each => each.from === from && each.number === number)
+    if (index >= 0) queue.waiting.splice(index, 1)
+    return index >= 0
   }
 
   #schedule (queue: Queue): void {
@@ -313,3 +328,10 @@
     else this.#granted.delete(upstream)
   }
 }
+
+/** Places that come free a second for requests of a priority and less urgent ones; undefined where it is not known. */
+function rateFor (rates: ReadonlyMap<number, Rate>, priority: number, now: number): number | undefined {
+  const all = [...rates].map(([urgency, rate]) => ({ urgency, rate: rate.at(now) }))
+  if (all.every(({ rate }) => rate === undefined)) return undefined
+  return all.reduce((sum, { urgency, rate = 0 }) => urgency >= priority ? sum + rate : sum, 0)
+}
