--- a/packages/gateway/test/roomtable.ts
+++ b/packages/gateway/test/roomtable.ts
@@ -1,7 +1,7 @@
-/** `npm run rooms [-- SEED [GATEWAYS,...]]`: plays the model of overload over load, gateways and ways to find room, and prints a table in Markdown. */
+/** `npm run rooms [-- SEED [GATEWAYS,... [WAY,... [LOAD,...]]]]`: plays the model of overload over load, gateways and ways to find room, and prints a table in Markdown. */
 import { playOverload, type Way } from './overload.js'
 
-const loads = (process.argv[5] ?? "0.5,0.8,1,1.5,2,4").split(",").map(Number)
+const loads = (process.argv[5] ?? '0.5,0.8,1,1.5,2,4').split(',').map(Number)
 const ways: Way[] = ['alone', 'issued', 'fresher counts', 'two choices']
 const seed = Number(process.argv[2] ?? 1)
 const fleets = (process.argv[3] ?? '1,3,13,35').split(',').map(Number)
--- a/packages/places/src/issuer.ts
+++ b/packages/places/src/issuer.ts
@@ -98,6 +98,13 @@
   readonly at: number
 }
 
+/** How long a request of some kind would have waited at a moment, and how many of the kind have come since. */
+interface Expectation {
+  readonly wait: number
+  readonly at: number
+  since: number
+}
+
 /** The queue of a room. */
 interface Queue {
   readonly room: Room
@@ -107,7 +114,7 @@
   readonly usage: TeamUsage
   /** Places given a second, by the priority of who got them. */
   readonly rates: Map<number, Rate>
-  readonly expected: Map<string, { readonly wait: number, readonly at: number }>
+  readonly expected: Map<string, Expectation>
   timer: Subscription | undefined
 }
 
@@ -270,12 +277,12 @@
     if (rate === undefined) return 0
     const alike = `${ask.priority} ${ask.inTimeUntil < now ? 'late' : ''} ${ask.team}`
     const known = queue.expected.get(alike)
-    if (known !== undefined && now - known.at < expectationTime) return known.wait
+    if (known !== undefined && now - known.at < expectationTime) return known.wait + ++known.since / rate * 1000
     const rivals = queue.waiting.filter(each => each.priority >= ask.priority)
     const each = Math.ceil(rivals.length / sample)
     const part = each === 1 ? rivals : rivals.filter((_ask, index) => index % each === 0)
     const wait = expectedWait(ask, part, queue.usage, rate / each, now)
-    queue.expected.set(alike, { wait, at: now })
+    queue.expected.set(alike, { wait, at: now, since: 0 })
     return wait
   }
 
--- /dev/null
+++ b/packages/places/test/issuer.test.ts
@@ -0,0 +1,206 @@
+/** Who gets a place, where, and what is told to the others. */
+import test from 'ava'
+import { ManualClock } from '@eiderwind/clock'
+import { Counts, Issuer, roomOf, type Ask, type Head } from '../src/index.js'
+
+const room = roomOf('s', 'm')
+
+class Fixture {
+  readonly clock = new ManualClock()
+  readonly counts = new Counts()
+  readonly answers: string[] = []
+  heads: Head[] = [head('a', 1), head('b', 1)]
+  readonly own = new Map<string, number>()
+  readonly issuer = new Issuer({
+    clock: this.clock,
+    heads: () => this.heads,
+    inFlight: upstream => this.own.get(upstream) ?? 0,
+    counts: this.counts,
+    deliver: (to, reply) => { this.answers.push(`${to}${reply.number} ${reply.place}${reply.place === 'grant' ? ` ${reply.upstream}` : ''}`) },
+    random: () => 0
+  })
+
+  ask (from: string, number: number, ask: Partial<Ask> = {}): void {
+    const now = this.clock.now()
+    this.issuer.ask(room, { from, number, priority: 1, team: '', work: 1, arrivedAt: now, inTimeUntil: now + 400, until: now + 400, besides: [], near: 'dc', ...ask })
+  }
+
+  /** What was answered since the last look. */
+  get heard (): string[] {
+    return this.answers.splice(0)
+  }
+}
+
+function head (id: string, capacity: number, dataCentre = 'dc'): Head {
+  return { id, dataCentre, capacity }
+}
+
+test('places are given at the least loaded heads, and then the others wait', t => {
+  const fixture = new Fixture()
+  fixture.counts.set('y', 'a', 1)
+  for (const number of [1, 2]) fixture.ask('x', number)
+  t.deepEqual(fixture.heard, ['x1 grant b', 'x2 wait'])
+  t.is(fixture.issuer.waiting, 1)
+})
+
+test('a head in the data centre of the request goes before one as loaded elsewhere', t => {
+  const fixture = new Fixture()
+  fixture.heads = [head('a', 2, 'far'), head('b', 2)]
+  for (const number of [1, 2, 3]) fixture.ask('x', number)
+  t.deepEqual(fixture.heard, ['x1 grant b', 'x2 grant a', 'x3 grant b'])
+})
+
+test('a place that comes free goes to the most urgent at once', t => {
+  const fixture = new Fixture()
+  fixture.counts.set('y', 'a', 1)
+  fixture.counts.set('y', 'b', 1)
+  fixture.ask('x', 1)
+  fixture.ask('z', 2, { priority: 0 })
+  t.deepEqual(fixture.heard, ['x1 wait', 'z2 wait'])
+  fixture.issuer.hear(room, 'y', { upstream: 'a', count: 0, seen: 0 })
+  t.deepEqual(fixture.heard, ['z2 grant a'])
+  fixture.issuer.hear(room, 'y', { upstream: 'b', count: 0, seen: 0 })
+  t.deepEqual(fixture.heard, ['x1 grant b'])
+})
+
+test('one that must not be sent where a place comes free leaves it to the next, and keeps its own turn', t => {
+  const fixture = new Fixture()
+  fixture.counts.set('y', 'a', 1)
+  fixture.counts.set('y', 'b', 1)
+  fixture.ask('x', 1, { besides: ['a'] })
+  fixture.ask('z', 2)
+  fixture.issuer.hear(room, 'y', { upstream: 'a', count: 0, seen: 0 })
+  fixture.issuer.hear(room, 'y', { upstream: 'b', count: 0, seen: 0 })
+  t.deepEqual(fixture.heard, ['x1 wait', 'z2 wait', 'z2 grant a', 'x1 grant b'])
+})
+
+test('a grant counts until a word of its gateway shows it, and no longer', t => {
+  const fixture = new Fixture()
+  fixture.heads = [head('a', 1)]
+  fixture.ask('x', 1)
+  fixture.ask('z', 2)
+  t.deepEqual(fixture.heard, ['x1 grant a', 'z2 wait'])
+  // Sent before it got the grant.
+  fixture.counts.hear('x', {})
+  fixture.issuer.heard('x', undefined)
+  fixture.issuer.serveAll()
+  t.deepEqual(fixture.heard, [])
+  // It has the place in use.
+  fixture.counts.hear('x', { a: 1 })
+  fixture.issuer.heard('x', Number.MAX_SAFE_INTEGER)
+  fixture.issuer.serveAll()
+  t.deepEqual(fixture.heard, [])
+  fixture.issuer.hear(room, 'x', { upstream: 'a', count: 0, seen: Number.MAX_SAFE_INTEGER })
+  t.deepEqual(fixture.heard, ['z2 grant a'])
+})
+
+test('a grant that was lost is over with the first heartbeat after it has lapsed; a word about another head ends none', t => {
+  const fixture = new Fixture()
+  fixture.heads = [head('a', 1)]
+  fixture.ask('x', 1)
+  fixture.ask('z', 2)
+  fixture.clock.advance(199)
+  fixture.issuer.heard('x', undefined)
+  fixture.clock.advance(1)
+  fixture.issuer.hear(room, 'x', { upstream: 'b', count: 0, seen: 0 })
+  t.deepEqual(fixture.heard, ['x1 grant a', 'z2 wait'])
+  fixture.issuer.heard('x', undefined)
+  fixture.issuer.serveAll()
+  t.deepEqual(fixture.heard, ['z2 grant a'])
+})
+
+test('the place of a gateway that lives no more is free', t => {
+  const fixture = new Fixture()
+  fixture.heads = [head('a', 1)]
+  fixture.ask('x', 1)
+  fixture.ask('z', 2)
+  fixture.counts.set('x', 'a', 1)
+  fixture.counts.keepOnly(() => false)
+  fixture.issuer.forget(id => id !== 'x')
+  fixture.clock.advance(20)
+  t.deepEqual(fixture.heard, ['x1 grant a', 'z2 wait', 'z2 grant a'])
+})
+
+test('an own grant is over once it is used or not needed', t => {
+  const fixture = new Fixture()
+  fixture.heads = [head('a', 1)]
+  let order = 0
+  const issuer = new Issuer({ clock: fixture.clock, heads: () => fixture.heads, inFlight: () => 0, counts: fixture.counts, deliver: (_to, reply) => { if (reply.place === 'grant') order = reply.order }, random: () => 0 })
+  const ask = { from: '', number: 1, priority: 1, team: '', work: 1, arrivedAt: 0, inTimeUntil: 400, until: 400, besides: [], near: 'dc' }
+  issuer.ask(room, ask)
+  issuer.ask(room, { ...ask, number: 2 })
+  t.is(issuer.given, 1)
+  issuer.settle(order)
+  issuer.serve(room)
+  t.is(issuer.given, 2)
+})
+
+test('a head that refused is left out for the time that its gateway says', t => {
+  const fixture = new Fixture()
+  fixture.heads = [head('a', 1)]
+  fixture.issuer.hear(room, 'x', { upstream: 'a', count: 0, seen: 0, shut: 100 })
+  fixture.ask('z', 1)
+  fixture.clock.advance(99)
+  t.deepEqual(fixture.heard, ['z1 wait'])
+  fixture.clock.advance(21)
+  t.deepEqual(fixture.heard, ['z1 grant a'])
+})
+
+test('one that has waited as long as it can is refused, and one that is dropped gets nothing', t => {
+  const fixture = new Fixture()
+  fixture.heads = []
+  fixture.ask('x', 1)
+  fixture.ask('x', 2)
+  fixture.issuer.drop(room, 'x', 2)
+  fixture.clock.advance(420)
+  t.deepEqual(fixture.heard, ['x1 wait', 'x2 wait', 'x1 later'])
+  t.is(fixture.issuer.waiting, 0)
+})
+
+test('an ask that comes twice waits once', t => {
+  const fixture = new Fixture()
+  fixture.heads = []
+  fixture.ask('x', 1)
+  fixture.ask('x', 1)
+  t.is(fixture.issuer.waiting, 1)
+})
+
+test('a request before which too many wait is refused at once, with the time in which those are served', t => {
+  const fixture = new Fixture()
+  const dues: number[] = []
+  fixture.heads = [head('a', 1)]
+  const issuer = new Issuer({ clock: fixture.clock, heads: () => fixture.heads, inFlight: () => 0, counts: fixture.counts, deliver: (_to, reply) => { if (reply.place === 'later') dues.push(reply.due) }, random: () => 0 })
+  const ask = (number: number): void => issuer.ask(room, { from: 'x', number, priority: 1, team: '', work: 1, arrivedAt: 0, inTimeUntil: 10_000, until: fixture.clock.now() + 400, besides: [], near: 'dc' })
+  // A place each 100 ms for a while.
+  for (let number = 0; number < 30; number++) {
+    ask(number)
+    fixture.clock.advance(100)
+    issuer.hear(room, 'x', { upstream: 'a', count: 0, seen: Number.MAX_SAFE_INTEGER })
+  }
+  issuer.hear(room, 'x', { upstream: 'a', count: 1, seen: Number.MAX_SAFE_INTEGER })
+  for (let number = 100; number < 120; number++) {
+    ask(number)
+    fixture.clock.advance(1)
+  }
+  t.true(dues.length >= 10, `${dues.length} refused`)
+  t.true(dues.every(due => due >= 900))
+  t.true(issuer.waiting <= 10)
+})
+
+test('the less urgent are refused at once where the more urgent have all places', t => {
+  const fixture = new Fixture()
+  const { clock } = fixture
+  fixture.heads = [head('a', 1)]
+  let later = 0
+  const issuer = new Issuer({ clock, heads: () => fixture.heads, inFlight: () => 0, counts: fixture.counts, deliver: (_to, reply) => { if (reply.place === 'later') later++ }, random: () => 0 })
+  const ask = (number: number, priority: number): void => issuer.ask(room, { from: 'x', number, priority, team: '', work: 1, arrivedAt: clock.now(), inTimeUntil: clock.now() + 400, until: clock.now() + 400, besides: [], near: 'dc' })
+  for (let number = 0; number < 20; number++) {
+    ask(number, 0)
+    clock.advance(50)
+    issuer.hear(room, 'x', { upstream: 'a', count: 0, seen: Number.MAX_SAFE_INTEGER })
+  }
+  issuer.hear(room, 'x', { upstream: 'a', count: 1, seen: Number.MAX_SAFE_INTEGER })
+  ask(50, 0)
+  ask(51, 1)
+  t.is(later, 1)
+})
