--- a/packages/ctl/src/explain.ts
+++ b/packages/ctl/src/explain.ts
@@ -24,7 +24,7 @@
 const relatedTime = 8000
 
 /** Events about an upstream, or about what a gateway believed. */
-const relatedEvents = new Set(['upstream-suspected', 'upstream-resting', 'upstream-leaving', 'upstream-limited', 'replica-decided', 'engine-order', 'store-lost', 'store-back', 'configuration-unconfirmed', 'configuration-confirmed', 'stopping'])
+const relatedEvents = new Set(['upstream-suspected', 'upstream-resting', 'upstream-leaving', 'upstream-limited', 'room-contended', 'replica-decided', 'engine-order', 'store-lost', 'store-back', 'configuration-unconfirmed', 'configuration-confirmed', 'stopping'])
 
 /** Decodes one line of a log file; undefined where it is no event. Anything may stand before the JSON. */
 export function readLine (text: string): LogLine | undefined {
@@ -109,7 +109,7 @@
   'bad-key': 'its key belongs to no team of the configuration in force',
   behind: 'the gateway had no configuration that it could trust',
   leaving: 'the gateway was about to end',
-  busy: 'every replica of its model was full, had asked for rest or took no more requests a second, and it was refused before it waited too long; it did not run',
+  busy: 'every replica of its model was full, had asked for rest or took no more requests a second, or (with `queue`) the queue for all gateways at that one was too long, and it was refused before it waited too long; it did not run',
   'no-replica': 'no replica of its model was open; it did not run',
   'upstream-down': 'no upstream took it; it did not run',
   lost: 'an upstream took it and its answer was lost, so it may have run and was not repeated',
--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -99,7 +99,7 @@
     const { request } = this
     if (result?.kind === 'answered') return sendAnswer(request, result)
     if (result?.kind === 'lost') return request.refuse(refusals.lost(result.why))
-    request.refuse(this.#queuedRefusal ?? this.#closedRefusal() ?? this.refusal(result))
+    request.refuse(this.#queuedRefusal() ?? this.#closedRefusal() ?? this.refusal(result))
   }
 
   /** A suspect waits like a request that was offered before: it may have to wait until another one of its kind has been tried. */
@@ -146,9 +146,11 @@
   }
 
   /** The refusal where the queue for all gateways is too long. */
-  get #queuedRefusal (): Fault | undefined {
-    const { comeBack } = this.#placing ?? {}
-    return comeBack === undefined ? undefined : refusals.queued(comeBack, this.context.random())
+  #queuedRefusal (): Fault | undefined {
+    const refusal = this.#placing?.refusal
+    if (refusal === undefined) return undefined
+    this.request.queuedAt = refusal.by
+    return refusals.queued(refusal.due, this.context.random())
   }
 
   /** Says that waiting until a time, on `Clock.now`, is in vain, where none of those that may be tried takes a request before that. */
--- a/packages/forward/src/placing.ts
+++ b/packages/forward/src/placing.ts
@@ -27,8 +27,8 @@
 export class Placing {
   readonly #options: PlacingOptions
   readonly #claim: Claim
-  /** When its caller should come back where it is refused, in ms from then. */
-  comeBack: number | undefined
+  /** Where it was refused: when its caller should come back, in ms from then, and the gateway in whose queue it had no prospect. */
+  refusal: { readonly due: number, readonly by: string } | undefined
 
   constructor (options: PlacingOptions, wish: Omit<Wish, 'besides'>) {
     this.#options = options
@@ -43,7 +43,7 @@
       case 'wait': return this.#limited()
       case 'alone': return this.#alone()
       case 'refused':
-        this.comeBack = finding.due
+        this.refusal = finding
         return 'closed'
     }
   }
--- a/packages/forward/src/request.ts
+++ b/packages/forward/src/request.ts
@@ -48,6 +48,8 @@
   readonly timing: Timing
   /** Whether it is sent to no upstream any more, since it crashes them. */
   blocked = false
+  /** The gateway in whose queue it had no prospect of a place in time. */
+  queuedAt: string | undefined
   readonly #clock: Clock
   readonly #idHeader: string
   readonly #onEnd: (request: CallerRequest, outcome: string) => void
--- a/packages/gateway/src/requestlog.ts
+++ b/packages/gateway/src/requestlog.ts
@@ -42,10 +42,10 @@
 
   /** One that was lost at an upstream, or is blocked, is written with its fingerprint: only that shows that its caller sends it again and again. */
   #write (request: CallerRequest, outcome: string, took: number): void {
-    const { id, route, service, team, attempts: ended, currentUpstream, timing } = request
+    const { id, route, service, team, attempts: ended, currentUpstream, timing, queuedAt } = request
     const underWay = currentUpstream === undefined ? [] : [`${currentUpstream} under way`]
     const attempts = [...ended, ...underWay].join('; ')
-    this.#options.log.write('request-ended', { request: id, route: route.name, service, team: team?.name, outcome, took, ...times(timing), late: timing.lateness(route), attempts, fingerprint: request.lost || request.blocked ? request.fingerprint : undefined })
+    this.#options.log.write('request-ended', { request: id, route: route.name, service, team: team?.name, outcome, took, ...times(timing), late: timing.lateness(route), queue: queuedAt, attempts, fingerprint: request.lost || request.blocked ? request.fingerprint : undefined })
   }
 }
 
--- a/packages/gateway/src/rooms.ts
+++ b/packages/gateway/src/rooms.ts
@@ -66,6 +66,7 @@
     })
     this.asker = new Asker({
       clock,
+      id,
       contention: this.contention,
       issuer: this.issuer,
       owner: room => this.#otherOwner(room),
--- a/packages/log/test/forms.test.ts
+++ b/packages/log/test/forms.test.ts
@@ -43,6 +43,7 @@
   '422 upstream-resting info',
   '423 upstream-leaving info',
   '424 upstream-limited info',
+  '428 room-contended info',
   '430 configuration-unconfirmed warn',
   '431 configuration-confirmed info',
   '440 planner-acts info',
--- a/packages/places/src/asker.ts
+++ b/packages/places/src/asker.ts
@@ -36,7 +36,7 @@
   state: State = 'none'
   /** The ask that is under way. */
   number = 0
-  /** Where it has a place, by which grant of which gateway, and until when. */
+  /** Where it has a place, by which grant of which gateway, and until when; which gateway refused it. */
   upstream = ''
   order = 0
   issuer: string | undefined
@@ -56,11 +56,13 @@
   | { readonly kind: 'alone' }
   | { readonly kind: 'wait' }
   | { readonly kind: 'place', readonly upstream: string }
-  | { readonly kind: 'refused', readonly due: number }
+  | { readonly kind: 'refused', readonly due: number, readonly by: string }
 
 /** Dependencies of `Asker`. */
 export interface AskerOptions {
   readonly clock: Clock
+  /** The id of this gateway. */
+  readonly id: string
   readonly contention: Contention
   readonly issuer: Issuer
   /** The id of the gateway that issues the places of a room; undefined where that is this one. */
@@ -149,7 +151,7 @@
     if (claim.state === 'none' && this.isContended(claim.wish.room)) this.#ask(claim)
     switch (claim.state) {
       case 'placed': return { kind: 'place', upstream: claim.upstream }
-      case 'refused': return { kind: 'refused', due: claim.due }
+      case 'refused': return { kind: 'refused', due: claim.due, by: claim.issuer ?? this.#options.id }
       case 'asking': return { kind: 'wait' }
       default: return { kind: 'alone' }
     }
@@ -205,6 +207,7 @@
     else {
       contention.met(claim.wish.room)
       claim.state = 'refused'
+      claim.issuer = from
       claim.due = reply.due
       this.refused++
     }
--- a/packages/places/test/world.ts
+++ b/packages/places/test/world.ts
@@ -63,6 +63,7 @@
     })
     this.asker = new Asker({
       clock,
+      id,
       contention: this.contention,
       issuer: this.issuer,
       owner: () => this.owner === id ? undefined : this.owner,
--- a/packages/settings/test/forms.test.ts
+++ b/packages/settings/test/forms.test.ts
@@ -7,6 +7,7 @@
   '[listen]', 'callers = 10.0.0.1:8080', 'health = 10.0.0.1:8081', 'peers = 10.0.0.1:7340',
   '[platform]', 'store = 10.0.9.1:8223',
   '[bounds]', 'revoke = 5000 ms', 'strict_keys = false', 'drain = 4000 ms', 'grace = 8 s', 'pulse = 1200 ms', 'retry_ratio = 0.2', 'retry_slack = 160', 'retry_window = 10 s',
+  '[room]', 'shared = true',
   '[observe]', 'level = debug', 'metrics = 10.0.0.1:7341'
 ].join('\n')
 
@@ -18,6 +19,7 @@
       listen: { callers: '10.0.0.1:8080', health: '10.0.0.1:8081', peers: '10.0.0.1:7340' },
       platform: { store: '10.0.9.1:8223' },
       bounds: { revoke: 5000, strict_keys: false, drain: 4000, grace: 8000, pulse: 1200, retry_ratio: 0.2, retry_slack: 160, retry_window: 10_000 },
+      room: { shared: true },
       observe: { level: 'debug', metrics: '10.0.0.1:7341' }
     }
   })
@@ -29,6 +31,7 @@
   t.like(settings.direct, {
     process: { first: false },
     bounds: { revoke: 5000, strict_keys: true, drain: 2000, grace: 8000, pulse: 1200, retry_ratio: 0.1, retry_slack: 20, retry_window: 10_000 },
+    room: { shared: false },
     observe: { level: 'info', metrics: '' }
   })
 })
