--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -150,7 +150,7 @@
     const refusal = this.#placing?.refusal
     if (refusal === undefined) return undefined
     this.request.queuedAt = refusal.by
-    return refusals.queued(refusal.due, this.context.random())
+    return refusal.due === 0 ? undefined : refusals.queued(refusal.due, this.context.random())
   }
 
   /** Says that waiting until a time, on `Clock.now`, is in vain, where none of those that may be tried takes a request before that. */
--- a/packages/places/src/asker.ts
+++ b/packages/places/src/asker.ts
@@ -41,7 +41,7 @@
   order = 0
   issuer: string | undefined
   until = 0
-  /** When its caller should come back, once it is refused, in ms. */
+  /** When its caller should come back, once it is refused, in ms; 0: as after any refusal. */
   due = 0
   /** Asks whose place could not be used. */
   failed = 0
@@ -51,7 +51,7 @@
   }
 }
 
-/** What a request should do: look for room by itself, wait, go to an upstream, or give up and come back in `due` ms. */
+/** What a request should do: look for room by itself, wait, go to an upstream, or give up and come back in `due` ms (0: as after any refusal). */
 export type Finding =
   | { readonly kind: 'alone' }
   | { readonly kind: 'wait' }
--- a/packages/places/src/issuer.ts
+++ b/packages/places/src/issuer.ts
@@ -76,14 +76,15 @@
 /** Requests on which the expected wait is computed at most; of a longer queue a part stands for the whole. */
 const sample = 64
 
-/** How long an expected wait holds for requests alike, in ms. */
+/** How long an expected wait holds for requests alike, and by how much their patience may differ, in ms. */
 const expectationTime = 20
+const patienceStep = 100
 
 /** Added to the cost of a head in another data centre: half a request in flight. */
 const distanceCost = 0.5
 
-/** Least time after which a refused caller is told to come back, in ms: some of the requests that run now have ended by then. */
-const leastReturn = 900
+/** A refused caller is told a time only if the queue takes longer than this, in ms: a usual refusal tells as much. */
+const usualReturn = 900
 
 /** How long an empty queue is kept, in ms: what its teams usually ask for is learnt over minutes. */
 const keptFor = 600_000
@@ -262,10 +263,11 @@
     this.#options.deliver(ask.from, { place: 'later', number: ask.number, due: this.#return(queue, now) })
   }
 
-  /** When a refused caller should come back, in ms: once those that wait now are served. */
+  /** When a refused caller should come back, in ms: once those that wait now are served; 0 where that is soon, or not known. */
   #return ({ waiting, rates }: Queue, now: number): number {
     const rate = rateFor(rates, -Infinity, now)
-    return Math.max(leastReturn, rate === undefined ? 0 : (waiting.length + 1) / rate * 1000)
+    const time = rate === undefined ? 0 : (waiting.length + 1) / rate * 1000
+    return time > usualReturn ? time : 0
   }
 
   /**
@@ -275,7 +277,7 @@
   #expected (queue: Queue, ask: Ask, now: number): number {
     const rate = rateFor(queue.rates, ask.priority, now)
     if (rate === undefined) return 0
-    const alike = `${ask.priority} ${ask.inTimeUntil < now ? 'late' : ''} ${ask.team}`
+    const alike = `${kindOf(ask, now)} ${Math.round((ask.until - now) / patienceStep)} ${ask.team}`
     const known = queue.expected.get(alike)
     if (known !== undefined && now - known.at < expectationTime) return known.wait + ++known.since / rate * 1000
     const rivals = queue.waiting.filter(each => each.priority >= ask.priority)
--- a/packages/places/src/messages.ts
+++ b/packages/places/src/messages.ts
@@ -21,7 +21,7 @@
   z.object({ place: z.literal('wait'), number }),
   /** It has a place at an upstream: the grant `order` of the sender, whose grants have rising numbers. */
   z.object({ place: z.literal('grant'), number, upstream: z.string(), order: number }),
-  /** It gets none in time. Its caller should come back in `due` ms. */
+  /** It gets none in time. Its caller should come back in `due` ms; 0: as after any refusal. */
   z.object({ place: z.literal('later'), number, due: time }),
   /** What the sender has in flight at an upstream, with all grants of the receiver up to `seen`; and for how many ms it leaves the upstream out, if it does. */
   z.object({ place: z.literal('count'), ...room, upstream: z.string(), count: number, seen: number, shut: time.optional() })
