--- a/packages/gateway/src/rooms.ts
+++ b/packages/gateway/src/rooms.ts
@@ -157,10 +157,13 @@
    * that comes free is short against the time for which it is taken.
    */
   #heads ({ service, model }: Room): Head[] {
-    const { choice, intake, engine: engineOf } = this.#options
+    const { roster, rests, choice, intake, engine: engineOf } = this.#options
     const engine = engineOf(service)
     if (engine === undefined) return []
-    return choice.heads(service, model).filter(({ id }) => !intake.isLimited(id)).map(({ id, dataCentre }) => ({ id, dataCentre, capacity: engine.slots }))
+    const open = new Set(choice.heads(service, model).map(({ id }) => id))
+    return roster.heads(service, model)
+      .filter(({ id }) => !intake.isLimited(id) && (open.has(id) || rests.has(id)))
+      .map(({ id, dataCentre }) => ({ id, dataCentre, capacity: engine.slots, closedFor: rests.left(id) }))
   }
 
   #fullness ({ service, model }: Room): number {
--- a/packages/places/src/issuer.ts
+++ b/packages/places/src/issuer.ts
@@ -29,12 +29,14 @@
   | { readonly place: 'grant', readonly number: number, readonly upstream: string, readonly order: number }
   | { readonly place: 'later', readonly number: number, readonly due: number }
 
-/** A head that takes requests now. */
+/** A head of a room. */
 export interface Head {
   readonly id: string
   readonly dataCentre: string
   /** Requests up to which it has room. */
   readonly capacity: number
+  /** For how long it takes no request, by what this gateway knows, in ms. */
+  readonly closedFor: number
 }
 
 /** What a gateway says of one upstream. */
@@ -51,7 +53,7 @@
 /** Dependencies of `Issuer`. */
 export interface IssuerOptions {
   readonly clock: Clock
-  /** The heads of a room that take requests now, full or not. */
+  /** The heads of a room that take requests, now or by their own word later, full or not. */
   readonly heads: (room: Room) => readonly Head[]
   /** Requests in flight at an upstream from this gateway. */
   readonly inFlight: (upstream: string) => number
@@ -156,7 +158,7 @@
     queue.waiting.push(ask)
     this.#serve(queue)
     if (!queue.waiting.includes(ask)) return
-    if (now + this.#expected(queue, ask, now) > ask.until) this.#refuse(queue, ask, now)
+    if (now + Math.max(this.#closedFor(queue, now), this.#expected(queue, ask, now)) > ask.until) this.#refuse(queue, ask, now)
     else deliver(ask.from, { place: 'wait', number: ask.number })
   }
 
@@ -215,7 +217,7 @@
   #serve (queue: Queue): void {
     const now = this.#options.clock.now()
     this.#expire(queue, now)
-    const heads = this.#options.heads(queue.room).filter(({ id }) => (this.#shut.get(id) ?? 0) <= now)
+    const heads = this.#options.heads(queue.room).filter(head => this.#closedTime(head, now) === 0)
     let candidates: readonly Ask[] = queue.waiting
     while (candidates.length > 0) {
       const open = heads.filter(({ id, capacity }) => this.#load(id) < capacity)
@@ -264,10 +266,21 @@
   }
 
   /** When a refused caller should come back, in ms: once those that wait now are served; 0 where that is soon, or not known. */
-  #return ({ waiting, rates }: Queue, now: number): number {
-    const rate = rateFor(rates, -Infinity, now)
-    const time = rate === undefined ? 0 : (waiting.length + 1) / rate * 1000
-    return time > usualReturn ? time : 0
+  #return (queue: Queue, now: number): number {
+    const rate = rateFor(queue.rates, -Infinity, now)
+    const time = rate === undefined ? 0 : (queue.waiting.length + 1) / rate * 1000
+    return Math.max(time > usualReturn ? time : 0, this.#closedFor(queue, now))
+  }
+
+  /** Time until the first head of a room takes requests, in ms; 0 where one does now, or none is known. */
+  #closedFor ({ room }: Queue, now: number): number {
+    const times = this.#options.heads(room).map(head => this.#closedTime(head, now))
+    return times.length === 0 ? 0 : Math.min(...times)
+  }
+
+  /** Time until a head takes requests, by what this gateway knows and the others have told, in ms. */
+  #closedTime ({ id, closedFor }: Head, now: number): number {
+    return Math.max(closedFor, (this.#shut.get(id) ?? 0) - now, 0)
   }
 
   /**
--- a/packages/places/test/issuer.test.ts
+++ b/packages/places/test/issuer.test.ts
@@ -31,8 +31,8 @@
   }
 }
 
-function head (id: string, capacity: number, dataCentre = 'dc'): Head {
-  return { id, dataCentre, capacity }
+function head (id: string, capacity: number, dataCentre = 'dc', closedFor = 0): Head {
+  return { id, dataCentre, capacity, closedFor }
 }
 
 test('places are given at the least loaded heads, and then the others wait', t => {
@@ -146,6 +146,17 @@
   t.deepEqual(fixture.heard, ['z1 grant a'])
 })
 
+test('where all heads are closed for longer than a request waits, it is refused at once with the time until the first opens', t => {
+  const fixture = new Fixture()
+  const dues: number[] = []
+  fixture.heads = [head('a', 1, 'dc', 2000), head('b', 1)]
+  const issuer = new Issuer({ clock: fixture.clock, heads: () => fixture.heads, inFlight: () => 0, counts: fixture.counts, deliver: (_to, reply) => { if (reply.place === 'later') dues.push(reply.due) }, random: () => 0 })
+  issuer.hear(room, 'x', { upstream: 'b', count: 0, seen: 0, shut: 1500 })
+  issuer.ask(room, { from: 'x', number: 1, priority: 1, team: '', work: 1, arrivedAt: 0, inTimeUntil: 400, until: 400, besides: [], near: 'dc' })
+  t.deepEqual(dues, [1500])
+  t.is(issuer.waiting, 0)
+})
+
 test('one that has waited as long as it can is refused, and one that is dropped gets nothing', t => {
   const fixture = new Fixture()
   fixture.heads = []
--- a/packages/places/test/world.ts
+++ b/packages/places/test/world.ts
@@ -55,7 +55,7 @@
     this.contention = new Contention({ clock, fullness: () => 1 })
     this.issuer = new Issuer({
       clock,
-      heads: () => world.heads.map(id => ({ id, dataCentre: 'dc', capacity: world.options.capacity })),
+      heads: () => world.heads.map(id => ({ id, dataCentre: 'dc', capacity: world.options.capacity, closedFor: 0 })),
       inFlight: upstream => this.count(upstream),
       counts: this.counts,
       deliver: (to, reply) => to === ownAsk ? this.asker.answered(undefined, reply) : world.send(this.id, to, reply),
