--- a/packages/dispatch/src/fairqueue.ts
+++ b/packages/dispatch/src/fairqueue.ts
@@ -27,7 +27,7 @@
     if (!seeker.offered) room.usage.asked(seeker.team, seeker.work, now)
     const others = this.#waiting(seeker.room)
     const counted = (): Value | undefined => this.#counted(seeker, find())
-    if (others.length === 0 || seeker.until <= now) {
+    if (others.length === 0 || seeker.orderedElsewhere === true || seeker.until <= now) {
       const found = counted()
       if (found !== undefined || seeker.until <= now) return Promise.resolve(found)
     } else if (this.#isInVain(seeker, others)) {
--- a/packages/dispatch/src/queue.ts
+++ b/packages/dispatch/src/queue.ts
@@ -11,6 +11,8 @@
   readonly room: string
   /** Whether it was sent to an upstream before. */
   readonly offered: boolean
+  /** Whether the queue for all gateways decides when it is served, so that what waits here says nothing of its prospect. Absent: no. */
+  readonly orderedElsewhere?: boolean
 }
 
 /** Why a request found no room. */
--- a/packages/forward/src/context.ts
+++ b/packages/forward/src/context.ts
@@ -4,6 +4,7 @@
 import { type InFlight, type Suspects } from '@eiderwind/detect'
 import { type Choice, type Intake, type Queue, type RetryBudget } from '@eiderwind/dispatch'
 import { type Log } from '@eiderwind/log'
+import { type Asker } from '@eiderwind/places'
 import { type Roster, type Upstream } from '@eiderwind/roster'
 import { type AnswerHeaders, type Connections } from '@eiderwind/wire'
 import { type Unread } from '@eiderwind/work'
@@ -35,6 +36,8 @@
   /** Prompts that were sent and are not read yet. Absent: no first event is predicted. */
   readonly unread?: Unread
   readonly random: Random
+  /** Asks for places where room is contended. Absent where each gateway looks for room alone. */
+  readonly places?: Asker
   /** The retry budget of a service. */
   readonly retryBudget: (service: string) => RetryBudget
   /** Takes what the head of an upstream's answer says of the upstream itself. */
--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -5,12 +5,14 @@
  */
 import { type Trial } from '@eiderwind/crashes'
 import { decideRetry, refusals, waitForRoom, type AttemptResult, type Closure, type Seeker, type WaitHandlers } from '@eiderwind/dispatch'
-import { isPromised } from '@eiderwind/fairness'
+import { isPromised, type Waiting } from '@eiderwind/fairness'
 import { type Fault } from '@eiderwind/fault'
 import { type Claim } from '@eiderwind/limits'
+import { type Room } from '@eiderwind/places'
 import { type Upstream } from '@eiderwind/roster'
 import { sendAnswer } from './answers.js'
 import { type Context } from './context.js'
+import { Placing } from './placing.js'
 import { type CallerRequest } from './request.js'
 
 /** Why a request that has crashed an upstream is not sent to another one. */
@@ -30,6 +32,8 @@
   protected trial: Trial | undefined
   /** What kept the request from the upstreams that may be tried when one was last looked for. */
   #closure: Closure | undefined
+  /** The search for room that is under way, or the last one, where places may be issued. */
+  #placing: Placing | undefined
   /** Ends the place that is kept at the upstream of the attempt that comes next. */
   #free: (() => void) | undefined
 
@@ -69,14 +73,25 @@
   /** Id of the last event that the caller has, on a stream. */
   protected abstract readonly lastEvent: number | undefined
 
-  /** What it looks for room in. */
-  protected get room (): string {
-    return this.request.service
-  }
-
   /** The upstreams that serve what is asked for, whether they have room or not. */
   protected abstract get upstreams (): readonly Upstream[]
 
+  /** The room for which the request competes with others at all gateways. By default none. */
+  protected get room (): Room | undefined {
+    return undefined
+  }
+
+  /** The latest start at which its next event still comes in time, on `Clock.now`. */
+  protected get inTimeUntil (): number {
+    const { arrivedAt, spent, route: { objective } } = this.request
+    return arrivedAt - spent + objective
+  }
+
+  /** What the request takes of its upstream, in units of the mean request of its service. */
+  protected get work (): number {
+    return 1
+  }
+
   /** An upstream that has room now and is none of those to avoid. */
   protected abstract choose (avoided: ReadonlySet<string>): Upstream | undefined
 
@@ -94,7 +109,7 @@
     const { request } = this
     if (result?.kind === 'answered') return sendAnswer(request, result)
     if (result?.kind === 'lost') return request.refuse(refusals.lost(result.why))
-    request.refuse(this.#closedRefusal() ?? this.refusal(result))
+    request.refuse(this.#queuedRefusal() ?? this.#closedRefusal() ?? this.refusal(result))
   }
 
   /** A suspect waits like a request that was offered before: it may have to wait until another one of its kind has been tried. */
@@ -105,17 +120,25 @@
     const time = this.#wait
     const until = clock.now() + time
     const claim = intake.claim(request.priority, until)
+    this.#placing = time > 0 ? this.#place(until) : undefined
     const found = await queue.wait(this.#seeker(until), () => this.#find(claim) ?? this.#hopeless(until), this.#waitHandlers)
     intake.release(claim)
+    this.#placing?.end()
     return found
   }
 
-  /** The request as one that waits for room. @param until on `Clock.now`, in ms */
+  /** The request as one that looks for room. @param until on `Clock.now`, in ms */
   #seeker (until: number): Seeker {
-    const { room, request: { priority, team, arrivedAt, endsAt, spent, offered, route: { objective } } } = this
+    const { room, request: { service, offered } } = this
+    return { ...this.#waiting(until), room: room?.key ?? service, offered, orderedElsewhere: this.#placing !== undefined }
+  }
+
+  /** What the order of the requests that wait depends on. @param until on `Clock.now`, in ms */
+  #waiting (until: number): Waiting {
+    const { work, request: { priority, team, arrivedAt, endsAt, spent, offered } } = this
     const early = spent > 0 && spent < earliestReturn
     const promised = isPromised(spent, endsAt - arrivedAt + spent)
-    return { room, offered, priority, team: team?.name ?? '', work: 1, arrivedAt, inTimeUntil: offered ? until : arrivedAt - spent + objective, until, again: spent > 0, promised, early }
+    return { priority, team: team?.name ?? '', work, arrivedAt, inTimeUntil: offered ? until : this.inTimeUntil, until, again: spent > 0, promised, early }
   }
 
   get #waitHandlers (): WaitHandlers {
@@ -125,10 +148,38 @@
 
   /** Longest wait for an upstream with room, in ms. */
   get #wait (): number {
+    const { room, context: { places } } = this
+    return this.#waitFor(room !== undefined && places?.isContended(room) === true)
+  }
+
+  /** @param shared whether it waits in a queue that is kept for all gateways */
+  #waitFor (shared: boolean): number {
     const { request, kind, upstreams, context: { crashes } } = this
     const { timeLeft, route: { objective } } = request
     const offered = request.offered || crashes.standing(request) !== 'trusted'
-    return waitForRoom({ path: kind, offered, upstreams: upstreams.length, closed: this.#closedFor, objective, timeLeft })
+    return waitForRoom({ path: kind, offered, upstreams: upstreams.length, closed: this.#closedFor, objective, timeLeft, shared })
+  }
+
+  /** Begins a search in which places may be asked for; none for a suspect, whose upstream depends on the trials here. */
+  #place (until: number): Placing | undefined {
+    const { request, room, context: { clock, places, intake, suspects, crashes } } = this
+    if (room === undefined || places === undefined || crashes.standing(request) !== 'trusted') return undefined
+    const { route: { objective }, tried } = request
+    return new Placing({
+      asker: places,
+      intake,
+      upstreams: () => this.upstreams,
+      choose: besides => besides.size === 0 ? this.#choose('trusted') : this.choose(new Set([...tried, ...besides])),
+      mayUse: ({ id }) => !tried.has(id) && !crashes.underTrial.has(id) && intake.has(id) && suspects.mayTry(id)
+    }, { ...this.#waiting(until), room, aloneUntil: clock.now() + this.#waitFor(false), objective })
+  }
+
+  /** The refusal where the queue for all gateways is too long. */
+  #queuedRefusal (): Fault | undefined {
+    const refusal = this.#placing?.refusal
+    if (refusal === undefined) return undefined
+    this.request.queuedAt = refusal.by
+    return refusal.due === 0 ? undefined : refusals.queued(refusal.due, this.context.random())
   }
 
   /** Says that waiting until a time, on `Clock.now`, is in vain, where none of those that may be tried takes a request before that. */
@@ -163,12 +214,13 @@
   }
 
   /** The upstream to send the request to now, by what is known of its crashes; undefined where it has to wait. What lacks nothing but a token is asked for one. */
-  #find (claim: Claim | undefined): Upstream | 'blocked' | undefined {
+  #find (claim: Claim | undefined): Upstream | 'blocked' | 'closed' | undefined {
     const { request, context: { crashes, intake } } = this
     const standing = crashes.standing(request)
     if (standing === 'blocked') return standing
     const mayBeSent = standing === 'trusted' || crashes.mayTry(request)
-    const upstream = mayBeSent ? this.#choose(standing) : undefined
+    const upstream = mayBeSent ? this.#seek(standing) : undefined
+    if (upstream === 'closed') return upstream
     if (upstream !== undefined) this.#take(upstream, claim)
     else if (mayBeSent) intake.pursue(claim, this.upstreams, request.tried)
     return standing === 'suspected' ? this.#try(upstream) : upstream
@@ -179,6 +231,11 @@
     const { inFlight, intake } = this.context
     intake.take(id, claim)
     this.#free = inFlight.keep(id)
+    this.#placing?.taken()
+  }
+
+  #seek (standing: 'trusted' | 'suspected'): Upstream | 'closed' | undefined {
+    return standing === 'trusted' && this.#placing !== undefined ? this.#placing.find() : this.#choose(standing)
   }
 
   /** A suspect is sent to no upstream at which another one is tried; any other request only where there is no choice. */
--- a/packages/forward/src/request.ts
+++ b/packages/forward/src/request.ts
@@ -53,6 +53,8 @@
   blocked = false
   /** Why it found no room, if it did not and the queue says so. */
   shortage: Shortage | undefined
+  /** The gateway in whose queue it had no prospect of a place in time. */
+  queuedAt: string | undefined
   readonly #clock: Clock
   readonly #idHeader: string
   readonly #onEnd: (request: CallerRequest, outcome: string) => void
--- a/packages/forward/src/streampath.ts
+++ b/packages/forward/src/streampath.ts
@@ -5,9 +5,10 @@
  */
 import { mayMove, refusals, type AttemptResult } from '@eiderwind/dispatch'
 import { type Fault } from '@eiderwind/fault'
+import { roomOf, type Room } from '@eiderwind/places'
 import { type Upstream } from '@eiderwind/roster'
 import { type Engine } from '@eiderwind/traffic'
-import { expectedFirst, requestTokens } from '@eiderwind/work'
+import { expectedFirst, requestTokens, workOf, type RequestTokens } from '@eiderwind/work'
 import { type Context } from './context.js'
 import { lastEventName } from './names.js'
 import { Path } from './path.js'
@@ -39,10 +40,6 @@
     return this.#progress.lastEvent
   }
 
-  protected override get room (): string {
-    return `${this.request.service} ${this.#target.model}`
-  }
-
   protected get upstreams (): readonly Upstream[] {
     const { roster } = this.context
     const { service } = this.request
@@ -50,6 +47,23 @@
     return engine === undefined ? roster.available(service) : roster.heads(service, model)
   }
 
+  protected override get room (): Room | undefined {
+    const { model, engine } = this.#target
+    return engine === undefined ? undefined : roomOf(this.request.service, model)
+  }
+
+  protected override get inTimeUntil (): number {
+    const { context: { clock }, request: { route: { gap } } } = this
+    if (this.#progress.started) return clock.now() + gap
+    const { engine } = this.#target
+    return super.inTimeUntil - (engine === undefined ? 0 : firstEventTime(engine))
+  }
+
+  protected override get work (): number {
+    const { engine } = this.#target
+    return engine === undefined ? 1 : workOf(this.#tokens(engine), engine)
+  }
+
   protected choose (avoided: ReadonlySet<string>): Upstream | undefined {
     const { choice } = this.context
     const { service } = this.request
@@ -91,15 +105,20 @@
    * already.
    */
   #expect ({ id }: Upstream): (() => void) | undefined {
-    const { request, context: { choice, names, unread } } = this
+    const { request, context: { choice, unread } } = this
     const { model, engine } = this.#target
     if (unread === undefined || engine === undefined) return undefined
-    const { prompt } = requestTokens(header(request, names.tokens), header(request, names.length), engine)
+    const { prompt } = this.#tokens(engine)
     const pace = engine.models.find(({ name }) => name === model)?.pace ?? 1
     if (!request.offered) request.timing.expect(expectedFirst(prompt, { inFlight: Math.max(0, choice.load(id) - 1), unread: unread.of(id) }, engine, pace))
     return unread.add(id, prompt)
   }
 
+  #tokens (engine: Engine): RequestTokens {
+    const { request, context: { names } } = this
+    return requestTokens(header(request, names.tokens), header(request, names.length), engine)
+  }
+
   /** The state of a stream is that of its latest attempt. */
   protected prefer (_before: AttemptResult | undefined, latest: AttemptResult): AttemptResult {
     return latest
@@ -121,7 +140,7 @@
   }
 
   protected refusal (): Fault {
-    return refusals.noRoom(this.upstreams.length, this.context.queue.comeBack(this.room, this.request.timeLeft))
+    return refusals.noRoom(this.upstreams.length, this.context.queue.comeBack(this.room?.key ?? this.request.service, this.request.timeLeft))
   }
 
   /** Whether a stream whose upstream is suspected of having stalled, or is to be emptied, is moved: it may be, and another upstream has room. */
@@ -137,3 +156,8 @@
   const value = name === undefined ? undefined : incoming.headers[name]
   return typeof value === 'string' ? value : undefined
 }
+
+/** Time from the start of a usual request to its first event, in ms. */
+function firstEventTime ({ prompt, readRate, step }: Engine): number {
+  return prompt / readRate * 1000 + step
+}
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -40,6 +40,8 @@
   readonly coldBound: ColdBound | undefined
   /** Whether room is shared between teams, and what can still be in time goes first (`[room] fair`). */
   readonly fair: boolean
+  /** Whether one gateway issues the places at a model's heads for all where they are scarce (`rooms.ts`). Absent: no. */
+  readonly sharedRoom?: boolean
   /** How long all streams of a replica's head may be silent before it is suspected. */
   readonly silence: number
   /** Age of what another gateway says of the upstreams from which this one watches the store itself (`upstreamfeed.ts`). */
--- a/packages/gateway/test/overload.ts
+++ b/packages/gateway/test/overload.ts
@@ -6,7 +6,7 @@
 import { Socket } from 'node:net'
 import { ManualClock, seeded, type Random } from '@eiderwind/clock'
 import { InFlight, Suspects } from '@eiderwind/detect'
-import { Choice, FairQueue, Intake, Queue, RetryBudget } from '@eiderwind/dispatch'
+import { Choice, FairQueue, Intake, Queue, RetryBudget, capacity } from '@eiderwind/dispatch'
 import { UsualPatience } from '@eiderwind/fairness'
 import { CallerRequest, StreamPath, type AnswerHead, type Context } from '@eiderwind/forward'
 import { type Log } from '@eiderwind/log'
@@ -16,7 +16,8 @@
 import { type Call, type Cancel, type Receiver } from '@eiderwind/wire'
 import { Conditions } from '../src/conditions.js'
 import { ModelHead, distance, slots, unavailable, type Refusing } from './modelhead.js'
-import { ModelDatagrams, Network } from './network.js'
+import { ModelDatagrams, SteppedNetwork, type Network } from './network.js'
+import { Rooms } from '../src/rooms.js'
 
 /** What is played. */
 export interface Overload {
@@ -37,8 +38,16 @@
   readonly surge?: number
   /** Whether the load is a burst of so many ms, again and again after as long a time at half of what the heads can serve. */
   readonly burst?: number
+  /** How gateways find room: each alone (the default), or in one of the ways that were compared. */
+  readonly way?: Way
 }
 
+/**
+ * Each gateway alone by heartbeats; places issued by one where room is contended; heartbeats ten times as often; the less loaded of two heads that are drawn, by their own
+ * word at that moment.
+ */
+export type Way = 'alone' | 'issued' | 'fresher counts' | 'two choices'
+
 /** What came of it. */
 export interface OverloadResult {
   /** Answers that began in time and were whole, in parts of what the heads could serve. */
@@ -64,6 +73,9 @@
   readonly unheeded: number
   /** Requests that heads turned away, for each request of a caller. */
   readonly turnedAway: number
+  /** Datagrams between gateways for each request of a caller, and those of them that are about places. */
+  readonly datagrams: number
+  readonly aboutPlaces: number
 }
 
 const heads = 24
@@ -109,11 +121,13 @@
   readonly #sizes = new Map<string, number>()
   readonly #callers: Caller[] = []
   readonly #refusals: number[] = []
+  readonly #network: SteppedNetwork
   #id = 0
 
   constructor (options: Overload) {
     this.#options = options
     this.#random = seeded(options.seed)
+    this.#network = new SteppedNetwork(this.#random)
     this.#heads = Array.from({ length: heads }, (_each, index) => new ModelHead(this.#clock, runTime * (index < heads * options.slow ? slowness : 1), options.refusing))
   }
 
@@ -126,6 +140,7 @@
       const surge = now < ignored ? 1 : this.#options.surge ?? 1
       for (due += this.#loadAt(now) * capacity * step * (surge + teams - 1) / teams; due >= 1; due--) this.#arrive(surge)
       this.#clock.advance(step)
+      this.#network.deliver()
       // Lets what waits for promises go on.
       await new Promise(resolve => setImmediate(resolve))
     }
@@ -138,7 +153,7 @@
   }
 
   async #start (): Promise<void> {
-    const network = new Network(this.#random)
+    const network = this.#network
     const list = Array.from({ length: this.#options.gateways }, (_each, index) => ({ id: `g${index}`, address: `g${index}:1` }))
     for (const { id, address } of list) {
       const { context, peers } = this.#gateway(id, address, network, list.length)
@@ -146,7 +161,9 @@
       peers.setAddresses(list)
       await peers.start()
       this.#clock.advance(250 / list.length)
+      network.deliver()
     }
+    network.sent = 0
   }
 
   #gateway (id: string, address: string, network: Network, gateways: number): { context: Context, peers: Peers } {
@@ -155,13 +172,30 @@
     const roster = new Roster(clock)
     roster.replace(Array.from({ length: heads }, (_each, index) => head(index)))
     const queue = this.#options.fair === true ? new FairQueue(clock) : new Queue(clock)
-    const inFlight = new InFlight(clock, () => queue.wake())
+    const inFlight = new InFlight(clock, request => {
+      rooms?.ended(request)
+      queue.wake()
+    })
     const suspects = new Suspects(clock, roster)
-    const heartbeat = (): Heartbeat => ({ id, revision: 1, canPlan: false, inFlight: inFlight.counts, suspects: [], inFlightByModel: {}, served: true, loads: {} })
-    const peers = new Peers({ clock, id, address, datagrams: new ModelDatagrams(network, address), heartbeat, interval: 250, timeout: 1000 })
+    const heartbeat = (): Heartbeat => ({ id, revision: 1, canPlan: false, inFlight: inFlight.counts, suspects: [], inFlightByModel: {}, served: true, loads: {}, ...rooms?.news })
+    const interval = this.#options.way === 'fresher counts' ? 25 : 250
+    const peers = new Peers({
+      clock,
+      id,
+      address,
+      datagrams: new ModelDatagrams(network, address),
+      heartbeat,
+      heard: (heartbeat, from) => rooms?.hear(heartbeat, from),
+      other: (datagram, from) => rooms?.receive(datagram, from),
+      interval,
+      timeout: 1000
+    })
     const log = { write: () => {} } as unknown as Log
     const conditions = new Conditions({ clock, log, roster, inFlight, queue, tell: () => {}, limited: () => {}, cold: () => {}, rested: () => {} })
     const intake = new Intake({ clock, rests: conditions.rests })
+    const choice = new (this.#options.way === 'two choices' ? this.#twoChoices : Choice)({ roster, inFlight, peers, suspects, intake, dataCentre: 'dc', random })
+    const rooms: Rooms | undefined = this.#options.way === 'issued' ? new Rooms({ clock, log, id, dataCentre: 'dc', roster, peers, inFlight, rests: conditions.rests, queue, choice, intake, engine: () => engine, random }) : undefined
+    rooms?.start()
     const budget = new RetryBudget(clock, { ratio: 0.2, window: 10_000, slack: 200, gateways: () => gateways })
     const context = {
       clock,
@@ -173,18 +207,34 @@
       intake,
       queue,
       random,
-      choice: new Choice({ roster, inFlight, peers, suspects, intake, dataCentre: 'dc', random }),
+      choice,
+      places: rooms?.asker,
       crashes: { standing: () => 'trusted', underTrial: new Set<string>(), broke: () => {}, served: () => {} },
       retryBudget: () => budget,
       connections: { send: (call: Call, receiver: Receiver) => this.#send(id, call, receiver) },
       answered: (upstream: Upstream, answer: AnswerHead) => {
         const rest = answer.status === unavailable ? Number(answer.headers['retry-after'] ?? 0) * 1000 : 0
         if (this.#options.heeds) conditions.answered(upstream, answer, { leaving: false, rest })
+        rooms?.answered(upstream, answer)
       }
     } as unknown as Context
     return { context, peers }
   }
 
+  /** Draws two heads and takes the less loaded one, by what they say at that moment. */
+  get #twoChoices (): typeof Choice {
+    const loads = this.#heads
+    const random = this.#random
+    return class extends Choice {
+      override head (service: string, model: string, engine: Engine, avoided: ReadonlySet<string>): Upstream | undefined {
+        const heads = this.heads(service, model).filter(({ id }) => !avoided.has(id))
+        const loadOf = ({ id }: Upstream): number => loads[Number(id.slice(1))].load
+        const drawn = [0, 1].flatMap(() => heads.length === 0 ? [] : [heads[Math.floor(random() * heads.length)]])
+        return drawn.filter(each => loadOf(each) < capacity(engine)).sort((a, b) => loadOf(a) - loadOf(b))[0]
+      }
+    }
+  }
+
   #send (gateway: string, { origin, headers }: Call, receiver: Receiver): Cancel {
     let cancel: Cancel | undefined
     let cancelled: Error | undefined
@@ -269,7 +319,9 @@
       returns: part(isServed, ({ tries, impatient }) => tries > 1 && !impatient),
       refusalTime: refusals[Math.floor(refusals.length * 0.99)] ?? 0,
       unheeded: this.#heads.reduce((sum, each) => sum + each.unheeded, 0),
-      turnedAway: this.#heads.reduce((sum, each) => sum + each.turnedAway, 0) / this.#callers.length
+      turnedAway: this.#heads.reduce((sum, each) => sum + each.turnedAway, 0) / this.#callers.length,
+      datagrams: this.#network.sent / this.#callers.length,
+      aboutPlaces: this.#network.aboutPlaces / this.#callers.length
     }
   }
 }
--- a/packages/log/test/forms.test.ts
+++ b/packages/log/test/forms.test.ts
@@ -46,6 +46,7 @@
   '425 evacuation-begun warn',
   '426 evacuation-ended info',
   '427 upstream-cold info',
+  '428 room-contended info',
   '430 configuration-unconfirmed warn',
   '431 configuration-confirmed info',
   '440 planner-acts info',
--- a/packages/peers/src/heartbeat.ts
+++ b/packages/peers/src/heartbeat.ts
@@ -54,6 +54,10 @@
   readonly evacuation?: Evacuation
   /** Cold upstreams that the sender has read of lately or issues the tokens of, by id. Absent where there are none, and from builds that do not say. */
   readonly cold?: Readonly<Record<string, ColdReport>>
+  /** The models at whose heads the sender has met a lack of room lately, as `places` names them. Absent where there are none, and from builds that do not say. */
+  readonly contended?: readonly string[]
+  /** The number of the last grant of a place that it got, by the gateway that gave it. Absent where there are none. */
+  readonly grants?: Readonly<Record<string, number>>
   /** Digest of the requests that the sender has blocked. Absent where there are none. */
   readonly blocked?: string
 }
@@ -94,11 +98,15 @@
   /** `evacuation`. Absent where none was lately. */
   evacuation: z.object({ revision: z.int(), dataCentres: z.array(z.string()) }).optional(),
   /** `cold`. Absent where there are none. */
-  cold: z.record(z.string(), z.tuple([z.number().positive(), z.number().nonnegative()])).optional()
+  cold: z.record(z.string(), z.tuple([z.number().positive(), z.number().nonnegative()])).optional(),
+  /** `contended`. Absent where there are none. */
+  contended: z.array(z.string()).optional(),
+  /** `grants`. Absent where there are none. */
+  grants: z.record(z.string(), z.int().nonnegative()).optional()
 })
 
 /** The datagram of a heartbeat. */
-export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads, interval, asks, terms, crashes, cleared, trials, blocked, leaving, limits, evacuation, cold }: Heartbeat): string {
+export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads, interval, asks, terms, crashes, cleared, trials, blocked, leaving, limits, evacuation, cold, contended, grants }: Heartbeat): string {
   return JSON.stringify({
     id,
     revision,
@@ -119,7 +127,9 @@
     leaving: unlessEmpty(leaving),
     limits: unlessEmpty(limits),
     evacuation,
-    cold: unlessEmpty(cold)
+    cold: unlessEmpty(cold),
+    contended: unlessEmpty(contended),
+    grants: unlessEmpty(grants)
   })
 }
 
--- a/packages/settings/src/shapes.ts
+++ b/packages/settings/src/shapes.ts
@@ -155,7 +155,9 @@
   }).prefault({}),
   room: z.strictObject({
     /** Whether requests that wait for room are served by teams' shares and by the time they have left, instead of by age. */
-    fair: Flag.default(false)
+    fair: Flag.default(false),
+    /** Whether one gateway issues the places at a model's heads for all gateways where they are scarce. */
+    shared: Flag.default(false)
   }).prefault({}),
   observe: z.strictObject({
     level: Level,
