--- a/packages/ctl/src/explain.ts
+++ b/packages/ctl/src/explain.ts
@@ -108,7 +108,6 @@
 const shortages: Readonly<Record<string, string>> = {
   'no room': 'nothing, no place came free',
   'queue too long': 'more requests than places that could come free while it would have waited, so it did not wait',
-  'places promised to others': 'requests of callers who were promised a place when they were refused before',
   'came back early': 'others, since its caller came back sooner than it was told',
   'team above its share': 'requests of other teams, since its own was served more than its share lately (eiderwind_teams_above_share)',
   late: 'requests that could still be in time, since it could not',
--- a/packages/dispatch/src/fairqueue.ts
+++ b/packages/dispatch/src/fairqueue.ts
@@ -2,14 +2,13 @@
  * A queue whose order is that of `@eiderwind/fairness`: shares of teams, what can still be in time, urgency. Owns, for each room, what was served lately and how fast
  * places come free, in memory only. A request for which the queue before it is too long is not kept waiting.
  */
-import { PlaceRate, Returns, TeamUsage, decidingRule, expectedWait, kindOf, mostRate, nextServed, servingOrder } from '@eiderwind/fairness'
+import { PlaceRate, TeamUsage, decidingRule, expectedWait, kindOf, mostRate, nextServed, servingOrder } from '@eiderwind/fairness'
 import { Queue, type Seeker, type Shortage, type WaitHandlers } from './queue.js'
 
 /** What is known of a room. */
 class Room {
   readonly usage = new TeamUsage()
   readonly rate = new PlaceRate()
-  readonly returns = new Returns()
 }
 
 /** A queue that shares room out fairly. */
@@ -43,12 +42,6 @@
     for (const room of new Set(this.waiters.map(({ seeker }) => seeker.room))) this.#serve(room)
   }
 
-  override comeBack (name: string, timeLeft: number): number {
-    const now = this.clock.now()
-    const { rate, returns } = this.#room(name)
-    return returns.tell(rate.least(now), timeLeft, now)
-  }
-
   /** Has those that wait for a room look for a place, each after those that go before it. */
   #serve (name: string): void {
     const { usage } = this.#room(name)
--- a/packages/dispatch/src/queue.ts
+++ b/packages/dispatch/src/queue.ts
@@ -56,11 +56,6 @@
     return this.enqueue(seeker, find, handlers)
   }
 
-  /** After how long a caller that is refused should come back, in ms; undefined where the queue does not know. @param timeLeft of the caller, in ms */
-  comeBack (_room: string, _timeLeft: number): number | undefined {
-    return undefined
-  }
-
   /** Looks for room again for every waiting request, in the order of the queue. */
   wake (): void {
     for (const waiter of [...this.waiters]) waiter.retry()
--- a/packages/dispatch/src/refusals.ts
+++ b/packages/dispatch/src/refusals.ts
@@ -77,11 +77,10 @@
   /**
    * No replica had room in time.
    * @param replicas how many serve the model; with none, a replica has to be formed first, which takes longer
-   * @param comeBack after how long its caller should come back by the queue, in ms; undefined where the queue does not say
    */
-  noRoom (replicas: number, comeBack = roomFreed * 1000): Fault {
+  noRoom (replicas: number): Fault {
     if (replicas === 0) return new Fault('no-replica', { retryAfter: replicaMended })
-    return new Fault('busy', { retryAfter: Math.ceil(comeBack) / 1000, remedy: 'Come back after the time given; all replicas that could serve this are full.' })
+    return new Fault('busy', { retryAfter: roomFreed, remedy: 'Come back after the time given; all replicas that could serve this are full.' })
   },
 
   /**
--- a/packages/fairness/src/order.ts
+++ b/packages/fairness/src/order.ts
@@ -3,7 +3,6 @@
  *
  * Answers loads above what there is room for: a surge of one team, callers who come back after a refusal, urgent and less urgent requests together.
  */
-import { promisedPart } from './returns.js'
 import { type TeamUsage } from './usage.js'
 
 /** A request that waits for room. Times are on `Clock.now`, in ms. */
@@ -21,8 +20,6 @@
   readonly until: number
   /** Whether its caller was refused before and came back. */
   readonly again?: boolean
-  /** Whether its caller came back when it was told to, after a promise of a place. */
-  readonly promised?: boolean
   /** Whether its caller came back sooner than it was told to. */
   readonly early?: boolean
 }
@@ -30,16 +27,10 @@
 /** Part of the room that each kind of requests has at least while some of it wait, of what it would have if nothing had an order. */
 const leastPart = 0.05
 
-/** The kind of requests that were promised a place, and the most of the room that they get before others: twice what is promised, since they come unevenly. */
-const promised = 'promised'
-const mostPromised = 2 * promisedPart
-
 /** What the order of a request depends on, worked out once for a decision. */
 interface Standing<Each> {
   readonly request: Each
   readonly early: boolean
-  /** Whether it was promised a place, and such requests had no more than their part of the room. */
-  readonly promised: boolean
   readonly above: boolean
   readonly late: boolean
   /** What its team was served lately, for its weight. */
@@ -47,11 +38,10 @@
 }
 
 /** Why a request goes after another one. */
-export type Rule = 'places promised to others' | 'came back early' | 'team above its share' | 'late' | 'less urgent' | 'came back' | 'team was served more' | 'more time left' | 'came later'
+export type Rule = 'came back early' | 'team above its share' | 'late' | 'less urgent' | 'came back' | 'team was served more' | 'more time left' | 'came later'
 
 /** The rules, first to last: the first by which two requests differ decides. Negative: `a` goes first. */
 const rules: ReadonlyArray<readonly [Rule, (a: Standing<Waiting>, b: Standing<Waiting>) => number]> = [
-  ['places promised to others', (a, b) => Number(b.promised) - Number(a.promised)],
   ['came back early', (a, b) => Number(a.early) - Number(b.early)],
   ['team above its share', (a, b) => Number(a.above) - Number(b.above)],
   ['late', (a, b) => Number(a.late) - Number(b.late)],
@@ -94,14 +84,8 @@
   return inTimeUntil < now
 }
 
-/** Whether a request was promised a place, and such requests had no more than their part of the room. */
-function isOwed (request: Waiting, usage: TeamUsage, now: number): boolean {
-  return request.promised === true && (usage.partOf(promised, now) ?? 0) < mostPromised
-}
-
 /** The requests among which a part of the room is shared out: of one priority, late, come back in time, or first tries. */
 export function kindOf (request: Waiting, now: number): string {
-  if (request.promised === true) return promised
   return `${request.priority} ${isLate(request, now) ? 'late' : request.again === true ? 'again' : 'first'}`
 }
 
@@ -118,7 +102,7 @@
   const teams = new Map<string, Standing<Each>>()
   return waiting.filter(each => each.until >= now).map(request => {
     const known = teams.get(request.team)
-    if (known !== undefined) return { ...known, request, early: request.early === true, promised: isOwed(request, usage, now), late: isLate(request, now) }
+    if (known !== undefined) return { ...known, request, early: request.early === true, late: isLate(request, now) }
     const made = standing(request, usage, now)
     teams.set(request.team, made)
     return made
@@ -127,7 +111,7 @@
 
 function standing<Each extends Waiting> (request: Each, usage: TeamUsage, now: number): Standing<Each> {
   const { team, early } = request
-  return { request, early: early === true, promised: isOwed(request, usage, now), above: usage.isAbove(team, now), late: isLate(request, now), relative: usage.relative(team, now) }
+  return { request, early: early === true, above: usage.isAbove(team, now), late: isLate(request, now), relative: usage.relative(team, now) }
 }
 
 /** Those of a kind that had less than its least part of the room, where there is one. */
--- a/packages/fairness/src/placerate.ts
+++ b/packages/fairness/src/placerate.ts
@@ -12,14 +12,12 @@
 
 /** Places taken lately. */
 export class PlaceRate {
-  readonly #all = new DecayingSum(halfLife)
   #taken = new DecayingSum(halfLife)
   #since = Infinity
   #contendedAt = -Infinity
 
   /** Counts a place that was taken. @param contended whether other requests wait, or this one did */
   taken (contended: boolean, now: number): void {
-    this.#all.add(1, now)
     if (now - this.#contendedAt > longestGap) this.#reset()
     if (contended) {
       this.#contendedAt = now
@@ -35,11 +33,6 @@
     return this.#taken.at(now) * 1000 / countedTime(halfLife, time)
   }
 
-  /** Places taken a second, whether others waited or not: at least so many come free. */
-  least (now: number): number {
-    return this.#all.at(now) * 1000 / countedTime(halfLife, Infinity)
-  }
-
   #reset (): void {
     this.#taken = new DecayingSum(halfLife)
     this.#since = Infinity
--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -5,7 +5,6 @@
  */
 import { type Trial } from '@eiderwind/crashes'
 import { decideRetry, refusals, waitForRoom, type AttemptResult, type Closure, type Seeker, type WaitHandlers } from '@eiderwind/dispatch'
-import { isPromised } from '@eiderwind/fairness'
 import { type Fault } from '@eiderwind/fault'
 import { type Claim } from '@eiderwind/limits'
 import { type Upstream } from '@eiderwind/roster'
@@ -112,10 +111,9 @@
 
   /** The request as one that waits for room. @param until on `Clock.now`, in ms */
   #seeker (until: number): Seeker {
-    const { room, request: { priority, team, arrivedAt, endsAt, spent, offered, route: { objective } } } = this
+    const { room, request: { priority, team, arrivedAt, spent, offered, route: { objective } } } = this
     const early = spent > 0 && spent < earliestReturn
-    const promised = isPromised(spent, endsAt - arrivedAt + spent)
-    return { room, offered, priority, team: team?.name ?? '', work: 1, arrivedAt, inTimeUntil: offered ? until : arrivedAt - spent + objective, until, again: spent > 0, promised, early }
+    return { room, offered, priority, team: team?.name ?? '', work: 1, arrivedAt, inTimeUntil: offered ? until : arrivedAt - spent + objective, until, again: spent > 0, early }
   }
 
   get #waitHandlers (): WaitHandlers {
--- a/packages/forward/src/streampath.ts
+++ b/packages/forward/src/streampath.ts
@@ -97,7 +97,7 @@
   }
 
   protected refusal (): Fault {
-    return refusals.noRoom(this.upstreams.length, this.context.queue.comeBack(this.room, this.request.timeLeft))
+    return refusals.noRoom(this.upstreams.length)
   }
 
   /** Whether a stream whose upstream is suspected of having stalled is moved: it may be, and another upstream has room. */
