--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -5,7 +5,7 @@
  */
 import { type Trial } from '@eiderwind/crashes'
 import { decideRetry, refusals, waitForRoom, type AttemptResult, type Closure, type Seeker, type WaitHandlers } from '@eiderwind/dispatch'
-import { isPromised, type Waiting } from '@eiderwind/fairness'
+import { type Waiting } from '@eiderwind/fairness'
 import { type Fault } from '@eiderwind/fault'
 import { type Claim } from '@eiderwind/limits'
 import { type Room } from '@eiderwind/places'
@@ -135,10 +135,9 @@
 
   /** What the order of the requests that wait depends on. @param until on `Clock.now`, in ms */
   #waiting (until: number): Waiting {
-    const { work, request: { priority, team, arrivedAt, endsAt, spent, offered } } = this
+    const { work, request: { priority, team, arrivedAt, spent, offered } } = this
     const early = spent > 0 && spent < earliestReturn
-    const promised = isPromised(spent, endsAt - arrivedAt + spent)
-    return { priority, team: team?.name ?? '', work, arrivedAt, inTimeUntil: offered ? until : this.inTimeUntil, until, again: spent > 0, promised, early }
+    return { priority, team: team?.name ?? '', work, arrivedAt, inTimeUntil: offered ? until : this.inTimeUntil, until, again: spent > 0, early }
   }
 
   get #waitHandlers (): WaitHandlers {
--- a/packages/forward/src/streampath.ts
+++ b/packages/forward/src/streampath.ts
@@ -140,7 +140,7 @@
   }
 
   protected refusal (): Fault {
-    return refusals.noRoom(this.upstreams.length, this.context.queue.comeBack(this.room?.key ?? this.request.service, this.request.timeLeft))
+    return refusals.noRoom(this.upstreams.length)
   }
 
   /** Whether a stream whose upstream is suspected of having stalled, or is to be emptied, is moved: it may be, and another upstream has room. */
--- a/packages/gateway/src/rooms.ts
+++ b/packages/gateway/src/rooms.ts
@@ -141,11 +141,11 @@
   }
 
   /** Whoever is asked issues: two may do so for a moment, until they agree who lives, and know each other's grants by the next heartbeats. */
-  #asked ({ service, model, number, priority, team, work, age, timely, patience, besides, near, again, promised, early }: Extract<PlaceMessage, { place: 'ask' }>, from: string): void {
+  #asked ({ service, model, number, priority, team, work, age, timely, patience, besides, near, again, early }: Extract<PlaceMessage, { place: 'ask' }>, from: string): void {
     const now = this.#options.clock.now()
     const room = roomOf(service, model)
     this.contention.hear([room.key])
-    this.issuer.ask(room, { from, number, priority, team, work, arrivedAt: now - age, inTimeUntil: now + timely, until: now + patience, besides, near, again, promised, early })
+    this.issuer.ask(room, { from, number, priority, team, work, arrivedAt: now - age, inTimeUntil: now + timely, until: now + patience, besides, near, again, early })
   }
 
   #post (to: string, message: PlaceMessage): void {
--- a/packages/places/src/asker.ts
+++ b/packages/places/src/asker.ts
@@ -227,7 +227,7 @@
 
   #ask (claim: Claim): void {
     const { clock, issuer, owner: ownerOf, post, dataCentre: near } = this.#options
-    const { room, priority, team, work, arrivedAt, inTimeUntil, until, besides, again, promised, early } = claim.wish
+    const { room, priority, team, work, arrivedAt, inTimeUntil, until, besides, again, early } = claim.wish
     const owner = ownerOf(room.key)
     if (owner !== undefined && this.#isSilent(owner)) return this.#goAlone(claim)
     const number = ++this.#number
@@ -237,12 +237,12 @@
     const ask: OpenAsk = { claim, owner, answered: false, timer: undefined }
     this.#asks.set(number, ask)
     if (owner === undefined) {
-      issuer.ask(room, { from: ownAsk, number, priority, team, work, arrivedAt, inTimeUntil, until, besides: besides(), near, again, promised, early })
+      issuer.ask(room, { from: ownAsk, number, priority, team, work, arrivedAt, inTimeUntil, until, besides: besides(), near, again, early })
     } else {
       const half = Math.min(replyTime, claim.wish.objective * replyShare) / 2
       const send = (): void => {
         const now = clock.now()
-        post(owner, { place: 'ask', service: room.service, model: room.model, number, priority, team, work, age: Math.max(0, now - arrivedAt), timely: inTimeUntil - now, patience: Math.max(0, until - now - wayTime), besides: [...besides()], near, again, promised, early })
+        post(owner, { place: 'ask', service: room.service, model: room.model, number, priority, team, work, age: Math.max(0, now - arrivedAt), timely: inTimeUntil - now, patience: Math.max(0, until - now - wayTime), besides: [...besides()], near, again, early })
       }
       ask.timer = clock.after(half, () => {
         send()
--- a/packages/places/src/messages.ts
+++ b/packages/places/src/messages.ts
@@ -13,9 +13,9 @@
 const PlaceMessage = z.discriminatedUnion('place', [
   /**
    * A request waits for a place. It came `age` ms ago, can begin for `timely` ms more and be in time (less than 0: it is late), and waits for `patience` ms, at none of the upstreams
-   * `besides`, best in the data centre `near`. Its caller was refused before and has come back, as it was promised, or sooner than it was told to.
+   * `besides`, best in the data centre `near`. Its caller was refused before and has come back; or has come back sooner than it was told to.
    */
-  z.object({ place: z.literal('ask'), ...room, number, priority: z.number(), team: z.string(), work: z.number(), age: time, timely: z.number(), patience: time, besides: z.array(z.string()), near: z.string(), again: flag, promised: flag, early: flag }),
+  z.object({ place: z.literal('ask'), ...room, number, priority: z.number(), team: z.string(), work: z.number(), age: time, timely: z.number(), patience: time, besides: z.array(z.string()), near: z.string(), again: flag, early: flag }),
   /** It waits no longer. */
   z.object({ place: z.literal('drop'), ...room, number }),
   /** It is in the queue. */
