--- a/packages/gateway/src/rooms.ts
+++ b/packages/gateway/src/rooms.ts
@@ -33,9 +33,6 @@
   readonly random: Random
 }
 
-/** How long a head that refused a request is left out by the word of one gateway, in ms, where it names no time itself: about the time in which one of its places comes free. */
-const refusedTime = 100
-
 /** Time between two looks at what is over, in ms. */
 const forgetInterval = 250
 
@@ -122,7 +119,9 @@
     if (!refused || upstream.membership === undefined) return
     const room = roomOfHead(upstream)
     this.contention.met(room)
-    this.asker.tell(room, upstream.id, Math.max(refusedTime, this.#options.rests.left(upstream.id)))
+    // One that is just full refuses one request and accepts the next.
+    const left = this.#options.rests.left(upstream.id)
+    this.asker.tell(room, upstream.id, left > 0 ? left : undefined)
   }
 
   /** The gateway that issues the places of a room, where that is another one. */
--- a/packages/places/src/issuer.ts
+++ b/packages/places/src/issuer.ts
@@ -75,6 +75,9 @@
 /** Time between two looks at a queue in which nothing else has happened, in ms: heads may have opened, and requests have waited too long. */
 const lookInterval = 20
 
+/** How long requests have to wait without a break until places given are taken for places that come free, in ms: before, as many were given as asked for. */
+const leastBusy = 500
+
 /** Requests on which the expected wait is computed at most; of a longer queue a part stands for the whole. */
 const sample = 64
 
@@ -112,8 +115,9 @@
 interface Queue {
   readonly room: Room
   readonly waiting: Ask[]
-  /** When a request asked last, on `Clock.now`. */
+  /** When a request asked last, and since when there is always one that waits, on `Clock.now`. */
   usedAt: number
+  busySince: number | undefined
   readonly usage: TeamUsage
   /** Places given a second, by the priority of who got them. */
   readonly rates: Map<number, Rate>
@@ -209,7 +213,7 @@
   #queue (room: Room): Queue {
     const known = this.#queues.get(room.key)
     if (known !== undefined) return known
-    const queue: Queue = { room, waiting: [], usedAt: 0, usage: new TeamUsage(), rates: new Map(), expected: new Map(), timer: undefined }
+    const queue: Queue = { room, waiting: [], usedAt: 0, busySince: undefined, usage: new TeamUsage(), rates: new Map(), expected: new Map(), timer: undefined }
     this.#queues.set(room.key, queue)
     return queue
   }
@@ -289,7 +293,7 @@
    */
   #expected (queue: Queue, ask: Ask, now: number): number {
     const rate = rateFor(queue.rates, ask.priority, now)
-    if (rate === undefined) return 0
+    if (rate === undefined || queue.busySince === undefined || now - queue.busySince < leastBusy) return 0
     const alike = `${kindOf(ask, now)} ${Math.round((ask.until - now) / patienceStep)} ${ask.team}`
     const known = queue.expected.get(alike)
     if (known !== undefined && now - known.at < expectationTime) return known.wait + ++known.since / rate * 1000
@@ -314,7 +318,9 @@
   }
 
   #schedule (queue: Queue): void {
-    if (queue.waiting.length === 0) {
+    if (queue.waiting.length > 0) queue.busySince ??= this.#options.clock.now()
+    else {
+      queue.busySince = undefined
       queue.timer?.cancel()
       queue.timer = undefined
       return
--- a/packages/places/test/issuer.test.ts
+++ b/packages/places/test/issuer.test.ts
@@ -183,7 +183,8 @@
   fixture.heads = [head('a', 1)]
   const issuer = new Issuer({ clock: fixture.clock, heads: () => fixture.heads, inFlight: () => 0, counts: fixture.counts, deliver: (_to, reply) => { if (reply.place === 'later') dues.push(reply.due) }, random: () => 0 })
   const ask = (number: number): void => issuer.ask(room, { from: 'x', number, priority: 1, team: '', work: 1, arrivedAt: 0, inTimeUntil: 10_000, until: fixture.clock.now() + patience, besides: [], near: 'dc' })
-  // A place each 100 ms for a while.
+  // A place each 100 ms for a while, and always one that waits.
+  ask(1000)
   for (let number = 0; number < 30; number++) {
     ask(number)
     fixture.clock.advance(100)
@@ -201,6 +202,20 @@
   t.true(last >= 2500 && last <= 3500, `in ${last} ms`)
 })
 
+test('where requests ask seldom and get their places at once, one that must wait is not refused for it', t => {
+  const fixture = new Fixture()
+  fixture.heads = [head('a', 1)]
+  for (let number = 0; number < 10; number++) {
+    fixture.ask('x', number)
+    fixture.clock.advance(1000)
+    fixture.issuer.hear(room, 'x', { upstream: 'a', count: 0, seen: Number.MAX_SAFE_INTEGER })
+  }
+  t.deepEqual(fixture.heard, Array.from({ length: 10 }, (_each, number) => `x${number} grant a`))
+  fixture.counts.set('y', 'a', 1)
+  fixture.ask('x', 10)
+  t.deepEqual(fixture.heard, ['x10 wait'])
+})
+
 test('the less urgent are refused at once where the more urgent have all places', t => {
   const fixture = new Fixture()
   const { clock } = fixture
@@ -208,6 +223,8 @@
   let later = 0
   const issuer = new Issuer({ clock, heads: () => fixture.heads, inFlight: () => 0, counts: fixture.counts, deliver: (_to, reply) => { if (reply.place === 'later') later++ }, random: () => 0 })
   const ask = (number: number, priority: number): void => issuer.ask(room, { from: 'x', number, priority, team: '', work: 1, arrivedAt: clock.now(), inTimeUntil: clock.now() + 400, until: clock.now() + 400, besides: [], near: 'dc' })
+  // Always one that waits.
+  ask(1000, 0)
   for (let number = 0; number < 20; number++) {
     ask(number, 0)
     clock.advance(50)
