--- a/packages/ctl/src/capacity.ts
+++ b/packages/ctl/src/capacity.ts
@@ -7,7 +7,7 @@
 import { type LogLine } from './explain.js'
 
 /** What engines do, in the order of the columns: the fields of `engines-surveyed`. */
-export const engineWork = ['serving', 'forming', 'broken', 'loading', 'empty', 'idle', 'missing'] as const
+export const engineWork = ['serving', 'forming', 'broken', 'loading', 'empty', 'idle', 'unlisted', 'missing'] as const
 
 /** Outcomes of requests that found no room, in the order of the columns: the beginnings of `outcome` in `request-ended`. */
 export const lacking = ['busy', 'no-replica', 'upstream-down'] as const
--- a/packages/ctl/test/capacity.test.ts
+++ b/packages/ctl/test/capacity.test.ts
@@ -15,7 +15,7 @@
   'not a line of a log'
 ]
 const lines = log.map(readLine).filter((each): each is LogLine => each !== undefined)
-const none = { serving: 0, forming: 0, broken: 0, loading: 0, empty: 0, idle: 0, missing: 0 }
+const none = { serving: 0, forming: 0, broken: 0, loading: 0, empty: 0, idle: 0, unlisted: 0, missing: 0 }
 
 test('each second has the engines of all domains by what they do, and the requests that found no room', t => {
   t.deepEqual(capacity(lines), [
--- a/packages/detect/src/liveness.ts
+++ b/packages/detect/src/liveness.ts
@@ -7,13 +7,7 @@
  */
 import { type Clock } from '@eiderwind/clock'
 import { type Roster } from '@eiderwind/roster'
-import { type Probes } from './probes.js'
-
-/** A node of a replica, and where it answers. */
-export interface NodeAddress {
-  readonly id: string
-  readonly address: string
-}
+import { type NodeAddress, type Probes } from './probes.js'
 
 /** The nodes of a replica that was decided on, the head first. */
 export interface ReplicaNodes {
@@ -29,6 +23,8 @@
   readonly suspects: () => ReadonlySet<string>
   /** Time between two heartbeats of an upstream. */
   readonly heartbeatInterval: number
+  /** Whether an engine that is not listed is kept all the same, and probed for that. */
+  readonly isKept: (id: string) => boolean
   /** When this process last ran on after a pause of its own, on `Clock.now`. */
   readonly resumedAt: () => number
   /** Called when an answer may have changed what is known of an engine. */
@@ -79,6 +75,8 @@
   readonly #options: LivenessOptions
   readonly #unreachable = new Set<string>()
   readonly #dead = new Set<string>()
+  /** Heads that were found dead while they were not listed. One that is listed again has only left the replica that it led then. */
+  readonly #deadUnlisted = new Set<string>()
   /** Orders to close in a row that a head left unanswered, by its id. */
   readonly #unanswered = new Map<string, number>()
   readonly #heartbeats = new Map<string, HeartbeatReading>()
@@ -97,12 +95,13 @@
 
   /** Ids of heads that certainly no longer serve. */
   get dead (): ReadonlySet<string> {
-    return this.#dead
+    return new Set([...this.#dead, ...this.#deadUnlisted])
   }
 
   /** Probes the members in doubt of the given replicas, and decides which of their heads are dead. */
   check (replicas: readonly ReplicaNodes[]): void {
     const suspects = this.#options.suspects()
+    for (const id of this.#deadUnlisted) if (this.#options.roster.find(id) !== undefined) this.#deadUnlisted.delete(id)
     this.#probeDoubtful(replicas, suspects)
     for (const { members: [{ id }] } of replicas) this.#judge(id, suspects)
   }
@@ -114,14 +113,20 @@
 
   /** Records that a head has left its replica, or that nothing listens there any more. One that is not listed either is dead. */
   left (head: string): void {
-    if (this.#options.roster.find(head) === undefined) this.#dead.add(head)
+    if (this.#options.roster.find(head) === undefined) this.#deadUnlisted.add(head)
+  }
+
+  /** Records that an engine which is not listed left its probes unanswered. */
+  foundSilent (id: string): void {
+    this.#missed.set(id, missedProbes)
+    this.#unreachable.add(id)
   }
 
   /** Forgets engines that are in none of the given replicas and that the roster no longer remembers. */
   forget (replicas: readonly ReplicaNodes[]): void {
     const { roster } = this.#options
     const placed = new Set(replicas.flatMap(({ members }) => members.map(({ id }) => id)))
-    for (const known of [this.#unreachable, this.#dead, this.#unanswered, this.#heartbeats, this.#probedAt, this.#missed]) {
+    for (const known of [this.#unreachable, this.#dead, this.#deadUnlisted, this.#unanswered, this.#heartbeats, this.#probedAt, this.#missed]) {
       for (const id of known.keys()) {
         if (!placed.has(id) && roster.find(id) === undefined && roster.departure(id) === undefined) known.delete(id)
       }
@@ -130,11 +135,12 @@
 
   /** All members of a replica with a suspected head or an unreachable member, and engines unreachable or lapsed themselves. */
   #probeDoubtful (replicas: readonly ReplicaNodes[], suspects: ReadonlySet<string>): void {
-    const { roster } = this.#options
+    const { roster, isKept } = this.#options
+    const isAbsent = (id: string): boolean => roster.find(id) === undefined && !isKept(id)
     for (const { members } of replicas) {
       const stalled = suspects.has(members[0].id)
-      const doubtful = stalled || members.some(({ id }) => this.#unreachable.has(id) || this.#missed.has(id) || roster.find(id) === undefined)
-      if (doubtful) for (const each of members) this.#probe(each, stalled)
+      const doubtful = stalled || members.some(({ id }) => this.#unreachable.has(id) || this.#missed.has(id) || isAbsent(id))
+      if (doubtful) for (const each of members) if (stalled || !isKept(each.id)) this.#probe(each, stalled)
     }
     for (const id of [...this.#unreachable, ...roster.lapsed]) {
       const address = roster.find(id)?.address
@@ -174,7 +180,7 @@
     if (this.#options.roster.hasEnded(head)) this.#dead.add(head)
     else if (unanswered === 0 && !unreachable && !suspects.has(head)) this.#heartbeats.delete(head)
     else if (this.#options.roster.find(head) !== undefined) this.#readHeartbeat(head)
-    else if (unanswered >= unansweredLimit && unreachable) this.#dead.add(head)
+    else if (unanswered >= unansweredLimit && unreachable) this.#deadUnlisted.add(head)
   }
 
   /** Reads the heartbeat count of a listed head, from the first suspicion on, and declares it dead where that has stopped too. */
--- a/packages/emulator/src/engines.ts
+++ b/packages/emulator/src/engines.ts
@@ -3,7 +3,7 @@
  * takes, how they die, leave and answer late. They note each rule that an order breaks. Owns the engines and the roster that lists them.
  */
 import { type ManualClock } from '@eiderwind/clock'
-import { Probes } from '@eiderwind/detect'
+import { Probes, type EngineReport, type NodeAddress } from '@eiderwind/detect'
 import { Orders, type Order, type OrderResult } from '@eiderwind/forming'
 import { Outage, Roster, type Membership, type Upstream } from '@eiderwind/roster'
 import { type Engine, type Service } from '@eiderwind/traffic'
@@ -38,6 +38,8 @@
   readonly loadsAt: number[] = []
   /** Time until the platform lists a change of an engine, in ms. */
   lag = 0
+  /** Age of what an engine says of itself when it is asked, in ms. */
+  reportLag = 0
   /** Time until a probe of an engine that does not answer is given up, in ms. */
   probeTime = 0
   /** Engines whose pulse was looked at. */
@@ -53,6 +55,8 @@
   readonly #ready = new Map<string, Set<string>>()
   readonly #lists = new Map<string, readonly string[]>()
 
+  /** What engines say of themselves, where that is older than what they do. */
+  readonly #reported = new Map<string, EngineReport>()
   readonly #service: EngineService
 
   /** The service as it is configured. */
@@ -96,6 +100,13 @@
     this.roster.apply([{ gone: id }])
   }
 
+  /** The platform lists an engine again that it dropped, as it is now. */
+  relist (id: string): void {
+    const node = this.#node(id)
+    node.reachable = true
+    if (node.alive && this.roster.find(id) === undefined) this.roster.apply([{ upstream: node.upstream }])
+  }
+
   leave (id: string): void {
     this.#change(this.#node(id), { leaving: true })
   }
@@ -140,11 +151,11 @@
 
   /** What the nodes answer when they are asked after. */
   readonly probes: Probes = new EmulatedProbes({
-    isReachable: async address => {
-      const node = this.#node(address.split(':')[0])
-      const reachable = node.alive && node.reachable && !this.mute.has(address.split(':')[0])
-      if (!reachable && this.probeTime > 0) await new Promise<void>(resolve => { this.clock.after(this.probeTime, resolve) })
-      return reachable
+    isReachable: async address => await this.#answers(address.split(':')[0]),
+    report: async ({ id }) => {
+      const { upstream: { loaded, staged, membership, leaving } } = this.#node(id)
+      const report = this.#reported.get(id) ?? { loaded, staged, membership, leaving }
+      return await this.#answers(id) ? report : undefined
     },
     heartbeatOf: async id => {
       this.felt.add(id)
@@ -154,6 +165,13 @@
     }
   })
 
+  async #answers (id: string): Promise<boolean> {
+    const node = this.#node(id)
+    const reachable = node.alive && node.reachable && !this.mute.has(id)
+    if (!reachable && this.probeTime > 0) await new Promise<void>(resolve => { this.clock.after(this.probeTime, resolve) })
+    return reachable
+  }
+
   #carryOut (node: Node, order: Order): OrderResult {
     switch (order.kind) {
       case 'join': return this.#join(node, order)
@@ -241,6 +259,8 @@
   #change (node: Node, difference: Partial<Upstream>): void {
     const changed = { ...node.upstream, ...difference }
     node.upstream = changed
+    const { loaded, staged, membership, leaving } = changed
+    if (this.reportLag > 0) this.clock.after(this.reportLag, () => this.#reported.set(changed.id, { loaded, staged, membership, leaving }))
     const list = (): void => { if (this.roster.find(changed.id) !== undefined) this.roster.apply([{ upstream: changed }]) }
     if (this.lag > 0) this.clock.after(this.lag, list)
     else list()
@@ -266,14 +286,20 @@
 
 class EmulatedProbes extends Probes {
   readonly #isReachable: Probes['isReachable']
+  readonly #report: Probes['report']
   readonly #heartbeatOf: Probes['heartbeatOf']
 
-  constructor ({ isReachable, heartbeatOf }: Pick<Probes, 'isReachable' | 'heartbeatOf'>) {
+  constructor ({ isReachable, report, heartbeatOf }: Pick<Probes, 'isReachable' | 'report' | 'heartbeatOf'>) {
     super()
+    this.#report = report
     this.#isReachable = isReachable
     this.#heartbeatOf = heartbeatOf
   }
 
+  report (node: NodeAddress): Promise<EngineReport | undefined> {
+    return this.#report(node)
+  }
+
   isReachable (address: string): Promise<boolean> {
     return this.#isReachable(address)
   }
--- a/packages/emulator/src/planner.ts
+++ b/packages/emulator/src/planner.ts
@@ -12,6 +12,8 @@
   /** Another planner, whose loads this one hears of. */
   readonly others?: () => Reconciler | undefined
   readonly demand?: () => Demand
+  /** How long engines are kept that answer and are not listed, in ms. */
+  readonly keepUnlisted?: number
 }
 
 /** Time between two writes of an engine to the platform's list, in ms. */
@@ -34,6 +36,9 @@
     beforeTraffic: options.unserved ?? (() => false),
     heartbeatInterval,
     resumedAt: options.wokeAt ?? (() => -Infinity),
+    keepUnlisted: options.keepUnlisted ?? 0,
+    unlisted: () => {},
+    unlistedEnded: () => {},
     decided: () => {},
     surveyed: () => {},
     ordered: () => {},
--- a/packages/emulator/test/schedules.ts
+++ b/packages/emulator/test/schedules.ts
@@ -1,7 +1,26 @@
 /** Random schedules of what happens to a fleet of engines and its planners, by a seed. */
-import { ManualClock, seeded } from '@eiderwind/clock'
+import { ManualClock, seeded, type Random } from '@eiderwind/clock'
 import { MemoryPlacements, World, engine, pass, planner, type Broken } from './world.js'
 
+/** Engines lose their entries, are listed again later, and some of them fall silent or die meanwhile. */
+function lapse (made: World, random: Random): void {
+  const listed = made.roster.upstreams
+  const heads = made.open.map(each => each.head).filter(id => made.roster.find(id) !== undefined)
+  const chosen = listed[Math.floor(random() * listed.length)]
+  const draw = random()
+  const ids = draw < 0.4 ? [chosen.id] : draw < 0.8 ? heads.slice(0, 1 + Math.floor(random() * 2)) : listed.filter(each => each.domain === chosen.domain && random() < 0.4).map(each => each.id)
+  for (const id of ids) {
+    const time = shortestLapse + random() * (longestLapse - shortestLapse)
+    made.unlist(id, true)
+    if (random() < silentShare) made.clock.after(random() * time, () => made.mute.add(id))
+    if (random() < dyingShare) made.clock.after(random() * time, () => made.kill(id))
+    made.clock.after(time, () => {
+      made.mute.delete(id)
+      made.relist(id)
+    })
+  }
+}
+
 /** What a schedule showed. */
 export interface ScheduleResult {
   readonly broken: readonly Broken[]
@@ -22,11 +41,27 @@
 /** Events of a schedule, and how many of the engines it begins with may be gone before only new ones come. */
 const events = 30
 
+/** What a schedule has beside deaths, departures and arrivals; nothing by default. */
+export interface ScheduleOptions {
+  /** How long engines are kept that answer and are not listed, in ms. */
+  readonly keepUnlisted?: number
+  /** Share of the events at which engines lose their entries for a while: one, a replica's head, or a third of a domain. */
+  readonly lapses?: number
+}
+
+/** How long engines are without their entries in a lapse, in ms: shorter and longer than they are kept. */
+const shortestLapse = 300
+const longestLapse = 12_000
+
+/** Share of those that lose their entries that answer no probe either for a while, and of those that die in it. */
+const silentShare = 0.25
+const dyingShare = 0.1
+
 /**
  * Plays a schedule: engines die, leave, lapse and come, a whole domain goes dark, a tenth to a third of the orders act late, planners
  * are replaced and at times two act at once.
  */
-export async function playSchedule (seed: number): Promise<ScheduleResult> {
+export async function playSchedule (seed: number, { keepUnlisted = 0, lapses = 0 }: ScheduleOptions = {}): Promise<ScheduleResult> {
   const random = seeded(seed)
   const made = new World(new ManualClock())
   for (let domain = 0; domain < domains; domain++) {
@@ -36,10 +71,11 @@
   made.late = order => order.kind !== 'stage' && random() < lateShare ? 1000 + random() * 9000 : undefined
   made.lag = random() < 0.5 ? 0 : random() * 200
   made.probeTime = random() * 280
+  if (lapses > 0) made.reportLag = random() * 500
   const placements = new MemoryPlacements()
   const suspects = new Set<string>()
   const start = (): ReturnType<typeof planner> => {
-    const started = planner(made, placements, { suspects })
+    const started = planner(made, placements, { suspects, keepUnlisted })
     started.start()
     return started
   }
@@ -48,6 +84,7 @@
   for (let event = 0; event < events; event++) {
     const listed = made.roster.upstreams
     const chosen = listed[Math.floor(random() * listed.length)]
+    if (lapses > 0 && random() < lapses) lapse(made, random)
     const draw = random()
     if (draw < 0.3) made.kill(chosen.id)
     else if (draw < 0.36) made.leave(chosen.id)
--- a/packages/forming/src/composition.ts
+++ b/packages/forming/src/composition.ts
@@ -23,14 +23,17 @@
 export function membersFor (model: Model, pool: Pool): Upstream[] | undefined {
   const free = pool.freeFor(model)
   const holders = free.filter(each => holds(each, model.name))
-  if (holders.length >= model.size) return soonest(holders, model)
+  if (holders.length >= model.size) return soonest(holders, model, pool.draft.snapshot)
   const empty = free.filter(each => isEmpty(each) && !pool.isLoading(each))
-  return empty.length >= model.size && pool.availableSoon(model).length === 0 ? soonest(empty, model) : undefined
+  return empty.length >= model.size && pool.availableSoon(model).length === 0 ? soonest(empty, model, pool.draft.snapshot) : undefined
 }
 
-/** The engines that serve a model soonest; between equals by id. */
-function soonest (engines: readonly Upstream[], { name, size }: Model): Upstream[] {
-  return [...engines].sort((a, b) => loadDistance(a, name) - loadDistance(b, name) || (a.id < b.id ? -1 : 1)).slice(0, size)
+/** The engines that serve a model soonest; between equals those that are listed, then by id. The head is listed: without one it has to wait. */
+function soonest (engines: readonly Upstream[], { name, size }: Model, snapshot: Snapshot): Upstream[] | undefined {
+  const isUnlisted = ({ id }: Upstream): number => Number(snapshot.isUnlisted(id))
+  const sorted = [...engines].sort((a, b) => loadDistance(a, name) - loadDistance(b, name) || isUnlisted(a) - isUnlisted(b) || (a.id < b.id ? -1 : 1))
+  const head = sorted.find(each => !snapshot.isUnlisted(each.id))
+  return head === undefined ? undefined : [head, ...sorted.filter(each => each !== head)].slice(0, size)
 }
 
 /**
--- a/packages/forming/src/domains.ts
+++ b/packages/forming/src/domains.ts
@@ -26,6 +26,8 @@
 export interface DomainsOptions {
   readonly roster: Roster
   readonly placements: Placements
+  /** The engines that are not listed and are kept. */
+  readonly unlisted?: () => readonly Upstream[]
   /** Called when a placement can't be read, once until one is read again. */
   readonly failed: (error: Error) => void
 }
@@ -116,7 +118,7 @@
   /** The engines of a service by domain. */
   #group (service: string): Map<string, Upstream[]> {
     const groups = new Map<string, Upstream[]>()
-    for (const upstream of this.#options.roster.upstreams) {
+    for (const upstream of [...this.#options.roster.upstreams, ...this.#options.unlisted?.() ?? []]) {
       if (upstream.service !== service || upstream.domain === undefined) continue
       groups.set(upstream.domain, [...groups.get(upstream.domain) ?? [], upstream])
     }
--- a/packages/forming/src/facts.ts
+++ b/packages/forming/src/facts.ts
@@ -25,11 +25,13 @@
   readonly engine: Engine
   /** The desired state, as stored. */
   readonly placement: Placement
-  /** The actual state: the listed engines of the domain. Their order decides between engines that are equal otherwise. */
+  /** The actual state: the engines of the domain that are listed, then those that are kept without. Their order decides between engines that are equal otherwise. */
   readonly upstreams: readonly Upstream[]
   /** Ids of engines that did not answer their last probe, listed or not. */
   readonly unreachable: ReadonlySet<string>
-  /** Ids of engines whose entries are missing since an outage of the store: they keep their place and get no new one. */
+  /** Ids of engines that are not listed and kept: they may be members of a replica, and lead none. */
+  readonly unlisted: ReadonlySet<string>
+  /** Ids of engines whose entries are missing and that may have ended: they keep their place and get no new one. */
   readonly lapsed: ReadonlySet<string>
   /** Ids of heads that are certain not to serve any more. */
   readonly dead: ReadonlySet<string>
--- a/packages/forming/src/lifecycle.ts
+++ b/packages/forming/src/lifecycle.ts
@@ -18,6 +18,7 @@
 /** The next step of a replica, by the first rule that applies. */
 export function nextForReplica (replica: PlannedReplica, draft: PlacementDraft, history: OrderHistory): ReplicaStep {
   const { snapshot } = draft
+  if (snapshot.isUnlisted(replica.members[0].id)) return nextForUnlistedHead(replica, snapshot, history)
   if (!snapshot.isIntact(replica)) return nextForIncomplete(replica, snapshot, history)
   const state = snapshot.headState(replica)
   if (isAbandoned(replica, snapshot, history)) {
@@ -51,6 +52,18 @@
   return ready ? { orders: [openOrder(replica)] } : {}
 }
 
+/**
+ * A replica whose head is not listed gets no requests any more. Once the head has left it, its engines form another one under a head that is
+ * listed: their weights are loaded already. Requests in flight are cut and resumed elsewhere, since until the last of them has ended no
+ * engine of the replica serves anybody else.
+ */
+function nextForUnlistedHead (replica: PlannedReplica, snapshot: Snapshot, history: OrderHistory): ReplicaStep {
+  const { id } = replica.members[0]
+  if (snapshot.facts.dead.has(id)) return { dissolved: `${id} not listed` }
+  const close = closeOrder(replica, 'cut')
+  return { orders: [history.hasAnswered(close) ? leaveOrder(replica) : close] }
+}
+
 /**
  * A replica that lacks a member, or is about to, is closed, then dissolved. Requests in flight are completed only where all of its
  * missing members leave as announced; otherwise they have stalled, and are cut so that they are resumed elsewhere.
--- a/packages/forming/src/reconciler.ts
+++ b/packages/forming/src/reconciler.ts
@@ -4,8 +4,8 @@
  * process that takes over continues from both.
  */
 import { type Subscription } from '@eiderwind/clock'
-import { Liveness, type LivenessOptions } from '@eiderwind/detect'
-import { type RosterChange } from '@eiderwind/roster'
+import { Liveness, Unlisted, type LivenessOptions, type UnlistedEnd } from '@eiderwind/detect'
+import { type RosterChange, type Upstream } from '@eiderwind/roster'
 import { type Engine, type Service } from '@eiderwind/traffic'
 import { Activity } from './activity.js'
 import { Domains, domainKey, type Domain } from './domains.js'
@@ -30,7 +30,7 @@
 const surveyInterval = 1000
 
 /** Dependencies of `Reconciler`. */
-export interface ReconcilerOptions extends Omit<LivenessOptions, 'changed'> {
+export interface ReconcilerOptions extends Omit<LivenessOptions, 'changed' | 'isKept'> {
   readonly orders: Orders
   readonly placements: Placements
   /** The services of the configuration in force. */
@@ -47,6 +47,11 @@
   readonly beforeTraffic: () => boolean
   /** Called after each decision, once it is stored. */
   readonly decided: (domain: string, note: string, epoch: number) => void
+  /** How long an engine that answers is kept after its entry went, in ms; 0: not at all. */
+  readonly keepUnlisted: number
+  /** Called when an engine is kept although it is not listed, and when that ends. */
+  readonly unlisted: (engine: Upstream) => void
+  readonly unlistedEnded: (engine: Upstream, how: UnlistedEnd) => void
   /** Called with what the engines of a domain do, about once a second. */
   readonly surveyed: (domain: string, survey: Survey) => void
   /** Called when an order has ended, with the time that it took in ms. */
@@ -65,6 +70,7 @@
   readonly #activity: Activity
   readonly #pace: Pace
   readonly #liveness: Liveness
+  readonly #unlisted: Unlisted
   /** When the engines of each domain were last reported on, on `Clock.now`. */
   readonly #surveyedAt = new Map<string, number>()
   /** Names of replicas that this process planned since it leads their service, and whose heads have not joined yet. */
@@ -78,12 +84,21 @@
     this.#history = new OrderHistory(clock)
     this.#loads = new LoadLimit(clock, () => this.#othersLoads())
     this.#planner = new Planner({ history: this.#history, loads: this.#loads })
-    this.#domains = new Domains(options)
+    this.#domains = new Domains({ ...options, unlisted: () => this.#unlisted.engines })
     this.#arrivals = new Arrivals(clock)
     this.#appearances = new Appearances(clock)
     this.#activity = new Activity(clock)
     this.#pace = new Pace({ clock, look: async () => await this.#look(), failed: options.failed })
-    this.#liveness = new Liveness({ ...options, changed: () => this.#livenessChanged() })
+    this.#liveness = new Liveness({ ...options, isKept: id => this.#unlisted.has(id), changed: () => this.#livenessChanged() })
+    this.#unlisted = new Unlisted({
+      ...options,
+      keep: options.keepUnlisted,
+      isUnreachable: id => this.#liveness.unreachable.has(id),
+      silent: id => this.#liveness.foundSilent(id),
+      changed: () => this.#livenessChanged(),
+      kept: options.unlisted,
+      ended: options.unlistedEnded
+    })
   }
 
   start (): void {
@@ -165,6 +180,7 @@
    * the steps, so that all see the same facts.
    */
   async #reconcile (service: Service, engine: Engine): Promise<void> {
+    this.#unlisted.check()
     const { newest } = this.#activity
     const domains = await this.#domains.read(service)
     const { clock } = this.#options
@@ -178,7 +194,7 @@
     const targets = retarget(engine.models, sizes, demand)
     const fleet = this.#fleetFacts(domains, engine, demand)
     const { needs: _needs, ...shared } = fleet
-    this.#activity.shared(JSON.stringify([service.name, shared, [...dead], [...unreachable], [...this.#options.roster.lapsed], [...targets]]))
+    this.#activity.shared(JSON.stringify([service.name, shared, [...dead], [...unreachable], [...this.#options.roster.lapsed], [...this.#unlisted.ids], this.#unlisted.unheard, [...targets]]))
     for (const domain of domains) {
       if (this.#domains.isWriting(domain.key)) continue
       if (!this.#activity.isDue(domain.key) && !this.#surveyIsDue(domain.key)) continue
@@ -251,7 +267,13 @@
 
   #domainFacts ({ placement, upstreams }: Domain, engine: Engine, targets: Counts, fleet: FleetFacts): DomainFacts {
     const { dead, unreachable } = this.#liveness
-    return { ...fleet, engine, placement, upstreams, unreachable, dead, lapsed: this.#options.roster.lapsed, unjoined: this.#unjoined, targets }
+    const lapsed = new Set([...this.#options.roster.lapsed, ...this.#unlisted.unheard])
+    return { ...fleet, engine, placement, upstreams, unreachable, dead, unlisted: this.#unlisted.ids, lapsed, unjoined: this.#unjoined, targets }
+  }
+
+  #left ({ node, replica }: Order): void {
+    this.#liveness.left(node)
+    this.#unlisted.left(node, replica)
   }
 
   /** Gives an order without waiting for its end; another look follows that. */
@@ -261,7 +283,7 @@
     orders.give(order).then(result => {
       this.#history.answered(order, result)
       if (order.kind === 'close') this.#liveness.closeAnswered(order.node, result !== 'unanswered')
-      if (result === 'closed' || (order.kind === 'leave' && result !== 'unanswered')) this.#liveness.left(order.node)
+      if (result === 'closed' || (order.kind === 'leave' && result !== 'unanswered')) this.#left(order)
       ordered(order, result, clock.now() - givenAt)
       this.#activity.happened(domain)
       this.wake()
--- a/packages/forming/src/snapshot.ts
+++ b/packages/forming/src/snapshot.ts
@@ -18,12 +18,17 @@
     return this.#upstreams.get(id)
   }
 
-  /** Whether an engine can't be counted on: it is not listed, leaves, or is unreachable. */
+  /** Whether an engine can't be counted on: it is neither listed nor kept, leaves, or is unreachable. */
   isMissing (id: string): boolean {
     const upstream = this.find(id)
     return upstream === undefined || !isStaying(upstream, this.facts.unreachable)
   }
 
+  /** Whether an engine is not listed, and is kept since it answers: gateways send it no requests. */
+  isUnlisted (id: string): boolean {
+    return this.facts.unlisted.has(id)
+  }
+
   /** Whether an engine leaves as announced and still answers. */
   isLeaving (id: string): boolean {
     return this.find(id)?.leaving === true && !this.facts.unreachable.has(id)
--- a/packages/forming/src/survey.ts
+++ b/packages/forming/src/survey.ts
@@ -10,9 +10,9 @@
 /**
  * What an engine does. `serving`: in an open replica that has all its members. `forming`: in a replica that is not open yet. `broken`: in
  * one that lacks a member or gives its engines up. `loading`: loads weights by this planner's order. `empty`: holds none. `idle`: holds
- * weights and is in no replica. `missing`: leaves, or does not answer.
+ * weights and is in no replica. `unlisted`: serves in none and is not listed, but answers. `missing`: leaves, or does not answer.
  */
-export type EngineWork = 'serving' | 'forming' | 'broken' | 'loading' | 'empty' | 'idle' | 'missing'
+export type EngineWork = 'serving' | 'forming' | 'broken' | 'loading' | 'empty' | 'idle' | 'unlisted' | 'missing'
 
 /** How many engines of a domain do what; work that none does is left out. */
 export type Survey = Readonly<Partial<Record<EngineWork, number>>>
@@ -32,6 +32,7 @@
 function workOf (upstream: Upstream, replica: PlannedReplica | undefined, pool: Pool): EngineWork {
   const { snapshot } = pool.draft
   if (snapshot.isMissing(upstream.id)) return 'missing'
+  if (snapshot.isUnlisted(upstream.id) && (replica === undefined || !snapshot.isServing(replica))) return 'unlisted'
   if (replica !== undefined) {
     if (!snapshot.isIntact(replica) || replica.retiring === true) return 'broken'
     return snapshot.headState(replica) === 'open' ? 'serving' : 'forming'
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -46,6 +46,7 @@
   readonly #resumptions: Counter
   readonly #orders: Counter<'kind' | 'result'>
   readonly #rests: Counter
+  readonly #unlisted: Counter<'how'>
 
   constructor (options: MetricsOptions) {
     this.#options = options
@@ -57,6 +58,7 @@
     this.#suspicions = new Counter({ name: 'eiderwind_suspicions_total', help: 'Heads suspected of having stalled.', registers })
     this.#resumptions = new Counter({ name: 'eiderwind_resumptions_total', help: 'Streams that were resumed at another replica.', registers })
     this.#orders = new Counter({ name: 'eiderwind_orders_total', help: 'Orders to engines, by answer.', labelNames: ['kind', 'result'], registers })
+    this.#unlisted = new Counter({ name: 'eiderwind_unlisted_total', help: 'Engines that were kept without an entry and no longer are, by how that ended.', labelNames: ['how'], registers })
     this.#rests = new Counter({ name: 'eiderwind_rests_total', help: 'Rests that upstreams have asked this gateway for.', registers })
     this.#gauges(registers)
     this.#server = createServer((request, response) => {
@@ -105,6 +107,10 @@
     this.#orders.inc({ kind, result })
   }
 
+  unlistedEnded (how: string): void {
+    this.#unlisted.inc({ how })
+  }
+
   rested (): void {
     this.#rests.inc()
   }
--- a/packages/gateway/src/planning.ts
+++ b/packages/gateway/src/planning.ts
@@ -35,7 +35,7 @@
 
 /** The reconciler of this gateway, not started. */
 export function makeReconciler (options: PlanningOptions): Reconciler {
-  const { clock, log, platform, settings, board, roster, suspects, inFlight, pauses, peers, connections, leadership, modelLoad, served } = options
+  const { clock, log, platform, settings, board, roster, suspects, inFlight, pauses, peers, connections, leadership, modelLoad, metrics, served } = options
   return new Reconciler({
     clock,
     roster,
@@ -52,6 +52,12 @@
     othersLoads: () => new Map(peers.heardWithin(loadMemory).flatMap(each => Object.entries(each.loads))),
     beforeTraffic: () => settings.first && !served() && !peers.live.some(each => each.served),
     decided: (domain, note, epoch) => log.write('replica-decided', { domain, note, epoch }),
+    keepUnlisted: settings.keepUnlisted,
+    unlisted: ({ id: upstream, domain, membership }) => log.write('engine-unlisted', { upstream, domain, replica: membership?.replica ?? '', rank: membership?.rank }),
+    unlistedEnded: ({ id: upstream, domain }, how) => {
+      metrics.unlistedEnded(how)
+      log.write('engine-unlisted-ended', { upstream, domain, how })
+    },
     surveyed: (domain, survey) => log.write('engines-surveyed', { domain, ...survey }),
     ordered: (order, result, took) => report(options, order, result, took),
     failed: error => log.write('controller-failed', { controller: 'forming', cause: String((error as Error).stack) })
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -41,6 +41,8 @@
   readonly patience: number
   /** Time between two heartbeats of an upstream at the platform. */
   readonly pulse: number
+  /** How long an engine whose entry went, and that answers, is kept in its replica; 0: it counts as missing at once. */
+  readonly keepUnlisted: number
   /** Times since the signal to stop: when the balancer has noticed, when new requests are refused, when the process ends. */
   readonly notice: number
   readonly refuseAfter: number
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -65,6 +65,8 @@
   'engine-order': { number: 443, level: 'info', text: 'An order was sent to an engine; includes the result.' },
   'engines-surveyed': { number: 444, level: 'info', text: 'What the engines of a domain do, by number of engines; written once a second by the planner.' },
   'store-use': { number: 445, level: 'info', text: 'Whether this gateway watches the store for other gateways, or is told by others what is new there.' },
+  'engine-unlisted': { number: 446, level: 'info', text: 'An engine whose entry went is kept in its replica as long as it answers.' },
+  'engine-unlisted-ended': { number: 447, level: 'info', text: 'An engine that was kept without an entry no longer is: it is listed again, silent or leaving, or its time is over.' },
   'lines-dropped': { number: 450, level: 'warn', text: 'Log lines were dropped because there were too many or the reader is too slow.' }
 } as const satisfies Record<string, Event>
 
--- a/packages/log/test/forms.test.ts
+++ b/packages/log/test/forms.test.ts
@@ -51,6 +51,8 @@
   '443 engine-order info',
   '444 engines-surveyed info',
   '445 store-use info',
+  '446 engine-unlisted info',
+  '447 engine-unlisted-ended info',
   '450 lines-dropped warn'
 ]
 
--- a/packages/roster/src/roster.ts
+++ b/packages/roster/src/roster.ts
@@ -87,6 +87,11 @@
     return this.#departures.get(id)
   }
 
+  /** Departures of upstreams that are not listed and whose end is not certain, in the order in which they were first seen. */
+  get gone (): Departure[] {
+    return [...this.#departures].filter(([id]) => !this.#upstreams.has(id) && !this.#ended.has(id)).map(([_id, departure]) => departure)
+  }
+
   /** Whether an upstream has certainly ended: a later life is listed under its name. */
   hasEnded (id: string): boolean {
     return this.#ended.has(id)
--- a/packages/settings/src/shapes.ts
+++ b/packages/settings/src/shapes.ts
@@ -138,6 +138,10 @@
     /** Length of the sliding window in which retries are counted. */
     retry_window: time('10 s')
   }).prefault({}),
+  planner: z.strictObject({
+    /** How long an engine whose entry went, and that answers, is kept in its replica; 0: it counts as missing at once. */
+    keep_unlisted: time('0 ms')
+  }).prefault({}),
   observe: z.strictObject({
     level: Level,
     /** `host:port` on which the metrics are served in text form; they are not served where it is empty. */
--- a/packages/settings/test/forms.test.ts
+++ b/packages/settings/test/forms.test.ts
@@ -7,6 +7,7 @@
   '[listen]', 'callers = 10.0.0.1:8080', 'health = 10.0.0.1:8081', 'peers = 10.0.0.1:7340',
   '[platform]', 'store = 10.0.9.1:8223',
   '[bounds]', 'revoke = 5000 ms', 'strict_keys = false', 'drain = 4000 ms', 'grace = 8 s', 'pulse = 1200 ms', 'retry_ratio = 0.2', 'retry_slack = 160', 'retry_window = 10 s',
+  '[planner]', 'keep_unlisted = 8 s',
   '[observe]', 'level = debug', 'metrics = 10.0.0.1:7341'
 ].join('\n')
 
@@ -18,17 +19,19 @@
       listen: { callers: '10.0.0.1:8080', health: '10.0.0.1:8081', peers: '10.0.0.1:7340' },
       platform: { store: '10.0.9.1:8223' },
       bounds: { revoke: 5000, strict_keys: false, drain: 4000, grace: 8000, pulse: 1200, retry_ratio: 0.2, retry_slack: 160, retry_window: 10_000 },
+      planner: { keep_unlisted: 8000 },
       observe: { level: 'debug', metrics: '10.0.0.1:7341' }
     }
   })
 })
 
 test('what is left out or empty has its default', t => {
-  const short = text.split('\n').filter(each => !/^(first|revoke|strict_keys|drain|grace|pulse|retry_|level|metrics)/.test(each)).join('\n')
-  const settings = checkSettings('x.ini', short.replace('[bounds]', '[bounds]\nrevoke =\nstrict_keys =\ndrain =\ngrace =\npulse =\nretry_ratio =\nretry_slack =\nretry_window =').replace('[observe]', '[observe]\nmetrics =')).unwrap() as { direct: object }
+  const short = text.split('\n').filter(each => !/^(first|revoke|strict_keys|drain|grace|pulse|retry_|keep_unlisted|level|metrics)/.test(each)).join('\n')
+  const settings = checkSettings('x.ini', short.replace('[bounds]', '[bounds]\nrevoke =\nstrict_keys =\ndrain =\ngrace =\npulse =\nretry_ratio =\nretry_slack =\nretry_window =').replace('[planner]', '[planner]\nkeep_unlisted =').replace('[observe]', '[observe]\nmetrics =')).unwrap() as { direct: object }
   t.like(settings.direct, {
     process: { first: false },
     bounds: { revoke: 5000, strict_keys: true, drain: 2000, grace: 8000, pulse: 1200, retry_ratio: 0.1, retry_slack: 20, retry_window: 10_000 },
+    planner: { keep_unlisted: 0 },
     observe: { level: 'info', metrics: '' }
   })
 })
