--- a/packages/detect/src/unlisted.ts
+++ b/packages/detect/src/unlisted.ts
@@ -58,6 +58,7 @@
   /** When its entry went, on `Clock.now`. */
   readonly at: number
   probedAt: number
+  expired: boolean
   /** Whether it has answered since, and how many probes in a row it has not answered. */
   heard: boolean
   missed: number
@@ -78,16 +79,24 @@
     this.#options = options
   }
 
-  /** The engines that are kept, as they last described themselves, in the order in which their entries went. */
+  /** The engines that are kept or expired, as they last described themselves, in the order in which their entries went. */
   get engines (): Upstream[] {
     return [...this.#absentees.values()].map(each => each.upstream)
   }
 
-  /** Ids of the engines that are kept. */
+  /** Ids of the engines that are kept or expired. */
   get ids (): ReadonlySet<string> {
     return new Set(this.#absentees.keys())
   }
 
+  /**
+   * Ids of the engines that are no longer kept and still answer: they can't be counted on, but one that leads an open replica must be seen to, since its
+   * members are not free.
+   */
+  get expired (): string[] {
+    return [...this.#absentees.values()].filter(each => each.expired).map(each => each.upstream.id)
+  }
+
   /** Ids of the engines that are kept and have not answered since their entries went. */
   get unheard (): string[] {
     return [...this.#absentees.values()].filter(each => !each.heard).map(each => each.upstream.id)
@@ -118,7 +127,7 @@
     const { id } = upstream
     if (this.#absentees.has(id) || this.#over.get(id) === at) return
     if (upstream.domain === undefined || upstream.leaving || clock.now() - at >= keep || isUnreachable(id) || roster.hasEnded(id)) return
-    this.#absentees.set(id, { upstream, at, probedAt: -Infinity, heard: false, missed: 0, hints: 0, left: undefined })
+    this.#absentees.set(id, { upstream, at, probedAt: -Infinity, expired: false, heard: false, missed: 0, hints: 0, left: undefined })
     kept(upstream)
   }
 
@@ -128,16 +137,22 @@
       const { id } = absentee.upstream
       if (roster.find(id) !== undefined) this.#end(absentee, 'listed')
       else if (isUnreachable(id)) this.#end(absentee, 'silent')
-      else if (roster.hasEnded(id) || clock.now() - absentee.at >= keep) this.#end(absentee, 'expired')
+      else if (roster.hasEnded(id) || !roster.remembers(id)) this.#end(absentee, 'expired')
+      else if (!absentee.expired && clock.now() - absentee.at >= keep) this.#expire(absentee)
     }
     for (const id of [...this.#over.keys()]) if (!roster.remembers(id)) this.#over.delete(id)
   }
 
+  #expire (absentee: Absentee): void {
+    absentee.expired = true
+    this.#options.ended(absentee.upstream, 'expired')
+  }
+
   #end (absentee: Absentee, how: UnlistedEnd): void {
     const { id } = absentee.upstream
     this.#absentees.delete(id)
     if (how !== 'listed') this.#over.set(id, absentee.at)
-    this.#options.ended(absentee.upstream, how)
+    if (!absentee.expired) this.#options.ended(absentee.upstream, how)
     if (how === 'silent') this.#options.silent(id)
   }
 
--- a/packages/forming/src/reconciler.ts
+++ b/packages/forming/src/reconciler.ts
@@ -187,7 +187,8 @@
     const begunAt = clock.now()
     this.#noteJoined(domains)
     this.#liveness.check(domains.flatMap(each => each.placement.replicas))
-    const { dead, unreachable } = this.#liveness
+    const { dead } = this.#liveness
+    const unreachable = this.#unreachable
     const demand = this.#options.demand(service.name)
     const largest = Math.max(...engine.models.map(each => each.size))
     const sizes = domains.map(each => domainSize(each, unreachable, this.#appearances.underWay(each, largest)))
@@ -258,15 +259,21 @@
     for (const note of notes) this.#options.decided(domain, note, placement.epoch)
   }
 
+  /** Engines that can't be counted on, whatever their last record says. */
+  get #unreachable (): ReadonlySet<string> {
+    return new Set([...this.#liveness.unreachable, ...this.#unlisted.expired])
+  }
+
   #fleetFacts (domains: readonly Domain[], engine: Engine, demand: Demand): FleetFacts {
-    const intact = intactReplicas(domains, this.#liveness.unreachable)
+    const intact = intactReplicas(domains, this.#unreachable)
     const beforeTraffic = this.#options.beforeTraffic()
     const arriving = beforeTraffic && this.#arrivals.underWay(domains)
     return { intact, needs: repairNeeds(engine.models, intact, demand), targetsMet: targetsMet(domains), beforeTraffic, arriving }
   }
 
   #domainFacts ({ placement, upstreams }: Domain, engine: Engine, targets: Counts, fleet: FleetFacts): DomainFacts {
-    const { dead, unreachable } = this.#liveness
+    const { dead } = this.#liveness
+    const unreachable = this.#unreachable
     const lapsed = new Set([...this.#options.roster.lapsed, ...this.#unlisted.unheard])
     return { ...fleet, engine, placement, upstreams, unreachable, dead, unlisted: this.#unlisted.ids, lapsed, unjoined: this.#unjoined, targets }
   }
