--- a/packages/detect/src/liveness.ts
+++ b/packages/detect/src/liveness.ts
@@ -116,10 +116,10 @@
     if (this.#options.roster.find(head) === undefined) this.#deadUnlisted.add(head)
   }
 
-  /** Records that an engine which is not listed left its probes unanswered. */
-  foundSilent (id: string): void {
-    this.#missed.set(id, missedProbes)
-    this.#unreachable.add(id)
+  /** Records that an engine which is not listed left probes unanswered, so many in a row. */
+  foundSilent (id: string, missed: number): void {
+    this.#missed.set(id, missed)
+    if (missed >= missedProbes) this.#unreachable.add(id)
   }
 
   /** Forgets engines that are in none of the given replicas and that the roster no longer remembers. */
--- a/packages/detect/src/unlisted.ts
+++ b/packages/detect/src/unlisted.ts
@@ -22,8 +22,8 @@
   readonly resumedAt: () => number
   /** Whether an engine was found unreachable. */
   readonly isUnreachable: (id: string) => boolean
-  /** Called with an engine that is no longer kept since it left its probes unanswered. */
-  readonly silent: (id: string) => void
+  /** Called with an engine that is no longer kept since it left its probes unanswered, so many in a row. */
+  readonly silent: (id: string, missed: number) => void
   /** Called when an answer has come. */
   readonly changed: () => void
   /** Called when an engine is kept from now on, and when it is no longer, with what ended that. */
@@ -39,8 +39,12 @@
 /** Time between two probes of one engine, in ms: the time-out of a probe (280 ms), rounded up. What the engine says moves the planner on. */
 const probeInterval = 300
 
-/** Probes in a row after which an engine counts as silent: a single lost packet delays a new connection far beyond the time-out. */
+/**
+ * Probes in a row after which an engine counts as silent: a single lost packet delays a new connection far beyond the time-out. One that has not
+ * answered since its entry went has most likely died before, and its replica stands still.
+ */
 const missedProbes = 2
+const missedUnheard = 1
 
 /** Answers in a row that hint at an end after which an engine counts as leaving: single ones come from engines that stay. */
 const leavingHints = 2
@@ -153,7 +157,7 @@
     this.#absentees.delete(id)
     if (how !== 'listed') this.#over.set(id, absentee.at)
     if (!absentee.expired) this.#options.ended(absentee.upstream, how)
-    if (how === 'silent') this.#options.silent(id)
+    if (how === 'silent') this.#options.silent(id, absentee.missed)
   }
 
   #probe (absentee: Absentee): void {
@@ -187,7 +191,7 @@
 
   #missed (absentee: Absentee): void {
     absentee.missed++
-    if (absentee.missed >= missedProbes) this.#end(absentee, 'silent')
+    if (absentee.missed >= (absentee.heard ? missedProbes : missedUnheard)) this.#end(absentee, 'silent')
     // It is asked again at the next check.
     else absentee.probedAt = -Infinity
   }
--- a/packages/detect/test/unlisted.test.ts
+++ b/packages/detect/test/unlisted.test.ts
@@ -46,7 +46,7 @@
       keep,
       resumedAt: () => this.resumedAt,
       isUnreachable: id => this.unreachable.has(id),
-      silent: id => this.silent.push(id),
+      silent: (id, missed) => this.silent.push(`${id} ${missed}`),
       changed: () => {},
       kept: () => {},
       ended: (_engine, how) => this.ends.push(how),
@@ -92,10 +92,11 @@
 test('one that leaves two probes unanswered is silent, and not kept again before it is listed', async t => {
   const made = new Case()
   made.lapse()
+  await made.pass(100)
   made.probes.said = undefined
-  await made.pass(300)
-  t.is(made.probes.asked, 2)
-  t.deepEqual([made.ends, made.silent], [['silent'], ['a']])
+  await made.pass(500)
+  t.is(made.probes.asked, 3)
+  t.deepEqual([made.ends, made.silent], [['silent'], ['a 2']])
   made.probes.said = { loaded: [], staged: [], membership: undefined, leaving: false }
   await made.pass(2000)
   t.deepEqual(made.unlisted.engines, [])
@@ -106,6 +107,14 @@
   t.true(made.unlisted.has('a'))
 })
 
+test('one that leaves the first probe unanswered is silent at once', async t => {
+  const made = new Case()
+  made.probes.said = undefined
+  made.lapse()
+  await made.pass(100)
+  t.deepEqual([made.probes.asked, made.ends, made.silent], [1, ['silent'], ['a 1']])
+})
+
 test('a probe that ran while this process stood still says nothing', async t => {
   const made = new Case()
   made.lapse()
--- a/packages/emulator/test/unlisted.test.ts
+++ b/packages/emulator/test/unlisted.test.ts
@@ -88,7 +88,7 @@
   forming.stop()
 })
 
-test('a member that loses its entry and is silent is replaced two probes later than one that counts as missing at once', async t => {
+test('a member that loses its entry and is silent is replaced one probe later than one that counts as missing at once', async t => {
   const took: number[] = []
   for (const keep of [0, keepUnlisted]) {
     const { made, forming } = await formed(undefined, keep)
@@ -104,7 +104,7 @@
     sound(t, made)
     forming.stop()
   }
-  t.true(took[1] <= took[0] + 2 * 280 + 100, String(took))
+  t.true(took[1] <= took[0] + 280 + 100, String(took))
 })
 
 test('an engine that leaves is replaced as before when its entry goes', async t => {
--- a/packages/forming/src/reconciler.ts
+++ b/packages/forming/src/reconciler.ts
@@ -94,7 +94,7 @@
       ...options,
       keep: options.keepUnlisted,
       isUnreachable: id => this.#liveness.unreachable.has(id),
-      silent: id => this.#liveness.foundSilent(id),
+      silent: (id, missed) => this.#liveness.foundSilent(id, missed),
       changed: () => this.#livenessChanged(),
       kept: options.unlisted,
       ended: options.unlistedEnded
