--- a/packages/detect/src/liveness.ts
+++ b/packages/detect/src/liveness.ts
@@ -118,7 +118,7 @@
 
   /** Records that an engine which is not listed left probes unanswered, so many in a row. */
   foundSilent (id: string, missed: number): void {
-    this.#missed.set(id, missed)
+    if (missed > 0) this.#missed.set(id, missed)
     if (missed >= missedProbes) this.#unreachable.add(id)
   }
 
