--- a/packages/emulator/src/day.ts
+++ b/packages/emulator/src/day.ts
@@ -38,6 +38,10 @@
   dark: Span.optional(),
   /** Mean time between two empty engines that are added. Absent: none is. */
   added: Span.optional(),
+  /** Share of the living engines that can't reach the store at a random moment, and for how long. Absent: all do all the time. */
+  lapse: z.object({ share: z.number().min(0).max(1), time: Span }).optional(),
+  /** The setting `keep_unlisted` of the planner. */
+  keepUnlisted: Span.default(0),
   /** Share of the orders that are left unanswered and carried out within 12 s, in the middle third of the day. */
   late: z.number().min(0).max(1).default(0)
 })
@@ -74,6 +78,13 @@
 const darkFrom = 0.2
 const darkSpan = 0.3
 
+/** When engines lose the store: the earliest moment and the span of moments, as shares of the day. */
+const lapseFrom = 0.3
+const lapseSpan = 0.1
+
+/** Time after which an engine that does not write to the store has no entry there, in ms: three heartbeats. */
+const entryTime = 3600
+
 /** How late an unanswered order is carried out: the shortest time and the span, in ms. */
 const lateFrom = 1000
 const lateSpan = 11_000
@@ -91,7 +102,7 @@
   const suspects = new Set<string>()
   let served = false
   const demand = (): Demand => served ? shares(day) : new Map()
-  const planning = planner(engines, new MemoryPlacements(), { suspects, demand, unserved: () => !served })
+  const planning = planner(engines, new MemoryPlacements(), { suspects, demand, unserved: () => !served, keepUnlisted: day.keepUnlisted })
   engines.loadFactor = leadLoadFactor
   planning.start()
   await pass(engines, day.lead)
@@ -137,7 +148,9 @@
   readonly #random: Random
   readonly #darkAt: number
   readonly #darkDomain: string
+  readonly #lapseAt: number
   #isDark = false
+  #hasLapsed = false
   #nextDeath: number
   #nextAddition: number
   #count = 0
@@ -150,6 +163,7 @@
     this.#darkDomain = `d${Math.floor(random() * day.domains)}`
     this.#nextDeath = this.#wait(day.deaths.every)
     this.#nextAddition = day.added === undefined ? Infinity : this.#wait(day.added)
+    this.#lapseAt = day.lapse === undefined ? Infinity : day.length * (lapseFrom + lapseSpan * random())
   }
 
   /** Strikes what is due. @param time since the first request, in ms */
@@ -163,6 +177,17 @@
       this.#isDark = true
       for (const id of this.#engines.living) if (this.#engines.upstream(id).domain === this.#darkDomain) this.#kill(id, dark)
     }
+    if (!this.#hasLapsed && time >= this.#lapseAt) this.#lapse()
+  }
+
+  /** Some engines can't write to the store for a while, and serve on. */
+  #lapse (): void {
+    const { lapse: { share, time } = { share: 0, time: 0 } } = this.#day
+    this.#hasLapsed = true
+    for (const id of this.#engines.living.filter(() => this.#random() < share)) {
+      this.#engines.clock.after(entryTime, () => this.#engines.unlist(id, true))
+      this.#engines.clock.after(Math.max(time, entryTime), () => this.#engines.relist(id))
+    }
   }
 
   #killOne (gone: number): void {
--- a/packages/emulator/src/engines.ts
+++ b/packages/emulator/src/engines.ts
@@ -120,11 +120,11 @@
     return this.#heads().filter(each => each.alive).map(each => ({ head: each.upstream.id, model: each.upstream.loaded[0], members: this.#members(each) }))
   }
 
-  /** Replicas that serve: their head is open and all their members live. By model. */
+  /** Replicas that serve: their head is open and listed, and all their members live. By model. */
   get serving (): Readonly<Record<string, number>> {
     const counts: Record<string, number> = {}
-    for (const { model, members } of this.open) {
-      if (members.every(id => this.#nodes.get(id)?.alive === true)) counts[model] = (counts[model] ?? 0) + 1
+    for (const { model, head, members } of this.open) {
+      if (this.roster.find(head) !== undefined && members.every(id => this.#nodes.get(id)?.alive === true)) counts[model] = (counts[model] ?? 0) + 1
     }
     return counts
   }
