--- a/packages/emulator/test/unlisted.test.ts
+++ b/packages/emulator/test/unlisted.test.ts
@@ -136,8 +136,10 @@
   const domain = made.roster.upstreams.filter(each => each.domain === 'd0').map(each => each.id)
   const serving = (): number => made.open.filter(each => each.members.some(id => domain.includes(id))).length
   const wanted = serving()
+  const before = made.given.length
   for (const id of domain) made.unlist(id, true)
   await pass(made, 4000)
+  t.deepEqual(made.given.slice(before).filter(each => each.kind === 'open' || each.kind === 'join'), [])
   for (const id of domain) made.relist(id)
   await pass(made, 4000)
   t.is(serving(), wanted)
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -102,6 +102,36 @@
     replace: '',
     test: 'packages/emulator/dist/test/forming.test.js',
     title: 'a domain that was dark and comes back*'
+  },
+  {
+    name: 'unlisted-leads',
+    point: 2,
+    rule: 'an engine that is not listed leads no replica',
+    file: 'packages/forming/dist/src/composition.js',
+    find: 'sorted.find(each => !snapshot.isUnlisted(each.id))',
+    replace: 'sorted[0]',
+    test: 'packages/emulator/dist/test/unlisted.test.js',
+    title: 'while no engine of a domain is listed*'
+  },
+  {
+    name: 'unlisted-head-stays',
+    point: 2,
+    rule: 'a replica whose head is not listed is formed again under another one',
+    file: 'packages/forming/dist/src/lifecycle.js',
+    find: 'snapshot.isUnlisted(replica.members[0].id)',
+    replace: 'false',
+    test: 'packages/emulator/dist/test/unlisted.test.js',
+    title: 'a replica whose head loses its entry*'
+  },
+  {
+    name: 'dead-for-ever',
+    point: 2,
+    rule: 'a head that left its replica without an entry is not dead once it is listed again',
+    file: 'packages/detect/dist/src/liveness.js',
+    find: 'this.#deadUnlisted.delete(id)',
+    replace: 'void id',
+    test: 'packages/emulator/dist/test/unlisted.test.js',
+    title: 'an engine that is listed again may lead again*'
   }
 ]
 
