--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -103,16 +103,6 @@
     test: 'packages/emulator/dist/test/forming.test.js',
     title: 'a domain that was dark and comes back*'
   },
-  {
-    name: 'unlisted-leads',
-    point: 2,
-    rule: 'an engine that is not listed leads no replica',
-    file: 'packages/forming/dist/src/composition.js',
-    find: 'sorted.find(each => !snapshot.isUnlisted(each.id))',
-    replace: 'sorted[0]',
-    test: 'packages/emulator/dist/test/unlisted.test.js',
-    title: 'while no engine of a domain is listed*'
-  },
   {
     name: 'unlisted-head-stays',
     point: 2,
