--- a/packages/forming/src/snapshot.ts
+++ b/packages/forming/src/snapshot.ts
@@ -22,12 +22,17 @@
     return this.#upstreams.get(id)
   }
 
-  /** Whether an engine can't be counted on: it is not listed, leaves, is unreachable, or is evacuated while other members of its replica are not. */
+  /** Whether an engine can't be counted on: it is neither listed nor kept, leaves, is unreachable, or is evacuated while other members of its replica are not. */
   isMissing (id: string): boolean {
     const upstream = this.find(id)
     return upstream === undefined || !isStaying(upstream, this.facts.unreachable) || this.#withdrawn.has(id)
   }
 
+  /** Whether an engine is not listed, and is kept since it answers: gateways send it no requests. */
+  isUnlisted (id: string): boolean {
+    return this.facts.unlisted.has(id)
+  }
+
   /** Whether an engine leaves as announced, or is evacuated, and still answers. */
   isLeaving (id: string): boolean {
     const leaves = this.find(id)?.leaving === true || this.#withdrawn.has(id)
