--- a/packages/detect/src/probes.ts
+++ b/packages/detect/src/probes.ts
@@ -1,3 +1,4 @@
+/** What a platform must offer to check one engine directly, and what an engine says of itself when it is asked. */
 import { type Upstream } from '@eiderwind/roster'
 
 /** A node of a replica, and where it answers. */
--- a/packages/detect/src/unlisted.ts
+++ b/packages/detect/src/unlisted.ts
@@ -3,8 +3,7 @@
  * an end that they did not announce. Owns what such an engine last said of itself, and the rule how long it is kept. Relies on `Roster` for
  * departures, on `Probes` to ask the engines, and on the reconciler to call `check` at each look.
  *
- * The load that showed it: a tenth of 81 engines lost the store for 9 s. Their replicas were closed and dissolved though all members
- * worked, and the engines that served fell from 70 to 12.
+ * Answers the load in which many engines lose the store at once and go on working: to dissolve their replicas would leave callers with a part of the room.
  */
 import { isDeepStrictEqual } from 'node:util'
 import { type Clock } from '@eiderwind/clock'
--- a/packages/limits/src/cold.ts
+++ b/packages/limits/src/cold.ts
@@ -27,6 +27,15 @@
 const readTime = 600
 const mostReported = 64
 
+/** Requests that one gateway may issue at once beyond the rate. */
+const burst = 1.5
+
+/** What two gateways issue together at the most while both take themselves for the one, as a part of the rate. */
+const issuedTwice = 1.4
+
+/** What tokens that are held for a moment add to a second, as a part of the rate. */
+const heldOver = 1.1
+
 interface Cold {
   /** Until when, and since when without a break, on `Clock.now`. */
   readonly until: number
@@ -43,9 +52,6 @@
  * @param rate that it bears, in requests a second
  */
 export function coldRate (rate: number, overshoot: number, slack: number): number {
-  const burst = 1.5
-  const issuedTwice = 1.4
-  const heldOver = 1.1
   const bound = rate * overshoot + slack
   return Math.min(rate, Math.max(0, bound - 2 * burst) / (issuedTwice * heldOver))
 }
--- a/packages/places/src/issuer.ts
+++ b/packages/places/src/issuer.ts
@@ -88,6 +88,9 @@
 /** Added to the cost of a head in another data centre: half a request in flight. */
 const distanceCost = 0.5
 
+/** Greatest random part of a cost, so that equal heads are taken in turn. */
+const tieBreak = 0.1
+
 /** A refused caller is told a time only if the queue takes longer than this, in ms: a usual refusal tells as much. */
 const usualReturn = 900
 
@@ -241,7 +244,7 @@
     let least = Infinity
     for (const head of heads) {
       if (besides.includes(head.id)) continue
-      const cost = this.#load(head.id) + (head.dataCentre === near ? 0 : distanceCost) + random() * 0.1
+      const cost = this.#load(head.id) + (head.dataCentre === near ? 0 : distanceCost) + random() * tieBreak
       if (cost >= least) continue
       best = head
       least = cost
