Count what an engine says of itself only at its own place, and keep none whose address another one has

An engine that is kept after its entry went is asked at its address, and an address is given to another engine two seconds after its owner has ended. The answer does not say who gives it, so the other engine's 'ready' counted for the one that had died. Change: a membership counts only at the rank that the placement gives the engine; an engine whose address is listed for another one is kept no longer.

--- a/packages/detect/src/unlisted.ts
+++ b/packages/detect/src/unlisted.ts
@@ -136,10 +136,12 @@
 
   #drop (): void {
     const { clock, keep, roster, isUnreachable } = this.#options
+    const listed = this.#absentees.size === 0 ? new Set() : new Set(roster.upstreams.map(each => each.address))
     for (const absentee of [...this.#absentees.values()]) {
-      const { id } = absentee.upstream
+      const { id, address } = absentee.upstream
       if (roster.find(id) !== undefined) this.#end(absentee, 'listed')
-      else if (isUnreachable(id)) this.#end(absentee, 'silent')
+      // Its address has been given to another one, whose answers would count for it.
+      else if (isUnreachable(id) || listed.has(address)) this.#end(absentee, 'silent')
       else if (roster.hasEnded(id) || !roster.remembers(id)) this.#end(absentee, 'expired')
       else if (!absentee.expired && clock.now() - absentee.at >= keep) this.#expire(absentee)
     }
--- a/packages/detect/test/unlisted.test.ts
+++ b/packages/detect/test/unlisted.test.ts
@@ -179,3 +179,14 @@
   await made.pass(900)
   t.is(made.unlisted.engines[0].membership?.replica, 's.d.1')
 })
+
+test('an engine whose address is listed for another one is kept no longer, whatever answers there', async t => {
+  const made = new Case()
+  made.lapse()
+  await made.pass(500)
+  t.deepEqual([...made.unlisted.ids], ['a'])
+  made.roster.apply([{ upstream: { ...engine, id: 'b' } }])
+  await made.pass(200)
+  t.deepEqual([...made.unlisted.ids], [])
+  t.deepEqual(made.ends, ['silent'])
+})
--- a/packages/forming/src/snapshot.ts
+++ b/packages/forming/src/snapshot.ts
@@ -44,10 +44,10 @@
     return members.every(({ id }) => this.facts.evacuated.has(id))
   }
 
-  /** Whether an engine says that it is in a replica, under the planned epoch. */
+  /** Whether an engine says that it is in a replica, under the planned epoch and at its place: what another engine at its address says does not count for it. */
   isIn (replica: PlannedReplica, id: string): boolean {
     const membership = this.find(id)?.membership
-    return membership?.replica === replica.name && membership.epoch === replica.epoch
+    return membership?.replica === replica.name && membership.epoch === replica.epoch && replica.members[membership.rank]?.id === id
   }
 
   /** The state of a replica as its head says; undefined where the head is not listed or not in the replica. */
