Keep the new address of an entry that has started again

Cause: entries fetch from each other the entries that they lack and took any address that differed from the one known. An entry that started again took its own old address back from the others, and two that asked each other at once swapped addresses, back and forth each second, or both ended with the old one until the next reading of the platform, 10 s later; that reading was undone the same way, before the list of those that workers report to was made from it. Seen with a probe that read both entries' views every 20 ms, restarts with a platform that answers after 0 to 800 ms: old/old, new/old, old/new swaps, the first worker heard after 8.1, 1.8, 1.3, 1.8, 11.3, 1.9, 5.5, 3.4 s. Change: each life of an entry has an id that compares greater than those before. An entry's own word on its address is taken at once, another's only of a later life, nobody's on oneself. The platform's list counts also for entries of earlier builds, which have no id.

--- a/packages/entry/src/calls.ts
+++ b/packages/entry/src/calls.ts
@@ -7,7 +7,7 @@
 import { beatsOf, reportTargets, type Reports } from '@eiderwind/spread'
 import { EntryCalls, type Exchange, type ExchangeAnswer, type Known } from '@eiderwind/wire'
 import { assignment } from './assignment.js'
-import { knownDigest, type EntryBoard } from './facts.js'
+import { knownDigest, takeSender, type EntryBoard } from './facts.js'
 import { type Peers } from './peers.js'
 
 /** What the calls of an entry stand on. */
@@ -50,6 +50,7 @@
 
   async exchange ({ from, revision, known, reports, beats }: Exchange): Promise<ExchangeAnswer> {
     const { board, current, peers, fetch } = this.#options
+    takeSender(board, from)
     peers.heard(from.id)
     const source = from.dataCentre === this.#options.dataCentre ? 'near' : 'far'
     for (const aged of reports) this.#options.reports.accept(aged, source)
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -6,6 +6,7 @@
 import { Server as TcpServer } from 'node:net'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import { Agent } from 'undici'
+import { v7 } from 'uuid'
 import { Scheduler } from '@eiderwind/board'
 import { seeded, type Clock } from '@eiderwind/clock'
 import { Current } from '@eiderwind/config'
@@ -102,7 +103,7 @@
     const { peers: address, id, dataCentre, region, clock } = this.#options
     const peerServer = makeServer()
     const port = await listen(peerServer, address)
-    const self: EntryAddress = { id, dataCentre, region, peer: `${splitAddress(address).host}:${port}` }
+    const self: EntryAddress = { id, dataCentre, region, peer: `${splitAddress(address).host}:${port}`, incarnation: v7() }
     const board = entryBoard(self)
     const peers = new Peers(clock, self)
     this.#board = board
--- a/packages/entry/src/facts.ts
+++ b/packages/entry/src/facts.ts
@@ -15,6 +15,8 @@
 
 /** The facts that an entry's controllers share. */
 export interface EntryFacts {
+  /** This entry. */
+  readonly self: EntryAddress
   /** Every registered entry, this one among them. */
   readonly entries: readonly EntryAddress[]
   /** Those of them believed live. */
@@ -38,6 +40,7 @@
 /** The blackboard of an entry that knows only itself. */
 export function entryBoard (self: EntryAddress): EntryBoard {
   return new Board<EntryFacts>({
+    self,
     entries: [self],
     live: [self],
     nodes: undefined,
@@ -53,6 +56,9 @@
   readonly revision: number
 }
 
+/** Whether an address that was found replaces the one that is known. */
+type Replaces = (found: EntryAddress, known: EntryAddress) => boolean
+
 /** Takes a placement unless it is older than the one known. */
 export function takePlacement (board: EntryBoard, placement: Placement): void {
   const known = board.read('placements')
@@ -71,15 +77,41 @@
   if (known === undefined || list.seen > known.seen) board.write('nodes', list)
 }
 
-/** Takes entries that were not known, and new addresses of those that were. */
+/** Takes entries that others tell of: those that were not known, and the addresses of later lives. */
 export function takeEntries (board: EntryBoard, entries: readonly EntryAddress[]): void {
+  take(board, entries, laterLife)
+}
+
+/** Takes the platform's list, where entries of earlier builds stand without their life. */
+export function takeListed (board: EntryBoard, entries: readonly EntryAddress[]): void {
+  take(board, entries, (found, known) => found.incarnation === undefined ? found.peer !== known.peer : laterLife(found, known))
+}
+
+/** Takes what a known entry says of itself. One that is not known yet is fetched with what it knows. */
+export function takeSender (board: EntryBoard, sender: EntryAddress): void {
+  if (!board.read('entries').some(each => each.id === sender.id)) return
+  take(board, [sender], (found, known) => found.peer !== known.peer || found.incarnation !== known.incarnation)
+}
+
+/** Takes entries that were not known, and those that replace what is known. Nobody else's word on this entry counts. */
+function take (board: EntryBoard, entries: readonly EntryAddress[], replaces: Replaces): void {
+  const { id: own } = board.read('self')
   const known = new Map(board.read('entries').map(each => [each.id, each]))
-  const news = entries.filter(each => known.get(each.id)?.peer !== each.peer)
+  const news = entries.filter(each => {
+    const before = known.get(each.id)
+    return each.id !== own && (before === undefined || replaces(each, before))
+  })
   if (news.length === 0) return
   for (const entry of news) known.set(entry.id, entry)
   board.write('entries', [...known.values()])
 }
 
+/** Whether an address is that of a later life. One without its life replaces only one without it. */
+function laterLife (found: EntryAddress, known: EntryAddress): boolean {
+  if (known.incarnation === undefined) return found.incarnation !== undefined || found.peer !== known.peer
+  return found.incarnation !== undefined && found.incarnation > known.incarnation
+}
+
 /** A digest of all that entries tell each other beside reports and the configuration: equal digests, nothing to fetch. */
 export function knownDigest (board: EntryBoard): number {
   const placements = [...board.read('placements').values()].map(each => `${each.domain}=${each.revision}`)
--- a/packages/entry/src/registrar.ts
+++ b/packages/entry/src/registrar.ts
@@ -6,7 +6,7 @@
 import { EntryList, Homes, Placement, type EntryAddress } from '@eiderwind/schema'
 import { type Store } from '@eiderwind/store'
 import { watchers } from '@eiderwind/spread'
-import { takeEntries, takeHomes, takePlacement, type EntryBoard } from './facts.js'
+import { takeHomes, takeListed, takePlacement, type EntryBoard } from './facts.js'
 import { type Peers } from './peers.js'
 
 /** Silence after which an entry is taken off its data centre's list, in ms. */
@@ -53,7 +53,7 @@
     if (read.isErr()) return false
     const { version, value } = read.value
     const listed = version === 0 ? [] : EntryList.parse(value).entries
-    takeEntries(this.#board, listed)
+    takeListed(this.#board, listed)
     const kept = listed.filter(each => each.id !== this.#self.id && this.#peers.silence(each.id) < removeAfter)
     if (listed.length === kept.length + 1 && listed.some(each => each.id === this.#self.id && each.peer === this.#self.peer)) return true
     const list: EntryList = { dataCentre: this.#self.dataCentre, entries: [...kept, this.#self] }
@@ -63,7 +63,7 @@
   async #read (): Promise<void> {
     const [entries, placements, homes] = await Promise.all(['entries/', 'placement/', 'homes/'].map(prefix => this.#store.list(prefix)))
     this.#board.write('platform', entries.isOk())
-    for (const { value } of entries.unwrapOr([])) takeEntries(this.#board, EntryList.parse(value).entries)
+    for (const { value } of entries.unwrapOr([])) takeListed(this.#board, EntryList.parse(value).entries)
     for (const { value } of placements.unwrapOr([])) takePlacement(this.#board, Placement.parse(value))
     for (const { value } of homes.unwrapOr([])) takeHomes(this.#board, Homes.parse(value))
   }
--- /dev/null
+++ b/packages/entry/test/addresses.test.ts
@@ -0,0 +1,141 @@
+/** Where another entry is reached after it has started again: its new address stays known, whoever still tells of the old one. */
+import test from 'ava'
+import { ManualClock, seeded } from '@eiderwind/clock'
+import { Current } from '@eiderwind/config'
+import { type EntryAddress } from '@eiderwind/schema'
+import { Reports } from '@eiderwind/spread'
+import { type Clients, type EntryCalls, type Exchange } from '@eiderwind/wire'
+import { Calls } from '../src/calls.js'
+import { entryBoard, takeEntries, takeListed, type EntryBoard } from '../src/facts.js'
+import { Peers } from '../src/peers.js'
+import { Spreader } from '../src/spreader.js'
+
+const old = address('e1', 'a', '127.0.0.1:1')
+const now = address('e1', 'b', '127.0.0.1:11')
+const second = address('e2', 'a', '127.0.0.1:2')
+const third = address('e3', 'a', '127.0.0.1:3')
+
+function address (id: string, incarnation: string | undefined, peer: string): EntryAddress {
+  return { id, dataCentre: 'd1', region: 'r1', peer, incarnation }
+}
+
+/** The parts of an entry that tell others and are told, without a network. */
+class Part {
+  readonly board: EntryBoard
+  readonly calls: Calls
+  readonly spreader: Spreader
+
+  constructor (self: EntryAddress, clients: Clients, seeds: readonly string[] = []) {
+    const clock = new ManualClock()
+    const board = entryBoard(self)
+    const current = new Current()
+    const reports = new Reports(clock)
+    const peers = new Peers(clock, self)
+    this.board = board
+    this.spreader = new Spreader({ board, clock, current, reports, peers, clients, self, seeds })
+    this.calls = new Calls({ board, current, reports, peers, dataCentre: 'd1', heads: () => [], fetch: (from, revision, known) => this.spreader.fetch(from, revision, known) })
+  }
+
+  /** The address under which this entry would reach another one. */
+  peer (id: string): string | undefined {
+    return this.board.read('entries').find(each => each.id === id)?.peer
+  }
+}
+
+/** Calls between entries by their address, which end in an order that a test draws. */
+class Network {
+  readonly #parts = new Map<string, Part>()
+  readonly #delay: () => number
+  readonly clients = { entry: (peer: string) => this.#calls(peer) } as unknown as Clients
+
+  constructor (delay: () => number = () => 0) {
+    this.#delay = delay
+  }
+
+  add (self: EntryAddress, seeds: readonly string[] = []): Part {
+    const part = new Part(self, this.clients, seeds)
+    this.#parts.set(self.peer, part)
+    return part
+  }
+
+  #calls (peer: string): Pick<EntryCalls, 'configuration' | 'known' | 'exchange'> {
+    const reach = async <Output> (call: (calls: Calls) => Promise<Output>): Promise<Output> => {
+      await turns(this.#delay())
+      const part = this.#parts.get(peer)
+      if (part === undefined) throw new Error('nobody listens there')
+      const output = await call(part.calls)
+      await turns(this.#delay())
+      return output
+    }
+    return {
+      configuration: () => reach(calls => calls.configuration()),
+      known: () => reach(calls => calls.known()),
+      exchange: message => reach(calls => calls.exchange(message))
+    }
+  }
+}
+
+async function turns (count: number): Promise<void> {
+  for (let turn = 0; turn < count; turn++) await new Promise(resolve => setImmediate(resolve))
+}
+
+test('an entry that starts again keeps its own address, whatever others still know', async t => {
+  const network = new Network()
+  takeEntries(network.add(second).board, [old])
+  const entry = network.add(now, [second.peer])
+  await entry.spreader.update()
+  t.is(entry.peer('e1'), now.peer)
+  t.is(entry.peer('e2'), second.peer)
+})
+
+test('an entry whose clock went back before it started again keeps its own address too', async t => {
+  const network = new Network()
+  takeEntries(network.add(second).board, [{ ...old, incarnation: 'c' }])
+  const entry = network.add(now, [second.peer])
+  await entry.spreader.update()
+  t.is(entry.peer('e1'), now.peer)
+})
+
+test('what an entry says of its own address is taken at once, from one of an earlier build too', async t => {
+  for (const self of [now, { ...now, incarnation: undefined }, { ...now, incarnation: '0' }]) {
+    const part = new Network().add(second)
+    takeEntries(part.board, [old])
+    const none = { workers: [], stamps: [], sequences: [], running: [], queued: [], ages: [] }
+    const message: Exchange = { from: self, revision: 0, known: 0, reports: [], beats: none }
+    await part.calls.exchange(message)
+    t.is(part.peer('e1'), now.peer)
+  }
+})
+
+test('whatever the order in which entries ask each other, all know the new address of one that started again, after three rounds', async t => {
+  for (let seed = 1; seed <= 200; seed++) {
+    const random = seeded(seed)
+    const network = new Network(() => Math.floor(random() * 4))
+    const parts = [network.add(second), network.add(third)]
+    for (const part of parts) takeEntries(part.board, [old, second, third])
+    const entry = network.add(now, [second.peer])
+    for (let round = 0; round < 3; round++) {
+      await Promise.all([entry, ...parts].map(each => each.spreader.update()))
+      await turns(20)
+    }
+    for (const part of [entry, ...parts]) t.is(part.peer('e1'), now.peer, `seed ${seed}`)
+  }
+})
+
+test('of two addresses that are told by others the one of the later life is kept, in either order', t => {
+  for (const told of [[old, now], [now, old]]) {
+    const { board } = new Network().add(second)
+    for (const each of told) takeEntries(board, [each])
+    t.is(board.read('entries').find(each => each.id === 'e1')?.peer, now.peer)
+  }
+})
+
+test('an address told by others without its life does not replace one with it, and the platform\'s list does', t => {
+  const earlier = { ...now, incarnation: undefined }
+  const { board } = new Network().add(second)
+  takeEntries(board, [old])
+  takeEntries(board, [earlier])
+  t.is(board.read('entries').find(each => each.id === 'e1')?.peer, old.peer)
+  takeListed(board, [earlier])
+  t.is(board.read('entries').find(each => each.id === 'e1')?.peer, now.peer)
+})
--- a/packages/schema/src/placement.ts
+++ b/packages/schema/src/placement.ts
@@ -57,7 +57,9 @@
   dataCentre: z.string(),
   region: z.string(),
   /** `host:port` for the system's own processes. */
-  peer: z.string()
+  peer: z.string(),
+  /** A UUID of version 7, drawn at each start, so that a later life compares greater. Entries of earlier builds have none. */
+  incarnation: z.string().optional()
 })
 export type EntryAddress = z.infer<typeof EntryAddress>
 
