Tell no revision of the store while records that lapsed in an outage are told as listed

A gateway that lost the store takes the list from one that has it back. That one keeps records which went in the outage for 2.6 s, since they may be listed again, and told them like all others, with the store's revision behind their removal. The follower then watched the store from that revision, which says nothing of them any more: engines that had died stayed in its list for ever. Where it planned, it ordered their heads to close each 0.9 s ('closed', nothing listens there), read no heartbeat count and never dissolved their replicas, as the log shows (13 engines surveyed, 11 alive, 3 missing where 1 was leaving). Change: while records lapse no revision is told. A follower that goes on alone then reads the whole list; one that follows on hears of their end.

--- a/packages/gateway/src/changelog.ts
+++ b/packages/gateway/src/changelog.ts
@@ -51,11 +51,20 @@
   async after (asked: UpstreamsAsked): Promise<UpstreamChanges> {
     if (this.#since(asked)?.length === 0) await this.#change()
     const changes = this.#since(asked)
-    const { roster, board, life } = this.#options
-    const common = { life, newest: this.#newest, revision: board.read('upstreamsRevision') }
+    const { roster, life } = this.#options
+    const common = { life, newest: this.#newest, revision: this.#revision }
     return changes === undefined ? { ...common, upstreams: roster.upstreams } : { ...common, changes: changes.map(each => each.change) }
   }
 
+  /**
+   * The store's revision up to which all is told here; undefined while records that lapsed in an outage are told as if they were listed. The store says only once that they
+   * went, so an asker that goes on by itself behind that would keep those that have ended.
+   */
+  get #revision (): number | undefined {
+    const { roster, board } = this.#options
+    return roster.lapsed.size === 0 ? board.read('upstreamsRevision') : undefined
+  }
+
   /** The changes that an asker lacks, or undefined where more are lacking than are kept. */
   #since ({ life, after, revision }: UpstreamsAsked): NumberedChange[] | undefined {
     if (revision !== undefined && this.#keptSince !== undefined && revision >= this.#keptSince) {
