--- a/packages/dispatch/test/dispatch.test.ts
+++ b/packages/dispatch/test/dispatch.test.ts
@@ -73,7 +73,7 @@
     id: 'a', service: 's', address: 'a:1', dataCentre: 'dc', leaving: false, loaded: ['m'], staged: [], membership: { replica: 'r', epoch: 1, rank: 0, state: 'open' }
   }])
   const flights = new InFlight(clock, () => {})
-  const heartbeat = { id: 'e', revision: 0, canPlan: false, inFlight: {}, suspects: [], inFlightByModel: {}, served: false, loads: {} }
+  const heartbeat = { id: 'e', revision: 0, canPlan: false, inFlight: {}, suspects: [], offeredByModel: {}, served: false, loads: {} }
   const peers = new Peers({ clock, id: 'e', address: '127.0.0.1:1', heartbeat: () => heartbeat, interval: 250, timeout: 1000 })
   const choice = new Choice({ roster, inFlight: flights, peers, suspects: new Suspects(clock, roster), intake: new Intake({ clock, rests: new Rests({ clock, begun: () => {}, ended: () => {} }) }), dataCentre: 'dc', random: Math.random })
   const engine = { slots: 20, models: [], step: 8, stepPerRequest: 0.1, readRate: 45_000, prompt: 900, answer: 130, loadRate: 3, loadsAtOnce: 6, formTime: 300 }
--- a/packages/gateway/src/demand.ts
+++ b/packages/gateway/src/demand.ts
@@ -1,20 +1,20 @@
 /**
  * How much work callers ask for of each model, smoothed: what the planner composes replicas by. Owns the smoothed counts;
- * relies on being sampled at a steady interval (`gateway.ts`).
+ * relies on being sampled at a steady interval (`sampling.ts`).
  */
 import { type Demand } from '@eiderwind/forming'
 
 /** Weight of the newest of two samples a second, so that a change counts by two thirds after 5 s. */
 const newestWeight = 0.1
 
-/** Requests in flight, over all gateways, below which shares by model say nothing. */
+/** Offered requests, over all gateways, below which shares by model say nothing. */
 const fewestRequests = 8
 
-/** Requests in flight at all gateways by model, smoothed. */
+/** The load that callers offer to each model, at all gateways, smoothed. */
 export class ModelLoad {
   readonly #smoothed = new Map<string, number>()
 
-  /** Takes a sample: requests in flight by model, one record a gateway. Requests without a model ('') are left out. */
+  /** Takes a sample: the load offered to each model, one record a gateway. Requests without a model ('') are left out. */
   sample (gateways: ReadonlyArray<Readonly<Record<string, number>>>): void {
     const sums = new Map<string, number>()
     for (const models of gateways) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -299,7 +299,7 @@
       canWatch: this.#leadership.canWatch,
       inFlight: this.#inFlight.counts,
       suspects: this.#suspects.all,
-      inFlightByModel: this.#offered.models,
+      offeredByModel: this.#offered.models,
       served: this.#callers.served,
       loads: this.#reconciler.loads,
       terms: this.#leadership.terms,
--- a/packages/gateway/src/sampling.ts
+++ b/packages/gateway/src/sampling.ts
@@ -50,7 +50,7 @@
   #sample (): void {
     const { platform, peers, offered, modelLoad, leadership } = this.#options
     offered.sample()
-    modelLoad.sample([offered.models, ...peers.live.map(each => each.inFlightByModel)])
+    modelLoad.sample([offered.models, ...peers.live.map(each => each.offeredByModel)])
     const { planning, polls: confirming, isFollowed: followed, isSpared: spared, fleet } = leadership
     platform.setUse({ planning, confirming, followed, spared, fleet })
     this.#logUse(followed, spared)
--- a/packages/gateway/test/choice.test.ts
+++ b/packages/gateway/test/choice.test.ts
@@ -33,7 +33,7 @@
   const list = Array.from({ length: gateways }, (_each, index) => ({ id: `g${index}`, address: `g${index}:1` }))
   const all = list.map(({ id, address }) => {
     const inFlight = new InFlight(clock, () => {})
-    const heartbeat = (): Heartbeat => ({ id, revision: 1, canPlan: false, inFlight: inFlight.counts, suspects: [], inFlightByModel: {}, served: true, loads: {} })
+    const heartbeat = (): Heartbeat => ({ id, revision: 1, canPlan: false, inFlight: inFlight.counts, suspects: [], offeredByModel: {}, served: true, loads: {} })
     const peers = new Peers({ clock, id, address, datagrams: new ModelDatagrams(network, address), heartbeat, interval: 250, timeout: 1000 })
     const choice = new Choice({ roster, inFlight, peers, suspects: new Suspects(clock, roster), intake: new Intake({ clock, rests: new Rests({ clock, begun: () => {}, ended: () => {} }) }), dataCentre: 'dc', random })
     return { inFlight, peers, choice }
--- a/packages/gateway/test/conditions.test.ts
+++ b/packages/gateway/test/conditions.test.ts
@@ -18,7 +18,7 @@
 }
 
 function heartbeat (news: Partial<Heartbeat>): Heartbeat {
-  return { id: 'other', revision: 0, canPlan: false, inFlight: {}, suspects: [], inFlightByModel: {}, served: false, loads: {}, ...news }
+  return { id: 'other', revision: 0, canPlan: false, inFlight: {}, suspects: [], offeredByModel: {}, served: false, loads: {}, ...news }
 }
 
 class Fixture {
--- a/packages/gateway/test/digest.test.ts
+++ b/packages/gateway/test/digest.test.ts
@@ -32,7 +32,7 @@
 }
 
 function alone (clock: ManualClock): Peers {
-  const heartbeat = { id: 'e', revision: 0, canPlan: false, inFlight: {}, suspects: [], inFlightByModel: {}, served: false, loads: {} }
+  const heartbeat = { id: 'e', revision: 0, canPlan: false, inFlight: {}, suspects: [], offeredByModel: {}, served: false, loads: {} }
   return new Peers({ clock, id: 'e', address: '127.0.0.1:1', heartbeat: () => heartbeat, interval: 250, timeout: 1000 })
 }
 
@@ -79,7 +79,7 @@
   const { port } = socket.address()
   socket.close()
   const beat = { id: 'e', revision: 0, able: false, loads: {}, suspects: [], models: {}, served: false }
-  const heartbeat = { id: 'e', revision: 0, canPlan: false, inFlight: {}, suspects: [], inFlightByModel: {}, served: false, loads: {} }
+  const heartbeat = { id: 'e', revision: 0, canPlan: false, inFlight: {}, suspects: [], offeredByModel: {}, served: false, loads: {} }
   const peers = new Peers({ clock, id: 'e', address: `127.0.0.1:${port}`, heartbeat: () => heartbeat, interval: 250, timeout: 1000 })
   await peers.start()
   const other = createSocket('udp4')
--- a/packages/gateway/test/evacuating.test.ts
+++ b/packages/gateway/test/evacuating.test.ts
@@ -40,7 +40,7 @@
 }
 
 function heartbeat (fields: Partial<Heartbeat>): Heartbeat {
-  return { id: 'g2', revision: 0, canPlan: false, inFlight: {}, suspects: [], inFlightByModel: {}, served: false, loads: {}, ...fields }
+  return { id: 'g2', revision: 0, canPlan: false, inFlight: {}, suspects: [], offeredByModel: {}, served: false, loads: {}, ...fields }
 }
 
 test('the later revision holds, whoever says it, and nothing older replaces it', t => {
--- a/packages/gateway/test/fleet.ts
+++ b/packages/gateway/test/fleet.ts
@@ -144,7 +144,7 @@
     const pauses = new Pauses(clock)
     const log = new Log({ level: 'error', sink: () => {}, fields: {} })
     const datagrams = new ModelDatagrams(this.network, `${id}:1`)
-    const heartbeat = (): Heartbeat => ({ id, revision: 1, canPlan: leadership.eligible, canWatch: leadership.canWatch, inFlight: {}, suspects: [], inFlightByModel: {}, served: true, loads: {}, terms: leadership.terms })
+    const heartbeat = (): Heartbeat => ({ id, revision: 1, canPlan: leadership.eligible, canWatch: leadership.canWatch, inFlight: {}, suspects: [], offeredByModel: {}, served: true, loads: {}, terms: leadership.terms })
     let peers: Peers
     let leadership: Leadership
     clock.after(after, () => {
--- a/packages/gateway/test/limiting.test.ts
+++ b/packages/gateway/test/limiting.test.ts
@@ -52,7 +52,7 @@
 
   /** The heartbeat that others get. */
   get heartbeat (): Heartbeat {
-    return { id: 'g1', revision: 0, canPlan: false, inFlight: {}, suspects: [], inFlightByModel: {}, served: false, loads: {}, ...this.limiting.news }
+    return { id: 'g1', revision: 0, canPlan: false, inFlight: {}, suspects: [], offeredByModel: {}, served: false, loads: {}, ...this.limiting.news }
   }
 }
 
--- a/packages/gateway/test/limitmember.ts
+++ b/packages/gateway/test/limitmember.ts
@@ -45,7 +45,7 @@
       id,
       address,
       datagrams: new ModelDatagrams(network, address),
-      heartbeat: (): Heartbeat => ({ id, revision: 1, canPlan: false, inFlight: {}, suspects: [], inFlightByModel: {}, served: true, loads: {}, ...this.limiting.news }),
+      heartbeat: (): Heartbeat => ({ id, revision: 1, canPlan: false, inFlight: {}, suspects: [], offeredByModel: {}, served: true, loads: {}, ...this.limiting.news }),
       heard: each => this.limiting.hear(each),
       other: (datagram, from) => {
         took()
--- a/packages/gateway/test/overload.ts
+++ b/packages/gateway/test/overload.ts
@@ -177,7 +177,7 @@
       queue.wake()
     })
     const suspects = new Suspects(clock, roster)
-    const heartbeat = (): Heartbeat => ({ id, revision: 1, canPlan: false, inFlight: inFlight.counts, suspects: [], inFlightByModel: {}, served: true, loads: {}, ...rooms?.news })
+    const heartbeat = (): Heartbeat => ({ id, revision: 1, canPlan: false, inFlight: inFlight.counts, suspects: [], offeredByModel: {}, served: true, loads: {}, ...rooms?.news })
     const interval = this.#options.way === 'fresher counts' ? 25 : 250
     const peers = new Peers({
       clock,
--- a/packages/gateway/test/rooms.test.ts
+++ b/packages/gateway/test/rooms.test.ts
@@ -45,7 +45,7 @@
 
   /** The heartbeat of the other gateway. */
   hear (heartbeat: Partial<Heartbeat> = {}): void {
-    this.rooms.hear({ id: this.#peer, revision: 1, canPlan: false, inFlight: {}, suspects: [], inFlightByModel: {}, served: true, loads: {}, ...heartbeat }, { id: this.#peer, address: `${this.#peer}:1` })
+    this.rooms.hear({ id: this.#peer, revision: 1, canPlan: false, inFlight: {}, suspects: [], offeredByModel: {}, served: true, loads: {}, ...heartbeat }, { id: this.#peer, address: `${this.#peer}:1` })
   }
 
   begin (): InFlightRequest {
--- a/packages/peers/src/heartbeat.ts
+++ b/packages/peers/src/heartbeat.ts
@@ -28,8 +28,8 @@
   readonly inFlight: Readonly<Record<string, number>>
   /** Ids of the upstreams that it suspects: heads that have stalled, and upstreams that took no connection. */
   readonly suspects: readonly string[]
-  /** Its requests in flight, by model. */
-  readonly inFlightByModel: Readonly<Record<string, number>>
+  /** Requests by model: those that it has in flight, and what would be if nobody was refused for lack of room. */
+  readonly offeredByModel: Readonly<Record<string, number>>
   /** Whether it has ever received a request from a caller. */
   readonly served: boolean
   /** Loads of weights that engines have begun by its orders: the model, by engine. None from builds that do not say. */
@@ -73,7 +73,7 @@
   /** `inFlight`. */
   loads: z.record(z.string(), z.int()),
   suspects: z.array(z.string()),
-  /** `inFlightByModel`. */
+  /** `offeredByModel`. */
   models: z.record(z.string(), z.int()),
   served: z.boolean(),
   /** `loads` of the inner type; its name on the wire was taken. Absent where there are none. */
@@ -106,7 +106,7 @@
 })
 
 /** The datagram of a heartbeat. */
-export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads, interval, asks, terms, crashes, cleared, trials, blocked, leaving, limits, evacuation, cold, contended, grants }: Heartbeat): string {
+export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, offeredByModel, served, loads, interval, asks, terms, crashes, cleared, trials, blocked, leaving, limits, evacuation, cold, contended, grants }: Heartbeat): string {
   return JSON.stringify({
     id,
     revision,
@@ -114,7 +114,7 @@
     watch: onlyTrue(canWatch),
     loads: inFlight,
     suspects,
-    models: inFlightByModel,
+    models: offeredByModel,
     served,
     weights: unlessEmpty(loads),
     every: interval,
@@ -147,9 +147,9 @@
 export function decode (message: Buffer): Heartbeat | undefined {
   const { data } = Datagram.safeParse(parseJson(message.toString()))
   if (data === undefined) return undefined
-  const { id, revision, able: canPlan, watch: canWatch, loads: inFlight, suspects, models: inFlightByModel, served, weights: loads = {}, every: interval, ask: asks, ...others } = data
+  const { id, revision, able: canPlan, watch: canWatch, loads: inFlight, suspects, models: offeredByModel, served, weights: loads = {}, every: interval, ask: asks, ...others } = data
   // All others have the same name on the wire, and may be absent.
-  return { id, revision, canPlan, inFlight, suspects, inFlightByModel, served, loads, ...defined({ canWatch, interval, asks, ...others }) }
+  return { id, revision, canPlan, inFlight, suspects, offeredByModel, served, loads, ...defined({ canWatch, interval, asks, ...others }) }
 }
 
 /** The fields that a datagram has. */
--- a/packages/peers/test/peers.test.ts
+++ b/packages/peers/test/peers.test.ts
@@ -16,7 +16,7 @@
 const asking = datagram.replace('"served":true}', '"served":true,"every":250,"ask":true}')
 
 function heartbeat (difference: Partial<Heartbeat> = {}): Heartbeat {
-  return { id: 'self', revision: 7, canPlan: true, inFlight: { u: 3 }, suspects: ['h'], inFlightByModel: { m: 2 }, served: true, loads: {}, ...difference }
+  return { id: 'self', revision: 7, canPlan: true, inFlight: { u: 3 }, suspects: ['h'], offeredByModel: { m: 2 }, served: true, loads: {}, ...difference }
 }
 
 test('loads that engines have begun are sent under a key of their own, and a datagram without it has none', t => {
