Log what the expected time to the first event rested on

Change: prompt, load, unread tokens, limited and remote stand beside expected; sampled says for how many ordinary successes a line stands. Result: timing.test.ts passes; nothing is decided by it.

--- a/packages/forward/src/context.ts
+++ b/packages/forward/src/context.ts
@@ -24,6 +24,8 @@
 export interface Context {
   readonly clock: Clock
   readonly log: Log
+  /** Where this gateway is. */
+  readonly dataCentre: string
   readonly names: HeaderNames
   readonly roster: Roster
   readonly connections: Connections
--- a/packages/forward/src/streampath.ts
+++ b/packages/forward/src/streampath.ts
@@ -104,13 +104,15 @@
    * Predicts when the first event comes from a head, and counts the prompt as unread there until the returned function is called. The place of the request is counted
    * already.
    */
-  #expect ({ id }: Upstream): (() => void) | undefined {
-    const { request, context: { choice, unread } } = this
+  #expect ({ id, dataCentre }: Upstream): (() => void) | undefined {
+    const { request, context: { choice, unread, intake } } = this
     const { model, engine } = this.#target
     if (unread === undefined || engine === undefined) return undefined
     const { prompt } = this.#tokens(engine)
     const pace = engine.models.find(({ name }) => name === model)?.pace ?? 1
-    if (!request.offered) request.timing.expect(expectedFirst(prompt, { inFlight: Math.max(0, choice.load(id) - 1), unread: unread.of(id) }, engine, pace))
+    const state = { inFlight: Math.max(0, choice.load(id) - 1), unread: unread.of(id) }
+    const time = expectedFirst(prompt, state, engine, pace)
+    if (!request.offered) request.timing.expect({ ...state, time, prompt, limited: intake.isLimited(id), remote: dataCentre !== this.context.dataCentre })
     return unread.add(id, prompt)
   }
 
--- a/packages/forward/src/timing.ts
+++ b/packages/forward/src/timing.ts
@@ -3,6 +3,7 @@
  * after that. Pure bookkeeping; owns the rule when an answer is late, and what it lost most of its time to.
  */
 import { type Route } from '@eiderwind/traffic'
+import { type Expectation } from '@eiderwind/work'
 
 /**
  * What made an answer late. `waiting`: no upstream had room for most of the time until its first part. `attempts`: an attempt had failed
@@ -14,7 +15,7 @@
 export class Timing {
   readonly #arrivedAt: number
   #sentAt: number | undefined
-  #expected: number | undefined
+  #expectation: Expectation | undefined
   #sends = 0
   /** Sends until the first part of the answer came. */
   #sendsBefore = 0
@@ -34,9 +35,9 @@
     this.#sends++
   }
 
-  /** Records in what time from its first send the first part of the answer is expected, in ms. */
-  expect (time: number): void {
-    this.#expected = time
+  /** Records when the first part of the answer to its first send is expected. */
+  expect (expectation: Expectation): void {
+    this.#expectation = expectation
   }
 
   /** Records that the caller gets a part of its answer. */
@@ -62,15 +63,15 @@
     return this.#firstAt === undefined ? undefined : this.#firstAt - this.#arrivedAt
   }
 
-  /** Time from the first send in which the first part was expected, in ms; undefined where nothing was, or another attempt brought it. */
-  get expected (): number | undefined {
-    return this.#sendsBefore === 1 ? this.#expected : undefined
+  /** What was expected of the first part; undefined where nothing was, or another attempt brought it. */
+  get expectation (): Expectation | undefined {
+    return this.#sendsBefore === 1 ? this.#expectation : undefined
   }
 
   /** By how much later than expected the first part came, in ms; undefined where nothing was expected. */
   get error (): number | undefined {
-    const { expected, first, waited } = this
-    return expected === undefined || first === undefined || waited === undefined ? undefined : first - waited - expected
+    const { expectation, first, waited } = this
+    return expectation === undefined || first === undefined || waited === undefined ? undefined : first - waited - expectation.time
   }
 
   /** The longest pause between two parts of the answer, in ms. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -184,12 +184,13 @@
   }
 
   #makeCallers (): Callers {
-    const { clock, log, platform, settings: { callers: address, freshness, strictKeys, fair } } = this.#options
+    const { clock, log, platform, settings: { callers: address, dataCentre, freshness, strictKeys, fair } } = this.#options
     const conditions = this.#conditions
     const rooms = this.#rooms
     const context: Context = {
       clock,
       log,
+      dataCentre,
       roster: this.#roster,
       inFlight: this.#inFlight,
       suspects: this.#suspects,
--- a/packages/gateway/src/requestlog.ts
+++ b/packages/gateway/src/requestlog.ts
@@ -36,21 +36,32 @@
     metrics.ended(request, outcome, took / 1000)
     const retried = request.attempts.length >= 2
     const late = request.timing.lateness(request.route) !== undefined
-    if (successes.has(outcome) && !retried && !late && ++this.#ordinary % sampling !== 0) return
-    this.#write(request, outcome, Math.round(took))
+    const isOrdinary = successes.has(outcome) && !retried && !late
+    if (isOrdinary && ++this.#ordinary % sampling !== 0) return
+    this.#write(request, outcome, Math.round(took), isOrdinary ? sampling : undefined)
   }
 
-  /** One that was lost at an upstream, or is blocked, is written with its fingerprint: only that shows that its caller sends it again and again. */
-  #write (request: CallerRequest, outcome: string, took: number): void {
+  /**
+   * One that was lost at an upstream, or is blocked, is written with its fingerprint: only that shows that its caller sends it again and again.
+   * @param sampled how many requests the line stands for; undefined for itself alone
+   */
+  #write (request: CallerRequest, outcome: string, took: number, sampled: number | undefined): void {
     const { id, route, service, team, attempts: ended, currentUpstream, timing, queuedAt } = request
     const underWay = currentUpstream === undefined ? [] : [`${currentUpstream} under way`]
     const attempts = [...ended, ...underWay].join('; ')
-    this.#options.log.write('request-ended', { request: id, route: route.name, service, team: team?.name, outcome, took, ...times(timing), late: timing.lateness(route), queue: queuedAt, attempts, rule: request.shortage, fingerprint: request.lost || request.blocked ? request.fingerprint : undefined })
+    this.#options.log.write('request-ended', { request: id, route: route.name, service, team: team?.name, outcome, took, sampled, ...times(timing), ...expectation(timing), late: timing.lateness(route), queue: queuedAt, attempts, rule: request.shortage, fingerprint: request.lost || request.blocked ? request.fingerprint : undefined })
   }
 }
 
 /** The times of a request for the log, in whole ms; those that there are none of are left out. */
-function times ({ waited, first, expected, pause }: CallerRequest['timing']): Record<string, number | undefined> {
+function times ({ waited, first, pause }: CallerRequest['timing']): Record<string, number | undefined> {
   const whole = (time: number | undefined): number | undefined => time === undefined ? undefined : Math.round(time)
-  return { waited: whole(waited), first: whole(first), expected: whole(expected), pause: first === undefined ? undefined : Math.round(pause) }
+  return { waited: whole(waited), first: whole(first), pause: first === undefined ? undefined : Math.round(pause) }
+}
+
+/** When the first event was expected, in ms, and what that rested on; what is usual is left out. */
+function expectation ({ expectation: expected }: CallerRequest['timing']): Record<string, number | boolean | undefined> {
+  if (expected === undefined) return {}
+  const { time, prompt, inFlight, unread, limited, remote } = expected
+  return { expected: Math.round(time), prompt, load: inFlight, unread, limited: limited || undefined, remote: remote || undefined }
 }
--- a/packages/work/src/first.ts
+++ b/packages/work/src/first.ts
@@ -12,6 +12,18 @@
   readonly unread: number
 }
 
+/** When the first event of a request is expected, and what that rests on. */
+export interface Expectation extends HeadState {
+  /** Time from its send, in ms. */
+  readonly time: number
+  /** Tokens of its prompt. */
+  readonly prompt: number
+  /** Whether the head takes a limited number of requests a second: it is cold, or says so itself. */
+  readonly limited: boolean
+  /** Whether the head is in another data centre. */
+  readonly remote: boolean
+}
+
 /** Figures of an engine that the time depends on. */
 type Figures = Pick<Engine, 'slots' | 'step' | 'stepPerRequest' | 'readRate' | 'answer'>
 
