Bound what is kept for callers that read slowly, in bytes and in time

Cause: an answer that its caller did not read stayed in memory (8 MiB of a plain one) as long as the connection lasted, since nothing watches it once its request has ended; a stream whose caller reads slowly was paused, and its head then counted as silent. Change: Backlog (pure) decides how much is kept for one and for all, when an upstream is read on, and which callers have read nothing for too long; Delivery sends answers as callers read. A paused stream says nothing of its head. A planned stop waits until answers are delivered. Settings [unread], event 414, three metrics.

--- a/packages/detect/src/inflight.ts
+++ b/packages/detect/src/inflight.ts
@@ -25,6 +25,8 @@
   readonly sentAt: number
   /** When anything was last received for it, or when it was sent, on `Clock.now`. */
   receivedAt: number
+  /** Whether its upstream is not read, since its caller does not read. */
+  paused = false
   readonly handlers: InFlightHandlers
 
   constructor (upstream: string, model: string, sentAt: number, handlers: InFlightHandlers) {
@@ -127,6 +129,17 @@
     if (load !== undefined) load.receivedAt = request.receivedAt
   }
 
+  /** Records that nothing is read for a request, so that silence says nothing of its upstream. */
+  pause (request: InFlightRequest): void {
+    request.paused = true
+  }
+
+  /** Records that a request is read again; its silence counts from now on. */
+  resume (request: InFlightRequest): void {
+    request.paused = false
+    this.received(request)
+  }
+
   /** Removes a request that has ended. A second call does nothing. */
   end (request: InFlightRequest): void {
     const load = this.#loads.get(request.upstream)
@@ -144,7 +157,7 @@
   /** Requests in flight for which nothing was received for longer than `limit` ms, whatever else their upstream sends. */
   silentRequests (limit: number): InFlightRequest[] {
     const before = this.#clock.now() - limit
-    return [...this.#loads.values()].flatMap(({ requests }) => [...requests].filter(each => each.receivedAt < before))
+    return [...this.#loads.values()].flatMap(({ requests }) => [...requests].filter(each => !each.paused && each.receivedAt < before))
   }
 
   /** Withdraws the requests for an upstream that have not left yet. */
@@ -159,12 +172,13 @@
 
   /**
    * Upstreams from which nothing was received for longer than `limit(upstream)` ms. The silence counts from the last byte
-   * received or, where that is later, from the oldest request in flight: an idle upstream owes no bytes.
+   * received or, where that is later, from the oldest request in flight that is read: an idle upstream owes no bytes.
    */
   silent (limit: (upstream: string) => number): string[] {
     const now = this.#clock.now()
     return [...this.#loads].filter(([upstream, { requests, receivedAt }]) => {
-      const oldest = Math.min(...[...requests].map(each => each.sentAt))
+      const read = [...requests].filter(each => !each.paused)
+      const oldest = Math.min(...read.map(each => each.sentAt))
       return now - Math.max(receivedAt, oldest) > limit(upstream)
     }).map(([upstream]) => upstream)
   }
--- a/packages/detect/test/detect.test.ts
+++ b/packages/detect/test/detect.test.ts
@@ -97,3 +97,41 @@
   flights.end(other)
   stalls.stop()
 })
+
+test('a stream that is not read, since its caller does not read, says nothing of its head, and its silence counts from when it is read again', t => {
+  const clock = new ManualClock()
+  const roster = new Roster(clock)
+  roster.replace([{
+    id: 'a', service: 's', address: 'a:1', dataCentre: 'dc', leaving: false, loaded: [], staged: [], membership: { replica: 'r', epoch: 1, rank: 0, state: 'open' }
+  }])
+  const suspects = new Suspects(clock, roster)
+  const flights = new InFlight(clock, () => {})
+  const stalls = new Stalls({ clock, log: new Log({ sink: () => {} }), roster, inFlight: flights, suspects, silence: 400, witnesses: () => [], pauses: new Pauses(clock), suspected: () => {} })
+  stalls.start()
+  let stalled = 0
+  const slow = flights.begin('a', 'm', { stalled: () => { stalled++ } })
+  flights.received(slow)
+  flights.pause(slow)
+  clock.advance(5000)
+  t.is(stalled, 0)
+  t.false(suspects.has('a'))
+  flights.resume(slow)
+  clock.advance(300)
+  t.false(suspects.has('a'))
+  clock.advance(1500)
+  t.true(suspects.has('a'))
+  t.true(stalled > 0)
+  stalls.stop()
+})
+
+test('a head is suspected by its other streams while one of them is not read', t => {
+  const clock = new ManualClock()
+  const flights = new InFlight(clock, () => {})
+  flights.pause(flights.begin('a', 'm'))
+  clock.advance(1000)
+  flights.begin('a', 'm')
+  clock.advance(400)
+  t.deepEqual(flights.silent(() => 500), [])
+  clock.advance(200)
+  t.deepEqual(flights.silent(() => 500), ['a'])
+})
--- a/packages/forward/src/answers.ts
+++ b/packages/forward/src/answers.ts
@@ -43,12 +43,12 @@
 
 /** Sends a collected answer to the caller, framed as it came. */
 export function sendAnswer (request: CallerRequest, { status, headers, body }: Answered): void {
-  const { incoming, response } = request
+  const { incoming, response, delivery } = request
   const framed = isFramed(headers)
   if (!framed) endWithConnection(response)
   const length = framed ? { 'content-length': String(body.length) } : {}
   request.passOn()
   response.writeHead(status, { ...endToEnd(headers), ...length })
-  response.end(incoming.method === 'HEAD' ? undefined : body)
+  delivery.end(incoming.method === 'HEAD' ? undefined : body)
   request.finish(`answered ${status}`)
 }
--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -74,8 +74,20 @@
     return this.#options.request
   }
 
-  protected get flow (): Flow | undefined {
-    return this.#flow
+  /** Reads no further from the upstream, which owes nothing until it is read again. */
+  protected pause (): void {
+    const { context } = this.#options
+    if (this.#ended) return
+    this.#flow?.pause()
+    if (this.#inFlight !== undefined) context.inFlight.pause(this.#inFlight)
+  }
+
+  /** Reads on after `pause`. */
+  protected resume (): void {
+    const { context } = this.#options
+    if (this.#ended) return
+    if (this.#inFlight !== undefined) context.inFlight.resume(this.#inFlight)
+    this.#flow?.resume()
   }
 
   start (): void {
--- a/packages/forward/src/request.ts
+++ b/packages/forward/src/request.ts
@@ -10,6 +10,7 @@
 import { type Fault } from '@eiderwind/fault'
 import { type Route, type Team } from '@eiderwind/traffic'
 import { answerFault } from '@eiderwind/wire'
+import { type Deliveries, type Delivery } from './delivery.js'
 import { Timing } from './timing.js'
 
 /** A request that was read and admitted. Times are in ms, on `Clock.now`. */
@@ -29,6 +30,8 @@
   readonly spent?: number
   /** The header in which the request's id is returned on a refusal. */
   readonly idHeader: string
+  /** What brings answers to callers as they read. */
+  readonly deliveries: Deliveries
   /** Called once, when the request has ended, with its outcome. */
   readonly onEnd: (request: CallerRequest, outcome: string) => void
 }
@@ -49,6 +52,8 @@
   readonly attempts: string[] = []
   /** Where its time went. */
   readonly timing: Timing
+  /** How its caller gets the answer. */
+  readonly delivery: Delivery
   /** Whether it is sent to no upstream any more, since it crashes them. */
   blocked = false
   /** Why it found no room, if it did not and the queue says so. */
@@ -83,6 +88,7 @@
     this.#clock = options.clock
     this.#idHeader = options.idHeader
     this.#onEnd = options.onEnd
+    this.delivery = options.deliveries.open(options.response, options.id, () => this.finish('caller stalled'))
     this.#timer = options.clock.after(Math.max(0, options.endsAt - options.clock.now()), () => this.#expire())
     this.response.once('close', () => this.#close())
   }
--- a/packages/forward/src/streamattempt.ts
+++ b/packages/forward/src/streamattempt.ts
@@ -67,8 +67,10 @@
     this.#onFirst?.()
     this.#onFirst = undefined
     for (const { id } of events) this.#progress.lastEvent = id ?? this.#progress.lastEvent
-    this.request.passOn()
-    if (!this.request.response.write(joined(events))) this.#pauseUntilDrained()
+    const { request } = this
+    request.passOn()
+    request.delivery.write(joined(events))
+    if (request.delivery.isFull(() => this.resume())) this.pause()
   }
 
   /**
@@ -82,13 +84,6 @@
   #isNew (id: number | undefined): boolean {
     return id === undefined || this.#progress.lastEvent === undefined || id > this.#progress.lastEvent
   }
-
-  /** Reads no more from the upstream until the caller has read what was written. */
-  #pauseUntilDrained (): void {
-    const { flow } = this
-    flow?.pause()
-    this.request.response.once('drain', () => flow?.resume())
-  }
 }
 
 function joined (events: readonly StreamEvent[]): Buffer {
--- a/packages/forward/src/streampath.ts
+++ b/packages/forward/src/streampath.ts
@@ -128,14 +128,14 @@
 
   protected override conclude (result: AttemptResult | undefined): void {
     const { request } = this
-    const { response } = request
+    const { delivery } = request
     if (result?.kind === 'passed') {
-      response.end()
+      delivery.end()
       return request.finish('answered 200')
     }
     if (this.#progress.started) {
       // The answer can't be completed: its connection is cut, so that it does not seem complete.
-      response.destroy()
+      delivery.cut()
       return request.finish('cut')
     }
     super.conclude(result)
--- a/packages/forward/test/requests.ts
+++ b/packages/forward/test/requests.ts
@@ -3,7 +3,8 @@
 import { Socket } from 'node:net'
 import { type ManualClock } from '@eiderwind/clock'
 import { type Route } from '@eiderwind/traffic'
-import { CallerRequest } from '../src/index.js'
+import { Log } from '@eiderwind/log'
+import { CallerRequest, Deliveries } from '../src/index.js'
 
 /** A request `r1` of a route that allows `attempts` upstreams. */
 export function callerRequest (clock: ManualClock, { attempts = 3, ...route }: Pick<Route, 'kind' | 'resumable'> & { readonly attempts?: number }): CallerRequest {
@@ -20,6 +21,7 @@
     arrivedAt: 0,
     endsAt: 1000,
     idHeader: 'id',
+    deliveries: new Deliveries({ clock, log: new Log({ sink: () => {} }), bounds: { perCaller: 65_536, total: 1_048_576, patience: 10_000 } }),
     onEnd: () => {}
   })
 }
--- a/packages/gateway/src/callers.ts
+++ b/packages/gateway/src/callers.ts
@@ -8,7 +8,7 @@
 import { refusals } from '@eiderwind/dispatch'
 import { type UsualPatience } from '@eiderwind/fairness'
 import { Fault } from '@eiderwind/fault'
-import { CallerRequest, PlainPath, StreamPath, type Context } from '@eiderwind/forward'
+import { CallerRequest, PlainPath, StreamPath, type Context, type Deliveries } from '@eiderwind/forward'
 import { pickShare } from '@eiderwind/traffic'
 import { header, listen, readBody, refuse } from '@eiderwind/wire'
 import { admit, type Admission } from './admission.js'
@@ -28,6 +28,8 @@
   readonly random: Random
   /** What callers of each route usually say they wait; absent where it does not matter who came back. */
   readonly patience: UsualPatience | undefined
+  /** What brings answers to callers as they read. */
+  readonly deliveries: Deliveries
   /** Called with the code of each request that is refused before anything is chosen for it. */
   readonly refused: (code: string) => void
   /** Called once for each admitted request, with its outcome. */
@@ -139,7 +141,7 @@
 
   /** The request of an admitted caller; a fault where its own headers are not in order. */
   #request (incoming: IncomingMessage, response: ServerResponse, body: Buffer, { route, team }: Admission, arrivedAt: number): CallerRequest | Fault {
-    const { context, random, ended, patience } = this.#options
+    const { context, random, ended, patience, deliveries } = this.#options
     const { names, clock } = context
     const id = header(incoming, names.request)
     if (id === undefined) return refusals.badRequest(`The header ${names.request} is missing.`)
@@ -159,6 +161,7 @@
       endsAt: arrivedAt + Math.min(span, route.timeout),
       spent: patience?.spent(route.name, span, arrivedAt),
       idHeader: names.request,
+      deliveries,
       onEnd: (request, outcome) => {
         this.#open.delete(request)
         ended(request, outcome)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,7 +8,7 @@
 import { Choice, FairQueue, Intake, Queue } from '@eiderwind/dispatch'
 import { UsualPatience } from '@eiderwind/fairness'
 import { type Reconciler } from '@eiderwind/forming'
-import { type Context } from '@eiderwind/forward'
+import { Deliveries, type Context } from '@eiderwind/forward'
 import { Peers, type Heartbeat, type PeerAddress } from '@eiderwind/peers'
 import { Outage, Roster } from '@eiderwind/roster'
 import { Connections } from '@eiderwind/wire'
@@ -77,6 +77,7 @@
   readonly #leadership: Leadership
   readonly #budgets: Budgets
   readonly #callers: Callers
+  readonly #deliveries: Deliveries
   readonly #confirmations: Confirmations
   readonly #upstreamFeed: UpstreamFeed
   readonly #peerServer: PeerServer
@@ -109,7 +110,8 @@
     this.#choice = new Choice({ roster: this.#roster, inFlight: this.#inFlight, suspects: this.#suspects, intake: this.#intake, random: Math.random, peers, dataCentre: settings.dataCentre })
     this.#rooms = settings.sharedRoom === true ? this.#makeRooms() : undefined
     this.#evacuating = new Evacuating({ clock, log, board, roster: this.#roster, inFlight: this.#inFlight, span: settings.evacuation })
-    this.#metrics = new Metrics({ clock, board, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, connections: this.#connections, budgets: this.#budgets, rests: this.#conditions.rests, limiting: this.#limiting, evacuating: this.#evacuating, rooms: this.#rooms })
+    this.#deliveries = new Deliveries({ clock, log, bounds: settings.unread })
+    this.#metrics = new Metrics({ clock, board, deliveries: this.#deliveries, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, connections: this.#connections, budgets: this.#budgets, rests: this.#conditions.rests, limiting: this.#limiting, evacuating: this.#evacuating, rooms: this.#rooms })
     this.#callers = this.#makeCallers()
     this.#confirmations = new Confirmations({ clock, board, peers, connections: this.#connections, informed: () => this.#leadership.informed })
     this.#upstreamFeed = this.#makeUpstreamFeed()
@@ -159,7 +161,7 @@
 
   /**
    * Stops as planned: says "not ready", waits until the balancer has noticed, finishes what is in flight, refuses what
-   * still comes after `refuseAfter`, and closes everything once nothing is open or the grace is over.
+   * still comes after `refuseAfter`, and closes everything once all answers are delivered or the grace is over.
    */
   async stop (): Promise<void> {
     const { clock, settings } = this.#options
@@ -167,7 +169,7 @@
     this.#board.write('stopping', true)
     this.#leadership.resign()
     await clock.wait(settings.notice)
-    while (this.#callers.open > 0 && clock.now() - begun < settings.grace) {
+    while (this.#callers.open + this.#deliveries.waiting > 0 && clock.now() - begun < settings.grace) {
       if (clock.now() - begun > settings.refuseAfter) this.#callers.refuse()
       await clock.wait(stopInterval)
     }
@@ -218,6 +220,7 @@
       strictKeys,
       random: Math.random,
       patience: fair ? new UsualPatience() : undefined,
+      deliveries: this.#deliveries,
       refused: code => this.#metrics.refused(code),
       ended: (request, outcome) => requests.ended(request, outcome)
     })
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -7,7 +7,7 @@
 import { type InFlight, type Rests } from '@eiderwind/detect'
 import { type Queue } from '@eiderwind/dispatch'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
-import { type CallerRequest } from '@eiderwind/forward'
+import { type CallerRequest, type Deliveries } from '@eiderwind/forward'
 import { type Roster } from '@eiderwind/roster'
 import { listen, type Connections } from '@eiderwind/wire'
 import { type Budgets } from './budgets.js'
@@ -20,6 +20,7 @@
 export interface MetricsOptions {
   readonly clock: Clock
   readonly board: GatewayBoard
+  readonly deliveries: Deliveries
   readonly roster: Roster
   readonly inFlight: InFlight
   readonly queue: Queue
@@ -130,7 +131,7 @@
   }
 
   #gauges (registers: Registry[]): void {
-    const { clock, board, inFlight, queue, connections, budgets, rests, limiting: { limits, tokens, cold }, evacuating } = this.#options
+    const { clock, board, deliveries, inFlight, queue, connections, budgets, rests, limiting: { limits, tokens, cold }, evacuating } = this.#options
     const single = (name: string, help: string, read: () => number): void => {
       const gauge: Gauge = new Gauge({ name, help, registers, collect: () => gauge.set(read()) })
     }
@@ -151,6 +152,9 @@
     single('eiderwind_flights', 'Requests in flight at upstreams.', () => inFlight.total)
     single('eiderwind_waiting', 'Requests queued for an upstream.', () => queue.count)
     single('eiderwind_teams_above_share', 'Teams that were served more than their share lately.', () => queue.teamsAbove)
+    single('eiderwind_slow_callers', 'Callers for whom a part of an answer is kept, since they have not read it.', () => deliveries.waiting)
+    single('eiderwind_unread_bytes', 'Bytes of answers that are kept for them.', () => deliveries.bytes)
+    single('eiderwind_callers_stalled_total', 'Callers whose connections were closed since they read nothing of what was kept for them.', () => deliveries.closed)
     single('eiderwind_connections_opened_total', 'Connections opened to upstreams.', () => connections.opened)
     single('eiderwind_resting', 'Upstreams that rest now, or are left out for a moment since they refuse.', () => rests.count)
     single('eiderwind_limited', 'Upstreams that name the requests a second that they take from all gateways together.', () => limits.limited.length)
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -3,6 +3,7 @@
  * The INI names of what operators set are in `settings` (docs/operators/settings.md).
  */
 import { type Clock } from '@eiderwind/clock'
+import { type BacklogBounds } from '@eiderwind/forward'
 import { type Log } from '@eiderwind/log'
 import { type ColdBound } from './limiting.js'
 import { type Platform } from './platform.js'
@@ -48,6 +49,8 @@
   readonly patience: number
   /** Time within which streams leave a data centre once this gateway knows that it is evacuated; undefined where evacuations are not looked for. */
   readonly evacuation: number | undefined
+  /** Bounds on what is kept of answers that callers have not read (`[unread]`). */
+  readonly unread: BacklogBounds
   /** Time between two heartbeats of an upstream at the platform. */
   readonly pulse: number
   /** How long an engine whose entry went, and that answers, is kept in its replica; 0: it counts as missing at once. */
--- a/packages/gateway/test/overload.ts
+++ b/packages/gateway/test/overload.ts
@@ -8,7 +8,7 @@
 import { InFlight, Suspects } from '@eiderwind/detect'
 import { Choice, FairQueue, Intake, Queue, RetryBudget, capacity } from '@eiderwind/dispatch'
 import { UsualPatience } from '@eiderwind/fairness'
-import { CallerRequest, StreamPath, type AnswerHead, type Context } from '@eiderwind/forward'
+import { CallerRequest, StreamPath, type AnswerHead, type Context, type Deliveries } from '@eiderwind/forward'
 import { type Log } from '@eiderwind/log'
 import { Peers, type Heartbeat } from '@eiderwind/peers'
 import { Roster, type Upstream } from '@eiderwind/roster'
@@ -97,6 +97,9 @@
 const engine: Engine = { slots, models: [], step: 8, stepPerRequest: 0.1, readRate: 45_000, prompt: 900, answer: 130, loadRate: 3, loadsAtOnce: 6, formTime: 300 }
 const names = { request: 'id', deadline: 'deadline', key: 'key', team: 'team', upstream: 'upstream', model: 'model', urgency: 'urgency', notRun: 'not-run' }
 
+/** Callers that have read whatever they are sent. */
+const readAtOnce = { open: () => ({ write: () => {}, end: () => {}, cut: () => {}, isFull: () => false }) } as unknown as Deliveries
+
 interface Caller {
   readonly sentAt: number
   readonly urgent: boolean
@@ -281,6 +284,7 @@
       endsAt: arrivedAt + timeLeft,
       spent: patience.spent('r', timeLeft, arrivedAt),
       idHeader: 'id',
+      deliveries: readAtOnce,
       onEnd: ({ timing }, outcome) => {
         if (timing.first !== undefined) caller.firstAt ??= arrivedAt + timing.first
         if (outcome === 'answered 200') caller.served = true
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -52,6 +52,7 @@
   'request-ended': { number: 411, level: 'info', text: 'A request ended; lists every attempt with its ending, and the request\'s fingerprint if an answer was lost or it is blocked; `rule` says what went before one that found no room. Ordinary successes are sampled.' },
   'request-failed': { number: 412, level: 'error', text: 'An internal error ended a request; the caller\'s connection was closed.' },
   'request-blocked': { number: 413, level: 'warn', text: 'A request is blocked, by its fingerprint: each upstream that began to run it has crashed. It is refused for `remaining` ms.' },
+  'caller-stalled': { number: 414, level: 'warn', text: 'A caller read nothing of its answer for `idle` ms while `bytes` were kept for it, of `kept` for all; its connection was closed. `answered`: all of the answer was here.' },
   'upstream-suspected': { number: 420, level: 'warn', text: 'All streams of a replica head are silent; it is suspected and gets only occasional trial requests.' },
   'upstream-crashed': { number: 421, level: 'warn', text: 'An upstream crashed while requests of this gateway were in flight there; their fingerprints are listed.' },
   'upstream-resting': { number: 422, level: 'info', text: 'An upstream turned a request away and asked for rest: it gets nothing from this gateway for `rest` ms.' },
--- a/packages/settings/src/shapes.ts
+++ b/packages/settings/src/shapes.ts
@@ -89,6 +89,12 @@
 const Time = z.string().regex(/^\d+(\.\d+)? ?(ms|s)?$/, 'a time such as 250 ms or 8 s').transform(text => parseFloat(text) * (/[^m]s$/.test(text) ? 1000 : 1))
 const Share = z.string().regex(/^\d+(\.\d+)?$/, 'a number of 0 or more').transform(Number)
 
+/** Bytes in each unit of `Bytes`. */
+const byteUnits = { B: 1, KiB: 2 ** 10, MiB: 2 ** 20 } as const
+
+/** An amount of memory with its unit, such as `64 KiB` or `32 MiB`; bytes where there is none. */
+const Bytes = z.string().regex(/^\d+ ?(B|KiB|MiB)?$/, 'an amount such as 64 KiB or 32 MiB').transform(text => parseInt(text) * byteUnits[(/[A-Z].*$/i.exec(text)?.[0] ?? 'B') as keyof typeof byteUnits])
+
 /** A time of which another program has filled in nothing but its unit. */
 const emptyTime = /^ ?(ms|s)?$/
 
@@ -159,6 +165,14 @@
     /** Whether one gateway issues the places at a model's heads for all gateways where they are scarce. */
     shared: Flag.default(false)
   }).prefault({}),
+  unread: z.strictObject({
+    /** What is kept of the answer of one caller that has not read it, before its upstream is read no further. */
+    caller: Bytes.default(64 * 2 ** 10),
+    /** What is kept for all callers together. */
+    total: Bytes.default(32 * 2 ** 20),
+    /** How long a caller may read nothing of it before its connection is closed. */
+    patience: Time.default(10_000)
+  }).prefault({}),
   planner: z.strictObject({
     /** How long an engine whose entry went, and that answers, is kept in its replica; 0: it counts as missing at once. */
     keep_unlisted: time('0 ms')
