--- a/packages/forward/src/backlog.ts
+++ b/packages/forward/src/backlog.ts
@@ -25,12 +25,15 @@
 /** Part of its bound to which what is kept for a caller falls before its upstream is read on, so that it is not paused again by the next event. */
 const relief = 0.5
 
-/** Part of the patience that is left while more than the total is kept. */
-const patienceInExcess = 0.25
-
-/** Multiple of the total above which callers are closed although they read. */
+/**
+ * Multiple of the total above which callers are closed sooner. While upstreams are paused, what is kept grows no further than by what each had sent already; collected answers may
+ * come on top of that.
+ */
 const greatestExcess = 2
 
+/** Part of the patience that is left then. */
+const patienceInExcess = 0.25
+
 /** What is kept for one caller. */
 interface Entry {
   bytes: number
@@ -100,14 +103,11 @@
     return bytes === 0 || (bytes <= this.#bounds.perCaller * relief && this.#total < this.#bounds.total)
   }
 
-  /**
-   * The callers to close: those that have read nothing for too long. Above the total their time is shorter, and well above it even those that read are closed until the rest fits, the
-   * slowest ones first: the gateway would end, and with it the answers of all.
-   */
+  /** The callers to close: those that have read nothing for too long, longest first. Well above the total their time is shorter, until the rest fits. */
   overdue (now: number): Array<Overdue<Caller>> {
     const { total: bound, patience } = this.#bounds
     let total = this.#total
-    const limit = (): number => total > bound * greatestExcess ? 0 : total > bound ? patience * patienceInExcess : patience
+    const limit = (): number => total > bound * greatestExcess ? patience * patienceInExcess : patience
     const slowestFirst = [...this.#entries].map(([caller, { bytes, progressAt }]) => ({ caller, bytes, idle: now - progressAt })).sort((a, b) => b.idle - a.idle)
     return slowestFirst.filter(({ bytes, idle }) => {
       if (idle <= limit()) return false
--- a/packages/forward/src/delivery.ts
+++ b/packages/forward/src/delivery.ts
@@ -8,7 +8,7 @@
 import { Backlog, type BacklogBounds } from './backlog.js'
 
 /** Bytes that are handed to a connection at a time: what a caller reads shows no finer than this. */
-const pieceSize = 32 * 1024
+const pieceSize = 16 * 1024
 
 /** Time between two looks for callers that do not read, in ms. */
 const checkInterval = 250
@@ -118,7 +118,9 @@
 
   /** Sends bytes, or keeps them until the caller has read what was sent before. */
   write (bytes: Buffer): void {
-    for (let at = 0; at < bytes.length; at += pieceSize) this.#take(bytes.subarray(at, at + pieceSize))
+    if (bytes.length <= pieceSize) return this.#take(bytes)
+    // Copies: a view would keep all of the bytes in memory for the sake of the last of them.
+    for (let at = 0; at < bytes.length; at += pieceSize) this.#take(Buffer.from(bytes.subarray(at, at + pieceSize)))
   }
 
   /** Ends the answer once the caller has got what is kept. @param last its last bytes */
--- a/packages/forward/src/events.ts
+++ b/packages/forward/src/events.ts
@@ -16,11 +16,13 @@
 const emptyLine = '\n\n'
 const emptyLineCrlf = '\n\r\n'
 
+const nothing = Buffer.alloc(0)
+
 const idField = Buffer.from('id:')
 
 /** Splits the bytes of one stream into events. */
 export class EventSplitter {
-  #rest: Buffer = Buffer.alloc(0)
+  #rest: Buffer = nothing
 
   /** Whether all bytes so far belong to complete events. */
   get atBoundary (): boolean {
@@ -37,7 +39,8 @@
       events.push({ bytes: event, id: eventId(event) })
       start = end
     }
-    this.#rest = bytes.subarray(start)
+    // A view of the bytes would keep all of them in memory.
+    this.#rest = start === bytes.length ? nothing : Buffer.from(bytes.subarray(start))
     return events
   }
 }
--- a/packages/forward/src/streamattempt.ts
+++ b/packages/forward/src/streamattempt.ts
@@ -86,6 +86,11 @@
   }
 }
 
+/** The bytes of events in order; without a copy where they came as one. */
 function joined (events: readonly StreamEvent[]): Buffer {
-  return events.length === 1 ? events[0].bytes : Buffer.concat(events.map(({ bytes }) => bytes))
+  const { buffer, byteOffset } = events[0].bytes
+  const length = events.reduce((sum, { bytes }) => sum + bytes.length, 0)
+  const last = events[events.length - 1].bytes
+  const contiguous = last.buffer === buffer && last.byteOffset + last.length === byteOffset + length
+  return contiguous ? Buffer.from(buffer, byteOffset, length) : Buffer.concat(events.map(({ bytes }) => bytes))
 }
--- a/packages/settings/src/shapes.ts
+++ b/packages/settings/src/shapes.ts
@@ -167,7 +167,7 @@
   }).prefault({}),
   unread: z.strictObject({
     /** What is kept of the answer of one caller that has not read it, before its upstream is read no further. */
-    caller: Bytes.default(64 * 2 ** 10),
+    caller: Bytes.default(32 * 2 ** 10),
     /** What is kept for all callers together. */
     total: Bytes.default(32 * 2 ** 20),
     /** How long a caller may read nothing of it before its connection is closed. */
