Correct expected first events by what those of the model took

Change: each gateway follows the median lag of each model. One function computes first events for the log and for how late a request may start; the latter moves by the part of a step that one request takes (0.14 ms).

--- a/packages/forward/src/context.ts
+++ b/packages/forward/src/context.ts
@@ -7,7 +7,7 @@
 import { type Asker } from '@eiderwind/places'
 import { type Roster, type Upstream } from '@eiderwind/roster'
 import { type AnswerHeaders, type Connections } from '@eiderwind/wire'
-import { type Unread } from '@eiderwind/work'
+import { type Forecast } from '@eiderwind/work'
 import { type HeaderNames } from './names.js'
 
 /** The head of an upstream's answer to a request. */
@@ -35,8 +35,8 @@
   readonly intake: Intake
   readonly crashes: Crashes
   readonly queue: Queue
-  /** Prompts that were sent and are not read yet. Absent: no first event is predicted. */
-  readonly unread?: Unread
+  /** Absent: no first event is predicted. */
+  readonly forecast?: Forecast
   readonly random: Random
   /** Asks for places where room is contended. Absent where each gateway looks for room alone. */
   readonly places?: Asker
--- a/packages/forward/src/streamattempt.ts
+++ b/packages/forward/src/streamattempt.ts
@@ -64,11 +64,11 @@
   protected onChunk (chunk: Buffer): void {
     const events = this.#splitter.push(chunk).filter(({ id }) => this.#isNew(id))
     if (events.length === 0) return
-    this.#onFirst?.()
-    this.#onFirst = undefined
     for (const { id } of events) this.#progress.lastEvent = id ?? this.#progress.lastEvent
     const { request } = this
     request.passOn()
+    this.#onFirst?.()
+    this.#onFirst = undefined
     request.delivery.write(joined(events))
     if (request.delivery.isFull(() => this.resume())) this.pause()
   }
--- a/packages/forward/src/streampath.ts
+++ b/packages/forward/src/streampath.ts
@@ -15,6 +15,10 @@
 import { type CallerRequest } from './request.js'
 import { Progress, StreamAttempt } from './streamattempt.js'
 
+/** A head that has nothing to do, and the pace of a usual model: by these it is known how late a request may still start. */
+const idle = { inFlight: 0, unread: 0 }
+const usualPace = 1
+
 /** What is asked for. */
 export interface Target {
   /** Empty if the request names none. */
@@ -56,7 +60,7 @@
     const { context: { clock }, request: { route: { gap } } } = this
     if (this.#progress.started) return clock.now() + gap
     const { engine } = this.#target
-    return super.inTimeUntil - (engine === undefined ? 0 : firstEventTime(engine))
+    return super.inTimeUntil - (engine === undefined ? 0 : expectedFirst(engine.prompt, idle, engine, usualPace))
   }
 
   protected override get work (): number {
@@ -74,6 +78,7 @@
   protected attempt (upstream: Upstream): Promise<AttemptResult> {
     const { context, request, lastEvent, trial } = this
     const { model } = this.#target
+    const isFirst = !request.offered
     const read = this.#expect(upstream)
     return new Promise(resolve => {
       const attempt = new StreamAttempt({
@@ -85,7 +90,10 @@
         newConnection: false,
         trial,
         progress: this.#progress,
-        onFirst: read,
+        onFirst: () => {
+          read?.()
+          if (isFirst) this.#learn()
+        },
         onMove: why => {
           const moves = this.#moves()
           if (moves) attempt.abort(why)
@@ -101,19 +109,23 @@
   }
 
   /**
-   * Predicts when the first event comes from a head, and counts the prompt as unread there until the returned function is called. The place of the request is counted
+   * Forecasts when the first event comes from a head, and counts the prompt as unread there until the returned function is called. The place of the request is counted
    * already.
    */
   #expect ({ id, dataCentre }: Upstream): (() => void) | undefined {
-    const { request, context: { choice, unread, intake } } = this
+    const { request, context: { choice, forecast, intake, dataCentre: own } } = this
     const { model, engine } = this.#target
-    if (unread === undefined || engine === undefined) return undefined
-    const { prompt } = this.#tokens(engine)
-    const pace = engine.models.find(({ name }) => name === model)?.pace ?? 1
-    const state = { inFlight: Math.max(0, choice.load(id) - 1), unread: unread.of(id) }
-    const time = expectedFirst(prompt, state, engine, pace)
-    if (!request.offered) request.timing.expect({ ...state, time, prompt, limited: intake.isLimited(id), remote: dataCentre !== this.context.dataCentre })
-    return unread.add(id, prompt)
+    if (forecast === undefined || engine === undefined) return undefined
+    const subject = { service: request.service, model, prompt: this.#tokens(engine).prompt }
+    const head = { inFlight: Math.max(0, choice.load(id) - 1), unread: forecast.unread.of(id) }
+    if (!request.offered) request.timing.expect({ ...subject, ...head, ...forecast.expect(subject, head, engine), limited: intake.isLimited(id), remote: dataCentre !== own })
+    return forecast.unread.add(id, subject.prompt)
+  }
+
+  /** Takes in when the first event came. */
+  #learn (): void {
+    const { expectation, error } = this.request.timing
+    if (expectation !== undefined && error !== undefined) this.context.forecast?.learn(expectation, error)
   }
 
   #tokens (engine: Engine): RequestTokens {
@@ -158,8 +170,3 @@
   const value = name === undefined ? undefined : incoming.headers[name]
   return typeof value === 'string' ? value : undefined
 }
-
-/** Time from the start of a usual request to its first event, in ms. */
-function firstEventTime ({ prompt, readRate, step }: Engine): number {
-  return prompt / readRate * 1000 + step
-}
--- a/packages/forward/test/timing.test.ts
+++ b/packages/forward/test/timing.test.ts
@@ -32,7 +32,7 @@
 test('what was expected of the first send is held against the first part, unless another attempt brought it', t => {
   const error = (...steps: Parameters<typeof timing>): number | undefined => {
     const made = timing(...steps)
-    made.expect({ time: 60, prompt: 700, inFlight: 3, unread: 0, limited: false, remote: false })
+    made.expect({ service: 's', model: 'm', time: 60, lag: 0, prompt: 700, inFlight: 3, unread: 0, limited: false, remote: false })
     return made.error
   }
   t.is(error(['sent', 20], ['passed', 90]), 10)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,7 +12,7 @@
 import { Peers, type Heartbeat, type PeerAddress } from '@eiderwind/peers'
 import { Outage, Roster } from '@eiderwind/roster'
 import { Connections } from '@eiderwind/wire'
-import { Unread } from '@eiderwind/work'
+import { Forecast } from '@eiderwind/work'
 import { Budgets } from './budgets.js'
 import { Callers } from './callers.js'
 import { ChangeLog } from './changelog.js'
@@ -203,7 +203,7 @@
       connections: this.#connections,
       choice: this.#choice,
       queue: this.#queue,
-      unread: new Unread(),
+      forecast: new Forecast(),
       places: rooms?.asker,
       retryBudget: service => this.#budgets.of(service),
       answered: (upstream, head) => {
--- a/packages/gateway/src/requestlog.ts
+++ b/packages/gateway/src/requestlog.ts
@@ -62,6 +62,6 @@
 /** When the first event was expected, in ms, and what that rested on; what is usual is left out. */
 function expectation ({ expectation: expected }: CallerRequest['timing']): Record<string, number | boolean | undefined> {
   if (expected === undefined) return {}
-  const { time, prompt, inFlight, unread, limited, remote } = expected
-  return { expected: Math.round(time), prompt, load: inFlight, unread, limited: limited || undefined, remote: remote || undefined }
+  const { time, lag, prompt, inFlight, unread, limited, remote } = expected
+  return { expected: Math.round(time), lag: Math.round(lag), prompt, load: inFlight, unread, limited: limited || undefined, remote: remote || undefined }
 }
--- a/packages/work/src/first.ts
+++ b/packages/work/src/first.ts
@@ -1,6 +1,6 @@
 /**
- * When the first event of a request can be expected at a head. Pure. The load that it answers: heads with as many requests but other prompts before them. It is a prediction by the
- * configuration alone: it knows neither how many tokens one event holds nor in what pieces prompts are read.
+ * When the first event of a request can be expected at a head. Pure. The load that it answers: heads with as many requests but other prompts before them. It is computed from the
+ * configuration alone; `forecast.ts` corrects it by what came.
  */
 import { type Engine } from '@eiderwind/traffic'
 
@@ -12,12 +12,20 @@
   readonly unread: number
 }
 
+/** A request for a model. */
+export interface Subject {
+  readonly service: string
+  readonly model: string
+  /** Tokens of its prompt. */
+  readonly prompt: number
+}
+
 /** When the first event of a request is expected, and what that rests on. */
-export interface Expectation extends HeadState {
+export interface Expectation extends Subject, HeadState {
   /** Time from its send, in ms. */
   readonly time: number
-  /** Tokens of its prompt. */
-  readonly prompt: number
+  /** Part of that time by which first events of its model usually come later than computed, in ms. */
+  readonly lag: number
   /** Whether the head takes a limited number of requests a second: it is cold, or says so itself. */
   readonly limited: boolean
   /** Whether the head is in another data centre. */
--- a/packages/work/test/work.test.ts
+++ b/packages/work/test/work.test.ts
@@ -1,6 +1,6 @@
 /** Tables of what requests cost, from the figures of an engine. */
 import test from 'ava'
-import { Unread, expectedFirst, requestTokens, workOf } from '../src/index.js'
+import { Forecast, RunningMedian, Unread, expectedFirst, requestTokens, workOf } from '../src/index.js'
 
 const engine = { slots: 40, step: 8, stepPerRequest: 0.1, readRate: 50_000, prompt: 1000, answer: 100 }
 
@@ -67,3 +67,37 @@
   t.is(unread.of('b'), 7)
   t.is(unread.of('c'), 0)
 })
+
+test('a running median settles at the middle of its series, and single values far off hardly move it', t => {
+  const median = new RunningMedian()
+  t.is(median.value, 0)
+  for (let each = 0; each < 400; each++) median.add(130 + each * 7 % 21)
+  t.true(Math.abs(median.value - 140) < 6, `${median.value}`)
+  const settled = median.value
+  for (let each = 0; each < 3; each++) median.add(5000)
+  t.true(median.value - settled <= 6)
+})
+
+test('forecasts are corrected by what first events of their model took, at this gateway', t => {
+  const forecast = new Forecast()
+  const served = { ...engine, models: [{ name: 'm', size: 1, share: 1, pace: 2, load: 0, warm: 0 }], loadRate: 1, loadsAtOnce: 1, formTime: 0 }
+  const subject = { service: 's', model: 'm', prompt: 1000 }
+  const idle = { inFlight: 0, unread: 0 }
+  const computed = expectedFirst(1000, idle, served, 2)
+  t.deepEqual(forecast.expect(subject, idle, served), { time: computed, lag: 0 })
+  for (let each = 0; each < 40; each++) {
+    const { time, lag } = forecast.expect(subject, idle, served)
+    forecast.learn({ ...subject, lag }, computed + 140 - time)
+  }
+  const { time, lag } = forecast.expect(subject, idle, served)
+  t.true(Math.abs(lag - 140) < 2, `${lag}`)
+  t.is(time, computed + lag)
+  t.is(forecast.expect({ ...subject, model: 'other' }, idle, served).lag, 0)
+})
+
+test('of many forecasts that were made before the first came true, each corrects by what it was computed from', t => {
+  const forecast = new Forecast()
+  const early = { service: 's', model: 'm', lag: 0 }
+  for (let each = 0; each < 50; each++) forecast.learn(early, 140)
+  t.true(Math.abs(forecast.expect({ ...early, prompt: 0 }, { inFlight: 0, unread: 0 }, { ...engine, models: [], loadRate: 1, loadsAtOnce: 1, formTime: 0 }).lag - 140) < 2)
+})
