Account for errors of expected first events; name callers that are cut since they do not read

eiderwindctl expected prints the errors by route, load, prompt, unread tokens, limited and remote heads, sampled lines by their weight. A caller that is cut ends its request as 'stalled', which late and explain know. A stream's event is bounded like a collected answer.

--- a/packages/ctl/src/accounting.ts
+++ b/packages/ctl/src/accounting.ts
@@ -1,5 +1,6 @@
-/** `eiderwindctl capacity` and `late`: read log files, print an account of them as text or JSON, and give the exit status. */
+/** `eiderwindctl capacity`, `late` and `expected`: read log files, print an account of them as text or JSON, and give the exit status. */
 import { capacity, engineWork, lacking, type Second } from './capacity.js'
+import { expectedErrors, type ErrorRow } from './expected.js'
 import { failures, lateByRoute, lateBySecond, latenesses, type LateRow } from './late.js'
 import { readLogs } from './logfiles.js'
 import { type Print } from './session.js'
@@ -31,6 +32,22 @@
   return statuses.ok
 }
 
+/** Prints how far off expected first events were, by what the expectation rested on. Returns the exit status: bad usage where a file cannot be read. */
+export function expectedFiles ({ files, json }: AccountOptions, { out, error }: { readonly out: Print, readonly error: Print }): number {
+  const lines = readLogs(files, error)
+  if (lines === undefined) return statuses.usage
+  if (!json) out(['by'.padEnd(columnTime), 'of'.padEnd(columnTime), ...errorColumns.map(name => name.padStart(columnWidth))].join(''))
+  for (const each of expectedErrors(lines)) out(json ? JSON.stringify(each) : errorRow(each))
+  return statuses.ok
+}
+
+/** The columns of errors, in ms but for the first. */
+const errorColumns = ['requests', 'bias', 'median', 'nineTenths', 'largest'] as const
+
+function errorRow (each: ErrorRow): string {
+  return [each.by.padEnd(columnTime), each.of.padEnd(columnTime), ...errorColumns.map(name => String(each[name]).padStart(columnWidth))].join('')
+}
+
 function lateRow ({ of, late, failed }: LateRow): string {
   const cells = [...latenesses.map(each => late[each]), ...failures.map(each => failed[each])]
   return [of.padEnd(columnTime), ...cells.map(each => String(each).padStart(columnWidth))].join('')
--- a/packages/ctl/src/explain.ts
+++ b/packages/ctl/src/explain.ts
@@ -144,6 +144,7 @@
   deadline: 'its time was over before it was answered',
   cut: 'its stream broke off in the middle and could not go on elsewhere',
   caller: 'its caller left before the answer',
+  stalled: 'its caller read nothing of the answer for longer than it may, and its connection was closed',
   answered: 'the answer of an upstream was passed on as it was'
 }
 
--- a/packages/ctl/src/index.ts
+++ b/packages/ctl/src/index.ts
@@ -1,6 +1,6 @@
 /** The command `eiderwindctl`: the operators' command line. */
 import sade, { type Sade } from 'sade'
-import { accountFiles, lateFiles } from './accounting.js'
+import { accountFiles, expectedFiles, lateFiles } from './accounting.js'
 import { explainFiles } from './explaining.js'
 import { commands, type Command, type Options } from './commands.js'
 import { Session, type Print } from './session.js'
@@ -61,6 +61,14 @@
     .action((file: string, options: { _: string[], json?: boolean }) => {
       status = lateFiles({ files: [file, ...options._], json: options.json === true }, output)
     })
+  program
+    .command('expected <file>')
+    .describe('Print how far off the expected times of first events were in the logs in files, in ms, by what they rested on.')
+    .option('--json', 'Write JSON, one object a line', false)
+    .example('expected entry-1.log entry-2.log')
+    .action((file: string, options: { _: string[], json?: boolean }) => {
+      status = expectedFiles({ files: [file, ...options._], json: options.json === true }, output)
+    })
   const known = new Set(commands.flatMap(each => (each.options ?? []).map(option => option.flags)))
   for (const [flags] of common) known.add(flags)
   program.parse(words, {
--- a/packages/ctl/src/late.ts
+++ b/packages/ctl/src/late.ts
@@ -9,7 +9,7 @@
 export const latenesses = ['waiting', 'attempts', 'first', 'resume', 'pause'] as const
 
 /** Endings of requests that got no whole answer, in the order of the columns: the beginnings of `outcome` in `request-ended`. */
-export const failures = ['busy', 'no-replica', 'upstream-down', 'lost', 'cut', 'deadline', 'caller'] as const
+export const failures = ['busy', 'no-replica', 'upstream-down', 'lost', 'cut', 'deadline', 'caller', 'stalled'] as const
 
 /** One row of the account: what happened on a route, or within a second. */
 export interface LateRow {
--- a/packages/ctl/test/late.test.ts
+++ b/packages/ctl/test/late.test.ts
@@ -14,7 +14,7 @@
 ]
 const lines = log.map(readLine).filter((each): each is LogLine => each !== undefined)
 const late = { waiting: 0, attempts: 0, first: 0, resume: 0, pause: 0 }
-const failed = { busy: 0, 'no-replica': 0, 'upstream-down': 0, lost: 0, cut: 0, deadline: 0, caller: 0 }
+const failed = { busy: 0, 'no-replica': 0, 'upstream-down': 0, lost: 0, cut: 0, deadline: 0, caller: 0, stalled: 0 }
 
 test('late answers and failures are counted by route and by second; a late first part of no whole answer is a failure', t => {
   t.deepEqual(lateByRoute(lines), [
--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -13,8 +13,8 @@
 import { outgoingCall } from './outgoing.js'
 import { type CallerRequest } from './request.js'
 
-/** Longest answer that is collected, in bytes: a bound on memory. */
-const maxCollected = 8 * 2 ** 20
+/** Longest answer that is collected, and longest event of a stream, in bytes: a bound on memory. */
+export const maxCollected = 8 * 2 ** 20
 
 /** Errors of a connection that did not come up, after which the upstream is suspected. */
 const unreachable = new Set(['UND_ERR_CONNECT_TIMEOUT', 'ECONNREFUSED', 'EHOSTUNREACH'])
--- a/packages/forward/src/events.ts
+++ b/packages/forward/src/events.ts
@@ -29,6 +29,11 @@
     return this.#rest.length === 0
   }
 
+  /** Bytes of the event that is not complete yet. */
+  get held (): number {
+    return this.#rest.length
+  }
+
   /** Takes the next bytes, and returns the events that they complete. */
   push (chunk: Buffer): StreamEvent[] {
     const bytes = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk])
--- a/packages/forward/src/request.ts
+++ b/packages/forward/src/request.ts
@@ -88,7 +88,7 @@
     this.#clock = options.clock
     this.#idHeader = options.idHeader
     this.#onEnd = options.onEnd
-    this.delivery = options.deliveries.open(options.response, options.id, () => this.finish('caller stalled'))
+    this.delivery = options.deliveries.open(options.response, options.id, () => this.finish('stalled'))
     this.#timer = options.clock.after(Math.max(0, options.endsAt - options.clock.now()), () => this.#expire())
     this.response.once('close', () => this.#close())
   }
--- a/packages/forward/src/streamattempt.ts
+++ b/packages/forward/src/streamattempt.ts
@@ -5,7 +5,7 @@
  */
 import { endToEnd, type AnswerHeaders } from '@eiderwind/wire'
 import { endWithConnection, isFramed } from './answers.js'
-import { Attempt, type AttemptOptions } from './attempt.js'
+import { Attempt, maxCollected, type AttemptOptions } from './attempt.js'
 import { EventSplitter, type StreamEvent } from './events.js'
 
 /** What the caller of a stream has got so far, over all attempts. */
@@ -63,6 +63,7 @@
 
   protected onChunk (chunk: Buffer): void {
     const events = this.#splitter.push(chunk).filter(({ id }) => this.#isNew(id))
+    if (this.#splitter.held > maxCollected) return this.abort('an event is too long')
     if (events.length === 0) return
     for (const { id } of events) this.#progress.lastEvent = id ?? this.#progress.lastEvent
     const { request } = this
--- a/packages/forward/test/attempt.test.ts
+++ b/packages/forward/test/attempt.test.ts
@@ -5,8 +5,9 @@
 import { type AttemptResult } from '@eiderwind/dispatch'
 import { Roster, type Upstream } from '@eiderwind/roster'
 import { type AnswerHeaders, type Receiver } from '@eiderwind/wire'
-import { CollectAttempt } from '../src/attempt.js'
+import { CollectAttempt, maxCollected } from '../src/attempt.js'
 import { type AnswerHead, type Context } from '../src/index.js'
+import { Progress, StreamAttempt } from '../src/streamattempt.js'
 import { callerRequest } from './requests.js'
 
 const names = { request: 'id', deadline: 'deadline', key: 'key', team: 'team', upstream: 'upstream', model: 'model', urgency: 'urgency', notRun: 'not-run' }
@@ -20,7 +21,8 @@
   readonly inFlight: InFlight
   receiver: Receiver | undefined
 
-  constructor () {
+  /** @param stream whether its answer is passed on while it arrives */
+  constructor (stream = false) {
     const clock = new ManualClock()
     const roster = new Roster(clock)
     this.inFlight = new InFlight(clock, () => {})
@@ -41,7 +43,9 @@
       answered: (_upstream: Upstream, { status }: AnswerHead) => this.answers.push(status)
     } as unknown as Context
     const onEnd = (result: AttemptResult): void => { this.results.push(result) }
-    new CollectAttempt({ context, request: callerRequest(clock, { kind: 'once', resumable: false }), upstream, model: '', newConnection: false, trial: undefined, onEnd }).start()
+    const options = { context, request: callerRequest(clock, { kind: 'once', resumable: false }), upstream, model: '', newConnection: false, trial: undefined, onEnd }
+    const attempt = stream ? new StreamAttempt({ ...options, progress: new Progress(undefined) }) : new CollectAttempt(options)
+    attempt.start()
   }
 
   answer (status: number, headers: AnswerHeaders): void {
@@ -78,3 +82,14 @@
   foreign.answer(503, { id: 'r2', 'not-run': '1' })
   t.deepEqual(foreign.answers, [])
 })
+
+test('an event that never ends is given up at the bound of what is collected', t => {
+  const attempt = new PlayedAttempt(true)
+  attempt.receiver?.begun()
+  attempt.answer(200, { id: 'r1', 'transfer-encoding': 'chunked' })
+  const part = Buffer.alloc(2 ** 20, 'x')
+  for (let size = 0; size < maxCollected; size += part.length) attempt.receiver?.data(part)
+  t.deepEqual(attempt.results, [])
+  attempt.receiver?.data(part)
+  t.deepEqual(attempt.results, [{ kind: 'lost', why: 'an event is too long', broken: undefined }])
+})
