--- a/packages/detect/test/detect.test.ts
+++ b/packages/detect/test/detect.test.ts
@@ -69,7 +69,8 @@
   t.true(suspects.has('a'))
 })
 
-test('a single stream that stays silent while its head serves others may move, and the head stays trusted', t => {
+/** A head `a` of an open replica whose streams are watched. */
+function watchedHead (): { clock: ManualClock, suspects: Suspects, flights: InFlight, stalls: Stalls } {
   const clock = new ManualClock()
   const roster = new Roster(clock)
   roster.replace([{
@@ -79,6 +80,11 @@
   const flights = new InFlight(clock, () => {})
   const stalls = new Stalls({ clock, log: new Log({ sink: () => {} }), roster, inFlight: flights, suspects, silence: 400, witnesses: () => [], pauses: new Pauses(clock), suspected: () => {} })
   stalls.start()
+  return { clock, suspects, flights, stalls }
+}
+
+test('a single stream that stays silent while its head serves others may move, and the head stays trusted', t => {
+  const { clock, suspects, flights, stalls } = watchedHead()
   let stalled = 0
   const silent = flights.begin('a', 'm', { stalled: () => { stalled++ } })
   const other = flights.begin('a', 'm', { stalled: () => t.fail() })
@@ -99,15 +105,7 @@
 })
 
 test('a stream that is not read, since its caller does not read, says nothing of its head, and its silence counts from when it is read again', t => {
-  const clock = new ManualClock()
-  const roster = new Roster(clock)
-  roster.replace([{
-    id: 'a', service: 's', address: 'a:1', dataCentre: 'dc', leaving: false, loaded: [], staged: [], membership: { replica: 'r', epoch: 1, rank: 0, state: 'open' }
-  }])
-  const suspects = new Suspects(clock, roster)
-  const flights = new InFlight(clock, () => {})
-  const stalls = new Stalls({ clock, log: new Log({ sink: () => {} }), roster, inFlight: flights, suspects, silence: 400, witnesses: () => [], pauses: new Pauses(clock), suspected: () => {} })
-  stalls.start()
+  const { clock, suspects, flights, stalls } = watchedHead()
   let stalled = 0
   const slow = flights.begin('a', 'm', { stalled: () => { stalled++ } })
   flights.received(slow)
--- a/packages/forward/src/delivery.ts
+++ b/packages/forward/src/delivery.ts
@@ -13,6 +13,9 @@
 /** Time between two looks for callers that do not read, in ms. */
 const checkInterval = 250
 
+/** Time between two looks after which this process did not run in between, in ms: what callers have read meanwhile is not seen yet. */
+const longestInterval = 1000
+
 /** Dependencies of `Deliveries`. */
 export interface DeliveriesOptions {
   readonly clock: Clock
@@ -25,6 +28,7 @@
   readonly #options: DeliveriesOptions
   readonly #backlog: Backlog<Delivery>
   #timer: Subscription | undefined
+  #checkedAt = 0
   #closed = 0
 
   constructor (options: DeliveriesOptions) {
@@ -56,13 +60,17 @@
   }
 
   #watch (): void {
-    this.#timer ??= this.#options.clock.every(checkInterval, () => this.#check())
+    if (this.#timer !== undefined) return
+    this.#checkedAt = this.#options.clock.now()
+    this.#timer = this.#options.clock.every(checkInterval, () => this.#check())
   }
 
   #check (): void {
     const { clock, log } = this.#options
     const now = clock.now()
-    for (const each of this.#backlog.callers) if (!each.mayRead) this.#backlog.excuse(each, now)
+    const wasPaused = now - this.#checkedAt > longestInterval
+    this.#checkedAt = now
+    for (const each of this.#backlog.callers) if (wasPaused || !each.mayRead) this.#backlog.excuse(each, now)
     for (const { caller, bytes, idle } of this.#backlog.overdue(now)) {
       this.#closed++
       log.write('caller-stalled', { request: caller.id, bytes, idle: Math.round(idle), kept: this.#backlog.total, answered: caller.ended })
--- a/packages/forward/test/delivery.test.ts
+++ b/packages/forward/test/delivery.test.ts
@@ -148,6 +148,19 @@
   t.like(JSON.parse(setting.lines[1]), { request: 'ended', answered: true })
 })
 
+test('after this process stood still, callers have their time anew: what they read meanwhile is not seen yet', t => {
+  const setting = new Setting()
+  const { open, clock } = bound(setting)
+  const { delivery } = open('a')
+  delivery.write(Buffer.alloc(40 * kibibyte))
+  clock.advance(500)
+  clock.freeze(20_000)
+  clock.advance(9000)
+  t.deepEqual(setting.closed, [])
+  clock.advance(1500)
+  t.deepEqual(setting.closed, ['a'])
+})
+
 test('a caller that leaves frees what was kept for it', t => {
   const { deliveries, open } = bound(new Setting())
   const { response, delivery } = open('a')
