Have the balancer send new callers to others while a gateway runs short

Cause: gateways differ in size and get callers by chance; one that is short of processor, memory or descriptors took callers like all others. Settings [readiness], off in the template; event 429, eiderwind_away, away in heartbeats.

--- a/packages/gateway/src/callers.ts
+++ b/packages/gateway/src/callers.ts
@@ -50,6 +50,7 @@
   readonly #options: CallersOptions
   readonly #server: Server
   readonly #open = new Set<CallerRequest>()
+  #connections = 0
   #refusing = false
   #served = false
 
@@ -57,6 +58,10 @@
     this.#options = options
     this.#server = createServer({ maxHeaderSize: headLimit, connectionsCheckingInterval: checkInterval, requestTimeout: 0, noDelay: true })
     this.#server.on('request', (request, response) => this.#take(request, response))
+    this.#server.on('connection', socket => {
+      this.#connections++
+      socket.once('close', () => { this.#connections-- })
+    })
     options.board.listen('inForce', inForce => { if (inForce !== undefined) this.#limit(inForce) })
   }
 
@@ -70,6 +75,11 @@
     return this.#open.size
   }
 
+  /** Callers' connections. */
+  get connections (): number {
+    return this.#connections
+  }
+
   /** Whether requests with keys are served now. */
   get servesKeys (): boolean {
     return !this.#options.strictKeys || this.#fresh
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,7 @@
 import { Metrics } from './metrics.js'
 import { PeerServer } from './peerserver.js'
 import { makeReconciler } from './planning.js'
+import { Readiness } from './readiness.js'
 import { RequestLog } from './requestlog.js'
 import { Rooms } from './rooms.js'
 import { Sampling } from './sampling.js'
@@ -82,6 +83,7 @@
   readonly #upstreamFeed: UpstreamFeed
   readonly #peerServer: PeerServer
   readonly #health: Health
+  readonly #readiness: Readiness
   readonly #stalls: Stalls
   readonly #reconciler: Reconciler
   readonly #sampling: Sampling
@@ -111,11 +113,12 @@
     this.#rooms = settings.sharedRoom === true ? this.#makeRooms() : undefined
     this.#evacuating = new Evacuating({ clock, log, board, roster: this.#roster, inFlight: this.#inFlight, span: settings.evacuation })
     this.#deliveries = new Deliveries({ clock, log, bounds: settings.unread })
-    this.#metrics = new Metrics({ clock, board, deliveries: this.#deliveries, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, connections: this.#connections, budgets: this.#budgets, rests: this.#conditions.rests, limiting: this.#limiting, evacuating: this.#evacuating, rooms: this.#rooms })
+    this.#metrics = new Metrics({ clock, board, deliveries: this.#deliveries, away: () => this.#readiness.cause !== undefined, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, connections: this.#connections, budgets: this.#budgets, rests: this.#conditions.rests, limiting: this.#limiting, evacuating: this.#evacuating, rooms: this.#rooms })
     this.#callers = this.#makeCallers()
     this.#confirmations = new Confirmations({ clock, board, peers, connections: this.#connections, informed: () => this.#leadership.informed })
     this.#upstreamFeed = this.#makeUpstreamFeed()
     this.#peerServer = new PeerServer({ clock, board, changes: new ChangeLog({ clock, board, roster: this.#roster, life: randomUUID(), wait: Math.min(longestChangeWait, changeWaitShare * settings.patience) }), crashes: this.#crashWatch.crashes, address: settings.peers, orders: platform.orders })
+    this.#readiness = new Readiness({ clock, log, limits: settings.readiness, memory: () => process.memoryUsage.rss(), connections: () => this.#callers.connections + this.#connections.count, others: () => this.#peers.live })
     this.#health = new Health(settings.health, () => this.ready)
     this.#stalls = this.#makeStalls()
     this.#reconciler = makeReconciler({
@@ -138,7 +141,7 @@
 
   /** Whether the balancer should send callers here. */
   get ready (): boolean {
-    return this.#board.read('inForce') !== undefined && this.#roster.hasList && !this.#board.read('stopping') && this.#callers.servesKeys
+    return this.#board.read('inForce') !== undefined && this.#roster.hasList && !this.#board.read('stopping') && this.#callers.servesKeys && this.#readiness.cause === undefined
   }
 
   /** Listens everywhere, then follows the platform. Rejects where an address cannot be taken. */
@@ -154,6 +157,7 @@
     this.#pauses.start()
     this.#rooms?.start()
     this.#stalls.start()
+    this.#readiness.start()
     this.#evacuating.start()
     this.#reconciler.start()
     this.#sampling.start()
@@ -175,7 +179,7 @@
     }
     this.#callers.close()
     this.#rooms?.stop()
-    for (const part of [this.#sampling, this.#reconciler, this.#stalls, this.#evacuating, this.#pauses, this.#confirmations, this.#upstreamFeed, this.#peerServer, this.#peers, this.#health, this.#metrics, this.#options.platform]) part.stop()
+    for (const part of [this.#sampling, this.#reconciler, this.#stalls, this.#readiness, this.#evacuating, this.#pauses, this.#confirmations, this.#upstreamFeed, this.#peerServer, this.#peers, this.#health, this.#metrics, this.#options.platform]) part.stop()
     this.#connections.close()
   }
 
@@ -308,6 +312,7 @@
       ...this.#conditions.news,
       ...this.#limiting.news,
       ...this.#evacuating.news,
+      ...this.#readiness.news,
       ...this.#rooms?.news
     }
   }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -21,6 +21,8 @@
   readonly clock: Clock
   readonly board: GatewayBoard
   readonly deliveries: Deliveries
+  /** Whether new callers are sent to other gateways. */
+  readonly away: () => boolean
   readonly roster: Roster
   readonly inFlight: InFlight
   readonly queue: Queue
@@ -131,7 +133,7 @@
   }
 
   #gauges (registers: Registry[]): void {
-    const { clock, board, deliveries, inFlight, queue, connections, budgets, rests, limiting: { limits, tokens, cold }, evacuating } = this.#options
+    const { clock, board, deliveries, away, inFlight, queue, connections, budgets, rests, limiting: { limits, tokens, cold }, evacuating } = this.#options
     const single = (name: string, help: string, read: () => number): void => {
       const gauge: Gauge = new Gauge({ name, help, registers, collect: () => gauge.set(read()) })
     }
@@ -152,6 +154,7 @@
     single('eiderwind_flights', 'Requests in flight at upstreams.', () => inFlight.total)
     single('eiderwind_waiting', 'Requests queued for an upstream.', () => queue.count)
     single('eiderwind_teams_above_share', 'Teams that were served more than their share lately.', () => queue.teamsAbove)
+    single('eiderwind_away', 'Whether this gateway runs short and has the balancer send new callers to others: 1 or 0.', () => Number(away()))
     single('eiderwind_slow_callers', 'Callers for whom a part of an answer is kept, since they have not read it.', () => deliveries.waiting)
     single('eiderwind_unread_bytes', 'Bytes of answers that are kept for them.', () => deliveries.bytes)
     single('eiderwind_callers_stalled_total', 'Callers whose connections were closed since they read nothing of what was kept for them.', () => deliveries.closed)
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -7,6 +7,7 @@
 import { type Log } from '@eiderwind/log'
 import { type ColdBound } from './limiting.js'
 import { type Platform } from './platform.js'
+import { type ReadinessLimits } from './readiness.js'
 
 /** What a gateway is made from. */
 export interface GatewayOptions {
@@ -51,6 +52,8 @@
   readonly evacuation: number | undefined
   /** Bounds on what is kept of answers that callers have not read (`[unread]`). */
   readonly unread: BacklogBounds
+  /** What the process may use before the balancer is told to send new callers to others (`[readiness]`). */
+  readonly readiness: ReadinessLimits
   /** Time between two heartbeats of an upstream at the platform. */
   readonly pulse: number
   /** How long an engine whose entry went, and that answers, is kept in its replica; 0: it counts as missing at once. */
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -62,6 +62,7 @@
   'evacuation-ended': { number: 426, level: 'info', text: 'The operator has taken back the evacuation of the data centre `dataCentre`: its upstreams get requests again.' },
   'upstream-cold': { number: 427, level: 'info', text: 'An upstream is cold: this gateway issues the tokens for the requests that it gets from all together, `limit` a second, for `remaining` ms.' },
   'room-contended': { number: 428, level: 'info', text: 'Room at the heads of a model is scarce, or no longer is (`contended`): its places are issued by one gateway, `issuer`.' },
+  'gateway-strained': { number: 429, level: 'warn', text: 'This gateway runs short of `cause` and has the balancer send new callers to others, or no longer (`away`): how late its event loop is, in ms, and the parts of its memory and descriptors that it uses.' },
   'configuration-unconfirmed': { number: 430, level: 'warn', text: 'The configuration was not confirmed in time; requests with API keys are refused.' },
   'configuration-confirmed': { number: 431, level: 'info', text: 'The configuration is confirmed again.' },
   'planner-acts': { number: 440, level: 'info', text: 'This gateway now plans the replicas of a service.' },
--- a/packages/peers/src/heartbeat.ts
+++ b/packages/peers/src/heartbeat.ts
@@ -58,6 +58,8 @@
   readonly contended?: readonly string[]
   /** The number of the last grant of a place that it got, by the gateway that gave it. Absent where there are none. */
   readonly grants?: Readonly<Record<string, number>>
+  /** Whether the sender runs short and has the balancer send new callers to others. Absent: no. */
+  readonly away?: boolean
   /** Digest of the requests that the sender has blocked. Absent where there are none. */
   readonly blocked?: string
 }
@@ -102,11 +104,13 @@
   /** `contended`. Absent where there are none. */
   contended: z.array(z.string()).optional(),
   /** `grants`. Absent where there are none. */
-  grants: z.record(z.string(), z.int().nonnegative()).optional()
+  grants: z.record(z.string(), z.int().nonnegative()).optional(),
+  /** `away`. Absent where it is not so. */
+  away: z.literal(true).optional()
 })
 
 /** The datagram of a heartbeat. */
-export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads, interval, asks, terms, crashes, cleared, trials, blocked, leaving, limits, evacuation, cold, contended, grants }: Heartbeat): string {
+export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, inFlightByModel, served, loads, interval, asks, terms, crashes, cleared, trials, blocked, leaving, limits, evacuation, cold, contended, grants, away }: Heartbeat): string {
   return JSON.stringify({
     id,
     revision,
@@ -129,7 +133,8 @@
     evacuation,
     cold: unlessEmpty(cold),
     contended: unlessEmpty(contended),
-    grants: unlessEmpty(grants)
+    grants: unlessEmpty(grants),
+    away: onlyTrue(away)
   })
 }
 
--- a/packages/settings/src/shapes.ts
+++ b/packages/settings/src/shapes.ts
@@ -111,6 +111,14 @@
   return z.string().default('').transform(text => text === '' ? fallback : text).pipe(Share)
 }
 
+/** An amount of which another program has filled in nothing but its unit. */
+const emptyAmount = /^ ?(B|KiB|MiB)?$/
+
+/** A limit that another program fills in and may leave empty, with or without its unit: there is none then. */
+function optionalLimit (limit: z.ZodType<number, string>) {
+  return z.string().default('').transform(text => emptyAmount.test(text) ? undefined : text).pipe(limit.optional())
+}
+
 /** A share that another program fills in and may leave empty: what it is for is then off. */
 const optionalShare = z.string().default('').transform(text => text === '' ? undefined : text).pipe(Share.optional())
 
@@ -173,6 +181,14 @@
     /** How long a caller may read nothing of it before its connection is closed. */
     patience: Time.default(10_000)
   }).prefault({}),
+  readiness: z.strictObject({
+    /** How late the event loop may be on average before new callers are sent to other gateways. Empty: it does not matter. */
+    lateness: OptionalTime,
+    /** Memory that the process may use. Empty: unlimited. */
+    memory: optionalLimit(Bytes),
+    /** Descriptors that it may use. Empty: unlimited. */
+    descriptors: optionalLimit(z.string().regex(/^\d+$/, 'a whole number').transform(Number))
+  }).prefault({}),
   planner: z.strictObject({
     /** How long an engine whose entry went, and that answers, is kept in its replica; 0: it counts as missing at once. */
     keep_unlisted: time('0 ms')
--- a/packages/settings/test/forms.test.ts
+++ b/packages/settings/test/forms.test.ts
@@ -9,6 +9,7 @@
   '[bounds]', 'revoke = 5000 ms', 'strict_keys = false', 'drain = 4000 ms', 'evacuate = 5 s', 'grace = 8 s', 'pulse = 1200 ms', 'retry_ratio = 0.2', 'retry_slack = 160', 'retry_window = 10 s', 'cold_overshoot = 1.5', 'cold_slack = 5',
   '[room]', 'fair = true', 'shared = true',
   '[unread]', 'caller = 128 KiB', 'total = 16 MiB', 'patience = 5 s',
+  '[readiness]', 'lateness = 30 ms', 'memory = 350 MiB', 'descriptors = 4100',
   '[planner]', 'keep_unlisted = 8 s',
   '[observe]', 'level = debug', 'metrics = 10.0.0.1:7341'
 ].join('\n')
@@ -23,6 +24,7 @@
       bounds: { revoke: 5000, strict_keys: false, drain: 4000, evacuate: 5000, grace: 8000, pulse: 1200, retry_ratio: 0.2, retry_slack: 160, retry_window: 10_000, cold_overshoot: 1.5, cold_slack: 5 },
       room: { fair: true, shared: true },
       unread: { caller: 131_072, total: 16_777_216, patience: 5000 },
+      readiness: { lateness: 30, memory: 367_001_600, descriptors: 4100 },
       planner: { keep_unlisted: 8000 },
       observe: { level: 'debug', metrics: '10.0.0.1:7341' }
     }
@@ -30,13 +32,14 @@
 })
 
 test('what is left out or empty has its default', t => {
-  const short = text.split('\n').filter(each => !/^(first|revoke|strict_keys|drain|evacuate|grace|pulse|retry_|cold_|fair|shared|keep_unlisted|caller =|total|patience|level|metrics)/.test(each)).join('\n')
-  const settings = checkSettings('x.ini', short.replace('[bounds]', '[bounds]\nrevoke =\nstrict_keys =\ndrain =\nevacuate =\ngrace =\npulse =\nretry_ratio =\nretry_slack =\nretry_window =\ncold_overshoot =\ncold_slack =').replace('[planner]', '[planner]\nkeep_unlisted =').replace('[observe]', '[observe]\nmetrics =')).unwrap() as { direct: object }
+  const short = text.split('\n').filter(each => !/^(first|revoke|strict_keys|drain|evacuate|grace|pulse|retry_|cold_|fair|shared|keep_unlisted|caller =|total|patience|lateness|memory|descriptors|level|metrics)/.test(each)).join('\n')
+  const settings = checkSettings('x.ini', short.replace('[bounds]', '[bounds]\nrevoke =\nstrict_keys =\ndrain =\nevacuate =\ngrace =\npulse =\nretry_ratio =\nretry_slack =\nretry_window =\ncold_overshoot =\ncold_slack =').replace('[planner]', '[planner]\nkeep_unlisted =').replace('[readiness]', '[readiness]\nlateness = ms\nmemory = MiB\ndescriptors =').replace('[observe]', '[observe]\nmetrics =')).unwrap() as { direct: object }
   t.like(settings.direct, {
     process: { first: false },
     bounds: { revoke: 5000, strict_keys: true, drain: 2000, evacuate: undefined, grace: 8000, pulse: 1200, retry_ratio: 0.1, retry_slack: 20, retry_window: 10_000, cold_overshoot: undefined, cold_slack: undefined },
     room: { fair: false, shared: false },
     unread: { caller: 32_768, total: 33_554_432, patience: 10_000 },
+    readiness: { lateness: undefined, memory: undefined, descriptors: undefined },
     planner: { keep_unlisted: 0 },
     observe: { level: 'info', metrics: '' }
   })
@@ -50,6 +53,13 @@
   t.true(checkSettings('x.ini', text.replace('evacuate = 5 s', 'evacuate = soon'), 'direct').isErr())
 })
 
+test('limits of what a gateway uses may be left empty, with their units, and are numbers else', t => {
+  for (const key of ['lateness = soon', 'memory = much', 'memory = 350 MB', 'descriptors = many', 'descriptors = 1.5']) {
+    const [name] = key.split(' ')
+    t.true(checkSettings('x.ini', text.replace(new RegExp(`^${name} = .*$`, 'm'), key), 'direct').isErr(), key)
+  }
+})
+
 test('an amount of memory has a unit that is known, or none', t => {
   const given = (amount: string): ReturnType<typeof checkSettings> => checkSettings('x.ini', text.replace('caller = 128 KiB', `caller = ${amount}`), 'direct')
   for (const [amount, bytes] of [['100', 100], ['100 B', 100], ['64KiB', 65_536], ['2 MiB', 2_097_152]] as const) {
--- a/packages/wire/src/connections.ts
+++ b/packages/wire/src/connections.ts
@@ -58,6 +58,11 @@
     return this.#opened
   }
 
+  /** Connections that are open now, idle ones too. */
+  get count (): number {
+    return this.#open.size
+  }
+
   /** Sends a call on an idle connection or a new one. @param fresh on a new one in any case */
   send (call: Call, receiver: Receiver, fresh = false): Cancel {
     const connection = (fresh ? undefined : this.#takeIdle(call.origin)) ?? this.#make(call.origin)
