--- a/packages/peers/test/peers.test.ts
+++ b/packages/peers/test/peers.test.ts
@@ -293,3 +293,11 @@
   await new Promise(resolve => setTimeout(resolve, 100))
   t.true(other.received.length > before)
 })
+
+test('a gateway that has callers sent to others says so, and one that does not says nothing', t => {
+  const text = encode(heartbeat({ away: true }))
+  t.is(text, datagram.replace('"served":true}', '"served":true,"away":true}'))
+  t.true(decode(Buffer.from(text))?.away)
+  t.is(encode(heartbeat({ away: false })), datagram)
+  t.is(decode(Buffer.from(datagram))?.away, undefined)
+})
