--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -13,8 +13,8 @@
 import { outgoingCall } from './outgoing.js'
 import { type CallerRequest } from './request.js'
 
-/** Longest answer that is collected, in bytes: a bound on memory. */
-const maxCollected = 8 * 2 ** 20
+/** Longest answer that is collected, and longest event of a stream, in bytes: a bound on memory. */
+export const maxCollected = 8 * 2 ** 20
 
 /** Errors of a connection that did not come up, after which the upstream is suspected. */
 const unreachable = new Set(['UND_ERR_CONNECT_TIMEOUT', 'ECONNREFUSED', 'EHOSTUNREACH'])
@@ -74,8 +74,20 @@
     return this.#options.request
   }
 
-  protected get flow (): Flow | undefined {
-    return this.#flow
+  /** Reads no further from the upstream, which owes nothing until it is read again. */
+  protected pause (): void {
+    const { context } = this.#options
+    if (this.#ended) return
+    this.#flow?.pause()
+    if (this.#inFlight !== undefined) context.inFlight.pause(this.#inFlight)
+  }
+
+  /** Reads on after `pause`. */
+  protected resume (): void {
+    const { context } = this.#options
+    if (this.#ended) return
+    if (this.#inFlight !== undefined) context.inFlight.resume(this.#inFlight)
+    this.#flow?.resume()
   }
 
   start (): void {
--- a/packages/forward/src/events.ts
+++ b/packages/forward/src/events.ts
@@ -16,17 +16,24 @@
 const emptyLine = '\n\n'
 const emptyLineCrlf = '\n\r\n'
 
+const nothing = Buffer.alloc(0)
+
 const idField = Buffer.from('id:')
 
 /** Splits the bytes of one stream into events. */
 export class EventSplitter {
-  #rest: Buffer = Buffer.alloc(0)
+  #rest: Buffer = nothing
 
   /** Whether all bytes so far belong to complete events. */
   get atBoundary (): boolean {
     return this.#rest.length === 0
   }
 
+  /** Bytes of the event that is not complete yet. */
+  get held (): number {
+    return this.#rest.length
+  }
+
   /** Takes the next bytes, and returns the events that they complete. */
   push (chunk: Buffer): StreamEvent[] {
     const bytes = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk])
@@ -37,7 +44,8 @@
       events.push({ bytes: event, id: eventId(event) })
       start = end
     }
-    this.#rest = bytes.subarray(start)
+    // A view of the bytes would keep all of them in memory.
+    this.#rest = start === bytes.length ? nothing : Buffer.from(bytes.subarray(start))
     return events
   }
 }
--- a/packages/forward/src/streamattempt.ts
+++ b/packages/forward/src/streamattempt.ts
@@ -5,7 +5,7 @@
  */
 import { endToEnd, type AnswerHeaders } from '@eiderwind/wire'
 import { endWithConnection, isFramed } from './answers.js'
-import { Attempt, type AttemptOptions } from './attempt.js'
+import { Attempt, maxCollected, type AttemptOptions } from './attempt.js'
 import { EventSplitter, type StreamEvent } from './events.js'
 
 /** What the caller of a stream has got so far, over all attempts. */
@@ -63,12 +63,15 @@
 
   protected onChunk (chunk: Buffer): void {
     const events = this.#splitter.push(chunk).filter(({ id }) => this.#isNew(id))
+    if (this.#splitter.held > maxCollected) return this.abort('an event is too long')
     if (events.length === 0) return
+    for (const { id } of events) this.#progress.lastEvent = id ?? this.#progress.lastEvent
+    const { request } = this
+    request.passOn()
     this.#onFirst?.()
     this.#onFirst = undefined
-    for (const { id } of events) this.#progress.lastEvent = id ?? this.#progress.lastEvent
-    this.request.passOn()
-    if (!this.request.response.write(joined(events))) this.#pauseUntilDrained()
+    request.delivery.write(joined(events))
+    if (request.delivery.isFull(() => this.resume())) this.pause()
   }
 
   /**
@@ -82,15 +85,13 @@
   #isNew (id: number | undefined): boolean {
     return id === undefined || this.#progress.lastEvent === undefined || id > this.#progress.lastEvent
   }
-
-  /** Reads no more from the upstream until the caller has read what was written. */
-  #pauseUntilDrained (): void {
-    const { flow } = this
-    flow?.pause()
-    this.request.response.once('drain', () => flow?.resume())
-  }
 }
 
+/** The bytes of events in order; without a copy where they came as one. */
 function joined (events: readonly StreamEvent[]): Buffer {
-  return events.length === 1 ? events[0].bytes : Buffer.concat(events.map(({ bytes }) => bytes))
+  const { buffer, byteOffset } = events[0].bytes
+  const length = events.reduce((sum, { bytes }) => sum + bytes.length, 0)
+  const last = events[events.length - 1].bytes
+  const contiguous = last.buffer === buffer && last.byteOffset + last.length === byteOffset + length
+  return contiguous ? Buffer.from(buffer, byteOffset, length) : Buffer.concat(events.map(({ bytes }) => bytes))
 }
--- a/packages/gateway/src/callers.ts
+++ b/packages/gateway/src/callers.ts
@@ -8,7 +8,7 @@
 import { refusals } from '@eiderwind/dispatch'
 import { type UsualPatience } from '@eiderwind/fairness'
 import { Fault } from '@eiderwind/fault'
-import { CallerRequest, PlainPath, StreamPath, type Context } from '@eiderwind/forward'
+import { CallerRequest, PlainPath, StreamPath, type Context, type Deliveries } from '@eiderwind/forward'
 import { pickShare } from '@eiderwind/traffic'
 import { header, listen, readBody, refuse } from '@eiderwind/wire'
 import { admit, type Admission } from './admission.js'
@@ -28,6 +28,8 @@
   readonly random: Random
   /** What callers of each route usually say they wait; absent where it does not matter who came back. */
   readonly patience: UsualPatience | undefined
+  /** What brings answers to callers as they read. */
+  readonly deliveries: Deliveries
   /** Called with the code of each request that is refused before anything is chosen for it. */
   readonly refused: (code: string) => void
   /** Called once for each admitted request, with its outcome. */
@@ -48,6 +50,7 @@
   readonly #options: CallersOptions
   readonly #server: Server
   readonly #open = new Set<CallerRequest>()
+  #connections = 0
   #refusing = false
   #served = false
 
@@ -55,6 +58,10 @@
     this.#options = options
     this.#server = createServer({ maxHeaderSize: headLimit, connectionsCheckingInterval: checkInterval, requestTimeout: 0, noDelay: true })
     this.#server.on('request', (request, response) => this.#take(request, response))
+    this.#server.on('connection', socket => {
+      this.#connections++
+      socket.once('close', () => { this.#connections-- })
+    })
     options.board.listen('inForce', inForce => { if (inForce !== undefined) this.#limit(inForce) })
   }
 
@@ -68,6 +75,11 @@
     return this.#open.size
   }
 
+  /** Callers' connections. */
+  get connections (): number {
+    return this.#connections
+  }
+
   /** Whether requests with keys are served now. */
   get servesKeys (): boolean {
     return !this.#options.strictKeys || this.#fresh
@@ -139,7 +151,7 @@
 
   /** The request of an admitted caller; a fault where its own headers are not in order. */
   #request (incoming: IncomingMessage, response: ServerResponse, body: Buffer, { route, team }: Admission, arrivedAt: number): CallerRequest | Fault {
-    const { context, random, ended, patience } = this.#options
+    const { context, random, ended, patience, deliveries } = this.#options
     const { names, clock } = context
     const id = header(incoming, names.request)
     if (id === undefined) return refusals.badRequest(`The header ${names.request} is missing.`)
@@ -159,6 +171,7 @@
       endsAt: arrivedAt + Math.min(span, route.timeout),
       spent: patience?.spent(route.name, span, arrivedAt),
       idHeader: names.request,
+      deliveries,
       onEnd: (request, outcome) => {
         this.#open.delete(request)
         ended(request, outcome)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,11 +8,11 @@
 import { Choice, FairQueue, Intake, OfferedLoad, Queue } from '@eiderwind/dispatch'
 import { UsualPatience } from '@eiderwind/fairness'
 import { type Reconciler } from '@eiderwind/forming'
-import { type Context } from '@eiderwind/forward'
+import { Deliveries, type Context } from '@eiderwind/forward'
 import { Peers, type Heartbeat, type PeerAddress } from '@eiderwind/peers'
 import { Outage, Roster } from '@eiderwind/roster'
 import { Connections } from '@eiderwind/wire'
-import { Unread } from '@eiderwind/work'
+import { Forecast } from '@eiderwind/work'
 import { Budgets } from './budgets.js'
 import { Callers } from './callers.js'
 import { ChangeLog } from './changelog.js'
@@ -29,6 +29,7 @@
 import { Metrics } from './metrics.js'
 import { PeerServer } from './peerserver.js'
 import { makeReconciler } from './planning.js'
+import { Readiness } from './readiness.js'
 import { RequestLog } from './requestlog.js'
 import { Rooms } from './rooms.js'
 import { Sampling } from './sampling.js'
@@ -78,10 +79,12 @@
   readonly #leadership: Leadership
   readonly #budgets: Budgets
   readonly #callers: Callers
+  readonly #deliveries: Deliveries
   readonly #confirmations: Confirmations
   readonly #upstreamFeed: UpstreamFeed
   readonly #peerServer: PeerServer
   readonly #health: Health
+  readonly #readiness: Readiness
   readonly #stalls: Stalls
   readonly #reconciler: Reconciler
   readonly #sampling: Sampling
@@ -111,11 +114,13 @@
     this.#choice = new Choice({ roster: this.#roster, inFlight: this.#inFlight, suspects: this.#suspects, intake: this.#intake, random: Math.random, peers, dataCentre: settings.dataCentre })
     this.#rooms = settings.sharedRoom === true ? this.#makeRooms() : undefined
     this.#evacuating = new Evacuating({ clock, log, board, roster: this.#roster, inFlight: this.#inFlight, span: settings.evacuation })
-    this.#metrics = new Metrics({ clock, board, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, connections: this.#connections, budgets: this.#budgets, rests: this.#conditions.rests, limiting: this.#limiting, evacuating: this.#evacuating, rooms: this.#rooms })
+    this.#deliveries = new Deliveries({ clock, log, bounds: settings.unread })
+    this.#metrics = new Metrics({ clock, board, deliveries: this.#deliveries, away: () => this.#readiness.cause !== undefined, roster: this.#roster, inFlight: this.#inFlight, queue: this.#queue, connections: this.#connections, budgets: this.#budgets, rests: this.#conditions.rests, limiting: this.#limiting, evacuating: this.#evacuating, rooms: this.#rooms })
     this.#callers = this.#makeCallers()
     this.#confirmations = new Confirmations({ clock, board, peers, connections: this.#connections, informed: () => this.#leadership.informed })
     this.#upstreamFeed = this.#makeUpstreamFeed()
     this.#peerServer = new PeerServer({ clock, board, changes: new ChangeLog({ clock, board, roster: this.#roster, life: randomUUID(), wait: Math.min(longestChangeWait, changeWaitShare * settings.patience) }), crashes: this.#crashWatch.crashes, address: settings.peers, orders: platform.orders })
+    this.#readiness = new Readiness({ clock, log, limits: settings.readiness, memory: () => process.memoryUsage.rss(), connections: () => this.#callers.connections + this.#connections.count, others: () => this.#peers.live })
     this.#health = new Health(settings.health, () => this.ready)
     this.#stalls = this.#makeStalls()
     this.#reconciler = makeReconciler({
@@ -138,7 +143,7 @@
 
   /** Whether the balancer should send callers here. */
   get ready (): boolean {
-    return this.#board.read('inForce') !== undefined && this.#roster.hasList && !this.#board.read('stopping') && this.#callers.servesKeys
+    return this.#board.read('inForce') !== undefined && this.#roster.hasList && !this.#board.read('stopping') && this.#callers.servesKeys && this.#readiness.cause === undefined
   }
 
   /** Listens everywhere, then follows the platform. Rejects where an address cannot be taken. */
@@ -154,6 +159,7 @@
     this.#pauses.start()
     this.#rooms?.start()
     this.#stalls.start()
+    this.#readiness.start()
     this.#evacuating.start()
     this.#reconciler.start()
     this.#sampling.start()
@@ -161,7 +167,7 @@
 
   /**
    * Stops as planned: says "not ready", waits until the balancer has noticed, finishes what is in flight, refuses what
-   * still comes after `refuseAfter`, and closes everything once nothing is open or the grace is over.
+   * still comes after `refuseAfter`, and closes everything once all answers are delivered or the grace is over.
    */
   async stop (): Promise<void> {
     const { clock, settings } = this.#options
@@ -169,13 +175,13 @@
     this.#board.write('stopping', true)
     this.#leadership.resign()
     await clock.wait(settings.notice)
-    while (this.#callers.open > 0 && clock.now() - begun < settings.grace) {
+    while (this.#callers.open + this.#deliveries.waiting > 0 && clock.now() - begun < settings.grace) {
       if (clock.now() - begun > settings.refuseAfter) this.#callers.refuse()
       await clock.wait(stopInterval)
     }
     this.#callers.close()
     this.#rooms?.stop()
-    for (const part of [this.#sampling, this.#reconciler, this.#stalls, this.#evacuating, this.#pauses, this.#confirmations, this.#upstreamFeed, this.#peerServer, this.#peers, this.#health, this.#metrics, this.#options.platform]) part.stop()
+    for (const part of [this.#sampling, this.#reconciler, this.#stalls, this.#readiness, this.#evacuating, this.#pauses, this.#confirmations, this.#upstreamFeed, this.#peerServer, this.#peers, this.#health, this.#metrics, this.#options.platform]) part.stop()
     this.#connections.close()
   }
 
@@ -186,12 +192,13 @@
   }
 
   #makeCallers (): Callers {
-    const { clock, log, platform, settings: { callers: address, freshness, strictKeys, fair } } = this.#options
+    const { clock, log, platform, settings: { callers: address, dataCentre, freshness, strictKeys, fair } } = this.#options
     const conditions = this.#conditions
     const rooms = this.#rooms
     const context: Context = {
       clock,
       log,
+      dataCentre,
       roster: this.#roster,
       inFlight: this.#inFlight,
       suspects: this.#suspects,
@@ -203,7 +210,7 @@
       choice: this.#choice,
       queue: this.#queue,
       offered: this.#offered,
-      unread: new Unread(),
+      forecast: new Forecast(),
       places: rooms?.asker,
       retryBudget: service => this.#budgets.of(service),
       answered: (upstream, head) => {
@@ -220,6 +227,7 @@
       strictKeys,
       random: Math.random,
       patience: fair ? new UsualPatience() : undefined,
+      deliveries: this.#deliveries,
       refused: code => this.#metrics.refused(code),
       ended: (request, outcome) => requests.ended(request, outcome)
     })
@@ -307,6 +315,7 @@
       ...this.#conditions.news,
       ...this.#limiting.news,
       ...this.#evacuating.news,
+      ...this.#readiness.news,
       ...this.#rooms?.news
     }
   }
--- a/packages/wire/src/connections.ts
+++ b/packages/wire/src/connections.ts
@@ -35,11 +35,13 @@
   closed: boolean
   /** How the other side ended it, if it has. */
   ending: 'closed' | 'reset' | undefined
+  /** Whether an answer on it was not read for a while: the other side may have sent all of it long ago, and be closing a connection that it takes for idle. */
+  wasPaused: boolean
 }
 
 /**
- * Sends calls, one at a time on each connection. A connection is used again only after a whole answer with no bytes
- * behind it, and only as long as the other side keeps it.
+ * Sends calls, one at a time on each connection. A connection is used again only after a whole answer that was read as it
+ * came, with no bytes behind it, and only as long as the other side keeps it.
  */
 export class Connections {
   readonly #connectTime: number
@@ -58,6 +60,11 @@
     return this.#opened
   }
 
+  /** Connections that are open now, idle ones too. */
+  get count (): number {
+    return this.#open.size
+  }
+
   /** Sends a call on an idle connection or a new one. @param fresh on a new one in any case */
   send (call: Call, receiver: Receiver, fresh = false): Cancel {
     const connection = (fresh ? undefined : this.#takeIdle(call.origin)) ?? this.#make(call.origin)
@@ -97,14 +104,14 @@
       keepAliveTimeout: this.#idleTime,
       keepAliveTimeoutThreshold: keepAliveMargin
     })
-    const connection: Connection = { client, closed: false, ending: undefined }
+    const connection: Connection = { client, closed: false, ending: undefined, wasPaused: false }
     this.#open.add(connection)
     client.on('disconnect', () => this.#close(connection))
     return connection
   }
 
   #done (origin: string, connection: Connection, whole: boolean): void {
-    if (!whole || connection.closed) return this.#close(connection)
+    if (!whole || connection.wasPaused || connection.closed) return this.#close(connection)
     // The library reads on a turn later. Bytes that came behind the answer close the connection before it is kept.
     setImmediate(() => setImmediate(() => this.#keep(origin, connection)))
   }
@@ -149,7 +156,14 @@
 
   head (status: number, headers: AnswerHeaders, flow: Flow): void {
     this.#framed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-    this.#receiver.head(status, headers, flow)
+    this.#receiver.head(status, headers, {
+      pause: () => {
+        this.#connection.wasPaused = true
+        flow.pause()
+      },
+      resume: () => flow.resume(),
+      abort: reason => flow.abort(reason)
+    })
   }
 
   data (chunk: Buffer): void {
--- a/packages/wire/test/connections.test.ts
+++ b/packages/wire/test/connections.test.ts
@@ -2,7 +2,7 @@
 import { createServer, type Server, type Socket } from 'node:net'
 import test from 'ava'
 import { SystemClock } from '@eiderwind/clock'
-import { Connections, ask } from '../src/index.js'
+import { Connections, Receiver, ask, type AnswerHeaders, type CallFailure, type Flow } from '../src/index.js'
 
 const clock = new SystemClock()
 
@@ -107,3 +107,44 @@
   const error = await t.throwsAsync(call(new Connections(), nobodyListens))
   t.like(error, { sent: false, refused: true })
 })
+
+/** Reads an answer at once, or not before a while. */
+class PausingReceiver extends Receiver {
+  readonly #pauses: boolean
+  readonly #ended: () => void
+
+  constructor (pauses: boolean, ended: () => void) {
+    super()
+    this.#pauses = pauses
+    this.#ended = ended
+  }
+
+  head (_status: number, _headers: AnswerHeaders, flow: Flow): void {
+    if (!this.#pauses) return
+    flow.pause()
+    setTimeout(() => flow.resume(), 50)
+  }
+
+  data (): void {}
+
+  end (): void {
+    this.#ended()
+  }
+
+  fail ({ error }: CallFailure): void {
+    throw error
+  }
+}
+
+for (const [how, pauses, count] of [['was paused is not', true, 2], ['was read as it came is', false, 1]] as const) {
+  test(`a connection whose answer ${how} used again`, async t => {
+    const { origin, server, sockets } = await upstream(socket => socket.write(whole))
+    const connections = new Connections()
+    await new Promise<void>(resolve => connections.send({ origin, path: '/', method: 'GET', headers: {}, body: undefined }, new PausingReceiver(pauses, resolve)))
+    await settle()
+    t.is(await call(connections, origin), 'ok')
+    t.is(sockets(), count)
+    connections.close()
+    server.close()
+  })
+}
