Keep the weights that an engine had in use when it leaves its replica

Cause: an engine in no replica names no weights in its record. The former head of each dissolved replica, which had to leave it, counted as holding what its host has alone: on engines that serve the small model, the large one. The emulator listed the weights on, so no test showed it. Change: the roster keeps what the record named before the engine left, until it joins again; Unlisted does for those that left by an order. The emulator does as the platform: an engine that leaves names none.

--- a/packages/detect/src/unlisted.ts
+++ b/packages/detect/src/unlisted.ts
@@ -7,7 +7,7 @@
  */
 import { isDeepStrictEqual } from 'node:util'
 import { type Clock } from '@eiderwind/clock'
-import { type Departure, type Roster, type Upstream } from '@eiderwind/roster'
+import { withWeightsInUse, type Departure, type Roster, type Upstream } from '@eiderwind/roster'
 import { type EngineReport, type Probes } from './probes.js'
 
 /** Dependencies of `Unlisted`. Spans are in ms. */
@@ -185,8 +185,10 @@
     if (absentee.hints >= leavingHints) this.#end(absentee, 'leaving')
   }
 
-  #withoutLeft ({ left }: Absentee, upstream: Upstream): Upstream {
-    if (left === undefined || left.replica !== upstream.membership?.replica || this.#options.clock.now() - left.at >= reportAge) return upstream
+  #withoutLeft ({ left, upstream: before }: Absentee, upstream: Upstream): Upstream {
+    if (left === undefined) return upstream
+    if (upstream.membership === undefined) return withWeightsInUse(upstream, before)
+    if (left.replica !== upstream.membership?.replica || this.#options.clock.now() - left.at >= reportAge) return upstream
     return { ...upstream, membership: undefined }
   }
 
--- a/packages/detect/test/unlisted.test.ts
+++ b/packages/detect/test/unlisted.test.ts
@@ -168,6 +168,16 @@
   t.deepEqual([made.ends, made.unlisted.engines], [['expired'], []])
 })
 
+test('one that has left its replica by an order and names no weights keeps those that it had in use', async t => {
+  const made = new Case()
+  made.lapse()
+  await made.pass(100)
+  made.unlisted.left('a', 's.d.1')
+  made.probes.said = { loaded: [], staged: ['n'], membership: undefined, leaving: false }
+  await made.pass(1000)
+  t.deepEqual(made.unlisted.engines.map(({ loaded, staged, membership }) => ({ loaded, staged, membership })), [{ loaded: ['m'], staged: ['n'], membership: undefined }])
+})
+
 test('what names a replica that an engine has just left is older; a second later it has joined that one again', async t => {
   const made = new Case()
   made.lapse()
--- a/packages/emulator/src/engines.ts
+++ b/packages/emulator/src/engines.ts
@@ -14,6 +14,8 @@
   reachable: boolean
   seenEpoch: number
   pulse: number
+  /** The model whose weights it has in use, also once it has left its replica and names none. */
+  inUse: string | undefined
 }
 
 /** Broken rules, as the engines see them. */
@@ -75,7 +77,7 @@
   /** Adds an engine. @param staged what its host holds; nothing in a new one */
   add (id: string, domain: string, staged: readonly string[] = [], dataCentre = 'dc'): void {
     const upstream: Upstream = { id, service: this.#service.name, address: `${id}:1`, dataCentre, leaving: false, domain, loaded: [], staged: [...staged] }
-    this.#nodes.set(id, { upstream, alive: true, reachable: true, seenEpoch: 0, pulse: 0 })
+    this.#nodes.set(id, { upstream, alive: true, reachable: true, seenEpoch: 0, pulse: 0, inUse: undefined })
     this.roster.replace([...this.roster.upstreams, upstream])
   }
 
@@ -195,15 +197,16 @@
     this.#lists.set(key, members)
     const model = order.model as string
     const { load, warm } = this.#service.engine.models.find(each => each.name === model) as Engine['models'][number]
-    const { loaded, staged } = node.upstream
-    const needsLoad = !loaded.includes(model) && !staged.includes(model)
-    const time = loaded.includes(model) ? 200 : needsLoad ? load * this.loadFactor : warm
+    const { staged } = node.upstream
+    const needsLoad = node.inUse !== model && !staged.includes(model)
+    const time = node.inUse === model ? 200 : needsLoad ? load * this.loadFactor : warm
     if (needsLoad) this.#loads()
     this.#change(node, { membership: { replica: order.replica, epoch: order.epoch, rank: members.indexOf(order.node), state: 'joining' }, loaded: [], staged })
     this.clock.after(time, () => {
       if (!node.alive || !this.#fits(node, order) || node.upstream.membership?.state !== 'joining') return
       const ready = this.#ready.get(key) ?? new Set<string>()
       this.#ready.set(key, ready.add(order.node))
+      node.inUse = model
       this.#change(node, { loaded: [model], staged: [model] })
       this.#be(node, 'ready')
     })
@@ -228,7 +231,7 @@
 
   #leave (node: Node, order: Order): OrderResult {
     if (!this.#fits(node, order)) return 'refused'
-    this.#change(node, { membership: undefined })
+    this.#change(node, { membership: undefined, loaded: [] })
     return 'taken'
   }
 
--- a/packages/emulator/test/forming.test.ts
+++ b/packages/emulator/test/forming.test.ts
@@ -444,3 +444,28 @@
   t.deepEqual(made.given.filter(each => each.node === 'new'), ordered)
   second.stop()
 })
+
+test('the former head of a replica takes part in the next one of its model without a load, though its host holds the weights of another one', async t => {
+  const made = new World(new ManualClock())
+  for (let domain = 0; domain < 3; domain++) {
+    for (let index = 0; index < 10; index++) made.add(`n${domain}-${index}`, `d${domain}`)
+  }
+  const suspects = new Set<string>()
+  const forming = planner(made, new MemoryPlacements(), { suspects })
+  forming.start()
+  await pass(made, 40_000)
+  const lost = made.open.filter(each => each.model === 'small' && made.upstream(each.head).domain === 'd0')
+  t.is(lost.length, 2)
+  for (const { head, members } of lost) {
+    t.deepEqual(made.upstream(head).staged, ['large'])
+    made.kill(members[1])
+    suspects.add(head)
+  }
+  const before = made.given.length
+  await pass(made, 6000)
+  const heads = lost.map(each => each.head)
+  t.deepEqual(made.given.slice(before).filter(each => heads.includes(each.node) && each.loads && each.model === 'small').map(each => [each.kind, each.node]), [])
+  t.is(made.serving.small, 6)
+  t.deepEqual(made.broken, [])
+  forming.stop()
+})
--- a/packages/roster/src/roster.ts
+++ b/packages/roster/src/roster.ts
@@ -7,7 +7,7 @@
 import { type Clock } from '@eiderwind/clock'
 import { evacuatedUpstreams } from './evacuation.js'
 import { type Outage } from './outage.js'
-import { listedName, type Upstream } from './upstream.js'
+import { listedName, withWeightsInUse, type Upstream } from './upstream.js'
 
 /**
  * A change of one upstream's record: its new content, or the name of a record that is no longer listed. `certain`: something else stands in its
@@ -197,7 +197,8 @@
     if (present !== undefined && present.id !== record.id) this.#end(present)
     this.#lapsed.delete(record.id)
     const leaving = record.leaving || this.#departures.get(record.id)?.upstream.leaving === true
-    const upstream = leaving ? { ...record, leaving } : record
+    const known = withWeightsInUse(record, this.#upstreams.get(record.id))
+    const upstream = leaving ? { ...known, leaving } : known
     const isNew = !isDeepStrictEqual(upstream, this.#upstreams.get(record.id))
     this.#keep(upstream)
     if (leaving) this.#depart(upstream)
--- a/packages/roster/src/upstream.ts
+++ b/packages/roster/src/upstream.ts
@@ -51,3 +51,12 @@
 export function listedName ({ id, name }: Pick<Upstream, 'id' | 'name'>): string {
   return name ?? id
 }
+
+/**
+ * An engine that has left its replica keeps the weights that it had in use until it loads others, though its record names none then: it serves the same model
+ * again without a load.
+ */
+export function withWeightsInUse (record: Upstream, before: Upstream | undefined): Upstream {
+  const isOut = record.membership === undefined && record.loaded.length === 0
+  return isOut && before !== undefined && before.loaded.length > 0 ? { ...record, loaded: before.loaded } : record
+}
--- a/packages/roster/test/roster.test.ts
+++ b/packages/roster/test/roster.test.ts
@@ -139,3 +139,18 @@
   clock.advance(2600)
   t.true(outage.listComplete)
 })
+
+test('an engine that has left its replica keeps the weights that it had in use, until it loads others or begins a later life', t => {
+  const roster = new Roster(new ManualClock())
+  const loaded = (): readonly string[] | undefined => roster.find('a')?.loaded
+  roster.replace([engine('a', { membership: open, staged: ['n'] })])
+  roster.apply([{ upstream: engine('a', { loaded: [], staged: ['n'] }) }])
+  t.deepEqual(loaded(), ['m'])
+  roster.apply([{ upstream: engine('a', { loaded: [], staged: ['n'], membership: { ...open, epoch: 2, state: 'joining' } }) }])
+  t.deepEqual(loaded(), [])
+  roster.apply([{ upstream: engine('a', { loaded: ['n'], staged: ['n'], membership: { ...open, epoch: 2, state: 'ready' } }) }])
+  roster.apply([{ upstream: engine('a', { loaded: [], staged: ['n'] }) }])
+  t.deepEqual(loaded(), ['n'])
+  roster.replace([engine('b', { loaded: [] })])
+  t.deepEqual(roster.find('b')?.loaded, [])
+})
