--- a/packages/emulator/test/warming.test.ts
+++ b/packages/emulator/test/warming.test.ts
@@ -175,7 +175,8 @@
   forming.stop()
 })
 
-for (let seed = 1; seed <= 20; seed++) {
+/** The last one shows a fault that is not mended: KNOWN-RED.txt. */
+for (const seed of [...Array.from({ length: 20 }, (_each, index) => index + 1), 600_115]) {
   test.serial(`a random schedule with spares that load ahead breaks no rule (seed ${seed})`, async t => {
     const { broken, servable, open } = await playSchedule(seed, { keepUnlisted: 8000, lapses: 0.3, warmSpares: true })
     t.deepEqual(broken, [])
