--- a/packages/settings/test/forms.test.ts
+++ b/packages/settings/test/forms.test.ts
@@ -10,7 +10,7 @@
   '[room]', 'fair = true', 'shared = true',
   '[unread]', 'caller = 128 KiB', 'total = 16 MiB', 'patience = 5 s',
   '[readiness]', 'lateness = 30 ms', 'memory = 350 MiB', 'descriptors = 4100',
-  '[planner]', 'keep_unlisted = 8 s',
+  '[planner]', 'keep_unlisted = 8 s', 'warm_spares = true',
   '[observe]', 'level = debug', 'metrics = 10.0.0.1:7341'
 ].join('\n')
 
@@ -25,14 +25,14 @@
       room: { fair: true, shared: true },
       unread: { caller: 131_072, total: 16_777_216, patience: 5000 },
       readiness: { lateness: 30, memory: 367_001_600, descriptors: 4100 },
-      planner: { keep_unlisted: 8000 },
+      planner: { keep_unlisted: 8000, warm_spares: true },
       observe: { level: 'debug', metrics: '10.0.0.1:7341' }
     }
   })
 })
 
 test('what is left out or empty has its default', t => {
-  const short = text.split('\n').filter(each => !/^(first|revoke|strict_keys|drain|evacuate|grace|pulse|retry_|cold_|fair|shared|keep_unlisted|caller =|total|patience|lateness|memory|descriptors|level|metrics)/.test(each)).join('\n')
+  const short = text.split('\n').filter(each => !/^(first|revoke|strict_keys|drain|evacuate|grace|pulse|retry_|cold_|fair|shared|keep_unlisted|warm_spares|caller =|total|patience|lateness|memory|descriptors|level|metrics)/.test(each)).join('\n')
   const settings = checkSettings('x.ini', short.replace('[bounds]', '[bounds]\nrevoke =\nstrict_keys =\ndrain =\nevacuate =\ngrace =\npulse =\nretry_ratio =\nretry_slack =\nretry_window =\ncold_overshoot =\ncold_slack =').replace('[planner]', '[planner]\nkeep_unlisted =').replace('[readiness]', '[readiness]\nlateness = ms\nmemory = MiB\ndescriptors =').replace('[observe]', '[observe]\nmetrics =')).unwrap() as { direct: object }
   t.like(settings.direct, {
     process: { first: false },
@@ -40,7 +40,7 @@
     room: { fair: false, shared: false },
     unread: { caller: 32_768, total: 33_554_432, patience: 10_000 },
     readiness: { lateness: undefined, memory: undefined, descriptors: undefined },
-    planner: { keep_unlisted: 0 },
+    planner: { keep_unlisted: 0, warm_spares: false },
     observe: { level: 'info', metrics: '' }
   })
 })
