Find who is next in a queue by one request of each kind of each team

Cause: the issuer of a contended room looked at all that wait for each place that it gave. Change: WaitingLine keeps those that wait in groups in which only time decides; nextServed stays as the plain rule, against which a property test holds it. expectedWait walks through a line too.

--- a/packages/fairness/src/expectation.ts
+++ b/packages/fairness/src/expectation.ts
@@ -1,18 +1,20 @@
 /** How long a request would wait for its place. Pure; what comes after it is not foreseen, so the true wait may be longer. */
-import { kindOf, nextServed, type Waiting } from './order.js'
+import { WaitingLine } from './line.js'
+import { kindOf, type Waiting } from './order.js'
 import { type TeamUsage } from './usage.js'
 
 /** In how many ms a request that came now would be served, if `rate` places come free a second; Infinity if never within its time. */
 export function expectedWait (request: Waiting, waiting: readonly Waiting[], usage: TeamUsage, rate: number, now: number): number {
   if (rate <= 0) return Infinity
   const ahead = usage.copy()
-  let left = [...waiting.filter(each => each !== request), request]
+  const line = new WaitingLine([...waiting.filter(each => each !== request), request])
   for (let place = 1; now + place * 1000 / rate <= request.until; place++) {
     const time = now + place * 1000 / rate
-    const next = nextServed(left, ahead, time)
+    line.takeEnded(time)
+    const next = line.next(ahead, time)
     if (next === request) return time - now
     if (next === undefined) return Infinity
-    left = left.filter(each => each !== next)
+    line.remove(next)
     ahead.served(next.team, next.work, time, kindOf(next, time))
   }
   return Infinity
--- a/packages/fairness/src/order.ts
+++ b/packages/fairness/src/order.ts
@@ -25,10 +25,10 @@
 }
 
 /** Part of the room that each kind of requests has at least while some of it wait, of what it would have if nothing had an order. */
-const leastPart = 0.05
+export const leastPart = 0.05
 
 /** What the order of a request depends on, worked out once for a decision. */
-interface Standing<Each> {
+export interface Standing<Each> {
   readonly request: Each
   readonly early: boolean
   readonly above: boolean
@@ -89,7 +89,8 @@
   return `${request.priority} ${isLate(request, now) ? 'late' : request.again === true ? 'again' : 'first'}`
 }
 
-function compare (a: Standing<Waiting>, b: Standing<Waiting>): number {
+/** The order of two requests: negative where `a` goes first. */
+export function compare (a: Standing<Waiting>, b: Standing<Waiting>): number {
   for (const [, order] of rules) {
     const difference = order(a, b)
     if (difference !== 0) return difference
@@ -109,7 +110,8 @@
   })
 }
 
-function standing<Each extends Waiting> (request: Each, usage: TeamUsage, now: number): Standing<Each> {
+/** What the order of a request depends on. */
+export function standing<Each extends Waiting> (request: Each, usage: TeamUsage, now: number): Standing<Each> {
   const { team, early } = request
   return { request, early: early === true, above: usage.isAbove(team, now), late: isLate(request, now), relative: usage.relative(team, now) }
 }
