Split the issuer and the asker of places along their jobs, and wire them once

Change: grants, openings at heads, prospects, the queue of a room, what is known of other issuers, claims and the words of an ask have a module each; Member puts the parts together for the gateway and for the tests; an ask is written and read in one place.

--- a/packages/gateway/src/rooms.ts
+++ b/packages/gateway/src/rooms.ts
@@ -1,7 +1,7 @@
 /**
  * One queue for the room of a model, between this gateway and the others: where room is contended, one gateway issues the places at the model's heads and the others ask it by
- * datagram. Owns the counts, the contention, the issuer and the asker. Relies on `Peers` for who lives and what each has in flight, and on `Choice` for the heads that
- * take requests.
+ * datagram. Owns this gateway's part in that (`Member`) and by which address it knows the others. Relies on `Peers` for who lives and what each has in flight, and on
+ * `Choice` for the heads that take requests.
  */
 import { type Clock, type Random, type Subscription } from '@eiderwind/clock'
 import { type InFlight, type InFlightRequest, type Rests } from '@eiderwind/detect'
@@ -10,7 +10,7 @@
 import { Owners } from '@eiderwind/limits'
 import { type Log } from '@eiderwind/log'
 import { type Heartbeat, type PeerAddress, type Peers } from '@eiderwind/peers'
-import { Asker, Contention, Counts, Issuer, decodeMessage, encodeMessage, ownAsk, roomOf, type Head, type PlaceMessage, type Room } from '@eiderwind/places'
+import { Member, decodeMessage, encodeMessage, roomOf, type Asker, type Contention, type Head, type Issuer, type MemberNews, type Room } from '@eiderwind/places'
 import { type Roster, type Upstream } from '@eiderwind/roster'
 import { type Engine } from '@eiderwind/traffic'
 
@@ -38,11 +38,8 @@
 
 /** Room at models' heads, shared by all gateways. */
 export class Rooms {
-  readonly asker: Asker
-  readonly issuer: Issuer
-  readonly contention: Contention
   readonly #options: RoomsOptions
-  readonly #counts = new Counts()
+  readonly #member: Member
   readonly #owners: Owners
   /** Ids of gateways by the `host:port` that their messages come from. */
   readonly #senders = new Map<string, string>()
@@ -52,29 +49,33 @@
     const { clock, id, dataCentre, peers, inFlight, queue, random } = options
     this.#options = options
     this.#owners = new Owners({ clock, live: () => [id, ...peers.live.map(each => each.id)], fleet: () => peers.live.length + 1, settleTime: 0 })
-    this.contention = new Contention({ clock, fullness: room => this.#fullness(room), changed: (room, contended) => this.#write(room, contended) })
-    this.issuer = new Issuer({
+    this.#member = new Member({
       clock,
+      id,
+      dataCentre,
       heads: room => this.#heads(room),
+      fullness: (room, others) => this.#fullness(room, others),
       inFlight: upstream => inFlight.count(upstream),
-      counts: this.#counts,
-      deliver: (to, reply) => to === ownAsk ? this.asker.answered(undefined, reply) : this.#post(to, reply),
-      random
-    })
-    this.asker = new Asker({
-      clock,
-      id,
-      contention: this.contention,
-      issuer: this.issuer,
       owner: room => this.#otherOwner(room),
-      post: (gateway, message) => this.#post(gateway, message),
-      inFlight: upstream => inFlight.count(upstream),
-      dataCentre,
+      post: (gateway, message) => peers.post(gateway, encodeMessage(message)),
       wake: () => queue.wake(),
+      changed: (room, contended) => this.#write(room, contended),
       random
     })
   }
 
+  get asker (): Asker {
+    return this.#member.asker
+  }
+
+  get issuer (): Issuer {
+    return this.#member.issuer
+  }
+
+  get contention (): Contention {
+    return this.#member.contention
+  }
+
   start (): void {
     this.#timer = this.#options.clock.every(forgetInterval, () => this.#forget())
   }
@@ -84,17 +85,14 @@
   }
 
   /** What the heartbeats to other gateways say. */
-  get news (): Pick<Heartbeat, 'contended' | 'grants'> {
-    return { contended: this.contention.own, grants: this.asker.seen }
+  get news (): MemberNews {
+    return this.#member.news
   }
 
   /** Takes what the heartbeat of another gateway says. */
-  hear ({ id, inFlight, contended = [], grants = {} }: Heartbeat, { address }: PeerAddress): void {
+  hear ({ id, inFlight, contended, grants }: Heartbeat, { address }: PeerAddress): void {
     this.#senders.set(address, id)
-    this.#counts.hear(id, inFlight)
-    this.issuer.heard(id, grants[this.#options.id])
-    this.contention.hear(contended)
-    this.issuer.serveAll()
+    this.#member.hear(id, inFlight, { contended, grants })
   }
 
   /** Takes a datagram that is no heartbeat. Returns whether it is about places. */
@@ -102,7 +100,7 @@
     const message = decodeMessage(datagram)
     const sender = this.#senders.get(from)
     if (message === undefined) return false
-    if (sender !== undefined) this.#take(message, sender)
+    if (sender !== undefined) this.#member.take(message, sender)
     return true
   }
 
@@ -110,18 +108,15 @@
   ended ({ upstream }: InFlightRequest): void {
     const head = this.#options.roster.find(upstream)
     if (head?.membership === undefined) return
-    const room = roomOfHead(head)
-    if (this.contention.has(room)) this.asker.tell(room, upstream)
+    this.#member.ended(roomOfHead(head), upstream)
   }
 
   /** Takes the head of an upstream's answer to a request of this gateway. */
   answered (upstream: Upstream, { refused }: AnswerHead): void {
     if (!refused || upstream.membership === undefined) return
-    const room = roomOfHead(upstream)
-    this.contention.met(room)
     // One that is just full refuses one request and accepts the next.
     const left = this.#options.rests.left(upstream.id)
-    this.asker.tell(room, upstream.id, left > 0 ? left : undefined)
+    this.#member.refused(roomOfHead(upstream), upstream.id, left > 0 ? left : undefined)
   }
 
   /** The gateway that issues the places of a room, where that is another one. */
@@ -130,27 +125,6 @@
     return owner === this.#options.id ? undefined : owner
   }
 
-  #take (message: PlaceMessage, from: string): void {
-    switch (message.place) {
-      case 'ask': return this.#asked(message, from)
-      case 'drop': return this.issuer.drop(roomOf(message.service, message.model), from, message.number)
-      case 'count': return this.issuer.hear(roomOf(message.service, message.model), from, message)
-      default: this.asker.answered(from, message)
-    }
-  }
-
-  /** Whoever is asked issues: two may do so for a moment, until they agree who lives, and know each other's grants by the next heartbeats. */
-  #asked ({ service, model, number, priority, team, work, age, timely, patience, besides, near, again, early }: Extract<PlaceMessage, { place: 'ask' }>, from: string): void {
-    const now = this.#options.clock.now()
-    const room = roomOf(service, model)
-    this.contention.hear([room.key])
-    this.issuer.ask(room, { from, number, priority, team, work, arrivedAt: now - age, inTimeUntil: now + timely, until: now + patience, besides, near, again, early })
-  }
-
-  #post (to: string, message: PlaceMessage): void {
-    this.#options.peers.post(to, encodeMessage(message))
-  }
-
   /**
    * The heads whose places are issued: those that take requests only by tokens have another rule. No request waits at a head, where it would have no order: the way of a place
    * that comes free is short against the time for which it is taken.
@@ -165,19 +139,17 @@
       .map(({ id, dataCentre }) => ({ id, dataCentre, capacity: engine.slots, closedFor: rests.left(id) }))
   }
 
-  #fullness ({ service, model }: Room): number {
+  #fullness ({ service, model }: Room, others: (upstream: string) => number): number {
     const slots = this.#options.engine(service)?.slots
     const heads = slots === undefined ? [] : this.#options.choice.heads(service, model)
     if (slots === undefined || heads.length === 0) return 0
-    const load = heads.reduce((sum, { id }) => sum + this.#options.inFlight.count(id) + this.#counts.of(id), 0)
+    const load = heads.reduce((sum, { id }) => sum + this.#options.inFlight.count(id) + others(id), 0)
     return load / (heads.length * slots)
   }
 
   #forget (): void {
     const live = new Set(this.#options.peers.live.map(each => each.id))
-    this.#counts.keepOnly(id => live.has(id))
-    this.issuer.forget(id => live.has(id))
-    this.contention.forget()
+    this.#member.forget(id => live.has(id))
     for (const [address, id] of this.#senders) if (!live.has(id)) this.#senders.delete(address)
   }
 
--- a/packages/places/src/asker.ts
+++ b/packages/places/src/asker.ts
@@ -1,56 +1,17 @@
 /**
- * The places that requests of this gateway need where room is contended: asked of the gateway that issues them, one ask at a time for each request. Owns the claims that
- * wait, and which issuers leave asks unanswered. Relies on `Issuer` where this gateway issues them itself, and on datagrams else, which may be lost: a request whose ask
- * is not answered in time goes on as if nothing was contended.
+ * The places that requests of this gateway need where room is contended: asked of the gateway that issues them, one ask at a time for each request. Owns the asks that are
+ * under way. Relies on `Issuer` where this gateway issues them itself, and on datagrams else, which may be lost: a request whose ask is not answered in time goes on as if
+ * nothing was contended.
  */
 import { type Clock, type Random, type Subscription } from '@eiderwind/clock'
-import { type Waiting } from '@eiderwind/fairness'
+import { ownAsk, useTime, type Ask, type Reply, type Word } from './ask.js'
+import { Claim, type Finding, type Wish } from './claim.js'
 import { type Contention } from './contention.js'
-import { ownAsk, useTime, type Issuer, type Reply, type Word } from './issuer.js'
-import { type PlaceMessage } from './messages.js'
+import { type Issuer } from './issuer.js'
+import { Issuers } from './issuers.js'
+import { askMessage, type PlaceMessage } from './messages.js'
 import { type Room } from './room.js'
 
-/** What a request needs. Times are on `Clock.now`, in ms. */
-export interface Wish extends Waiting {
-  readonly room: Room
-  /** When it waits no longer if it looks for room alone. */
-  readonly aloneUntil: number
-  /** The time within which its caller should have an answer, in ms. */
-  readonly objective: number
-  /** The upstreams that it cannot be sent to. */
-  readonly besides: () => readonly string[]
-}
-
-type State = 'none' | 'asking' | 'placed' | 'refused' | 'alone'
-
-/** A request that may need a place. */
-export class Claim {
-  readonly wish: Wish
-  state: State = 'none'
-  /** The ask that is under way. */
-  number = 0
-  /** Where it has a place, by which grant of which gateway, and until when; which gateway refused it. */
-  upstream = ''
-  order = 0
-  issuer: string | undefined
-  until = 0
-  /** When its caller should come back, once it is refused, in ms; 0: as after any refusal. */
-  due = 0
-  /** Asks whose place could not be used. */
-  failed = 0
-
-  constructor (wish: Wish) {
-    this.wish = wish
-  }
-}
-
-/** What a request should do: look for room by itself, wait, go to an upstream, or give up and come back in `due` ms (0: as after any refusal). */
-export type Finding =
-  | { readonly kind: 'alone' }
-  | { readonly kind: 'wait' }
-  | { readonly kind: 'place', readonly upstream: string }
-  | { readonly kind: 'refused', readonly due: number, readonly by: string }
-
 /** Dependencies of `Asker`. */
 export interface AskerOptions {
   readonly clock: Clock
@@ -79,43 +40,23 @@
 /** What is left of a request's wait for the way of an ask and of its place, in ms. */
 const wayTime = 5
 
-/** Unanswered asks in a row after which an issuer is not asked for a while, and how long that is, in ms: within it, a gateway that ended counts as gone. */
-const mostUnanswered = 3
-const restTime = 1000
-
 /** Places that a request does not use, since it cannot be sent there, before it looks alone. */
 const mostFailed = 2
 
-/** How long the last grant of an issuer is told in heartbeats, in ms. */
-const tellTime = 5000
-
 /** Numbers of asks are drawn below this at the start. */
 const firstNumbers = 2 ** 40
 
 interface OpenAsk {
   readonly claim: Claim
   readonly owner: string | undefined
-  answered: boolean
   timer: Subscription | undefined
 }
 
-interface Seen {
-  readonly order: number
-  readonly at: number
-}
-
-interface Silence {
-  unanswered: number
-  until: number
-}
-
 /** Asks for places. */
 export class Asker {
   readonly #options: AskerOptions
   readonly #asks = new Map<number, OpenAsk>()
-  /** The last grant of each issuer. */
-  readonly #seen = new Map<string, Seen>()
-  readonly #silences = new Map<string, Silence>()
+  readonly #issuers: Issuers
   #number: number
   #wakes = false
   /** Asks made, places received, refusals received, and requests that looked for room alone since no issuer answered. */
@@ -126,6 +67,7 @@
 
   constructor (options: AskerOptions) {
     this.#options = options
+    this.#issuers = new Issuers(options.clock)
     this.#number = Math.floor(options.random() * firstNumbers)
   }
 
@@ -183,16 +125,14 @@
 
   /** Takes the answer to an ask. @param from the gateway that sent it; undefined: this one */
   answered (from: string | undefined, reply: Reply): void {
-    const { contention } = this.#options
-    if (reply.place === 'grant' && from !== undefined) this.#seen.set(from, { order: reply.order, at: this.#options.clock.now() })
+    const { clock, contention } = this.#options
+    if (from !== undefined) this.#issuers.answered(from, reply.place === 'grant' ? reply.order : undefined)
     const ask = this.#asks.get(reply.number)
-    if (from !== undefined) this.#silences.delete(from)
     if (ask === undefined) return this.#unclaimed(from, reply)
     const { claim } = ask
-    ask.answered = true
     ask.timer?.cancel()
     if (reply.place === 'wait') {
-      ask.timer = this.#options.clock.after(claim.wish.until - this.#options.clock.now() + replyTime, () => { this.#asks.delete(reply.number) })
+      ask.timer = clock.after(claim.wish.until - clock.now() + replyTime, () => { this.#asks.delete(reply.number) })
       return
     }
     this.#asks.delete(reply.number)
@@ -209,9 +149,7 @@
 
   /** What the other gateways hear: the last grant of each issuer. */
   get seen (): Record<string, number> {
-    const since = this.#options.clock.now() - tellTime
-    for (const [id, { at }] of this.#seen) if (at < since) this.#seen.delete(id)
-    return Object.fromEntries([...this.#seen].map(([id, { order }]) => [id, order]))
+    return this.#issuers.lastGrants
   }
 
   /** Tells the issuer of a room what this gateway has in flight at an upstream now. @param shut for how long it leaves it out, in ms */
@@ -220,45 +158,50 @@
   }
 
   #tell (issuer: string | undefined, room: Room, upstream: string, shut?: number): void {
-    const word: Word = { upstream, count: this.#options.inFlight(upstream), seen: issuer === undefined ? 0 : this.#seen.get(issuer)?.order ?? 0, shut }
+    const word: Word = { upstream, count: this.#options.inFlight(upstream), seen: issuer === undefined ? 0 : this.#issuers.lastGrant(issuer), shut }
     if (issuer === undefined) this.#options.issuer.hear(room, ownAsk, word)
     else this.#options.post(issuer, { place: 'count', service: room.service, model: room.model, ...word })
   }
 
   #ask (claim: Claim): void {
-    const { clock, issuer, owner: ownerOf, post, dataCentre: near } = this.#options
-    const { room, priority, team, work, arrivedAt, inTimeUntil, until, besides, again, early } = claim.wish
+    const { issuer, owner: ownerOf } = this.#options
+    const { room } = claim.wish
     const owner = ownerOf(room.key)
-    if (owner !== undefined && this.#isSilent(owner)) return this.#goAlone(claim)
-    const number = ++this.#number
+    if (owner !== undefined && this.#issuers.isSilent(owner)) return this.#goAlone(claim)
     this.asked++
     claim.state = 'asking'
-    claim.number = number
-    const ask: OpenAsk = { claim, owner, answered: false, timer: undefined }
-    this.#asks.set(number, ask)
-    if (owner === undefined) {
-      issuer.ask(room, { from: ownAsk, number, priority, team, work, arrivedAt, inTimeUntil, until, besides: besides(), near, again, early })
-    } else {
-      const half = Math.min(replyTime, claim.wish.objective * replyShare) / 2
-      const send = (): void => {
-        const now = clock.now()
-        post(owner, { place: 'ask', service: room.service, model: room.model, number, priority, team, work, age: Math.max(0, now - arrivedAt), timely: inTimeUntil - now, patience: Math.max(0, until - now - wayTime), besides: [...besides()], near, again, early })
-      }
-      ask.timer = clock.after(half, () => {
-        send()
-        ask.timer = clock.after(half, () => this.#unanswered(number, owner))
-      })
-      send()
+    claim.number = ++this.#number
+    const open: OpenAsk = { claim, owner, timer: undefined }
+    this.#asks.set(claim.number, open)
+    if (owner === undefined) issuer.ask(room, this.#askOf(claim))
+    else this.#post(open, owner)
+  }
+
+  #askOf ({ number, wish: { priority, team, work, arrivedAt, inTimeUntil, until, besides, again, early } }: Claim): Ask {
+    return { from: ownAsk, number, priority, team, work, arrivedAt, inTimeUntil, until, besides: besides(), near: this.#options.dataCentre, again, early }
+  }
+
+  /** Sends an ask to another gateway, and once more where it leaves it unanswered. */
+  #post (open: OpenAsk, owner: string): void {
+    const { clock, post } = this.#options
+    const { claim } = open
+    const { number, wish: { room, objective } } = claim
+    const half = Math.min(replyTime, objective * replyShare) / 2
+    const send = (): void => {
+      const ask = this.#askOf(claim)
+      post(owner, askMessage(room, { ...ask, until: ask.until - wayTime }, clock.now()))
     }
+    open.timer = clock.after(half, () => {
+      send()
+      open.timer = clock.after(half, () => this.#unanswered(number, owner))
+    })
+    send()
   }
 
   #unanswered (number: number, owner: string): void {
     const ask = this.#asks.get(number)
     if (ask === undefined) return
-    const silence = this.#silences.get(owner) ?? { unanswered: 0, until: -Infinity }
-    silence.unanswered++
-    if (silence.unanswered >= mostUnanswered) silence.until = this.#options.clock.now() + restTime
-    this.#silences.set(owner, silence)
+    this.#issuers.unanswered(owner)
     this.#drop(ask.claim)
     this.#goAlone(ask.claim)
     this.#wakeSoon()
@@ -274,10 +217,6 @@
     })
   }
 
-  #isSilent (owner: string): boolean {
-    return (this.#silences.get(owner)?.until ?? -Infinity) > this.#options.clock.now()
-  }
-
   #goAlone (claim: Claim): void {
     const { clock, wake } = this.#options
     claim.state = 'alone'
--- a/packages/places/src/index.ts
+++ b/packages/places/src/index.ts
@@ -1,7 +1,11 @@
 /** One queue for the room of a model's heads. */
-export { Asker, type AskerOptions, type Claim, type Finding, type Wish } from './asker.js'
+export { ownAsk, type Ask, type Reply, type Word } from './ask.js'
+export { Asker, type AskerOptions } from './asker.js'
+export { type Claim, type Finding, type Wish } from './claim.js'
 export { Contention, type ContentionOptions } from './contention.js'
 export { Counts } from './counts.js'
-export { Issuer, ownAsk, type Ask, type Head, type IssuerOptions, type Reply, type Word } from './issuer.js'
+export { Issuer, type IssuerOptions } from './issuer.js'
+export { Member, type MemberNews, type MemberOptions } from './member.js'
 export { decodeMessage, encodeMessage, type PlaceMessage } from './messages.js'
+export { type Head } from './openings.js'
 export { roomOf, type Room } from './room.js'
--- a/packages/places/src/messages.ts
+++ b/packages/places/src/messages.ts
@@ -4,6 +4,8 @@
  */
 import { parseJson } from '@eiderwind/wire'
 import { z } from 'zod'
+import { type Ask } from './ask.js'
+import { type Room } from './room.js'
 
 const number = z.int().nonnegative()
 const time = z.number().nonnegative()
@@ -30,6 +32,19 @@
 /** A message between the gateway that issues a model's places and one that asks for them. */
 export type PlaceMessage = z.infer<typeof PlaceMessage>
 
+/** An ask on the wire, where times are told by how long they are from now: clocks of gateways differ. */
+export type AskMessage = Extract<PlaceMessage, { place: 'ask' }>
+
+/** The message that tells another gateway an ask. @param now on `Clock.now`, in ms */
+export function askMessage ({ service, model }: Room, { number, priority, team, work, arrivedAt, inTimeUntil, until, besides, near, again, early }: Ask, now: number): AskMessage {
+  return { place: 'ask', service, model, number, priority, team, work, age: Math.max(0, now - arrivedAt), timely: inTimeUntil - now, patience: Math.max(0, until - now), besides: [...besides], near, again, early }
+}
+
+/** The ask in a message of another gateway. @param now on `Clock.now`, in ms */
+export function heardAsk ({ number, priority, team, work, age, timely, patience, besides, near, again, early }: AskMessage, from: string, now: number): Ask {
+  return { from, number, priority, team, work, arrivedAt: now - age, inTimeUntil: now + timely, until: now + patience, besides, near, again, early }
+}
+
 /** How each of the datagrams begins: what is none need not be read. */
 const beginning = Buffer.from('{"place":')
 
--- a/packages/places/test/schedules.test.ts
+++ b/packages/places/test/schedules.test.ts
@@ -63,7 +63,7 @@
       await quieten(world)
       const living = world.requests.filter(each => !each.gateway.isDead)
       if (living.some(each => each.ending === undefined || each.endedAt - each.claim.wish.arrivedAt > longest + 300)) return false
-      if (world.gateways.some(each => !each.isDead && each.issuer.waiting > 0)) return false
+      if (world.gateways.some(each => !each.isDead && each.waiting > 0)) return false
       // All places are there again, also those of a gateway that died.
       const again = []
       for (let index = 0; index < places; index++) again.push(await world.ask(world.gateways[index % 3]))
--- a/packages/places/test/world.ts
+++ b/packages/places/test/world.ts
@@ -1,6 +1,6 @@
 /** A fleet of gateways before a few heads, on a manual clock: real issuers and askers, with datagrams that take time, get lost and come twice, and processes that die or stand still. */
 import { ManualClock, seeded, type Random } from '@eiderwind/clock'
-import { Asker, Contention, Counts, Issuer, ownAsk, roomOf, type Claim, type PlaceMessage, type Room, type Wish } from '../src/index.js'
+import { Member, roomOf, type Asker, type Claim, type PlaceMessage, type Room, type Wish } from '../src/index.js'
 
 /** The room of all tests. */
 export const room: Room = roomOf('s', 'm')
@@ -32,11 +32,8 @@
 /** One gateway: what it has in flight, and its parts. */
 export class Gateway {
   readonly id: string
-  readonly counts = new Counts()
   readonly inFlight = new Map<string, number>()
-  readonly contention: Contention
-  readonly issuer: Issuer
-  readonly asker: Asker
+  readonly #member: Member
   /** Whom it takes for the issuer. */
   owner: string
   isDead = false
@@ -52,29 +49,29 @@
     this.id = id
     this.owner = owner
     this.#world = world
-    this.contention = new Contention({ clock, fullness: () => 1 })
-    this.issuer = new Issuer({
+    this.#member = new Member({
       clock,
+      id,
+      dataCentre: 'dc',
       heads: () => world.heads.map(id => ({ id, dataCentre: 'dc', capacity: world.options.capacity, closedFor: 0 })),
+      fullness: () => 1,
       inFlight: upstream => this.count(upstream),
-      counts: this.counts,
-      deliver: (to, reply) => to === ownAsk ? this.asker.answered(undefined, reply) : world.send(this.id, to, reply),
-      random
-    })
-    this.asker = new Asker({
-      clock,
-      id,
-      contention: this.contention,
-      issuer: this.issuer,
       owner: () => this.owner === id ? undefined : this.owner,
       post: (to, message) => world.send(id, to, message),
-      inFlight: upstream => this.count(upstream),
-      dataCentre: 'dc',
       wake: () => world.wake(this),
       random
     })
   }
 
+  get asker (): Asker {
+    return this.#member.asker
+  }
+
+  /** Requests that wait here for places. */
+  get waiting (): number {
+    return this.#member.issuer.waiting
+  }
+
   count (upstream: string): number {
     return this.inFlight.get(upstream) ?? 0
   }
@@ -92,30 +89,18 @@
   }
 
   take (from: string, message: PlaceMessage): void {
-    const now = this.#world.clock.now()
-    switch (message.place) {
-      case 'ask': {
-        const { number, priority, team, work, age, timely, patience, besides, near } = message
-        return this.issuer.ask(room, { from, number, priority, team, work, arrivedAt: now - age, inTimeUntil: now + timely, until: now + patience, besides, near })
-      }
-      case 'drop': return this.issuer.drop(room, from, message.number)
-      case 'count': return this.issuer.hear(room, from, message)
-      default: return this.asker.answered(from, message)
-    }
+    this.#member.take(message, from)
   }
 
   /** Forgets the gateways that were not heard. */
   forget (): void {
     const isLive = (id: string): boolean => this.#world.now - (this.#heardAt.get(id) ?? 0) <= heartbeatTimeout
-    this.counts.keepOnly(isLive)
-    this.issuer.forget(isLive)
+    this.#member.forget(isLive)
   }
 
   hear (from: string, inFlight: Readonly<Record<string, number>>, grants: Readonly<Record<string, number>>): void {
     this.#heardAt.set(from, this.#world.now)
-    this.counts.hear(from, inFlight)
-    this.issuer.heard(from, grants[this.id])
-    this.issuer.serveAll()
+    this.#member.hear(from, inFlight, { grants })
   }
 }
 
