Keep a request waiting longer than it would alone only where it will be served in time

Change: an ask says until when it would wait alone; then the issuer looks whether it will be served in time at the present rate, and refuses it if not, or if the rate is not known. The table of npm run rooms says which share of the refused had waited for more than a quarter of the objective. The two tests of it failed before.

--- a/packages/fairness/src/expectation.ts
+++ b/packages/fairness/src/expectation.ts
@@ -19,3 +19,21 @@
   }
   return Infinity
 }
+
+/** Those of some that wait that would be served within their time, if `rate` places come free a second. */
+export function servedInTime<Each extends Waiting> (waiting: readonly Each[], usage: TeamUsage, rate: number, now: number): Set<Each> {
+  const served = new Set<Each>()
+  if (rate <= 0) return served
+  const ahead = usage.copy()
+  const line = new WaitingLine(waiting)
+  for (let place = 1; line.size > 0; place++) {
+    const time = now + place * 1000 / rate
+    line.takeEnded(time)
+    const next = line.next(ahead, time)
+    if (next === undefined) break
+    line.remove(next)
+    served.add(next)
+    ahead.served(next.team, next.work, time, kindOf(next, time))
+  }
+  return served
+}
--- a/packages/fairness/src/index.ts
+++ b/packages/fairness/src/index.ts
@@ -2,6 +2,6 @@
 export { TeamUsage } from './usage.js'
 export { compareWaiting, decidingRule, isLate, kindOf, nextServed, servingOrder, type Rule, type Waiting } from './order.js'
 export { WaitingLine } from './line.js'
-export { expectedWait } from './expectation.js'
+export { expectedWait, servedInTime } from './expectation.js'
 export { UsualPatience } from './patience.js'
 export { PlaceRate, mostRate } from './placerate.js'
--- a/packages/gateway/test/overload.ts
+++ b/packages/gateway/test/overload.ts
@@ -69,6 +69,8 @@
   readonly told: number
   /** Time from a try to its refusal, 99 in 100, in ms. */
   readonly refusalTime: number
+  /** Share of the refused tries that were refused after more than a quarter of the objective. */
+  readonly held: number
   /** Requests that reached a head from a gateway between half a second after it had asked for rest and the end of the rest. */
   readonly unheeded: number
   /** Requests that heads turned away, for each request of a caller. */
@@ -318,6 +320,7 @@
       told: part(({ told }) => told, ({ tries }) => tries > 1),
       returns: part(isServed, ({ tries, impatient }) => tries > 1 && !impatient),
       refusalTime: refusals[Math.floor(refusals.length * 0.99)] ?? 0,
+      held: refusals.filter(time => time > objective / 4).length / Math.max(1, refusals.length),
       unheeded: this.#heads.reduce((sum, each) => sum + each.unheeded, 0),
       turnedAway: this.#heads.reduce((sum, each) => sum + each.turnedAway, 0) / this.#callers.length,
       datagrams: this.#network.sent / this.#callers.length,
--- a/packages/places/src/ask.ts
+++ b/packages/places/src/ask.ts
@@ -7,6 +7,8 @@
   readonly from: string
   /** By which the asker knows it again. */
   readonly number: number
+  /** When it is refused unless it would be served in time. Absent: it waits to its end whatever its prospect. */
+  readonly reviewAt?: number
   /** Upstreams that it must not be sent to. */
   readonly besides: readonly string[]
   /** The data centre from which it is sent. */
--- a/packages/places/src/asker.ts
+++ b/packages/places/src/asker.ts
@@ -177,8 +177,8 @@
     else this.#post(open, owner)
   }
 
-  #askOf ({ number, wish: { priority, team, work, arrivedAt, inTimeUntil, until, besides, again, early } }: Claim): Ask {
-    return { from: ownAsk, number, priority, team, work, arrivedAt, inTimeUntil, until, besides: besides(), near: this.#options.dataCentre, again, early }
+  #askOf ({ number, wish: { priority, team, work, arrivedAt, inTimeUntil, until, aloneUntil, besides, again, early } }: Claim): Ask {
+    return { from: ownAsk, number, priority, team, work, arrivedAt, inTimeUntil, until, reviewAt: aloneUntil, besides: besides(), near: this.#options.dataCentre, again, early }
   }
 
   /** Sends an ask to another gateway, and once more where it leaves it unanswered. */
@@ -189,7 +189,7 @@
     const half = Math.min(replyTime, objective * replyShare) / 2
     const send = (): void => {
       const ask = this.#askOf(claim)
-      post(owner, askMessage(room, { ...ask, until: ask.until - wayTime }, clock.now()))
+      post(owner, askMessage(room, { ...ask, until: ask.until - wayTime, reviewAt: claim.wish.aloneUntil - wayTime }, clock.now()))
     }
     open.timer = clock.after(half, () => {
       send()
--- a/packages/places/src/issuer.ts
+++ b/packages/places/src/issuer.ts
@@ -108,6 +108,12 @@
   }
 
   #serve (queue: RoomQueue): void {
+    this.#give(queue)
+    this.#schedule(queue)
+  }
+
+  /** Gives the places that are free now, once those have left whose time is over. */
+  #give (queue: RoomQueue): void {
     const now = this.#options.clock.now()
     for (const ask of queue.takeEnded(now)) this.#refuse(queue, ask, now)
     const open = this.#openings.open(queue.room)
@@ -120,7 +126,12 @@
       else this.#grant(queue, next, head, now)
     }
     queue.look(now)
-    this.#schedule(queue)
+  }
+
+  /** Has those leave that have waited as long as they would alone and would get no place in time. */
+  #review (queue: RoomQueue): void {
+    const now = this.#options.clock.now()
+    for (const ask of queue.review(now)) this.#refuse(queue, ask, now)
   }
 
   #grant (queue: RoomQueue, ask: Ask, { id: upstream }: Head, now: number): void {
@@ -142,9 +153,14 @@
       queue.timer = undefined
       return
     }
-    queue.timer ??= this.#options.clock.after(lookInterval, () => {
+    if (queue.timer !== undefined) return
+    const { clock } = this.#options
+    const time = Math.max(0, Math.min(lookInterval, queue.nextReview - clock.now()))
+    queue.timer = clock.after(time, () => {
       queue.timer = undefined
-      this.#serve(queue)
+      this.#give(queue)
+      this.#review(queue)
+      this.#schedule(queue)
     })
   }
 }
--- a/packages/places/src/messages.ts
+++ b/packages/places/src/messages.ts
@@ -14,10 +14,10 @@
 
 const PlaceMessage = z.discriminatedUnion('place', [
   /**
-   * A request waits for a place. It came `age` ms ago, can begin for `timely` ms more and be in time (less than 0: it is late), and waits for `patience` ms, at none of the upstreams
-   * `besides`, best in the data centre `near`. Its caller was refused before and has come back; or has come back sooner than it was told to.
+   * A request waits for a place. It came `age` ms ago, can begin for `timely` ms more and be in time (less than 0: it is late), and waits for `patience` ms, but only `review` ms without
+   * a prospect, at none of the upstreams `besides`, best in the data centre `near`. Its caller was refused before and has come back; or has come back sooner than it was told to.
    */
-  z.object({ place: z.literal('ask'), ...room, number, priority: z.number(), team: z.string(), work: z.number(), age: time, timely: z.number(), patience: time, besides: z.array(z.string()), near: z.string(), again: flag, early: flag }),
+  z.object({ place: z.literal('ask'), ...room, number, priority: z.number(), team: z.string(), work: z.number(), age: time, timely: z.number(), patience: time, review: time.optional(), besides: z.array(z.string()), near: z.string(), again: flag, early: flag }),
   /** It waits no longer. */
   z.object({ place: z.literal('drop'), ...room, number }),
   /** It is in the queue. */
@@ -36,13 +36,13 @@
 export type AskMessage = Extract<PlaceMessage, { place: 'ask' }>
 
 /** The message that tells another gateway an ask. @param now on `Clock.now`, in ms */
-export function askMessage ({ service, model }: Room, { number, priority, team, work, arrivedAt, inTimeUntil, until, besides, near, again, early }: Ask, now: number): AskMessage {
-  return { place: 'ask', service, model, number, priority, team, work, age: Math.max(0, now - arrivedAt), timely: inTimeUntil - now, patience: Math.max(0, until - now), besides: [...besides], near, again, early }
+export function askMessage ({ service, model }: Room, { number, priority, team, work, arrivedAt, inTimeUntil, until, reviewAt, besides, near, again, early }: Ask, now: number): AskMessage {
+  return { place: 'ask', service, model, number, priority, team, work, age: Math.max(0, now - arrivedAt), timely: inTimeUntil - now, patience: Math.max(0, until - now), review: reviewAt === undefined ? undefined : Math.max(0, reviewAt - now), besides: [...besides], near, again, early }
 }
 
 /** The ask in a message of another gateway. @param now on `Clock.now`, in ms */
-export function heardAsk ({ number, priority, team, work, age, timely, patience, besides, near, again, early }: AskMessage, from: string, now: number): Ask {
-  return { from, number, priority, team, work, arrivedAt: now - age, inTimeUntil: now + timely, until: now + patience, besides, near, again, early }
+export function heardAsk ({ number, priority, team, work, age, timely, patience, review, besides, near, again, early }: AskMessage, from: string, now: number): Ask {
+  return { from, number, priority, team, work, arrivedAt: now - age, inTimeUntil: now + timely, until: now + patience, reviewAt: review === undefined ? undefined : now + review, besides, near, again, early }
 }
 
 /** How each of the datagrams begins: what is none need not be read. */
--- a/packages/places/src/prospects.ts
+++ b/packages/places/src/prospects.ts
@@ -2,7 +2,7 @@
  * How long a request would wait in the queue of a room, by how fast places were given lately and who waits before it. Owns these rates, and what it has found for a moment,
  * since many that are alike ask at once.
  */
-import { expectedWait, kindOf, type TeamUsage, type WaitingLine } from '@eiderwind/fairness'
+import { expectedWait, kindOf, servedInTime, type TeamUsage, type WaitingLine } from '@eiderwind/fairness'
 import { type Ask } from './ask.js'
 import { Rate } from './rate.js'
 
@@ -64,6 +64,16 @@
     return wait
   }
 
+  /** Of some that wait, those that would not be served in time; all where it is not known how fast places come free. */
+  hopeless (some: readonly Ask[], waiting: WaitingLine<Ask>, usage: TeamUsage, now: number): Ask[] {
+    const inTime = new Map<number, ReadonlySet<Ask>>()
+    for (const priority of new Set(some.map(each => each.priority))) {
+      const rivals = [...waiting].filter(each => each.priority >= priority)
+      inTime.set(priority, servedInTime(rivals, usage, this.#rate(priority, now) ?? 0, now))
+    }
+    return some.filter(each => inTime.get(each.priority)?.has(each) !== true)
+  }
+
   /** In how many ms those that wait now are served, where that is worth telling; 0 where it is soon, or not known. */
   return (waiting: number, now: number): number {
     const rate = this.#rate(-Infinity, now)
--- a/packages/places/src/roomqueue.ts
+++ b/packages/places/src/roomqueue.ts
@@ -15,6 +15,8 @@
   /** The next look at the queue, if nothing else happens in it. */
   timer: Subscription | undefined
   readonly #asks = new Map<string, Ask>()
+  /** Those whose prospect has yet to be looked at. */
+  readonly #unreviewed = new Set<Ask>()
   readonly #usage = new TeamUsage()
   readonly #prospects = new Prospects()
   #usedAt = 0
@@ -29,6 +31,7 @@
     if (!this.drop(ask.from, ask.number)) this.#usage.asked(ask.team, ask.work, now)
     this.#asks.set(keyOf(ask.from, ask.number), ask)
     this.line.add(ask)
+    if (ask.reviewAt !== undefined) this.#unreviewed.add(ask)
   }
 
   /** Removes an ask. Returns whether it waited. */
@@ -36,18 +39,32 @@
     const key = keyOf(from, number)
     const ask = this.#asks.get(key)
     if (ask === undefined) return false
-    this.#asks.delete(key)
     this.line.remove(ask)
+    this.#forget(ask)
     return true
   }
 
   /** Removes those that have waited as long as they can, and returns them. */
   takeEnded (now: number): Ask[] {
     const ended = this.line.takeEnded(now)
-    for (const { from, number } of ended) this.#asks.delete(keyOf(from, number))
+    for (const each of ended) this.#forget(each)
     return ended
   }
 
+  /** Removes those that would not be served in time, of those whose review is due, and returns them. */
+  review (now: number): Ask[] {
+    const due = [...this.#unreviewed].filter(({ reviewAt = Infinity }) => reviewAt <= now)
+    for (const each of due) this.#unreviewed.delete(each)
+    const hopeless = this.#prospects.hopeless(due, this.line, this.#usage, now)
+    for (const { from, number } of hopeless) this.drop(from, number)
+    return hopeless
+  }
+
+  /** When the next review is due; Infinity where there is none. */
+  get nextReview (): number {
+    return [...this.#unreviewed].reduce((first, { reviewAt = Infinity }) => Math.min(first, reviewAt), Infinity)
+  }
+
   /** The one that gets the next place. @param besides those that cannot use it */
   next (besides: ReadonlySet<Ask>, now: number): Ask | undefined {
     return this.line.next(this.#usage, now, besides)
@@ -79,6 +96,11 @@
   isOver (now: number): boolean {
     return this.line.size === 0 && now - this.#usedAt > keptFor
   }
+
+  #forget (ask: Ask): void {
+    this.#asks.delete(keyOf(ask.from, ask.number))
+    this.#unreviewed.delete(ask)
+  }
 }
 
 function keyOf (from: string, number: number): string {
--- a/packages/places/test/issuer.test.ts
+++ b/packages/places/test/issuer.test.ts
@@ -235,3 +235,47 @@
   ask(51, 1)
   t.is(later, 1)
 })
+
+/** A head whose place comes free each `interval` ms for a second, so that it is known how fast places come free; requests wait all the time. */
+function steady (interval: number): { fixture: Fixture, pass: (time: number) => void } {
+  const fixture = new Fixture()
+  fixture.heads = [head('a', 1)]
+  const pass = (time: number): void => {
+    for (let passed = 0; passed < time; passed++) {
+      fixture.clock.advance(1)
+      if (fixture.clock.now() % interval === 0) fixture.issuer.hear(room, 'x', { upstream: 'a', count: 0, seen: Number.MAX_SAFE_INTEGER })
+    }
+  }
+  for (let number = 0; number < 1000 / interval + 1; number++) fixture.ask('x', number, { until: Infinity })
+  pass(1000)
+  return { fixture, pass }
+}
+
+test('when a request would no longer wait alone, it goes on waiting if it is served in time, and else is refused then', t => {
+  const { fixture, pass } = steady(50)
+  const now = fixture.clock.now()
+  t.is(fixture.issuer.waiting, 0)
+  fixture.answers.length = 0
+  for (let number = 100; number < 112; number++) fixture.ask('x', number, { arrivedAt: now + number, until: now + 400, reviewAt: now + 110 })
+  // What is known of the past lets the first ones wait.
+  pass(45)
+  for (let number = 112; number < 118; number++) fixture.ask('x', number, { arrivedAt: now + number, until: now + 400, reviewAt: now + 110 })
+  fixture.answers.length = 0
+  pass(70)
+  const refused = fixture.heard.filter(each => each.endsWith('later'))
+  t.true(refused.length >= 8 && refused.length <= 11, refused.join())
+  pass(400)
+  const later = fixture.heard
+  t.true(later.filter(each => each.endsWith('later')).length <= 1, later.join())
+})
+
+test('where it is not known how fast places come free, a request waits no longer than alone', t => {
+  const fixture = new Fixture()
+  fixture.heads = []
+  fixture.ask('x', 1, { reviewAt: fixture.clock.now() + 110 })
+  fixture.ask('x', 2)
+  fixture.clock.advance(105)
+  t.deepEqual(fixture.heard, ['x1 wait', 'x2 wait'])
+  fixture.clock.advance(6)
+  t.deepEqual(fixture.heard, ['x1 later'])
+})
--- a/packages/places/test/parts.test.ts
+++ b/packages/places/test/parts.test.ts
@@ -68,6 +68,7 @@
 test('messages are read as they were written, and other datagrams are none', t => {
   const messages: PlaceMessage[] = [
     { place: 'ask', service: 's', model: 'm', number: 1, priority: 0, team: '', work: 1, age: 0, timely: -1, patience: 2, besides: ['a'], near: 'dc' },
+    { place: 'ask', service: 's', model: 'm', number: 1, priority: 0, team: '', work: 1, age: 0, timely: -1, patience: 2, review: 1, besides: [], near: 'dc' },
     { place: 'drop', service: 's', model: 'm', number: 1 },
     { place: 'wait', number: 1 },
     { place: 'grant', number: 1, upstream: 'a', order: 7 },
@@ -81,6 +82,8 @@
 test('the bytes of the messages stay: gateways of two builds serve together', t => {
   t.is(encodeMessage({ place: 'ask', service: 's', model: 'm', number: 1, priority: 0, team: 't', work: 1, age: 3, timely: 400, patience: 395, besides: [], near: 'dc' }),
     '{"place":"ask","service":"s","model":"m","number":1,"priority":0,"team":"t","work":1,"age":3,"timely":400,"patience":395,"besides":[],"near":"dc"}')
+  t.is(encodeMessage({ place: 'ask', service: 's', model: 'm', number: 1, priority: 0, team: 't', work: 1, age: 3, timely: 400, patience: 395, review: 105, besides: [], near: 'dc' }),
+    '{"place":"ask","service":"s","model":"m","number":1,"priority":0,"team":"t","work":1,"age":3,"timely":400,"patience":395,"review":105,"besides":[],"near":"dc"}')
   t.is(encodeMessage({ place: 'drop', service: 's', model: 'm', number: 1 }), '{"place":"drop","service":"s","model":"m","number":1}')
   t.is(encodeMessage({ place: 'wait', number: 1 }), '{"place":"wait","number":1}')
   t.is(encodeMessage({ place: 'grant', number: 1, upstream: 'a', order: 7 }), '{"place":"grant","number":1,"upstream":"a","order":7}')
