Have those that wait at an issuer that answers no more look for room alone

Cause: where an issuer died, the requests that already waited in its queue waited until their end and were refused; only new ones looked alone. Change: once an issuer has left three asks unanswered, all that wait there look alone.

--- a/packages/places/src/asker.ts
+++ b/packages/places/src/asker.ts
@@ -202,11 +202,19 @@
     const ask = this.#asks.get(number)
     if (ask === undefined) return
     this.#issuers.unanswered(owner)
-    this.#drop(ask.claim)
-    this.#goAlone(ask.claim)
+    this.#leave(ask.claim)
+    if (this.#issuers.isSilent(owner)) {
+      for (const each of [...this.#asks.values()]) if (each.owner === owner) this.#leave(each.claim)
+    }
     this.#wakeSoon()
   }
 
+  /** Has a request look for room alone instead of waiting for an issuer. */
+  #leave (claim: Claim): void {
+    this.#drop(claim)
+    this.#goAlone(claim)
+  }
+
   /** Has who waits look again once what is going on now is done: an own ask is answered within the look of its request. */
   #wakeSoon (): void {
     if (this.#wakes) return
--- a/packages/places/test/fleet.test.ts
+++ b/packages/places/test/fleet.test.ts
@@ -46,6 +46,21 @@
   t.is(later.ending, undefined)
 })
 
+test('where the issuer dies, those that wait there look alone once it has left three asks unanswered', async t => {
+  const world = new World({ gateways: 2, heads: 1, capacity: 1 })
+  const [issuer, other] = world.gateways
+  await world.ask(other)
+  await world.advance(5)
+  const waiting = await world.ask(other, { until: world.now + 2000, aloneUntil: world.now + 2000 })
+  await world.advance(5)
+  issuer.isDead = true
+  for (let count = 0; count < 3; count++) await world.ask(other)
+  await world.advance(45)
+  t.is(waiting.ending, undefined)
+  await world.advance(10)
+  t.is(waiting.ending, 'alone')
+})
+
 test('of a request with a short objective the issuer has a quarter to answer', async t => {
   const world = new World({ gateways: 2, heads: 1, capacity: 1 })
   const [issuer, other] = world.gateways
