--- a/packages/fairness/src/line.ts
+++ b/packages/fairness/src/line.ts
@@ -30,7 +30,7 @@
   /** The numbers of all that wait, who came first in front. */
   readonly #sequences = new Map<Each, number>()
   #sequence = 0
-  /** No request waits for a shorter time than until then, on `Clock.now`. */
+  /** No request waits for a shorter time than until then. */
   #firstEnd = Infinity
 
   constructor (waiting: Iterable<Each> = []) {
@@ -68,6 +68,11 @@
     if (group.length === 0) this.#groups.delete(key)
   }
 
+  /** Until when all wait, on `Clock.now`, in ms; Infinity where none does. */
+  get firstEnd (): number {
+    return this.size === 0 ? Infinity : this.#firstEnd
+  }
+
   /** Removes those that wait no longer, and returns them. */
   takeEnded (now: number): Each[] {
     if (this.#firstEnd >= now) return []
--- a/packages/places/src/issuer.ts
+++ b/packages/places/src/issuer.ts
@@ -17,8 +17,9 @@
   readonly deliver: (to: string, reply: Reply) => void
 }
 
-/** Time between two looks at a queue in which nothing else has happened, in ms: heads may have opened, and requests have waited too long. */
+/** Longest and shortest time between two looks at a queue in which nothing else has happened, in ms: heads may have opened, and requests have waited too long. */
 const lookInterval = 20
+const leastInterval = 1
 
 /** Issues places. */
 export class Issuer {
@@ -155,7 +156,7 @@
     }
     if (queue.timer !== undefined) return
     const { clock } = this.#options
-    const time = Math.max(0, Math.min(lookInterval, queue.nextReview - clock.now()))
+    const time = Math.max(leastInterval, Math.min(lookInterval, queue.nextLook - clock.now()))
     queue.timer = clock.after(time, () => {
       queue.timer = undefined
       this.#give(queue)
--- a/packages/places/src/roomqueue.ts
+++ b/packages/places/src/roomqueue.ts
@@ -60,9 +60,9 @@
     return hopeless
   }
 
-  /** When the next review is due; Infinity where there is none. */
-  get nextReview (): number {
-    return [...this.#unreviewed].reduce((first, { reviewAt = Infinity }) => Math.min(first, reviewAt), Infinity)
+  /** When the next review is due, or somebody waits no longer; Infinity where nobody waits. */
+  get nextLook (): number {
+    return [...this.#unreviewed].reduce((first, { reviewAt = Infinity }) => Math.min(first, reviewAt), this.line.firstEnd)
   }
 
   /** The one that gets the next place. @param besides those that cannot use it */
