Refuse at the second look also who will be overtaken by others that come later

Change: of a team's requests that only time tells apart it is known what they got lately while some of them always waited; who stands too far behind for that rate is refused at the second look.

--- a/packages/fairness/src/line.ts
+++ b/packages/fairness/src/line.ts
@@ -50,9 +50,19 @@
     return this.#sequences.keys()
   }
 
+  /** The groups of which some wait, as `groupOf` names them. */
+  get groups (): Iterable<string> {
+    return this.#groups.keys()
+  }
+
+  /** How many wait before one within its group. */
+  before (request: Each): number {
+    return this.#groups.get(groupOf(request))?.findIndex(each => each.request === request) ?? 0
+  }
+
   add (request: Each): void {
     const entry = { request, sequence: ++this.#sequence }
-    const key = groupKey(request)
+    const key = groupOf(request)
     const group = this.#groups.get(key) ?? []
     this.#groups.set(key, group)
     group.splice(position(group, each => compareTimes(each.request, request) <= 0), 0, entry)
@@ -62,7 +72,7 @@
 
   remove (request: Each): void {
     if (!this.#sequences.delete(request)) return
-    const key = groupKey(request)
+    const key = groupOf(request)
     const group = this.#groups.get(key) ?? []
     group.splice(group.findIndex(each => each.request === request), 1)
     if (group.length === 0) this.#groups.delete(key)
@@ -116,7 +126,8 @@
   }
 }
 
-function groupKey ({ priority, team, again, early }: Waiting): string {
+/** The group of a request: only the time tells those of one group apart. */
+export function groupOf ({ priority, team, again, early }: Waiting): string {
   return `${priority} ${String(again === true)} ${String(early === true)} ${team}`
 }
 
--- a/packages/places/src/issuer.ts
+++ b/packages/places/src/issuer.ts
@@ -97,7 +97,10 @@
     const now = this.#options.clock.now()
     this.#grants.keepOnly(gateway => gateway === ownAsk || isLive(gateway))
     this.#openings.forget()
-    for (const [key, queue] of this.#queues) if (queue.isOver(now)) this.#queues.delete(key)
+    for (const [key, queue] of this.#queues) {
+      queue.forget(now)
+      if (queue.isOver(now)) this.#queues.delete(key)
+    }
   }
 
   #queue (room: Room): RoomQueue {
--- a/packages/places/src/prospects.ts
+++ b/packages/places/src/prospects.ts
@@ -2,8 +2,9 @@
  * How long a request would wait in the queue of a room, by how fast places were given lately and who waits before it. Owns these rates, and what it has found for a moment,
  * since many that are alike ask at once.
  */
-import { expectedWait, kindOf, servedInTime, type TeamUsage, type WaitingLine } from '@eiderwind/fairness'
+import { expectedWait, groupOf, kindOf, servedInTime, type TeamUsage, type WaitingLine } from '@eiderwind/fairness'
 import { type Ask } from './ask.js'
+import { Backlogs } from './backlogs.js'
 import { Rate } from './rate.js'
 
 /** How long requests have to wait without a break until places given are taken for places that come free, in ms: before, as many were given as asked for. */
@@ -30,20 +31,24 @@
 export class Prospects {
   /** Places given a second, by the priority of who got them. */
   readonly #rates = new Map<number, Rate>()
+  readonly #backlogs = new Backlogs()
   readonly #expected = new Map<string, Expectation>()
   /** Since when there is always one that waits. */
   #busySince: number | undefined
 
-  /** Counts a place that was given to a request of a priority. */
-  given (priority: number, now: number): void {
+  /** Counts a place that was given. */
+  given (ask: Ask, now: number): void {
+    const { priority } = ask
     const rate = this.#rates.get(priority) ?? new Rate()
     this.#rates.set(priority, rate)
     rate.add(now)
+    this.#backlogs.given(groupOf(ask), now)
   }
 
-  /** Takes whether requests wait now. */
-  look (wait: boolean, now: number): void {
-    this.#busySince = wait ? this.#busySince ?? now : undefined
+  /** Takes who waits now. */
+  look (waiting: WaitingLine<Ask>, now: number): void {
+    this.#busySince = waiting.size > 0 ? this.#busySince ?? now : undefined
+    this.#backlogs.look(waiting.groups, now)
   }
 
   /**
@@ -64,14 +69,21 @@
     return wait
   }
 
-  /** Of some that wait, those that would not be served in time; all where it is not known how fast places come free. */
+  /**
+   * Of some that wait, those that would not be served in time; all where it is not known how fast places come free. By who waits now, and by what those like it got lately,
+   * since others will come that go first.
+   */
   hopeless (some: readonly Ask[], waiting: WaitingLine<Ask>, usage: TeamUsage, now: number): Ask[] {
     const inTime = new Map<number, ReadonlySet<Ask>>()
     for (const priority of new Set(some.map(each => each.priority))) {
       const rivals = [...waiting].filter(each => each.priority >= priority)
       inTime.set(priority, servedInTime(rivals, usage, this.#rate(priority, now) ?? 0, now))
     }
-    return some.filter(each => inTime.get(each.priority)?.has(each) !== true)
+    return some.filter(each => {
+      const rate = this.#backlogs.rate(groupOf(each), now)
+      const isOvertaken = rate !== undefined && now + (waiting.before(each) + 1) / rate * 1000 > each.until
+      return isOvertaken || inTime.get(each.priority)?.has(each) !== true
+    })
   }
 
   /** In how many ms those that wait now are served, where that is worth telling; 0 where it is soon, or not known. */
@@ -81,6 +93,11 @@
     return time > usualReturn ? time : 0
   }
 
+  /** Forgets what is over. */
+  forget (now: number): void {
+    this.#backlogs.forget(now)
+  }
+
   /** Places that come free a second for requests of a priority and less urgent ones; undefined where it is not known. */
   #rate (priority: number, now: number): number | undefined {
     const all = [...this.#rates].map(([urgency, rate]) => ({ urgency, rate: rate.at(now) }))
--- a/packages/places/src/roomqueue.ts
+++ b/packages/places/src/roomqueue.ts
@@ -74,12 +74,12 @@
   served (ask: Ask, now: number): void {
     this.drop(ask.from, ask.number)
     this.#usage.served(ask.team, ask.work, now, kindOf(ask, now))
-    this.#prospects.given(ask.priority, now)
+    this.#prospects.given(ask, now)
   }
 
   /** Takes that all were served for which there are places now. */
   look (now: number): void {
-    this.#prospects.look(this.line.size > 0, now)
+    this.#prospects.look(this.line, now)
   }
 
   /** In how many ms an ask that has just come would be served. */
@@ -92,6 +92,11 @@
     return this.#prospects.return(this.line.size, now)
   }
 
+  /** Forgets what is over. */
+  forget (now: number): void {
+    this.#prospects.forget(now)
+  }
+
   /** Whether it is not worth keeping. */
   isOver (now: number): boolean {
     return this.line.size === 0 && now - this.#usedAt > keptFor
--- a/packages/places/test/issuer.test.ts
+++ b/packages/places/test/issuer.test.ts
@@ -279,3 +279,41 @@
   fixture.clock.advance(6)
   t.deepEqual(fixture.heard, ['x1 later'])
 })
+
+test('one that others overtake who come later is refused when it would no longer wait alone', t => {
+  const fixture = new Fixture()
+  fixture.heads = [head('a', 1)]
+  const served = new Map<string, number>()
+  let [held, early] = [0, 0]
+  const come = new Map<number, { team: string, at: number }>()
+  const { clock } = fixture
+  const issuer = new Issuer({
+    clock,
+    heads: () => fixture.heads,
+    inFlight: () => 0,
+    counts: fixture.counts,
+    deliver: (_to, reply) => {
+      const ask = come.get(reply.number)
+      if (ask === undefined) return
+      if (reply.place === 'grant') served.set(ask.team, (served.get(ask.team) ?? 0) + 1)
+      if (reply.place !== 'later' || clock.now() < 3000) return
+      if (clock.now() - ask.at > 115) held++
+      else early++
+    },
+    random: () => 0
+  })
+  const ask = (number: number, team: string): void => {
+    const at = clock.now()
+    come.set(number, { team, at })
+    issuer.ask(room, { from: 'x', number, priority: 1, team, work: 1, arrivedAt: at, inTimeUntil: at + 450, until: at + 400, reviewAt: at + 110, besides: [], near: 'dc' })
+  }
+  // 40 places a second; six teams ask 5 times a second each, and one 40 times.
+  for (let number = 0; clock.now() < 6000; number++) {
+    if (number % 200 < 6) ask(10_000 + number, `t${number % 200}`)
+    if (number % 25 === 0) ask(number, 'many')
+    if (number % 25 === 10) issuer.hear(room, 'x', { upstream: 'a', count: 0, seen: Number.MAX_SAFE_INTEGER })
+    clock.advance(1)
+  }
+  t.true((served.get('many') ?? 0) >= 40, `${served.get('many')} of the many served`)
+  t.true(held <= (held + early) * 0.1, `${held} held of ${held + early} refused`)
+})
