--- a/packages/dispatch/src/waiting.ts
+++ b/packages/dispatch/src/waiting.ts
@@ -13,7 +13,7 @@
  * The same where one queue is kept for all gateways, as a share of the objective: whoever has no prospect there is refused at once, so one that waits is likely served, and
  * what is left of the objective is enough for its first event.
  */
-const sharedWaitShare = 0.8
+const sharedWaitShare = 0.4
 
 /**
  * Longest wait of a stream for its next upstream, in ms. Callers leave after 2,000 ms without an event, of which about 400 ms (setting `silence`) pass before a stall is noticed.
