--- a/packages/gateway/src/rooms.ts
+++ b/packages/gateway/src/rooms.ts
@@ -33,6 +33,9 @@
   readonly random: Random
 }
 
+/** Requests that wait at a head beyond its slots: it takes the next one without the way of a place that came free. More would have no order there. */
+const spare = 1
+
 /** Time between two looks at what is over, in ms. */
 const forgetInterval = 250
 
@@ -126,8 +129,7 @@
   }
 
   /**
-   * The heads whose places are issued: those that take requests only by tokens have another rule. No request waits at a head, where it would have no order: the way of a place
-   * that comes free is short against the time for which it is taken.
+   * The heads whose places are issued: those that take requests only by tokens have another rule.
    */
   #heads ({ service, model }: Room): Head[] {
     const { roster, rests, choice, intake, engine: engineOf } = this.#options
@@ -136,7 +138,7 @@
     const open = new Set(choice.heads(service, model).map(({ id }) => id))
     return roster.heads(service, model)
       .filter(({ id }) => !intake.isLimited(id) && (open.has(id) || rests.has(id)))
-      .map(({ id, dataCentre }) => ({ id, dataCentre, capacity: engine.slots, closedFor: rests.left(id) }))
+      .map(({ id, dataCentre }) => ({ id, dataCentre, capacity: engine.slots + spare, closedFor: rests.left(id) }))
   }
 
   #fullness ({ service, model }: Room, others: (upstream: string) => number): number {
