--- a/packages/places/test/issuer.test.ts
+++ b/packages/places/test/issuer.test.ts
@@ -235,3 +235,85 @@
   ask(51, 1)
   t.is(later, 1)
 })
+
+/** A head whose place comes free each `interval` ms for a second, so that it is known how fast places come free; requests wait all the time. */
+function steady (interval: number): { fixture: Fixture, pass: (time: number) => void } {
+  const fixture = new Fixture()
+  fixture.heads = [head('a', 1)]
+  const pass = (time: number): void => {
+    for (let passed = 0; passed < time; passed++) {
+      fixture.clock.advance(1)
+      if (fixture.clock.now() % interval === 0) fixture.issuer.hear(room, 'x', { upstream: 'a', count: 0, seen: Number.MAX_SAFE_INTEGER })
+    }
+  }
+  for (let number = 0; number < 1000 / interval + 1; number++) fixture.ask('x', number, { until: Infinity })
+  pass(1000)
+  return { fixture, pass }
+}
+
+test('when a request would no longer wait alone, it goes on waiting if it is served in time, and else is refused then', t => {
+  const { fixture, pass } = steady(50)
+  const now = fixture.clock.now()
+  t.is(fixture.issuer.waiting, 0)
+  fixture.answers.length = 0
+  for (let number = 100; number < 112; number++) fixture.ask('x', number, { arrivedAt: now + number, until: now + 400, reviewAt: now + 110 })
+  // What is known of the past lets the first ones wait.
+  pass(45)
+  for (let number = 112; number < 118; number++) fixture.ask('x', number, { arrivedAt: now + number, until: now + 400, reviewAt: now + 110 })
+  fixture.answers.length = 0
+  pass(70)
+  const refused = fixture.heard.filter(each => each.endsWith('later'))
+  t.true(refused.length >= 8 && refused.length <= 11, refused.join())
+  pass(400)
+  const later = fixture.heard
+  t.true(later.filter(each => each.endsWith('later')).length <= 1, later.join())
+})
+
+test('where it is not known how fast places come free, a request waits no longer than alone', t => {
+  const fixture = new Fixture()
+  fixture.heads = []
+  fixture.ask('x', 1, { reviewAt: fixture.clock.now() + 110 })
+  fixture.ask('x', 2)
+  fixture.clock.advance(105)
+  t.deepEqual(fixture.heard, ['x1 wait', 'x2 wait'])
+  fixture.clock.advance(6)
+  t.deepEqual(fixture.heard, ['x1 later'])
+})
+
+test('one that others overtake who come later is refused when it would no longer wait alone', t => {
+  const fixture = new Fixture()
+  fixture.heads = [head('a', 1)]
+  const served = new Map<string, number>()
+  let [held, early] = [0, 0]
+  const come = new Map<number, { team: string, at: number }>()
+  const { clock } = fixture
+  const issuer = new Issuer({
+    clock,
+    heads: () => fixture.heads,
+    inFlight: () => 0,
+    counts: fixture.counts,
+    deliver: (_to, reply) => {
+      const ask = come.get(reply.number)
+      if (ask === undefined) return
+      if (reply.place === 'grant') served.set(ask.team, (served.get(ask.team) ?? 0) + 1)
+      if (reply.place !== 'later' || clock.now() < 3000) return
+      if (clock.now() - ask.at > 115) held++
+      else early++
+    },
+    random: () => 0
+  })
+  const ask = (number: number, team: string): void => {
+    const at = clock.now()
+    come.set(number, { team, at })
+    issuer.ask(room, { from: 'x', number, priority: 1, team, work: 1, arrivedAt: at, inTimeUntil: at + 450, until: at + 400, reviewAt: at + 110, besides: [], near: 'dc' })
+  }
+  // 40 places a second; six teams ask 5 times a second each, and one 40 times.
+  for (let number = 0; clock.now() < 6000; number++) {
+    if (number % 200 < 6) ask(10_000 + number, `t${number % 200}`)
+    if (number % 25 === 0) ask(number, 'many')
+    if (number % 25 === 10) issuer.hear(room, 'x', { upstream: 'a', count: 0, seen: Number.MAX_SAFE_INTEGER })
+    clock.advance(1)
+  }
+  t.true((served.get('many') ?? 0) >= 40, `${served.get('many')} of the many served`)
+  t.true(held <= (held + early) * 0.1, `${held} held of ${held + early} refused`)
+})
