Count the loads of earlier planners in the limit of loads at a time

Change: others' loads that have not ended count until the engine holds the weights, is gone, or their memory of 16 s ends.

--- a/packages/forming/src/loadlimit.ts
+++ b/packages/forming/src/loadlimit.ts
@@ -1,6 +1,6 @@
 /**
- * How many loads from the weight store may run. Owns the loads that this planner has ordered and the tokens for new ones;
- * relies on the roster to show when a load has ended.
+ * How many loads from the weight store may run, of this planner and of those before it. Owns the loads that this planner has
+ * ordered and the tokens for new ones; relies on the roster to show when a load has ended.
  */
 import { type Clock } from '@eiderwind/clock'
 import { type Upstream } from '@eiderwind/roster'
@@ -60,8 +60,9 @@
     const now = this.#clock.now()
     this.#tokens = rated ? Math.min(burst, this.#tokens + (now - this.#filledAt) / 1000 * engine.loadRate) : 0
     this.#filledAt = now
-    const others = this.#running.size - Number(this.#running.has(node))
-    const permitted = (!rated || this.#tokens >= 1) && others < engine.loadsAtOnce - keepFree
+    const besides = new Set([...this.#running.keys(), ...this.#othersLoads().keys()])
+    besides.delete(node)
+    const permitted = (!rated || this.#tokens >= 1) && besides.size < engine.loadsAtOnce - keepFree
     if (!permitted) return false
     if (rated) this.#tokens--
     this.#running.set(node, { model, until: now + loadPatience * duration })
