--- a/packages/bench/src/decisions.ts
+++ b/packages/bench/src/decisions.ts
@@ -10,6 +10,7 @@
 const runs = 9
 const options = { restart: 30_000 }
 
+/** Measures what the planner, the reading of a configuration and the choice of an upstream cost by size. */
 export function measureDecisions (figures: Figures): void {
   measurePlanner(figures)
   measureConfiguration(figures)
--- a/packages/trial/src/fleet.ts
+++ b/packages/trial/src/fleet.ts
@@ -17,12 +17,14 @@
 import { type EngineOptions } from './engine.js'
 import { type PlatformFault } from './platform.js'
 
-/** The secrets of a trial. They open nothing else. */
+/** The API key of a trial's team. It opens nothing else. */
 export const trialKey = 'trial-key'
+/** The token of a trial's operator. It opens nothing else. */
 export const trialToken = 'trial-token'
 
-/** The services of a trial. */
+/** The model service of a trial. */
 export const modelName = 'support'
+/** The plain service of a trial. */
 export const plainName = 'receipts'
 
 const daemonScript = fileURLToPath(new URL('../../../daemon/bin/eiderwind.js', import.meta.url))
