Count only models of the configuration in what callers are refused

Cause: reading the change again. A refused request counted under whatever model its caller named, and heartbeats carry these names: many invented ones would have made datagrams longer than other gateways take. Change: StreamPath counts a refusal only for a model that the engine's configuration has.

--- a/packages/forward/src/streampath.ts
+++ b/packages/forward/src/streampath.ts
@@ -150,10 +150,16 @@
       delivery.cut()
       return request.finish('cut')
     }
-    if (result === undefined && request.spent === 0) this.context.offered?.refused(this.#target.model)
+    if (result === undefined && request.spent === 0) this.#countRefused()
     super.conclude(result)
   }
 
+  /** Counts the request as offered to its model. One that the configuration does not have is not: callers could fill heartbeats with names. */
+  #countRefused (): void {
+    const { model, engine } = this.#target
+    if (engine?.models.some(({ name }) => name === model) === true) this.context.offered?.refused(model)
+  }
+
   protected refusal (): Fault {
     return refusals.noRoom(this.upstreams.length)
   }
--- /dev/null
+++ b/packages/forward/test/offered.test.ts
@@ -0,0 +1,38 @@
+/** Which refused requests count as asked for: heartbeats name their models, and callers may name what they like. */
+import test from 'ava'
+import { ManualClock } from '@eiderwind/clock'
+import { InFlight, Rests } from '@eiderwind/detect'
+import { Intake, OfferedLoad, Queue } from '@eiderwind/dispatch'
+import { type Engine } from '@eiderwind/traffic'
+import { StreamPath, type Context } from '../src/index.js'
+import { callerRequest } from './requests.js'
+
+const engine = { slots: 4, models: [{ name: 'known', size: 2, share: 1, pace: 1, load: 1, warm: 1 }], step: 5, stepPerRequest: 0.1, readRate: 1000, prompt: 10, answer: 10, loadRate: 1, loadsAtOnce: 1, formTime: 1 } satisfies Engine
+
+/** What models are asked for once a request for one was refused, since no head serves it. */
+async function askedFor (model: string): Promise<Record<string, number>> {
+  const clock = new ManualClock()
+  const offered = new OfferedLoad(clock, { models: () => ({}), rate: () => 0 })
+  const context = {
+    clock,
+    offered,
+    intake: new Intake({ clock, rests: new Rests({ clock, begun: () => {}, ended: () => {} }) }),
+    queue: new Queue(clock),
+    inFlight: new InFlight(clock, () => {}),
+    crashes: { standing: () => 'trusted', underTrial: new Set<string>() },
+    roster: { heads: () => [] },
+    choice: { head: () => undefined },
+    names: { request: 'id' },
+    random: () => 0
+  } as unknown as Context
+  await new StreamPath(context, callerRequest(clock, { kind: 'stream', resumable: true }), { model, engine }).serve()
+  return offered.models
+}
+
+test('a model of the configuration counts', async t => {
+  t.deepEqual(await askedFor('known'), { known: 1 })
+})
+
+test('a model that the configuration does not have does not count', async t => {
+  t.deepEqual(await askedFor('invented'), {})
+})
