Count begun and refused requests of the last second by one class

Cause: OfferedLoad had InFlight's list of times over again, with a span that had to equal that one, and removed names while it was read. Change: RecentEvents of detect serves both.

--- a/packages/detect/src/index.ts
+++ b/packages/detect/src/index.ts
@@ -1,6 +1,7 @@
 /** Failure detection: silence of upstreams, suspects, unreachable engines and dead heads, pauses of this process. */
 export { agreedSuspects, isAgreed, type Witness } from './agreement.js'
 export { InFlight, InFlightRequest, type InFlightHandlers } from './inflight.js'
+export { RecentEvents } from './recent.js'
 export { Suspects } from './suspects.js'
 export { Backoff } from './backoff.js'
 export { Rests, type Rest, type RestsOptions } from './rests.js'
--- a/packages/detect/src/inflight.ts
+++ b/packages/detect/src/inflight.ts
@@ -4,6 +4,7 @@
  * Relies on forwarding to report the start, every received byte and the end of each attempt.
  */
 import { type Clock } from '@eiderwind/clock'
+import { RecentEvents } from './recent.js'
 
 /** What is done about a request in flight. */
 export interface InFlightHandlers {
@@ -45,9 +46,6 @@
   receivedAt: number
 }
 
-/** Span over which begun requests are counted, in ms. */
-const recentSpan = 1000
-
 /** Counts requests in flight by upstream and model. */
 export class InFlight {
   readonly #clock: Clock
@@ -55,13 +53,14 @@
   readonly #models = new Map<string, number>()
   /** Places at upstreams that are kept for requests about to be sent there. */
   readonly #kept = new Map<string, number>()
-  /** When the requests of the last second began, by model, on `Clock.now`. */
-  readonly #begun = new Map<string, number[]>()
+  /** Requests that were sent, by model. */
+  readonly #begun: RecentEvents
   readonly #ended: (request: InFlightRequest) => void
 
   /** @param ended called after each request has ended, when its place is free again */
   constructor (clock: Clock, ended: (request: InFlightRequest) => void) {
     this.#clock = clock
+    this.#begun = new RecentEvents(clock)
     this.#ended = ended
   }
 
@@ -108,18 +107,13 @@
     load.requests.add(request)
     this.#loads.set(upstream, load)
     this.#models.set(model, (this.#models.get(model) ?? 0) + 1)
-    this.#begun.set(model, [...this.#recent(model), request.sentAt])
+    this.#begun.add(model)
     return request
   }
 
   /** Requests of a model that were sent in the last second. */
   rate (model: string): number {
-    return this.#recent(model).length
-  }
-
-  #recent (model: string): number[] {
-    const since = this.#clock.now() - recentSpan
-    return (this.#begun.get(model) ?? []).filter(each => each > since)
+    return this.#begun.count(model)
   }
 
   /** Records that something was received for a request, and so from its upstream. */
--- a/packages/dispatch/src/offered.ts
+++ b/packages/dispatch/src/offered.ts
@@ -4,9 +4,7 @@
  * long requests of each model are in flight. Times are on `Clock.now`, in ms.
  */
 import { type Clock } from '@eiderwind/clock'
-
-/** Span over which refusals are counted, in ms: that of the begun requests (`InFlight.rate`). */
-const span = 1000
+import { RecentEvents } from '@eiderwind/detect'
 
 /** Weight of the newest of two samples a second: requests are in flight for some seconds. */
 const newestWeight = 0.2
@@ -30,20 +28,19 @@
 
 /** The load that callers offer to each model. */
 export class OfferedLoad {
-  readonly #clock: Clock
   readonly #counts: ModelCounts
   readonly #usual = new Map<string, Usual>()
-  /** When callers were refused for lack of room, by model. */
-  readonly #refused = new Map<string, number[]>()
+  /** Callers who were refused for lack of room, by model. */
+  readonly #refused: RecentEvents
 
   constructor (clock: Clock, counts: ModelCounts) {
-    this.#clock = clock
     this.#counts = counts
+    this.#refused = new RecentEvents(clock)
   }
 
   /** Counts a caller of a model who is refused for lack of room. One who comes back is the same caller: count first tries only. */
   refused (model: string): void {
-    this.#refused.set(model, [...this.#recent(model), this.#clock.now()])
+    this.#refused.add(model)
   }
 
   /** Takes a sample of how long requests are in flight. To be called at a steady interval. */
@@ -58,15 +55,14 @@
   /** Requests that would be in flight, by model, in whole ones. */
   get models (): Record<string, number> {
     const models = this.#counts.models()
-    const names = new Set([...Object.keys(models), ...this.#refused.keys()])
+    const refused = [...this.#refused.names].filter(model => this.#refused.count(model) > 0)
+    const names = new Set([...Object.keys(models), ...refused])
     return Object.fromEntries([...names].map(model => [model, (models[model] ?? 0) + this.#missing(model)]))
   }
 
   /** Requests that would be in flight beside those that are, by Little's law. */
   #missing (model: string): number {
-    const refused = this.#recent(model).length * 1000 / span
-    if (refused === 0) this.#refused.delete(model)
-    return Math.round(refused * this.#timeInFlight(model))
+    return Math.round(this.#refused.count(model) * this.#timeInFlight(model))
   }
 
   /** In s. */
@@ -74,11 +70,6 @@
     const usual = this.#usual.get(model)
     return usual === undefined || usual.rate < 1 ? assumedTime : usual.inFlight / usual.rate
   }
-
-  #recent (model: string): number[] {
-    const since = this.#clock.now() - span
-    return (this.#refused.get(model) ?? []).filter(each => each > since)
-  }
 }
 
 function smoothed (before: number, newest: number): number {
