Make orders to open conditional where an order to join may be late

Callers: a head that has left its replica served it again, alone. It was listed as open, so gateways sent it requests that made no progress, and it obeyed an order to join another replica while it served (rule TWO).

Cause: a head's answer to an order to leave counted as proof that it never serves the replica again. An order to join that the head had left unanswered let it in again, and an order to open, late as well, found it ready.

Change: where an order to join may still reach the head, the planner probes it, and the order to open expects the number of orders that the head has begun. Leaving raises the number, so orders to open from before are refused. A planner that takes over knows no earlier orders and always sets the condition. An order to open is dropped if the head is ordered to leave while the condition is read.

--- a/packages/detect/src/probes.ts
+++ b/packages/detect/src/probes.ts
@@ -14,6 +14,10 @@
    * occasionally.
    */
   readonly leaving: boolean
+  /**
+   * Number of orders that the engine has begun since it started. Undefined on platforms whose engines don't report it.
+   */
+  readonly orderCount?: number
 }
 
 /**
--- a/packages/emulator/src/engines.ts
+++ b/packages/emulator/src/engines.ts
@@ -3,6 +3,7 @@
  * replicas, die, leave and answer late, and they record each order that breaks a rule. Owns the engines and the roster
  * that lists them.
  */
+import { isDeepStrictEqual } from 'node:util'
 import { type ManualClock } from '@eiderwind/clock'
 import { Probes, type EngineReport, type NodeAddress } from '@eiderwind/detect'
 import { Orders, type Order, type OrderResult } from '@eiderwind/forming'
@@ -14,6 +15,8 @@
   alive: boolean
   reachable: boolean
   maxEpoch: number
+  /** Number of orders that the engine has begun. */
+  orderCount: number
   heartbeats: number
   /**
    * The model whose weights are in use. It stays set after the engine has left its replica, although the record of the
@@ -48,6 +51,11 @@
   readonly violations: Violation[] = []
   readonly sentOrders: Order[] = []
   readonly loadTimes: number[] = []
+  /**
+   * Number of times that a head opened a replica of which a member was elsewhere. Such a head serves nothing, although
+   * it is listed as open.
+   */
+  incompleteOpens = 0
   /** Time until the roster shows a change of an engine, in ms. */
   listingDelay = 0
   /** Age of the state that an engine reports when it is probed, in ms. */
@@ -90,7 +98,7 @@
   /** Adds an engine. @param staged models whose weights its host holds; none for a new host */
   add (id: string, domain: string, staged: readonly string[] = [], dataCentre = 'dc'): void {
     const upstream: Upstream = { id, service: this.#service.name, address: `${id}:1`, dataCentre, leaving: false, domain, loaded: [], staged: [...staged] }
-    this.#nodes.set(id, { upstream, alive: true, reachable: true, maxEpoch: 0, heartbeats: 0, modelInUse: undefined })
+    this.#nodes.set(id, { upstream, alive: true, reachable: true, maxEpoch: 0, orderCount: 0, heartbeats: 0, modelInUse: undefined })
     this.roster.replace([...this.roster.upstreams, upstream])
   }
 
@@ -171,8 +179,7 @@
   readonly probes: Probes = new EmulatedProbes({
     isReachable: async address => await this.#answers(address.split(':')[0]),
     report: async ({ id }) => {
-      const { upstream: { loaded, staged, membership, leaving } } = this.#node(id)
-      const report = this.#reported.get(id) ?? { loaded, staged, membership, leaving }
+      const report = this.#reported.get(id) ?? this.#reportOf(this.#node(id))
       return await this.#answers(id) ? report : undefined
     },
     heartbeatOf: async id => {
@@ -191,6 +198,7 @@
   }
 
   #carryOut (node: Node, order: Order): OrderResult {
+    if (order.expectedOrderCount !== undefined && order.expectedOrderCount !== node.orderCount) return 'refused'
     switch (order.kind) {
       case 'join': return this.#join(node, order)
       case 'open': return this.#open(node, order)
@@ -202,14 +210,15 @@
 
   #join (node: Node, order: Order): OrderResult {
     const key = `${order.replica} ${order.epoch}`
-    if (this.#isMember(node, order)) return 'taken'
+    const members = order.members as readonly string[]
+    if (this.#isMember(node, order)) return isDeepStrictEqual(this.#memberLists.get(key), members) ? 'taken' : 'stale'
     if (order.epoch < node.maxEpoch) return 'stale'
+    this.#countOrder(node)
     const previous = node.upstream.membership
     const head = [...this.#nodes.values()].find(each => each.alive && each.upstream.membership?.rank === 0 && each.upstream.membership.replica === previous?.replica && each.upstream.membership.epoch === previous.epoch)
     const state = head?.upstream.membership?.state
     if (state === 'open' || state === 'closing') this.violations.push('two')
     node.maxEpoch = order.epoch
-    const members = order.members as readonly string[]
     this.#memberLists.set(key, members)
     const model = order.model as string
     const { load, warm } = this.#service.engine.models.find(each => each.name === model) as Engine['models'][number]
@@ -230,23 +239,30 @@
   }
 
   #open (node: Node, order: Order): OrderResult {
-    if (!this.#isMember(node, order) || node.upstream.membership?.state !== 'ready') return 'refused'
+    if (!this.#isMember(node, order)) return 'refused'
+    if (node.upstream.membership?.state === 'open') return 'taken'
+    if (node.upstream.membership?.state !== 'ready') return 'refused'
+    this.#countOrder(node)
     const key = `${order.replica} ${order.epoch}`
     const list = this.#memberLists.get(key) ?? []
     const size = this.#service.engine.models.find(each => each.name === node.upstream.loaded[0])?.size
     if (list.length !== size || list.some(id => this.#ready.get(key)?.has(id) !== true)) this.violations.push('partial')
+    if (list.some(id => !this.#isMember(this.#node(id), order))) this.incompleteOpens++
     this.#setState(node, 'open')
     return 'taken'
   }
 
   #close (node: Node, order: Order): OrderResult {
     if (!this.#isMember(node, order)) return 'refused'
-    if (node.upstream.membership?.state === 'open') this.#setState(node, 'ready')
+    if (node.upstream.membership?.state !== 'open') return 'taken'
+    this.#countOrder(node)
+    this.#setState(node, 'ready')
     return 'taken'
   }
 
   #leave (node: Node, order: Order): OrderResult {
     if (!this.#isMember(node, order)) return 'refused'
+    this.#countOrder(node)
     this.#update(node, { membership: undefined, loaded: [] })
     return 'taken'
   }
@@ -254,6 +270,7 @@
   #stage (node: Node, order: Order): OrderResult {
     const model = order.model as string
     if (node.upstream.staged.includes(model)) return 'taken'
+    this.#countOrder(node)
     this.#recordLoad()
     const time = this.#service.engine.models.find(each => each.name === model)?.load as number * this.loadFactor
     this.clock.after(time, () => { if (node.alive) this.#update(node, { staged: [model] }) })
@@ -278,13 +295,29 @@
   #update (node: Node, difference: Partial<Upstream>): void {
     const changed = { ...node.upstream, ...difference }
     node.upstream = changed
-    const { loaded, staged, membership, leaving } = changed
-    if (this.reportDelay > 0) this.clock.after(this.reportDelay, () => this.#reported.set(changed.id, { loaded, staged, membership, leaving }))
+    this.#report(node)
     const list = (): void => { if (this.roster.find(changed.id) !== undefined) this.roster.apply([{ upstream: changed }]) }
     if (this.listingDelay > 0) this.clock.after(this.listingDelay, list)
     else list()
   }
 
+  /** Counts an order that the engine begins. */
+  #countOrder (node: Node): void {
+    node.orderCount++
+    this.#report(node)
+  }
+
+  /** Updates the state that the engine reports, after `reportDelay`. */
+  #report (node: Node): void {
+    if (this.reportDelay === 0) return
+    const report = this.#reportOf(node)
+    this.clock.after(this.reportDelay, () => this.#reported.set(node.upstream.id, report))
+  }
+
+  #reportOf ({ upstream: { loaded, staged, membership, leaving }, orderCount }: Node): EngineReport {
+    return { loaded, staged, membership, leaving, orderCount }
+  }
+
   /** Makes the engine stop or start answering calls. It continues to serve. */
   setReachable (id: string, reachable: boolean): void {
     this.#node(id).reachable = reachable
--- a/packages/emulator/test/schedules.ts
+++ b/packages/emulator/test/schedules.ts
@@ -36,7 +36,7 @@
  * consider different members dead would form a replica again in turns without end, and the schedule would not end
  * either.
  */
-class ThrottledPlacements extends MemoryPlacements {
+export class ThrottledPlacements extends MemoryPlacements {
   readonly #clock: ManualClock
   #at = -Infinity
   #count = 0
@@ -58,6 +58,8 @@
 /** The result of a schedule. */
 export interface ScheduleResult {
   readonly violations: readonly Violation[]
+  /** Number of times that a head opened a replica of which a member was elsewhere. */
+  readonly incompleteOpens: number
   /** Number of open replicas at the end, after a time without events. */
   readonly openReplicas: number
   /** Whether some domain had enough engines for a replica at the end. */
@@ -109,7 +111,7 @@
  * Advances the clock until a replica is open and no planner has sent an order for `calm` ms, or `settleTime` has
  * passed.
  */
-async function settle (world: World, calm: number): Promise<void> {
+export async function settle (world: World, calm: number): Promise<void> {
   const end = world.clock.now() + settleTime
   let orderCount = world.sentOrders.length
   for (let since = world.clock.now(); world.clock.now() < end && (world.openReplicas.length === 0 || world.clock.now() < since + calm);) {
@@ -181,9 +183,14 @@
   world.orderDelay = () => undefined
   await settle(world, seed % fullSettleEvery === 0 ? settleTime : calmTime)
   for (const each of planners) each.stop()
+  return resultOf(world)
+}
+
+/** The result of a schedule that has ended. */
+export function resultOf (world: World): ScheduleResult {
   // Planners that run at the same time each enforce the rate limit of loads on their own. Together they may exceed it.
   const smallest = Math.min(...engine.models.map(each => each.size))
   const staying = world.roster.upstreams.filter(each => !each.leaving)
   const servable = staying.some(({ domain }) => staying.filter(each => each.domain === domain).length >= smallest)
-  return { violations: world.violations.filter(each => each !== 'loads'), openReplicas: world.openReplicas.length, servable }
+  return { violations: world.violations.filter(each => each !== 'loads'), incompleteOpens: world.incompleteOpens, openReplicas: world.openReplicas.length, servable }
 }
--- a/packages/forming/src/history.ts
+++ b/packages/forming/src/history.ts
@@ -46,6 +46,11 @@
    * replica removes the entry.
    */
   readonly #leaveOrderedAt = new Map<string, number>()
+  /**
+   * Times at which engines last left an order to join a replica unanswered, by node and replica. The engine may carry it
+   * out later, also after a repeated order that it answered.
+   */
+  readonly #joinUnansweredAt = new Map<string, number>()
 
   constructor (clock: Clock) {
     this.#clock = clock
@@ -76,8 +81,9 @@
   recordResult (order: Order, result: OrderResult): void {
     const entry = this.#entries.get(orderKey(order))
     if (entry !== undefined) entry.result = result
-    if (result === 'unanswered') return
     const key = headKey(order.node, order.replica)
+    if (result === 'unanswered' && order.kind === 'join') this.#joinUnansweredAt.set(key, this.#clock.now())
+    if (result === 'unanswered') return
     // An engine carries out the orders that it answers in sequence. A close therefore ends the effect of an answered
     // open. It does not end the effect of an unanswered open, which may be carried out after it.
     if (order.kind === 'open' && result === 'taken') this.#mayServeUntil.set(key, this.#clock.now() + listingDelay)
@@ -104,6 +110,19 @@
     return this.#entries.get(orderKey({ kind: 'join', node, replica }))?.result === 'stale'
   }
 
+  /** Discards an order that was recorded but not sent, so that it is due again. */
+  recordUnsent (order: Order): void {
+    this.#entries.delete(orderKey(order))
+  }
+
+  /**
+   * Whether an engine may still carry out an order to join a replica: it left one unanswered, or another planner sent
+   * the orders.
+   */
+  mayJoinLate (node: string, replica: string): boolean {
+    return this.#joinUnansweredAt.has(headKey(node, replica)) || !this.wasTaken({ kind: 'join', node, replica })
+  }
+
   /**
    * Whether a head may serve a replica although it is not listed as open. Ends when the head answers an order to close.
    */
@@ -127,7 +146,7 @@
   sweep (): void {
     const before = this.#clock.now() - entryRetention
     for (const [key, { sentAt }] of this.#entries) if (sentAt < before) this.#entries.delete(key)
-    for (const times of [this.#mayServeUntil, this.#leaveOrderedAt, this.#left]) {
+    for (const times of [this.#mayServeUntil, this.#leaveOrderedAt, this.#left, this.#joinUnansweredAt]) {
       for (const [key, at] of times) if (at < before) times.delete(key)
     }
   }
--- a/packages/forming/src/orders.ts
+++ b/packages/forming/src/orders.ts
@@ -34,6 +34,11 @@
   readonly loads: boolean
   /** Set for `stage`: whether nothing waits for the load, so that repairs have precedence. */
   readonly spare?: boolean
+  /**
+   * Set for `open` where another order may still arrive late: the number of orders that the engine has begun. It
+   * refuses the order if the number differs.
+   */
+  readonly expectedOrderCount?: number
   /** The fencing token: the highest epoch of the domain when the order was sent. Engines may refuse lower ones. */
   readonly fence: number
 }
--- a/packages/forming/src/reconciler.ts
+++ b/packages/forming/src/reconciler.ts
@@ -14,6 +14,7 @@
 import { Appearances, Arrivals, domainSize, intactReplicas, isEvacuated, targetsMet } from './fleet.js'
 import { OrderHistory } from './history.js'
 import { LoadLimit } from './loadlimit.js'
+import { conditionalOpen } from './opening.js'
 import { type Order, type OrderResult, type Orders } from './orders.js'
 import { Pace } from './pace.js'
 import { type Placements } from './placement.js'
@@ -245,11 +246,22 @@
   #sendAll (domain: Domain, { orders }: Step): void {
     for (const order of orders) {
       this.#history.recordSent(order)
-      if (order.kind === 'open') this.#sendIfCurrent(domain, order).catch(this.#options.failed)
+      if (order.kind === 'open') this.#sendOpen(domain, order).catch(this.#options.failed)
       else this.#send(domain.key, order)
     }
   }
 
+  /**
+   * Orders a head to open. If an order to join may still reach the head, the order to open is conditional: it costs a
+   * probe. The order is dropped if the head is ordered to leave meanwhile.
+   */
+  async #sendOpen (domain: Domain, order: Order): Promise<void> {
+    const { node, replica } = order
+    const sent = this.#history.mayJoinLate(node, replica) ? await conditionalOpen(order, this.#options.probes) : order
+    if (sent === undefined) return this.#history.recordUnsent(order)
+    if (!this.#history.wasOrderedToLeave(node, replica)) await this.#sendIfCurrent(domain, sent)
+  }
+
   /**
    * Orders a head to open only if the stored placement has not changed. For a moment another gateway may plan too, and
    * it may just have dissolved the replica. This gateway would then have the engines join the replica again and have it
--- a/packages/forming/test/history.test.ts
+++ b/packages/forming/test/history.test.ts
@@ -43,3 +43,27 @@
   history.recordSent(order('open', { node: 'other' }))
   t.true(history.hasLeft('head', 'r'))
 })
+
+test('an engine may join late if an order to join is unanswered, also after a repeated one was taken, or if this planner sent none', t => {
+  const history = new OrderHistory(new ManualClock())
+  const join = order('join')
+  t.true(history.mayJoinLate('head', 'r'))
+  history.recordSent(join)
+  t.true(history.mayJoinLate('head', 'r'))
+  history.recordResult(join, 'taken')
+  t.false(history.mayJoinLate('head', 'r'))
+  t.true(history.mayJoinLate('head', 's'))
+  history.recordSent(join)
+  history.recordResult(join, 'unanswered')
+  history.recordSent(join)
+  history.recordResult(join, 'taken')
+  t.true(history.mayJoinLate('head', 'r'))
+})
+
+test('an order that was recorded but not sent is due at once', t => {
+  const history = new OrderHistory(new ManualClock())
+  history.recordSent(order('open'))
+  t.false(history.isDue(order('open')))
+  history.recordUnsent(order('open'))
+  t.true(history.isDue(order('open')))
+})
