Run late timers after the input that arrived before them

Callers: a request was refused with 429 although its upstream was sound and had room, after the event loop of the gateway had been delayed.

Cause: Node.js runs timers before it reads its sockets. After a delay of more than the 350 ms that a connection may take, each connection that was being established counted as timed out although it was up, and its request as not run. The same held for every other time-out.

Evidence: beside 16 busy processes the slow readers' test ended with 429 for an ordinary stream; the gateway logged a delay of 591 ms, 508 of which it waited for a processor, in which it opened 20 connections.

--- a/packages/clock/test/clock.test.ts
+++ b/packages/clock/test/clock.test.ts
@@ -1,7 +1,13 @@
+import { connect, createServer } from 'node:net'
 import test from 'ava'
-import { ManualClock, SystemClock, seeded } from '../src/index.js'
+import { ManualClock, SystemClock, TurnQueue, seeded } from '../src/index.js'
 import { ViewClock } from './view.js'
 
+/** Blocks this thread for `time` ms. */
+function block (time: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT)), 0, 0, time)
+}
+
 test('a manual clock runs due timers in order, and no cancelled timer', t => {
   const clock = new ManualClock()
   const ran: string[] = []
@@ -57,3 +63,62 @@
   t.true(firsts.filter(each => each < 0.5).length > 30)
   t.true(firsts.filter(each => each >= 0.5).length > 30)
 })
+
+// Guards against this failure: after a delay of the event loop, time-outs expired although the answer had arrived.
+test('a timer that is late runs after the input that arrived before it', async t => {
+  const clock = new SystemClock()
+  const server = createServer(socket => socket.end('x'))
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const socket = connect((server.address() as { port: number }).port, '127.0.0.1')
+  const order: string[] = []
+  const input = new Promise<void>(resolve => socket.once('data', () => {
+    order.push('input')
+    resolve()
+  }))
+  // The server accepts in this thread as well, so it is blocked after it has written.
+  server.once('connection', () => setImmediate(() => {
+    clock.after(10, () => order.push('timer'))
+    block(100)
+  }))
+  await input
+  await clock.wait(50)
+  server.close()
+  t.deepEqual(order, ['input', 'timer'])
+})
+
+test('a late timer can be cancelled until its task runs', async t => {
+  const clock = new SystemClock()
+  let ran = false
+  const timer = clock.after(10, () => { ran = true })
+  setTimeout(() => timer.cancel(), 10)
+  block(100)
+  await clock.wait(50)
+  t.false(ran)
+})
+
+test('a turn queue runs a bounded number of tasks in a turn, in order, and the rest in the following turns', t => {
+  const clock = new ManualClock()
+  const queue = new TurnQueue(clock, 3)
+  const ran: number[] = []
+  for (let index = 0; index < 8; index++) queue.run(() => ran.push(index))
+  t.deepEqual(ran, [0, 1, 2])
+  clock.after(0, () => ran.push(-1))
+  clock.advance(0)
+  t.deepEqual(ran, [0, 1, 2, 3, 4, 5, -1, 6, 7])
+  queue.run(() => ran.push(8))
+  t.is(ran.at(-1), 8)
+})
+
+test('a task that adds tasks to its turn queue does not run more of them in its turn than the bound', t => {
+  const clock = new ManualClock()
+  const queue = new TurnQueue(clock, 2)
+  let ran = 0
+  const task = (): void => {
+    ran++
+    if (ran < 6) queue.run(task)
+  }
+  queue.run(task)
+  t.is(ran, 2)
+  clock.advance(0)
+  t.is(ran, 6)
+})
--- a/packages/wire/src/connections.ts
+++ b/packages/wire/src/connections.ts
@@ -218,9 +218,11 @@
 
 function openSocket ({ host, port, timeout, opened, failed }: SocketOptions): void {
   const socket = connect({ host, port, noDelay: true })
-  const timer = setTimeout(() => {
-    socket.destroy(Object.assign(new Error(`No connection to ${host}:${port} within ${timeout} ms.`), { code: connectTimeoutCode }))
-  }, timeout)
+  const expire = (): void => {
+    if (socket.connecting) socket.destroy(Object.assign(new Error(`No connection to ${host}:${port} within ${timeout} ms.`), { code: connectTimeoutCode }))
+  }
+  // After a delay of the event loop, timers run before the completed connection is noticed. The immediate runs after it.
+  const timer = setTimeout(() => setImmediate(expire), timeout)
   const onError = (error: Error): void => {
     clearTimeout(timer)
     failed(error)
--- a/packages/wire/test/connections.test.ts
+++ b/packages/wire/test/connections.test.ts
@@ -148,3 +148,16 @@
     server.close()
   })
 }
+
+// Guards against this failure: the gateway refused a request as not run, because its event loop was delayed for longer
+// than a connection may take, although the connection was established meanwhile.
+test('a connection that was established during a delay of the event loop does not time out', async t => {
+  const { origin, server } = await startUpstream(socket => { socket.write(completeAnswer) })
+  const connections = new Connections({ connectTime: 50, idleTime: 1000 })
+  const answer = call(connections, origin)
+  // The system accepts the connection while this thread is blocked.
+  setImmediate(() => Atomics.wait(new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT)), 0, 0, 150))
+  t.is(await answer, 'ok')
+  connections.close()
+  server.close()
+})
