Bound the callers that a gateway serves in one turn, and log long turns

Callers: beside a thousand callers that read slowly or not at all, all other streams of a gateway paused for up to 637 ms at the same time.

Cause: each check resumed every upstream that the total of unread bytes had paused, up to 326 in one turn of the event loop, with 64 KiB to read from each: 120 ms of a core, two to three times as long on a busy machine. Closing callers had no bound either. On top of that the machine did not run the gateway for up to 500 ms at a time, which no change of it can prevent.

Evidence: event 107, new, gives for each delay of the event loop the processor time of the main thread, its wait for a processor, garbage collections and the work done: "span 384, processor 122, waited 229, garbage 64, upstreams resumed 326".

Change: at most ten callers are closed, or have their upstreams resumed, in one turn.

--- a/packages/forward/src/backlog.ts
+++ b/packages/forward/src/backlog.ts
@@ -92,6 +92,11 @@
     if (entry !== undefined) entry.progressAt = now
   }
 
+  /** Time since a caller last read, in ms; 0 for a caller without unread bytes. @param now in ms */
+  idleTime (caller: Caller, now: number): number {
+    return now - (this.#entries.get(caller)?.progressAt ?? now)
+  }
+
   /** Removes a caller that has disconnected. */
   remove (caller: Caller): void {
     this.#total -= this.#entries.get(caller)?.bytes ?? 0
@@ -118,8 +123,8 @@
     const { total: bound, patience } = this.#bounds
     let total = this.#total
     const limit = (): number => total > bound * overloadRatio ? patience * overloadPatienceRatio : patience
-    const longestIdleFirst = [...this.#entries].map(([caller, { bytes, progressAt }]) => ({ caller, bytes, idle: now - progressAt })).sort((a, b) => b.idle - a.idle)
-    return longestIdleFirst.filter(({ bytes, idle }) => {
+    const idle = [...this.#entries].map(([caller, { bytes, progressAt }]) => ({ caller, bytes, idle: now - progressAt })).filter(each => each.idle > patience * overloadPatienceRatio)
+    return idle.sort((a, b) => b.idle - a.idle).filter(({ bytes, idle }) => {
       if (idle <= limit()) return false
       total -= bytes
       return true
--- a/packages/forward/src/delivery.ts
+++ b/packages/forward/src/delivery.ts
@@ -4,7 +4,7 @@
  * callers that read nothing for too long. `backlog.ts` decides how much is buffered and for how long.
  */
 import { type ServerResponse } from 'node:http'
-import { type Clock, type Subscription } from '@eiderwind/clock'
+import { TurnQueue, type Clock, type Subscription } from '@eiderwind/clock'
 import { type Log } from '@eiderwind/log'
 import { Backlog, type BacklogBounds } from './backlog.js'
 
@@ -14,6 +14,12 @@
 /** Time between two checks for callers that do not read, in ms. */
 const checkIntervalMs = 250
 
+/**
+ * Callers that are closed, or whose upstreams are resumed, in one turn of the event loop. Each costs up to half a
+ * millisecond of processor time, since an upstream that is resumed delivers 64 KiB at once.
+ */
+const maxCallersPerTurn = 10
+
 /**
  * Time between two checks above which this process counts as paused, in ms. What callers read during a pause has not
  * been seen yet.
@@ -31,13 +37,16 @@
 export class Deliveries {
   readonly #options: DeliveriesOptions
   readonly #backlog: Backlog<Delivery>
+  readonly #turns: TurnQueue
   #timer: Subscription | undefined
   #checkedAt = 0
   #closed = 0
+  #resumed = 0
 
   constructor (options: DeliveriesOptions) {
     this.#options = options
     this.#backlog = new Backlog(options.bounds)
+    this.#turns = new TurnQueue(options.clock, maxCallersPerTurn)
   }
 
   /** Number of callers with buffered bytes. */
@@ -55,13 +64,18 @@
     return this.#closed
   }
 
+  /** Number of times that reading from an upstream was resumed. */
+  get resumed (): number {
+    return this.#resumed
+  }
+
   /**
    * Opens the delivery of one answer.
    * @param id id of the request
    * @param onClose called before the connection is closed for lack of progress
    */
   open (response: ServerResponse, id: string, onClose: () => void): Delivery {
-    return new Delivery({ clock: this.#options.clock, backlog: this.#backlog, response, id, onClose, onUnread: () => this.#startChecks() })
+    return new Delivery({ clock: this.#options.clock, backlog: this.#backlog, response, id, onClose, onUnread: () => this.#startChecks(), turns: this.#turns, onResumed: () => { this.#resumed++ } })
   }
 
   #startChecks (): void {
@@ -77,9 +91,13 @@
     this.#checkedAt = now
     for (const each of this.#backlog.callers) if (wasPaused || !each.canRead) this.#backlog.restartIdleTime(each, now)
     for (const { caller, bytes, idle } of this.#backlog.overdue(now)) {
-      this.#closed++
-      log.write('caller-stalled', { request: caller.id, bytes, idle: Math.round(idle), kept: this.#backlog.total, answered: caller.ended })
-      caller.close()
+      this.#turns.run(() => {
+        // It may have read, or disconnected, since the check.
+        if (this.#backlog.idleTime(caller, clock.now()) < idle) return
+        this.#closed++
+        log.write('caller-stalled', { request: caller.id, bytes, idle: Math.round(idle), kept: this.#backlog.total, answered: caller.ended })
+        caller.close()
+      })
     }
     for (const each of this.#backlog.callers) each.resumeUpstream()
     if (this.#backlog.callers.length > 0) return
@@ -97,6 +115,10 @@
   readonly onClose: () => void
   /** Called when bytes are counted as unread. */
   readonly onUnread: () => void
+  /** Bounds how many upstreams are resumed in one turn of the event loop. */
+  readonly turns: TurnQueue
+  /** Called when reading from the upstream is resumed. */
+  readonly onResumed: () => void
 }
 
 /** The delivery of one answer. */
@@ -109,6 +131,8 @@
   #ending: 'end' | 'cut' | undefined
   #isListening = false
   #onResume: (() => void) | undefined
+  /** Whether a resumption awaits its turn. */
+  #isResuming = false
 
   constructor (options: DeliveryOptions) {
     this.#options = options
@@ -179,10 +203,23 @@
 
   /** Resumes reading from the upstream if the backlog permits it again. */
   resumeUpstream (): void {
+    if (this.#isResuming || !this.#mayResume) return
+    this.#isResuming = true
+    this.#options.turns.run(() => this.#resume())
+  }
+
+  get #mayResume (): boolean {
+    return this.#onResume !== undefined && this.#options.backlog.mayResume(this)
+  }
+
+  /** The upstreams that were resumed in earlier turns may have filled the backlog. */
+  #resume (): void {
+    this.#isResuming = false
+    if (!this.#mayResume) return
     const onResume = this.#onResume
-    if (onResume === undefined || !this.#options.backlog.mayResume(this)) return
     this.#onResume = undefined
-    onResume()
+    this.#options.onResumed()
+    onResume?.()
   }
 
   get #isBlocked (): boolean {
--- a/packages/forward/test/delivery.test.ts
+++ b/packages/forward/test/delivery.test.ts
@@ -2,7 +2,7 @@
 import { EventEmitter } from 'node:events'
 import { type ServerResponse } from 'node:http'
 import test from 'ava'
-import { ManualClock } from '@eiderwind/clock'
+import { ManualClock, type Subscription, type Task } from '@eiderwind/clock'
 import { Log } from '@eiderwind/log'
 import { Deliveries, type Delivery } from '../src/delivery.js'
 
@@ -57,11 +57,39 @@
   }
 }
 
+/** A clock that counts what happens in each turn of the event loop, that is, in each timer. */
+class TurnClock extends ManualClock {
+  #ended: () => void = () => {}
+
+  override after (delay: number, task: Task): Subscription {
+    return super.after(delay, () => {
+      task()
+      this.#ended()
+    })
+  }
+
+  /** Returns a function that reads the greatest rise of `count` in one turn since now. */
+  maxPerTurn (count: () => number): () => number {
+    let last = count()
+    let max = 0
+    this.#ended = () => {
+      max = Math.max(max, count() - last)
+      last = count()
+    }
+    return () => max
+  }
+}
+
 class Fixture {
-  readonly clock = new ManualClock()
+  readonly clock: ManualClock
+  readonly deliveries: Deliveries
   readonly lines: string[] = []
   readonly closed: string[] = []
-  readonly deliveries = new Deliveries({ clock: this.clock, log: new Log({ sink: line => { this.lines.push(line) } }), bounds })
+
+  constructor (clock = new ManualClock(), limits = bounds) {
+    this.clock = clock
+    this.deliveries = new Deliveries({ clock, log: new Log({ sink: line => { this.lines.push(line) } }), bounds: limits })
+  }
 
   open (id: string): { response: SlowResponse, delivery: Delivery } {
     const response = new SlowResponse()
@@ -161,6 +189,45 @@
   t.deepEqual(fixture.closed, ['a'])
 })
 
+// Guards against this failure: all other streams stood still while hundreds of callers were served in one turn.
+test('of a thousand callers that read nothing, no more than ten are closed in one turn of the event loop, and all are closed', t => {
+  const clock = new TurnClock()
+  const { deliveries, open } = boundMethods(new Fixture(clock))
+  for (let index = 0; index < 1000; index++) open(String(index)).delivery.write(Buffer.alloc(20 * kibibyte))
+  const maxClosed = clock.maxPerTurn(() => deliveries.closed)
+  clock.advance(bounds.patience + 1000)
+  t.is(deliveries.closed, 1000)
+  t.is(maxClosed(), 10)
+})
+
+test('of hundreds of upstreams that may be read again at once, no more than ten are resumed in one turn of the event loop', t => {
+  const clock = new TurnClock()
+  const { deliveries, open } = boundMethods(new Fixture(clock, { ...bounds, total: 16 * kibibyte ** 2 }))
+  const callers = Array.from({ length: 400 }, (_each, index) => open(String(index)))
+  for (const { delivery } of callers) delivery.write(Buffer.alloc(17 * kibibyte))
+  const large = open('large')
+  large.delivery.write(Buffer.alloc(12 * kibibyte ** 2))
+  let resumed = 0
+  for (const { delivery } of callers) t.true(delivery.isFull(() => { resumed++ }))
+  const maxResumed = clock.maxPerTurn(() => resumed)
+  large.response.destroy()
+  clock.advance(1000)
+  t.is(resumed, 400)
+  t.is(maxResumed(), 10)
+  t.is(deliveries.resumed, 400)
+})
+
+test('a caller that reads again before its turn to be closed keeps its connection', t => {
+  const { deliveries, open, clock } = boundMethods(new Fixture())
+  const callers = Array.from({ length: 11 }, (_each, index) => open(String(index)))
+  for (const { delivery } of callers) delivery.write(Buffer.alloc(17 * kibibyte))
+  // Callers are closed in the order of their idle time, and the eleventh in the turn after the others.
+  callers[0].response.once('close', () => callers[10].response.read())
+  clock.advance(bounds.patience + 1000)
+  t.is(deliveries.closed, 10)
+  t.false(callers[10].response.destroyed)
+})
+
 test('the buffered bytes of a caller that disconnects are freed', t => {
   const { deliveries, open } = boundMethods(new Fixture())
   const { response, delivery } = open('a')
--- a/packages/gateway/src/callers.ts
+++ b/packages/gateway/src/callers.ts
@@ -59,7 +59,7 @@
   readonly #open = new Set<CallerRequest>()
   #connections = 0
   #isRefusing = false
-  #served = false
+  #requests = 0
 
   constructor (options: CallersOptions) {
     this.#options = options
@@ -79,7 +79,12 @@
 
   /** Whether any request has arrived yet. */
   get served (): boolean {
-    return this.#served
+    return this.#requests > 0
+  }
+
+  /** Number of requests that have arrived. */
+  get requests (): number {
+    return this.#requests
   }
 
   /** Number of admitted requests that are not answered yet. */
@@ -133,7 +138,7 @@
   async #handle (incoming: IncomingMessage, response: ServerResponse): Promise<void> {
     const { context, board } = this.#options
     const arrivedAt = context.clock.now()
-    this.#served = true
+    this.#requests++
     if (board.read('stopping')) response.setHeader('connection', 'close')
     const inForce = board.read('inForce')
     if (inForce === undefined) return this.#refuse(incoming, response, refusals.behind())
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,7 @@
 import { platformListener } from './listener.js'
 import { Health } from './health.js'
 import { Leadership } from './leadership.js'
+import { LoopDelays, type WorkTotals } from './loopdelays.js'
 import { Metrics } from './metrics.js'
 import { PeerServer } from './peerserver.js'
 import { makeReconciler } from './planning.js'
@@ -84,6 +85,7 @@
   readonly #upstreamFeed: UpstreamFeed
   readonly #peerServer: PeerServer
   readonly #health: Health
+  readonly #loopDelays: LoopDelays
   readonly #readiness: Readiness
   readonly #stalls: Stalls
   readonly #reconciler: Reconciler
@@ -221,6 +223,7 @@
       others: () => this.#peers.live
     })
     this.#health = new Health(settings.health, () => this.ready)
+    this.#loopDelays = new LoopDelays({ clock, log, work: () => this.#work(), observed: delay => this.#metrics.loopDelayed(delay) })
     this.#stalls = this.#makeStalls()
     this.#reconciler = makeReconciler({
       ...options,
@@ -275,6 +278,7 @@
     platform.register({ id: settings.id, address: settings.peers })
     if (!settings.isFirstStart) this.#crashWatch.start()
     this.#pauses.start()
+    this.#loopDelays.start()
     this.#rooms?.start()
     this.#stalls.start()
     this.#readiness.start()
@@ -300,7 +304,7 @@
     }
     this.#callers.close()
     this.#rooms?.stop()
-    for (const part of [this.#sampling, this.#reconciler, this.#stalls, this.#readiness, this.#evacuationController, this.#pauses, this.#confirmations, this.#upstreamFeed, this.#peerServer, this.#peers, this.#health, this.#metrics, this.#options.platform]) part.stop()
+    for (const part of [this.#sampling, this.#reconciler, this.#stalls, this.#readiness, this.#evacuationController, this.#pauses, this.#loopDelays, this.#confirmations, this.#upstreamFeed, this.#peerServer, this.#peers, this.#health, this.#metrics, this.#options.platform]) part.stop()
     this.#connections.close()
   }
 
@@ -404,6 +408,12 @@
     })
   }
 
+  /** The work that this process has done since its start, for the log of delays. */
+  #work (): WorkTotals {
+    const { closed: callersClosed, resumed: upstreamsResumed } = this.#deliveries
+    return { requests: this.#callers.requests, callersClosed, upstreamsResumed, connectionsOpened: this.#connections.opened }
+  }
+
   /** Passes another gateway's heartbeat to the parts that read it. */
   #receiveHeartbeat (heartbeat: Heartbeat, from: PeerAddress): void {
     this.#crashWatch.receiveHeartbeat(heartbeat, from)
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -47,6 +47,9 @@
 /** Bounds of the error histogram, in s: from one step of an engine up to an objective. */
 const errorBuckets = [0.005, 0.01, 0.015, 0.03, 0.06, 0.1, 0.15, 0.3, 0.6, 1.2]
 
+/** Bounds of the histogram of the event loop's delays, in s: from a tenth of the time between two events to a pause. */
+const loopDelayBuckets = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8]
+
 /** Counters, histograms and gauges. Labels are kinds, services and outcomes, of which there are few. */
 export class Metrics {
   readonly #registry = new Registry()
@@ -57,6 +60,7 @@
   readonly #shortages: Counter<'rule'>
   readonly #latencies: Histogram<'kind'>
   readonly #errors: Histogram
+  readonly #loopDelays: Histogram
   readonly #attempts: Counter<'kind' | 'ending'>
   readonly #suspicions: Counter
   readonly #resumptions: Counter
@@ -98,6 +102,12 @@
       buckets: errorBuckets,
       registers
     })
+    this.#loopDelays = new Histogram({
+      name: 'eiderwind_loop_delay_seconds',
+      help: 'Delay of the event loop of this process, measured 20 times a second.',
+      buckets: loopDelayBuckets,
+      registers
+    })
     this.#attempts = new Counter({
       name: 'eiderwind_attempts_total',
       help: 'Sends to upstreams, by how they ended.',
@@ -160,6 +170,11 @@
     if (kind === 'stream' && attempts.length > 1 && outcome.startsWith('answered 2')) this.#resumptions.inc()
   }
 
+  /** @param delay in ms */
+  loopDelayed (delay: number): void {
+    this.#loopDelays.observe(delay / 1000)
+  }
+
   refused (code: string): void {
     this.#refusals.inc({ code })
   }
--- a/packages/log/test/forms.test.ts
+++ b/packages/log/test/forms.test.ts
@@ -12,6 +12,7 @@
   '104 crashed error',
   '105 controller-failed warn',
   '106 process-paused warn',
+  '107 loop-delayed warn',
   '200 store-lost warn',
   '201 store-back info',
   '202 configuration-new info',
