--- a/packages/emulator/test/warming.test.ts
+++ b/packages/emulator/test/warming.test.ts
@@ -177,7 +177,7 @@
   reconciler.stop()
 })
 
-/** The last seed shows a known fault that is not fixed: KNOWN-RED.txt. */
+/** The last seed broke TWO: a head served a dissolved replica after late orders to join and to open. */
 for (const seed of [...Array.from({ length: 20 }, (_each, index) => index + 1), 600_115]) {
   test.serial(`a random schedule with spares that load ahead breaks no rule (seed ${seed})`, async t => {
     const { violations, servable, openReplicas } = await runSchedule(seed, { keepUnlisted: 8000, lapseShare: 0.3, warmSpares: true })
