--- a/packages/gateway/src/planning.ts
+++ b/packages/gateway/src/planning.ts
@@ -3,7 +3,7 @@
  * metrics of its decisions and orders.
  */
 import { majoritySuspects, type InFlight, type Pauses, type Suspects } from '@eiderwind/detect'
-import { Reconciler, type Order, type OrderResult } from '@eiderwind/forming'
+import { Reconciler, type Demand, type Order, type OrderResult } from '@eiderwind/forming'
 import { type Peers } from '@eiderwind/peers'
 import { type Roster } from '@eiderwind/roster'
 import { type Connections } from '@eiderwind/wire'
@@ -51,7 +51,7 @@
     demand: () => modelLoad.demand,
     othersLoads: () => new Map(peers.seenWithin(loadRetention).flatMap(each => Object.entries(each.loads))),
     beforeTraffic: () => settings.isFirstStart && !served() && !peers.live.some(each => each.served),
-    decided: (domain, note, epoch) => log.write('replica-decided', { domain, note, epoch }),
+    decided: (domain, note, epoch) => log.write('replica-decided', { domain, note, epoch, ...sharesField(modelLoad.demand) }),
     keepUnlisted: settings.keepUnlisted,
     warmSpares: settings.warmSpares,
     unlisted: ({ id: upstream, domain, membership }) => log.write('engine-unlisted', {
@@ -70,6 +70,12 @@
   })
 }
 
+/** Each model's share of the load, on which targets depend, as text. Absent while the configured shares count. */
+function sharesField (demand: Demand): { shares?: string } {
+  if (demand.size === 0) return {}
+  return { shares: [...demand].map(([model, share]) => `${model} ${share.toFixed(2)}`).join(', ') }
+}
+
 /** Counts and logs an order to an engine. @param took time from the order to its answer, in ms */
 function recordOrder ({ log, metrics }: PlanningOptions, { kind, node: upstream, replica, epoch, model }: Order, result: OrderResult, took: number): void {
   metrics.ordered(kind, result)
--- a/packages/gateway/src/threadtimes.ts
+++ b/packages/gateway/src/threadtimes.ts
@@ -36,11 +36,22 @@
   /** The times up to now, or undefined if the system does not offer them. */
   read (): ThreadTimes | undefined {
     if (this.#file === undefined) return undefined
-    const length = readSync(this.#file, this.#buffer, 0, maxLength, 0)
+    const length = this.#fill(this.#file)
+    if (length === 0) return undefined
     const [processor, waited] = this.#buffer.toString('latin1', 0, length).split(' ').map(each => Number(each) / nanosecondsPerMillisecond)
     return { processor, waited }
   }
 
+  #fill (file: number): number {
+    try {
+      return readSync(file, this.#buffer, 0, maxLength, 0)
+    } catch {
+      // The counters are no longer offered. As after a failed `open`, log lines omit the times.
+      this.close()
+      return 0
+    }
+  }
+
   close (): void {
     if (this.#file !== undefined) closeSync(this.#file)
     this.#file = undefined
