--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -3,6 +3,36 @@
  * that must fail then. `find` must occur exactly once in the file.
  */
 export const breakages = [
+  {
+    name: 'open-without-condition',
+    point: 2,
+    rule: 'an order to open is conditional on the state of its head where an order to join may still reach it',
+    file: 'packages/forming/dist/src/reconciler.js',
+    find: 'this.#history.mayJoinLate(node, replica) ?',
+    replace: 'false ?',
+    test: 'packages/emulator/dist/test/lateorders.test.js',
+    title: 'a head that has left a replica does not open it*'
+  },
+  {
+    name: 'turn-without-bound',
+    point: 3,
+    rule: 'callers that are closed or read again are served a bounded number at a time',
+    file: 'packages/forward/dist/src/delivery.js',
+    find: 'const maxCallersPerTurn = 10',
+    replace: 'const maxCallersPerTurn = 10_000',
+    test: 'packages/forward/dist/test/delivery.test.js',
+    title: 'of a thousand callers that read nothing*'
+  },
+  {
+    name: 'timer-before-input',
+    point: 3,
+    rule: 'a late timer runs after what arrived before it was read',
+    file: 'packages/clock/dist/src/system.js',
+    find: 'performance.now() - dueAt < maxLateness',
+    replace: 'true',
+    test: 'packages/clock/dist/test/clock.test.js',
+    title: 'a timer that is late runs after the input*'
+  },
   {
     name: 'crash-without-verdict',
     point: 8,
