--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -20,11 +20,8 @@
   teams: 100
 } as const
 
-/**
- * Limits on the control load of one daemon (`processor` in ms per second, `bytes` per second, `memory` in KiB) and of
- * the platform (`reads`, `writes`).
- */
-const limits = { processor: 27, bytes: 27_000, memory: 32_768, reads: 2000, writes: 100 } as const
+/** Limits on the control load of one daemon: `processor` in ms per second, `bytes` per second. */
+const limits = { processor: 27, bytes: 27_000 } as const
 
 /** Counts, and intervals in seconds, that the daemons have as constants in their code. */
 const entriesPerReport = 2
