Count the garbage collections of every logged delay

Found by reading.

Change: collections are kept for a second.

Result: `garbage collections within a delay are logged` fails on the code before and passes now.

--- a/packages/gateway/src/loopdelays.ts
+++ b/packages/gateway/src/loopdelays.ts
@@ -28,6 +28,9 @@
 /** Delay of a tick that is logged, in ms: half of the shortest pause between events that callers are promised. */
 const loggedDelay = 100
 
+/** How long a garbage collection is kept for a delay that is not logged yet, in ms. */
+const collectionRetention = 1000
+
 /** The state at a tick. */
 interface Tick {
   /** On `Clock.now`, which is `performance.now` in production. */
@@ -41,7 +44,7 @@
   readonly #options: LoopDelaysOptions
   readonly #threadTimes = new ThreadTimesReader()
   readonly #observer = new PerformanceObserver(list => this.#collected(list.getEntries()))
-  /** Garbage collections since the last tick that was not late. */
+  /** The garbage collections of the last ticks. */
   #collections: PerformanceEntry[] = []
   #last: Tick | undefined
   #timer: Subscription | undefined
@@ -73,9 +76,9 @@
     const late = Math.max(0, to.at - from.at - tickInterval)
     this.#last = to
     this.#options.observed(late)
-    if (late < loggedDelay) this.#collections = []
+    this.#collections = this.#collections.filter(each => endOf(each) > from.at - collectionRetention)
     // Garbage collections are reported in a later turn.
-    else this.#options.clock.after(tickInterval, () => this.#report(late, from, to))
+    if (late >= loggedDelay) this.#options.clock.after(tickInterval, () => this.#report(late, from, to))
   }
 
   #collected (entries: readonly PerformanceEntry[]): void {
@@ -84,7 +87,7 @@
 
   #report (late: number, from: Tick, to: Tick): void {
     const { log } = this.#options
-    const collections = this.#collections.filter(({ startTime, duration }) => startTime < to.at && startTime + duration > from.at)
+    const collections = this.#collections.filter(each => each.startTime < to.at && endOf(each) > from.at)
     const garbage = collections.reduce((sum, { duration }) => sum + duration, 0)
     const thread = from.thread === undefined || to.thread === undefined
       ? {}
@@ -93,6 +96,10 @@
   }
 }
 
+function endOf ({ startTime, duration }: PerformanceEntry): number {
+  return startTime + duration
+}
+
 /** The work between two readings, without the kinds of which there was none. */
 function difference (after: WorkTotals, before: WorkTotals): WorkTotals {
   return Object.fromEntries(Object.entries(after).map(([kind, total]) => [kind, total - (before[kind] ?? 0)] as const).filter(([, amount]) => amount > 0))
--- a/packages/gateway/test/loopdelays.test.ts
+++ b/packages/gateway/test/loopdelays.test.ts
@@ -10,6 +10,7 @@
   readonly span: number
   readonly processor: number
   readonly waited: number
+  readonly garbage: number
   readonly requests?: number
 }
 
@@ -47,6 +48,13 @@
   t.true((line?.processor ?? 0) >= 200, JSON.stringify(lines))
 })
 
+test.serial('garbage collections within a delay are logged', async t => {
+  const lines = await linesOf(() => {
+    for (const end = performance.now() + 400; performance.now() < end;) Array.from({ length: 10_000 }, () => ({}))
+  })
+  t.true(lines.some(({ late, garbage }) => late >= 200 && garbage > 0), JSON.stringify(lines))
+})
+
 test.serial('a delay without work is logged with little processor time', async t => {
   const lines = await linesOf(() => { Atomics.wait(new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT)), 0, 0, 300) })
   t.true(lines.some(({ late, processor }) => late >= 200 && processor < 100), JSON.stringify(lines))
