Log long delays of the event loop in entries and workers too

Change: LoopDelays and its reader of thread times move from gateway to life, which every program uses; entry and worker start it. The gateway's lines and metric stay as they were.

--- a/packages/daemon/src/roles.ts
+++ b/packages/daemon/src/roles.ts
@@ -2,14 +2,14 @@
  * Creates an entry or a worker from its settings. This is the only module that connects settings, clock, log, metrics
  * and store. It owns the order in which they are closed.
  */
-import { SystemClock } from '@eiderwind/clock'
+import { SystemClock, type Clock } from '@eiderwind/clock'
 import { Entry } from '@eiderwind/entry'
 import { Log, Metric } from '@eiderwind/log'
 import { type EntrySettings, type WorkerSettings } from '@eiderwind/settings'
 import { HttpStore } from '@eiderwind/store'
 import { splitAddress } from '@eiderwind/wire'
 import { Worker } from '@eiderwind/worker'
-import { type Daemon } from '@eiderwind/life'
+import { LoopDelays, type Daemon } from '@eiderwind/life'
 
 /** The settings that both roles have. */
 type CommonSettings = Pick<EntrySettings, 'process' | 'observe'>
@@ -17,11 +17,13 @@
 /** Creates an entry from its settings. */
 export function entryDaemon (settings: EntrySettings): Daemon {
   const { process: { id, data_centre: dataCentre, region }, listen, platform, operators, limits, planner } = settings
+  const clock = new SystemClock()
   const { log, metric } = observers(settings, 'entry')
+  const delays = loopDelays(clock, log)
   const firstOperator = operators.name === undefined || operators.token_sha256 === undefined ? undefined : { name: operators.name, token: operators.token_sha256 }
   const store = new HttpStore(platform)
   const entry = new Entry({
-    clock: new SystemClock(),
+    clock,
     log,
     metric,
     store,
@@ -40,9 +42,13 @@
   })
   return {
     log,
-    start: async () => ({ ...await entry.start() }),
+    start: async () => {
+      delays.start()
+      return { ...await entry.start() }
+    },
     stop: async () => {
       await entry.stop()
+      delays.stop()
       await store.close()
       metric.close()
     }
@@ -52,9 +58,11 @@
 /** Creates a worker from its settings. */
 export function workerDaemon (settings: WorkerSettings): Daemon {
   const { process: { data_centre: dataCentre }, listen, node, upstream, entries, lease, limits } = settings
+  const clock = new SystemClock()
   const { log, metric } = observers(settings, 'worker')
+  const delays = loopDelays(clock, log)
   const worker = new Worker({
-    clock: new SystemClock(),
+    clock,
     log,
     metric,
     node: node.id,
@@ -70,9 +78,13 @@
   })
   return {
     log,
-    start: async () => ({ peers: await worker.start() }),
+    start: async () => {
+      delays.start()
+      return { peers: await worker.start() }
+    },
     stop: async () => {
       await worker.stop()
+      delays.stop()
       metric.close()
     }
   }
@@ -84,3 +96,8 @@
   const metric = observe.statsd === '' ? new Metric() : new Metric({ ...splitAddress(observe.statsd), tags })
   return { log, metric }
 }
+
+/** Logs long delays of the event loop. The two roles count no work of their own. */
+function loopDelays (clock: Clock, log: Log): LoopDelays {
+  return new LoopDelays({ clock, log, work: () => ({}), observed: () => {} })
+}
--- a/packages/life/src/index.ts
+++ b/packages/life/src/index.ts
@@ -1,2 +1,3 @@
-/** The life cycle of a process, from its start to its graceful stop. */
+/** The life cycle of a process, from its start to its graceful stop, and the delays of its event loop. */
+export { LoopDelays, type LoopDelaysOptions, type WorkTotals } from './loopdelays.js'
 export { run, type Addresses, type Daemon } from './run.js'
