Report a lapse of a lease before an answer can restore its quorum

What callers could see: a key that runs twice.

Change: each granted answer and each new list of granters first updates the state of the lease. The marks of a holding are kept with its grants, so a delayed answer to an earlier request no longer replaces the mark of a later one; `currentMarks` names those of grants that have not ended.

Test: "a lease that lapsed while its holder was paused reports the lapse, even if an answer restores the quorum first" failed before (held only; now held, lapsed, held); breakage lapse-unreported.

--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -38,7 +38,6 @@
 /** Renews one claim at its granters and tells whether the claim is held. A lease serves one term only. */
 export class Lease {
   readonly #options: LeaseOptions
-  readonly #marks = new Map<string, Mark>()
   #holding: Holding
   #timer: Subscription | undefined
   #expiry: Subscription | undefined
@@ -76,9 +75,14 @@
     return this.#options.claim.term
   }
 
-  /** The latest mark of each granter. It remains after the lease has ended. */
+  /** The latest mark of each granter. It remains after the grant or the lease has ended. */
   get marks (): ReadonlyMap<string, Mark> {
-    return this.#marks
+    return this.#holding.marks
+  }
+
+  /** The marks of the grants that are current now. Until one of them ends, its granter gives nobody else a turn. */
+  get currentMarks (): ReadonlyMap<string, Mark> {
+    return this.#holding.currentMarks(this.#options.clock.bootNow())
   }
 
   /**
@@ -86,6 +90,7 @@
    * list. For a majority, the lists may differ by one granter.
    */
   setGranters (granters: readonly string[]): void {
+    this.#updateState()
     this.#holding = this.#holding.withGranters(granters, this.#options.quorum)
     this.#renew()
   }
@@ -122,8 +127,9 @@
       listener?.refused?.(granter, answer)
       return
     }
-    this.#marks.set(granter, answer.mark)
-    this.#holding = this.#holding.withGrant(granter, sent)
+    // A quorum that ended while this process was paused is reported before the new grant can restore it.
+    this.#updateState()
+    this.#holding = this.#holding.withGrant(granter, sent, answer.mark)
     this.#updateState()
   }
 
--- a/packages/lease/test/exclusion.test.ts
+++ b/packages/lease/test/exclusion.test.ts
@@ -171,6 +171,38 @@
   })
 }
 
+test('a lease that lapsed while its holder was paused reports the lapse, even if an answer restores the quorum first', async t => {
+  const clock = new ManualClock()
+  const answers: (() => void)[] = []
+  const channel = new class extends Channel {
+    request (): Promise<Answer> {
+      return new Promise(resolve => answers.push(() => resolve({ granted: true, mark: { origin: 'g', turn: 1 } })))
+    }
+
+    async release (): Promise<void> {}
+  }()
+  const reported: string[] = []
+  const lease = new Lease({
+    clock,
+    channel,
+    claim: { resource: 'r', holder: 'a', term: '1', period },
+    granters: ['g'],
+    quorum: 'majority',
+    interval: 900,
+    listener: { held: () => reported.push('held'), lapsed: () => reported.push('lapsed') }
+  })
+  lease.start()
+  answers[0]()
+  await settle()
+  clock.advance(900)
+  clock.freeze(500)
+  answers[1]()
+  await settle()
+  t.true(lease.valid)
+  t.deepEqual(reported, ['held', 'lapsed', 'held'])
+  lease.stop()
+})
+
 test('a holder whose granter is unreachable loses the lease within one period, and after a pause longer than a period at once', async t => {
   const base = new ManualClock()
   const processes = new Map(granters.map(id => [id, new GranterProcess(base, 1)]))
--- a/packages/lease/test/granter.test.ts
+++ b/packages/lease/test/granter.test.ts
@@ -2,6 +2,7 @@
 import { Granter, Holding, type Claim } from '../src/index.js'
 
 const options = { maxPeriod: 1000, drift: 0.01, origin: 'g' }
+const mark = { origin: 'g', turn: 1 }
 
 function claim (holder: string, term = '1', more: Partial<Claim> = {}): Claim {
   return { resource: 'node', holder, term, period: 1000, ...more }
@@ -48,17 +49,23 @@
 })
 
 test('a grant expires one period after its request was sent, and a late or duplicate answer does not shorten it', t => {
-  const holding = Holding.empty(claim('a'), ['x', 'y'], 'all').withGrant('x', 100).withGrant('y', 300).withGrant('x', 50)
+  const holding = Holding.empty(claim('a'), ['x', 'y'], 'all').withGrant('x', 100, mark).withGrant('y', 300, mark).withGrant('x', 50, mark)
   t.is(holding.until, 1100)
   t.true(holding.valid(1099))
   t.false(holding.valid(1100))
   t.deepEqual(holding.missing(1200), ['x'])
 })
 
+test('an answer to an earlier request does not replace the mark of a later one, and an ended grant has no current mark', t => {
+  const holding = Holding.empty(claim('a'), ['x', 'y'], 'majority').withGrant('x', 100, { origin: 'g', turn: 3 }).withGrant('x', 50, mark).withGrant('y', 300, mark)
+  t.is(holding.marks.get('x')?.turn, 3)
+  t.deepEqual([...holding.currentMarks(1100).keys()], ['y'])
+})
+
 test('a majority is more than half of the granters, and grants of other granters do not count', t => {
-  const holding = Holding.empty(claim('a'), ['x', 'y', 'z'], 'majority').withGrant('x', 0).withGrant('q', 0)
+  const holding = Holding.empty(claim('a'), ['x', 'y', 'z'], 'majority').withGrant('x', 0, mark).withGrant('q', 0, mark)
   t.false(holding.valid(1))
-  t.true(holding.withGrant('z', 0).valid(1))
+  t.true(holding.withGrant('z', 0, mark).valid(1))
   t.false(Holding.empty(claim('a'), [], 'majority').valid(0))
 })
 
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -68,8 +68,8 @@
     point: 1,
     rule: 'a holder counts a grant from when its request was sent',
     file: 'packages/lease/dist/src/lease.js',
-    find: 'this.#holding.withGrant(granter, sent)',
-    replace: 'this.#holding.withGrant(granter, clock.bootNow())',
+    find: 'this.#holding.withGrant(granter, sent, answer.mark)',
+    replace: 'this.#holding.withGrant(granter, clock.bootNow(), answer.mark)',
     test: 'packages/lease/dist/test/exclusion.test.js',
     title: 'a grant whose answer arrives late*'
   },
@@ -405,6 +405,16 @@
     test: 'packages/run/dist/test/home.test.js',
     title: 'a book that was handed over is used even*'
   },
+  {
+    name: 'lapse-unreported',
+    point: 1,
+    rule: 'a lease that lapsed during a pause reports it before an answer restores its quorum',
+    file: 'packages/lease/dist/src/lease.js',
+    find: 'this.#updateState();\n        this.#holding = this.#holding.withGrant(',
+    replace: 'this.#holding = this.#holding.withGrant(',
+    test: 'packages/lease/dist/test/exclusion.test.js',
+    title: 'a lease that lapsed while its holder was paused*'
+  },
   {
     name: 'handover-unused',
     point: 5,
