Count only marks of current grants when a book is handed over

What callers could see: a key that runs twice.

Cause: the next home compared all marks that its claim had ever got. A voter whose grant to it has ended may have given another home a turn since. With voters a, b and c: b claims and gets a's turn right after the old home's, is cut off until that grant ends, c holds the slot by a and c and runs a key, then b gets a majority by b and c: its old mark of a and the one of b looked like a direct succession, and b used the book of before c.

Change: the marks of the successor are those of its current grants (`currentMarks`), whose voters have given nobody a later turn.

Test: "a grant that has ended does not show that nobody held the slot in between" failed before (run in place of refuse); breakage ended-grants-count.

--- a/packages/run/src/home.ts
+++ b/packages/run/src/home.ts
@@ -307,7 +307,7 @@
   #openBook (slot: number, claim: SlotClaim): BookOrigin {
     const { clock, book, tenure: nextTenure } = this.#options
     const handover = this.#inheritances.get(slot)?.handover
-    const successor = { voters: this.#voters, marks: claim.lease.marks }
+    const successor = { voters: this.#voters, marks: claim.lease.currentMarks }
     const inherited = handover !== undefined && isDirectSuccessor(handover, successor) ? handover.book : undefined
     const tenure = nextTenure()
     claim.open(inherited === undefined ? new Book(clock.wall(), tenure, book) : Book.inherited(inherited, tenure, book), clock.now())
--- a/packages/run/test/home.test.ts
+++ b/packages/run/test/home.test.ts
@@ -304,6 +304,29 @@
   t.is(begin(made, 1, waiting)?.type, 'run')
 })
 
+test('a grant that has ended does not show that nobody held the slot in between', async t => {
+  const { made, handovers } = await makeHandover({ skew: 200 })
+  const { clock, channel, homes } = made
+  const handover = handovers.find(each => each.slot === 0) as Handover
+  const successor = { clock, homes: [homes[1]] }
+  // b gets the turn after that of a from the voter a, and from itself once that grant has ended.
+  for (const voter of ['b', 'c']) channel.lost.add(`b>${voter}`)
+  await advance(successor, 300)
+  channel.lost.add('b>a')
+  await advance(successor, 1.2 * period)
+  channel.lost.delete('b>b')
+  await advance(successor, 300)
+  // c holds the slot by a and c.
+  t.true(homes[2].inherit(handover))
+  await advance({ clock, homes: [homes[2]] }, 700)
+  const late = freshKey(made)
+  t.is(begin(made, 2, late)?.type, 'run')
+  await homes[2].stop()
+  channel.lost.delete('b>c')
+  await advance(successor, 600)
+  t.is(begin(made, 1, late)?.type, 'refuse')
+})
+
 test('a book of another service, or from a home with other voters, is refused', async t => {
   const { made, handovers: [handover] } = await makeHandover()
   t.false(made.homes[2].inherit({ ...handover, service: 'other' }))
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -435,6 +435,16 @@
     test: 'packages/run/dist/test/home.test.js',
     title: 'a home whose lease lapsed while nobody*'
   },
+  {
+    name: 'ended-grants-count',
+    point: 5,
+    rule: 'the mark of an ended grant does not show that nobody held the slot in between',
+    file: 'packages/run/dist/src/home.js',
+    find: 'marks: claim.lease.currentMarks',
+    replace: 'marks: claim.lease.marks',
+    test: 'packages/run/dist/test/home.test.js',
+    title: 'a grant that has ended*'
+  },
   {
     name: 'lapse-unreported',
     point: 1,
