Count only observed vacancy before a worker claims a slot

What callers saw: after a pause of all workers, a worker that is preferred for a slot, or one of a lower rank after a pause longer than its wait, claimed the slot of a home that was about to renew its lease. The home's book was lost, and keys of before the takeover ended unknown.

Cause: vacancy was the time since the slot was last seen held, on a clock that runs on while the process is paused; and the preferred voter did not wait at all.

Change: each update counts one renewal interval of vacancy at most, and the preferred voter waits for two intervals. A home that resumes renews within one.

Test: "after a pause of all workers, no preferred voter takes a slot whose home was paused with it" failed before; breakage pause-counts-as-vacancy.

--- a/packages/run/src/home.ts
+++ b/packages/run/src/home.ts
@@ -41,6 +41,12 @@
 /** Number of lease periods for which a book waits for its slot: one that was handed over, or one whose lease lapsed. */
 const bookWaitPeriods = 5
 
+/**
+ * Number of renewal intervals for which a slot must be vacant before its preferred voter claims it. A home that resumes
+ * from a pause renews its claim within one interval.
+ */
+const minVacantIntervals = 2
+
 /** Options of `Homes`. */
 export interface HomesOptions {
   readonly clock: Clock
@@ -89,9 +95,9 @@
 
 /**
  * The slots of which one worker is the home or claims to be. Each slot is a resource with a lease by a majority of the
- * voters. The preferred voter claims its slots at once. Each other voter claims a slot only after the slot has been
- * vacant for two lease periods times its rank of preference, so that claims rarely split the votes. When the quorum of
- * a lease is reached, a book is opened.
+ * voters. The preferred voter claims its slots after two renewal intervals of vacancy. Each other voter claims a slot
+ * only after the slot has been vacant for two lease periods times its rank of preference, so that claims rarely split
+ * the votes. When the quorum of a lease is reached, a book is opened.
  *
  * If a lease lapses, for example because the voters or this process were paused, the claim goes on under the same term.
  * Once the quorum is back, the book is continued if the marks of the voters show that no other home held the slot
@@ -161,9 +167,10 @@
    */
   update (): void {
     if (this.#stopped) return
-    const { clock, preferred, worker } = this.#options
+    const { clock, interval, preferred, worker } = this.#options
     const now = clock.now()
-    const passed = now - this.#updatedAt
+    // A pause of this process does not count as vacancy: the home may have been paused for the same time.
+    const passed = Math.min(now - this.#updatedAt, interval)
     this.#updatedAt = now
     for (let slot = 0; slot < slotCount; slot++) {
       if (this.#claims.has(slot)) continue
@@ -171,10 +178,16 @@
       if (rank < 0) continue
       const vacantFor = (this.#vacancies.get(slot) ?? 0) + passed
       this.#vacancies.set(slot, vacantFor)
-      if (this.#awaitsInheritance(slot, now) || vacantFor >= rank * 2 * this.#options.period) this.#claim(slot)
+      if (this.#awaitsInheritance(slot, now) || vacantFor >= this.#minVacancy(rank)) this.#claim(slot)
     }
   }
 
+  /** For how long a slot must be vacant before a voter of this rank of preference claims it, in ms. */
+  #minVacancy (rank: number): number {
+    const { interval, period } = this.#options
+    return rank === 0 ? minVacantIntervals * interval : rank * 2 * period
+  }
+
   /** Releases all leases without handing books over. */
   async stop (): Promise<void> {
     this.#stopped = true
--- a/packages/run/test/home.test.ts
+++ b/packages/run/test/home.test.ts
@@ -327,6 +327,23 @@
   t.is(begin(made, 1, late)?.type, 'refuse')
 })
 
+test('after a pause of all workers, no preferred voter takes a slot whose home was paused with it', async t => {
+  const made = makeFixture()
+  await made.homes[0].stop()
+  const started = makeFixture(made).homes[0]
+  const homes = [...made.homes.slice(1), started]
+  await advance({ clock: made.clock, homes: homes.slice(0, 2) }, 10 * period)
+  const before = homes.map(slots)
+  for (const pause of [1100, 3000, 10_000]) {
+    for (const slot of before[0]) started.recordHolder(slot, 'b')
+    made.clock.freeze(pause)
+    // The preferred voter runs before the home that was paused.
+    started.update()
+    await advance({ clock: made.clock, homes }, 2 * period)
+    t.deepEqual(homes.map(slots), before)
+  }
+})
+
 test('a book of another service, or from a home with other voters, is refused', async t => {
   const { made, handovers: [handover] } = await makeHandover()
   t.false(made.homes[2].inherit({ ...handover, service: 'other' }))
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -465,6 +465,16 @@
     test: 'packages/run/dist/test/home.test.js',
     title: 'a home that stops while its lease has lapsed*'
   },
+  {
+    name: 'pause-counts-as-vacancy',
+    point: 5,
+    rule: 'a worker that was paused does not take slots whose home was paused with it',
+    file: 'packages/run/dist/src/home.js',
+    find: 'Math.min(now - this.#updatedAt, interval)',
+    replace: 'now - this.#updatedAt',
+    test: 'packages/run/dist/test/home.test.js',
+    title: 'after a pause of all workers*'
+  },
   {
     name: 'handover-unused',
     point: 5,
