Repeat a read that the store does not answer in time before a change fails

Cause, most likely: the platform's process did not run for longer than the time-out of 1 s. The writer returned the fault of its first read at once, although it had 5 s and a read has no effect.

Change: a read that is not answered in time (store-silent) is repeated until the change's time limit; a store that refuses connections or answers an error is still reported at once.

--- a/packages/config/src/writer.ts
+++ b/packages/config/src/writer.ts
@@ -22,7 +22,7 @@
 /** Default time limit for retries and for resolving the outcome of a write. */
 const defaultMaxWaitMs = 5000
 
-/** Pause between two reads while the store does not answer. */
+/** Pause between two reads while the store does not answer, in ms. */
 const readPauseMs = 100
 
 /** Number of digits of the revision in the key of an audit object, so that keys sort by revision. */
@@ -71,7 +71,8 @@
 
   /**
    * Makes the change. Resolves with a configuration that contains it, or with a fault that tells why it failed and
-   * whether it may have been applied.
+   * whether it may have been applied. A read that the store does not answer in time is repeated until the time limit: a
+   * store or an entry that stood still for a moment answers the next one. A store that refuses is reported at once.
    */
   async change (request: ChangeRequest): Promise<Result<Configuration, Fault>> {
     const deadline = this.#clock.now() + this.#maxWait
@@ -79,8 +80,8 @@
     while (true) {
       const read = await this.#read()
       if (read.isErr()) {
-        if (this.#clock.now() >= deadline) return Err(mayBeApplied ? new Fault('store-unknown') : read.error)
-        if (!mayBeApplied) return read
+        const mayRetry = mayBeApplied || read.error.code === 'store-silent'
+        if (!mayRetry || this.#clock.now() >= deadline) return Err(mayBeApplied ? new Fault('store-unknown') : read.error)
         await this.#clock.wait(readPauseMs)
         continue
       }
--- a/packages/config/test/writer.test.ts
+++ b/packages/config/test/writer.test.ts
@@ -41,6 +41,8 @@
   { title: 'the answer to the write is lost', calls: ['well', 'lost-answer'], outcome: 'accepted', applied: true },
   { title: 'the write itself is lost', calls: ['well', 'lost-call'], outcome: 'accepted', applied: true },
   { title: 'the store is down before the write', calls: ['down'], outcome: 'store-down, not-run', applied: false },
+  { title: 'the store is silent for a moment before the write', calls: ['silent', 'silent', 'well', 'well'], outcome: 'accepted', applied: true },
+  { title: 'the store stays silent', calls: Array<CallOutcome>(20).fill('silent'), outcome: 'store-silent, not-run', applied: false },
   { title: 'the store is down at the write', calls: ['well', 'down'], outcome: 'store-down, not-run', applied: false },
   { title: 'the answer is lost and the store stays down', calls: ['well', 'lost-answer', ...Array<CallOutcome>(20).fill('down')], outcome: 'store-unknown, unknown', applied: true },
   { title: 'the answer is lost and the store is down for a moment', calls: ['well', 'lost-answer', 'down', 'down'], outcome: 'accepted', applied: true }
--- a/packages/trial/test/configuration.test.ts
+++ b/packages/trial/test/configuration.test.ts
@@ -94,3 +94,19 @@
   for (let index = 0; index < 20; index++) revisions.push(await revision(frozen))
   t.true(revisions.every(each => each >= accepted))
 })
+
+for (const standing of ['the platform', 'an entry', 'the platform and an entry']) {
+  // Guards against a change that fails though nothing refused it: one read was not answered in time.
+  test.serial(`an operator's change is accepted although ${standing} stands still for longer than a call may take`, async t => {
+    const [entry] = fleet.entries
+    const children = [...(standing.includes('platform') ? [fleet.platform] : []), ...(standing.includes('entry') ? [entry.child] : [])]
+    for (const [index, delay] of [0, 2, 5].entries()) {
+      const accepted = fleet.operators(entry).putTeam({ team: { name: `team-${index}`, priority: 1, keyDigests: [] } })
+      await new Promise(resolve => setTimeout(resolve, delay))
+      for (const child of children) child.signal('SIGSTOP')
+      await new Promise(resolve => setTimeout(resolve, 1300))
+      for (const child of children) child.signal('SIGCONT')
+      await t.notThrowsAsync(accepted)
+    }
+  })
+}
