Log why no upstream took a refused request

What is missing: a 429 of an ordinary stream beside slow readers came once and could not be traced. request-ended lists attempts, but a request that was refused without one gave no reason: its upstream may have rested, been left out, used up its limit, or the request may have waited for a trial.

Change: request-ended (411) of a request that no upstream took has `upstreams`, how many serve its target, and `closed`, why none took it. So one case tells the hypotheses apart: an attempt "not-run (No connection ...)" is a time-out of a connection, `closed` a rest or a pause is silence or a refusal of the upstream, `trial` a suspicion, `upstreams` 0 the list.

--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -14,7 +14,7 @@
 import { sendAnswer } from './answers.js'
 import { type Context } from './context.js'
 import { PlaceSearch } from './placesearch.js'
-import { type CallerRequest } from './request.js'
+import { type CallerRequest, type EmptySearch } from './request.js'
 
 /** Why a request that has crashed its upstreams is not sent to another one. */
 const crashedUpstreamsReason = 'each upstream that began to run this request has crashed'
@@ -113,9 +113,15 @@
     const { request } = this
     if (result?.kind === 'answered') return sendAnswer(request, result)
     if (result?.kind === 'lost') return request.refuse(refusals.lost(result.why))
+    request.emptySearch = { upstreams: this.upstreams.length, cause: this.#emptySearchCause }
     request.refuse(this.#queuedRefusal() ?? this.#unavailableRefusal() ?? this.refusal(result))
   }
 
+  get #emptySearchCause (): EmptySearch['cause'] {
+    const { request, context: { crashes } } = this
+    return crashes.standing(request) === 'trusted' ? (this.#shortestUnavailability ?? this.#unavailability)?.cause : 'trial'
+  }
+
   /**
    * Waits for an upstream. A suspected request has the same maximum wait as one that was already attempted, since it
    * may have to wait until the trial of another suspect has ended.
--- a/packages/forward/src/request.ts
+++ b/packages/forward/src/request.ts
@@ -6,7 +6,7 @@
 import { type IncomingMessage, type ServerResponse } from 'node:http'
 import { type Clock, type Subscription } from '@eiderwind/clock'
 import { fingerprint } from '@eiderwind/crashes'
-import { refusals, type AttemptResult, type Shortage } from '@eiderwind/dispatch'
+import { refusals, type AttemptResult, type Shortage, type Unavailability } from '@eiderwind/dispatch'
 import { type Fault } from '@eiderwind/fault'
 import { type Route, type Team } from '@eiderwind/traffic'
 import { answerFault } from '@eiderwind/wire'
@@ -36,6 +36,17 @@
   readonly onEnd: (request: CallerRequest, outcome: string) => void
 }
 
+/** What a request without an upstream met at its last search. */
+export interface EmptySearch {
+  /** Number of upstreams that serve its target. */
+  readonly upstreams: number
+  /**
+   * Why none of them took it. `trial`: the request is suspected of crashing upstreams and waits for its trial. Undefined
+   * if they were full, or tried before.
+   */
+  readonly cause: Unavailability['cause'] | 'trial' | undefined
+}
+
 /** One caller's request. It is answered once. Its work stops when the caller disconnects or the deadline passes. */
 export class CallerRequest {
   readonly id: string
@@ -58,6 +69,8 @@
   blocked = false
   /** Why it found no room. Undefined if it did, or if the queue gave no reason. */
   shortage: Shortage | undefined
+  /** Set if it is refused because no upstream took it. */
+  emptySearch: EmptySearch | undefined
   /** The gateway that refused it because the shared queue was too long. */
   queuedAt: string | undefined
   readonly #clock: Clock
--- a/packages/gateway/src/requestlog.ts
+++ b/packages/gateway/src/requestlog.ts
@@ -65,6 +65,8 @@
       queue: queuedAt,
       attempts,
       rule: request.shortage,
+      upstreams: request.emptySearch?.upstreams,
+      closed: request.emptySearch?.cause,
       fingerprint: request.lost || request.blocked ? request.fingerprint : undefined
     })
   }
