Make homes anew after a missed list of voters without a failed update

What was seen: nothing by callers; `controller-failed` with a TypeError in the log of a worker that had stood still while the list of voters changed twice.

Cause: such a worker drops its homes to make them anew at the next update, and went on to use them in the same update.

Change: the update ends there. The new test failed before with that TypeError.

--- a/packages/worker/src/homecontroller.ts
+++ b/packages/worker/src/homecontroller.ts
@@ -70,6 +70,7 @@
     if (!assignment.voters.some(each => each.id === this.#options.worker)) return await this.stop()
     if (this.#homes === undefined) this.#homes = this.#makeHomes(assignment)
     else if (assignment.revision !== this.#revision) this.#changeVoters(assignment, this.#homes)
+    if (this.#homes === undefined) return
     this.#noteOtherHolders(assignment.service)
     if (board.read('upstream').healthy) this.#homes.update()
     if (++this.#updateCount % updatesPerYield === 0) await this.#homes.yieldSlot((voter, handover) => this.#handOver(voter, handover))
