Move observed vacancies of slots to a module of their own

Change: Vacancies owns the observed times and the rule; no behaviour changes. Breakage pause-counts-as-vacancy follows the moved text and turns red; tests of run and worker pass.

--- a/packages/run/src/home.ts
+++ b/packages/run/src/home.ts
@@ -10,6 +10,7 @@
 import { SlotClaim, type BookOrigin } from './claim.js'
 import { isDirectSuccessor, sameVoters, type Inheritance } from './inheritance.js'
 import { slotCount } from './key.js'
+import { Vacancies } from './vacancies.js'
 
 /** How a worker has become the home of a slot. */
 export interface Opening {
@@ -41,12 +42,6 @@
 /** Number of lease periods for which a book waits for its slot: one that was handed over, or one whose lease lapsed. */
 const bookWaitPeriods = 5
 
-/**
- * Number of renewal intervals for which a slot must be vacant before its preferred voter claims it. A home that resumes
- * from a pause renews its claim within one interval.
- */
-const minVacantIntervals = 2
-
 /** Options of `Homes`. */
 export interface HomesOptions {
   readonly clock: Clock
@@ -111,18 +106,16 @@
 export class Homes {
   readonly #options: HomesOptions
   readonly #claims = new Map<number, SlotClaim>()
-  /** For how long this worker has seen each slot vacant, in ms. */
-  readonly #vacancies = new Map<number, number>()
+  readonly #vacancies: Vacancies
   readonly #inheritances = new Map<number, Inheritance>()
   #voters: readonly string[]
   #stopped = false
   #nextYieldAt = -Infinity
-  #updatedAt: number
 
   constructor (options: HomesOptions) {
     this.#options = options
     this.#voters = options.voters
-    this.#updatedAt = options.clock.now()
+    this.#vacancies = new Vacancies(options.clock.now(), options)
   }
 
   get #minStay (): number {
@@ -145,7 +138,7 @@
 
   /** Records that a worker holds the slot, so that this worker does not claim it. */
   recordHolder (slot: number, holder: string): void {
-    if (holder !== this.#options.worker) this.#vacancies.set(slot, 0)
+    if (holder !== this.#options.worker) this.#vacancies.reset(slot)
   }
 
   /** Replaces the list of voters. The new list may differ from the current one by one voter only. */
@@ -167,27 +160,18 @@
    */
   update (): void {
     if (this.#stopped) return
-    const { clock, interval, preferred, worker } = this.#options
+    const { clock, preferred, worker } = this.#options
     const now = clock.now()
-    // A pause of this process does not count as vacancy: the home may have been paused for the same time.
-    const passed = Math.min(now - this.#updatedAt, interval)
-    this.#updatedAt = now
+    this.#vacancies.beginRound(now)
     for (let slot = 0; slot < slotCount; slot++) {
       if (this.#claims.has(slot)) continue
       const rank = preferred(slot, this.#voters).indexOf(worker)
       if (rank < 0) continue
-      const vacantFor = (this.#vacancies.get(slot) ?? 0) + passed
-      this.#vacancies.set(slot, vacantFor)
-      if (this.#awaitsInheritance(slot, now) || vacantFor >= this.#minVacancy(rank)) this.#claim(slot)
+      const isVacantLongEnough = this.#vacancies.observe(slot, rank)
+      if (isVacantLongEnough || this.#awaitsInheritance(slot, now)) this.#claim(slot)
     }
   }
 
-  /** For how long a slot must be vacant before a voter of this rank of preference claims it, in ms. */
-  #minVacancy (rank: number): number {
-    const { interval, period } = this.#options
-    return rank === 0 ? minVacantIntervals * interval : rank * 2 * period
-  }
-
   /** Releases all leases without handing books over. */
   async stop (): Promise<void> {
     this.#stopped = true
@@ -353,7 +337,7 @@
 
   async #withdraw (slot: number, claim: SlotClaim): Promise<void> {
     this.#claims.delete(slot)
-    this.#vacancies.set(slot, 0)
+    this.#vacancies.reset(slot)
     await claim.lease.release()
   }
 }
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -499,9 +499,9 @@
     name: 'pause-counts-as-vacancy',
     point: 5,
     rule: 'a worker that was paused does not take slots whose home was paused with it',
-    file: 'packages/run/dist/src/home.js',
-    find: 'Math.min(now - this.#updatedAt, interval)',
-    replace: 'now - this.#updatedAt',
+    file: 'packages/run/dist/src/vacancies.js',
+    find: 'Math.min(now - this.#observedAt, this.#options.interval)',
+    replace: 'now - this.#observedAt',
     test: 'packages/run/dist/test/home.test.js',
     title: 'after a pause of all workers*'
   },
