Send no call on an idle connection that has just ended

Cause: the client library ends an idle connection by a timer and reports it only when the socket has closed, at the end of the turn. A request read in between was put on that connection, failed unsent with it, and counted as a try at its upstream; with no other upstream it was refused. After a pause of the gateway all idle connections end in the turn in which the requests of the pause are read.

Change: a call takes an idle connection only if its socket is not destroyed.

--- a/packages/wire/src/connections.ts
+++ b/packages/wire/src/connections.ts
@@ -31,6 +31,8 @@
 /** A connection with its own client, which sends one call at a time on it. */
 interface Connection {
   readonly client: Client
+  /** Undefined until it is established. */
+  socket: Socket | undefined
   /** Whether this side has closed it or must not use it again. */
   closed: boolean
   /** How the other side ended it, or undefined while it has not. */
@@ -86,7 +88,8 @@
   #takeIdle (origin: string): Connection | undefined {
     const idle = this.#idle.get(origin)
     for (let connection = idle?.pop(); connection !== undefined; connection = idle?.pop()) {
-      if (!connection.closed) return connection
+      // The client library reports the end of a socket only at the end of the turn in which the socket was destroyed.
+      if (!connection.closed && connection.socket?.destroyed === false) return connection
     }
     this.#idle.delete(origin)
     return undefined
@@ -100,7 +103,10 @@
           host: options.hostname,
           port: Number(options.port),
           timeout: this.#connectTime,
-          opened: socket => done(null, watchEnding(socket, connection)),
+          opened: socket => {
+            connection.socket = socket
+            done(null, watchEnding(socket, connection))
+          },
           failed: error => done(error, null)
         })
       },
@@ -110,7 +116,7 @@
       keepAliveTimeout: this.#idleTime,
       keepAliveTimeoutThreshold: keepAliveMargin
     })
-    const connection: Connection = { client, closed: false, ending: undefined, wasPaused: false }
+    const connection: Connection = { client, socket: undefined, closed: false, ending: undefined, wasPaused: false }
     this.#open.add(connection)
     client.on('disconnect', () => this.#close(connection))
     return connection
--- a/packages/wire/test/connections.test.ts
+++ b/packages/wire/test/connections.test.ts
@@ -2,6 +2,7 @@
 import { createServer, type Server, type Socket } from 'node:net'
 import test from 'ava'
 import { SystemClock } from '@eiderwind/clock'
+import { block } from '@eiderwind/clock/testing'
 import { Connections, Receiver, ask, type AnswerHeaders, type CallFailure, type Flow } from '../src/index.js'
 
 const clock = new SystemClock()
@@ -161,3 +162,27 @@
   connections.close()
   server.close()
 })
+
+// Guards against this failure: a request that arrived in the turn of the event loop in which an idle connection ended was
+// refused as if its upstream were full.
+for (const turns of [0, 1]) {
+  test.serial(`a call in the turn in which an idle connection ends is sent on another one (${turns === 0 ? 'in a timer' : 'after the sockets are read'})`, async t => {
+    const idleTime = 300
+    const { origin, server, sockets } = await startUpstream(socket => socket.write(completeAnswer))
+    const connections = new Connections({ idleTime })
+    t.teardown(() => {
+      connections.close()
+      server.close()
+    })
+    t.is(await call(connections, origin), 'ok')
+    await passTurns()
+    const second = new Promise<string>((resolve, reject) => {
+      const send = (): void => { call(connections, origin).then(resolve, reject) }
+      // Due after the end of the idle time, and run in the same turn, since the loop is blocked past both.
+      setTimeout(() => turns === 0 ? send() : setImmediate(send), idleTime + 100)
+    })
+    block(idleTime + 300)
+    t.is(await second, 'ok')
+    t.is(sockets(), 2)
+  })
+}
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -53,6 +53,16 @@
     test: 'packages/wire/dist/test/serve.test.js',
     title: 'a request on a kept connection*'
   },
+  {
+    name: 'ended-connection-reused',
+    point: 3,
+    rule: 'no call is sent on a connection that has ended, even in the turn in which it ends',
+    file: 'packages/wire/dist/src/connections.js',
+    find: '!connection.closed && connection.socket?.destroyed === false',
+    replace: '!connection.closed',
+    test: 'packages/wire/dist/test/connections.test.js',
+    title: 'a call in the turn in which an idle connection ends*'
+  },
   {
     name: 'change-read-once',
     point: 8,
