--- a/packages/config/src/writer.ts
+++ b/packages/config/src/writer.ts
@@ -72,7 +72,7 @@
   /**
    * Makes the change. Resolves with a configuration that contains it, or with a fault that tells why it failed and
    * whether it may have been applied. A read that the store does not answer in time is repeated until the time limit: a
-   * store or an entry that stood still for a moment answers the next one. A store that refuses is reported at once.
+   * store or an entry that was paused for a moment answers the next one. A store that refuses is reported at once.
    */
   async change (request: ChangeRequest): Promise<Result<Configuration, Fault>> {
     const deadline = this.#clock.now() + this.#maxWait
--- a/packages/entry/src/targets.ts
+++ b/packages/entry/src/targets.ts
@@ -28,7 +28,10 @@
 
 /** The home of a slot of keys. */
 export interface HomeTarget extends Target {
-  /** Number of the worker's tenure: its current period as the home, without a break. Each tenure has a new number. */
+  /**
+   * Number of the worker's tenure: its current period as the home, in which no other worker was the home. Each tenure
+   * has a new number.
+   */
   readonly tenure: number
 }
 
--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -80,7 +80,7 @@
     return this.#holding.marks
   }
 
-  /** The marks of the grants that are current now. Until one of them ends, its granter gives nobody else a turn. */
+  /** The marks of the grants that are current now. Until one of them ends, its granter grants no other term. */
   get currentMarks (): ReadonlyMap<string, Mark> {
     return this.#holding.currentMarks(this.#options.clock.bootNow())
   }
--- a/packages/run/src/book.ts
+++ b/packages/run/src/book.ts
@@ -3,7 +3,8 @@
  * answer. The book decides whether a request may run. It relies on wall clocks that differ by at most one `skew`.
  * docs/design/runs.md gives the proof.
  *
- * The home of a slot is the worker that holds the lease of the slot. A tenure is one uninterrupted period as its home.
+ * The home of a slot is the worker that holds the lease of the slot. A tenure is a period as its home in which no other
+ * worker was its home. The lease may have lapsed meanwhile.
  */
 import { Fault } from '@eiderwind/fault'
 import { type EncodedAnswer, type BookSnapshot, type RunSnapshot } from '@eiderwind/schema'
--- a/packages/run/src/home.ts
+++ b/packages/run/src/home.ts
@@ -94,7 +94,7 @@
  * only after the slot has been vacant for two lease periods times its rank of preference, so that claims rarely split
  * the votes. When the quorum of a lease is reached, a book is opened.
  *
- * If a lease lapses, for example because the voters or this process were paused, the claim goes on under the same term.
+ * If a lease lapses, for example because the voters or this process were paused, the claim continues under the same term.
  * Once the quorum is back, the book is continued if the marks of the voters show that no other home held the slot
  * meanwhile. Requests that ran during the lapse are recorded in it. Otherwise a new book is opened.
  *
--- a/packages/run/src/inheritance.ts
+++ b/packages/run/src/inheritance.ts
@@ -34,7 +34,7 @@
 
 /**
  * Whether a home whose lease lapsed and came back under the same term has held the slot throughout: a majority of the
- * same voters has given nobody else a turn.
+ * same voters has granted no other term since.
  *
  * @param before the marks at the lapse
  * @param now the marks of the current grants
