Pause the entries too in some plays of standing workers

Cause: the postmortem's plays paused workers alone; a machine that does not run stops entries as well.

--- a/packages/trial/test/standstill.test.ts
+++ b/packages/trial/test/standstill.test.ts
@@ -4,7 +4,7 @@
  */
 import test, { type ExecutionContext } from 'ava'
 import { seeded, type Random } from '@eiderwind/clock'
-import { Fleet, type FleetWorker } from '../src/index.js'
+import { Fleet } from '../src/index.js'
 import { KeyedLoad, type KeyedRequest } from './keyedload.js'
 
 const period = 1000
@@ -20,6 +20,8 @@
 /** What happens in one play. Times are in ms from the start of the load. */
 interface Play {
   readonly paused: readonly string[]
+  /** Whether all entries are paused with the workers. */
+  readonly withEntries: boolean
   readonly pauseAt: number
   readonly resumeAt: number
   readonly change: Change
@@ -44,7 +46,8 @@
     pauseAt,
     resumeAt: pauseAt + duration,
     change: pick<Change>(['nothing', 'stopped', 'ordered to leave']),
-    changeAt: from(0, pauseAt + duration + 800)
+    changeAt: from(0, pauseAt + duration + 800),
+    withEntries: random() < 0.3
   }
 }
 
@@ -52,11 +55,12 @@
   await new Promise(resolve => setTimeout(resolve, ms))
 }
 
-async function pause (workers: readonly FleetWorker[], { pauseAt, resumeAt }: Play): Promise<void> {
+async function pause (fleet: Fleet, { paused, withEntries, pauseAt, resumeAt }: Play): Promise<void> {
+  const processes = [...paused.map(id => fleet.worker(id)), ...(withEntries ? fleet.entries : [])]
   await wait(pauseAt)
-  for (const { child } of workers) child.signal('SIGSTOP')
+  for (const { child } of processes) child.signal('SIGSTOP')
   await wait(resumeAt - pauseAt)
-  for (const { child } of workers) child.signal('SIGCONT')
+  for (const { child } of processes) child.signal('SIGCONT')
 }
 
 async function change (fleet: Fleet, play: Play): Promise<void> {
@@ -116,7 +120,7 @@
       await fleet.waitUntilKeysAccepted()
       const startedAt = Date.now()
       const load = new KeyedLoad(fleet)
-      await Promise.all([pause(play.paused.map(id => fleet.worker(id)), play), change(fleet, play)])
+      await Promise.all([pause(fleet, play), change(fleet, play)])
       await wait(1500)
       await load.stop()
       const all = openings(fleet)
