Compare marks only under the voters by which a book was in use

What callers could see: none known. Found while reading the change: a lapse that is noticed while the list of voters changes was recorded with the new list, so a claim that the shorter list made valid at once could have continued its book by marks of two lists.

Change: a claim keeps the voters by which its book is in use; a lapse is recorded with these, and a book of before a lapse is dropped with any change.

Result: tests of run pass; breakages own-book-unchecked, own-book-unchecked-at-random, own-book-dropped, ended-grants-count turn red.

--- a/packages/run/src/claim.ts
+++ b/packages/run/src/claim.ts
@@ -29,6 +29,8 @@
   /** Whether the book is being offered to another worker. No request of the slot runs meanwhile. */
   isOffered = false
   #book: Book | undefined
+  /** The voters by whose marks the book is in use. */
+  #voters: readonly string[] = []
   #lapse: Lapse | undefined
 
   constructor (lease: Lease) {
@@ -46,8 +48,9 @@
   }
 
   /** Puts a book into use. */
-  open (book: Book, now: number): void {
+  open (book: Book, voters: readonly string[], now: number): void {
     this.#book = book
+    this.#voters = voters
     this.#lapse = undefined
     this.openedAt = now
   }
@@ -64,13 +67,17 @@
   }
 
   /** Records that the lease has lapsed. The claim keeps its term and gives way to others only after `until`. */
-  suspend (voters: readonly string[], until: number): void {
+  suspend (until: number): void {
     if (this.#book === undefined || this.#lapse !== undefined) return
-    this.#lapse = { voters, marks: this.lease.marks, lostVoters: new Set(), until }
+    this.#lapse = { voters: this.#voters, marks: this.lease.marks, lostVoters: new Set(), until }
   }
 
-  /** Drops the book of before a lapse. */
-  forget (): void {
+  /**
+   * Records that the lease has other voters now. A book of before a lapse is dropped, since marks prove something only
+   * while the voters stay the same. After two changes the list may have the same voters again.
+   */
+  changeVoters (voters: readonly string[]): void {
+    this.#voters = voters
     if (this.#lapse === undefined) return
     this.#book = undefined
     this.#lapse = undefined
--- a/packages/run/src/home.ts
+++ b/packages/run/src/home.ts
@@ -94,8 +94,8 @@
  * only after the slot has been vacant for two lease periods times its rank of preference, so that claims rarely split
  * the votes. When the quorum of a lease is reached, a book is opened.
  *
- * If a lease lapses, for example because the voters or this process were paused, the claim continues under the same term.
- * Once the quorum is back, the book is continued if the marks of the voters show that no other home held the slot
+ * If a lease lapses, for example because the voters or this process were paused, the claim continues under the same
+ * term. Once the quorum is back, the book is continued if the marks of the voters show that no other home held the slot
  * meanwhile. Requests that ran during the lapse are recorded in it. Otherwise a new book is opened.
  *
  * At a planned stop a home hands its book over to the next home, which then need not refuse earlier keys. The next home
@@ -147,9 +147,7 @@
     this.#voters = voters
     for (const claim of this.#claims.values()) {
       claim.lease.setGranters(voters)
-      // Marks prove something only while the voters stay the same. After two changes the list may have the same voters
-      // again.
-      if (isChange) claim.forget()
+      if (isChange) claim.changeVoters(voters)
     }
     if (isChange) this.#inheritances.clear()
   }
@@ -307,7 +305,7 @@
     const successor = { voters: this.#voters, marks: claim.lease.currentMarks }
     const inherited = handover !== undefined && isDirectSuccessor(handover, successor) ? handover.book : undefined
     const tenure = nextTenure()
-    claim.open(inherited === undefined ? new Book(clock.wall(), tenure, book) : Book.inherited(inherited, tenure, book), clock.now())
+    claim.open(inherited === undefined ? new Book(clock.wall(), tenure, book) : Book.inherited(inherited, tenure, book), this.#voters, clock.now())
     return inherited === undefined ? 'new' : 'inherited'
   }
 
@@ -316,7 +314,7 @@
     const claim = this.#claims.get(slot)
     if (claim === undefined) return
     const { clock, period, listener } = this.#options
-    claim.suspend(this.#voters, clock.now() + bookWaitPeriods * period)
+    claim.suspend(clock.now() + bookWaitPeriods * period)
     listener?.lost?.(slot, missing)
   }
 
