--- a/packages/wire/test/serve.test.ts
+++ b/packages/wire/test/serve.test.ts
@@ -2,16 +2,21 @@
  * Guards against kept connections that a server closes with a request unread: their idle time ended while its event
  * loop was blocked, after the request had arrived.
  */
+import { createServer } from 'node:http'
 import { connect, type Socket } from 'node:net'
 import test from 'ava'
 import { block, loopPhases, type LoopPhase } from '@eiderwind/clock/testing'
-import { listen, makeServer } from '../src/index.js'
+import { closeIdleConnections, listen, makeServer } from '../src/index.js'
 
 const request = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
 
 /** Idle time of the server's connections, in ms. */
 const idleTime = 150
 
+/** Time for the head of a request, and the interval at which Node.js checks it, in ms. */
+const headerTime = 600
+const checkInterval = 100
+
 /** Resolves with the next bytes of the socket, or with `closed` if it ends first. */
 function nextAnswer (socket: Socket): Promise<string> {
   return new Promise(resolve => {
@@ -57,3 +62,20 @@
   await nextAnswer(socket)
   t.is(await nextAnswer(socket), 'closed')
 })
+
+test.serial('a request that has arrived before the header time-out is answered although the loop was blocked past it', async t => {
+  // As the gateway makes its server for callers.
+  const server = createServer({ connectionsCheckingInterval: checkInterval, requestTimeout: 0 }, (_incoming, response) => response.end('x'))
+  server.headersTimeout = headerTime
+  closeIdleConnections(server)
+  const port = await listen(server, '127.0.0.1:0')
+  t.teardown(() => {
+    server.closeAllConnections()
+    server.close()
+  })
+  const socket = connect(port, '127.0.0.1')
+  await new Promise(resolve => server.once('connection', resolve))
+  await new Promise(resolve => setImmediate(resolve))
+  writeAndBlock(socket, 'check', headerTime + 2 * checkInterval)
+  t.regex(await nextAnswer(socket), /^HTTP\/1.1 200/)
+})
