Plan a domain that was taken over once its engines have answered

Cause: the first step after a takeover was planned before any probe had been answered, so no engine could be used; the targets changed and were stored alone.

Change: a domain is not planned while an engine to be verified has neither answered nor missed its first probe: one round trip, or the 280 ms of a probe.

Test: its placements and orders are as before, byte for byte.

--- a/packages/detect/src/unverified.ts
+++ b/packages/detect/src/unverified.ts
@@ -48,6 +48,14 @@
     return new Set(this.#engines.keys())
   }
 
+  /**
+   * Whether some of the engines have neither answered nor missed a probe yet. A step that is planned before would be
+   * planned again as soon as they answer.
+   */
+  awaitsFirstAnswer (engines: readonly NodeAddress[]): boolean {
+    return engines.some(({ id }) => this.#engines.get(id)?.missed === 0)
+  }
+
   /** Adds listed engines. */
   add (engines: readonly NodeAddress[]): void {
     for (const { id, address } of engines) this.#engines.set(id, { id, address, missed: 0, isProbed: false })
--- a/packages/forming/src/reconciler.ts
+++ b/packages/forming/src/reconciler.ts
@@ -241,7 +241,7 @@
     const { needs: _needs, ...shared } = fleet
     this.#activity.updateSharedFacts(JSON.stringify([service.name, shared, [...dead], [...unreachable], [...evacuated], [...this.#options.roster.lapsed], [...this.#unlisted.ids], this.#unlisted.unresponsive, [...this.#unverified.ids], [...targets]]))
     for (const domain of domains) {
-      if (this.#domains.isWriting(domain.key)) continue
+      if (this.#domains.isWriting(domain.key) || this.#unverified.awaitsFirstAnswer(domain.upstreams)) continue
       if (!this.#activity.isDue(domain.key) && !this.#isSurveyDue(domain.key)) continue
       const step = this.#planner.step(this.#domainFacts(domain, engine, targets.get(domain.key) ?? domain.placement.targets, fleet, evacuated))
       this.#reportSurvey(domain.key, step)
