--- a/packages/crashes/src/crashes.ts
+++ b/packages/crashes/src/crashes.ts
@@ -6,15 +6,11 @@
  * the exchange of heartbeats, and for a check whether a process still listens at an address.
  */
 import { type Clock } from '@eiderwind/clock'
+import { type RequestIdentity } from './identity.js'
 import { CrashHistory, type BlockedRequest, type Crash, type Standing } from './history.js'
 import { Reports, type CrashReport } from './reports.js'
 import { Trials, type Trial } from './trials.js'
 
-/** The identity of a request. The fingerprint may be computed on first use. */
-export interface RequestIdentity {
-  readonly fingerprint: string
-}
-
 /** An upstream and its address. */
 export interface UpstreamAddress {
   readonly id: string
--- a/packages/crashes/test/fleet.ts
+++ b/packages/crashes/test/fleet.ts
@@ -199,7 +199,7 @@
   }
 
   #begin (fingerprint: string, harmful: boolean): void {
-    this.#waiting.push({ fingerprint, harmful, attempts: 0, tries: 1, waitsUntil: this.#clock.now() + maxWaitMs, gateway: this.#randomGateway() })
+    this.#waiting.push({ fingerprint, parts: [], team: '@team', harmful, attempts: 0, tries: 1, waitsUntil: this.#clock.now() + maxWaitMs, gateway: this.#randomGateway() })
   }
 
   #randomGateway (): CrashPolicy {
--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -212,8 +212,8 @@
    */
   #reportToCrashes (result: AttemptResult): void {
     const { context: { crashes }, request, upstream } = this.#options
-    if (result.kind === 'lost' && result.broken === true) crashes.recordBroken(request, upstream)
-    else if (isSuccess(result)) crashes.recordCompleted(request)
+    if (result.kind === 'lost' && result.broken === true) crashes.recordBroken(request.identity, upstream)
+    else if (isSuccess(result)) crashes.recordCompleted(request.identity)
   }
 }
 
--- a/packages/forward/src/names.ts
+++ b/packages/forward/src/names.ts
@@ -25,6 +25,8 @@
   readonly tokens?: string
   /** Tokens that the caller expects in the answer. Absent if callers do not send them. */
   readonly length?: string
+  /** The parts of the prompt in order, as `ID:TOKENS` separated by commas. Absent if callers do not send them. */
+  readonly parts?: string
 }
 
 /** Id of the last event that the reader of a stream received (HTML, server-sent events). */
--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -119,7 +119,7 @@
 
   get #emptySearchCause (): EmptySearch['cause'] {
     const { request, context: { crashes } } = this
-    return crashes.standing(request) === 'trusted' ? (this.#shortestUnavailability ?? this.#unavailability)?.cause : 'trial'
+    return crashes.standing(request.identity) === 'trusted' ? (this.#shortestUnavailability ?? this.#unavailability)?.cause : 'trial'
   }
 
   /**
@@ -168,7 +168,7 @@
   #computeMaxWait (shared: boolean): number {
     const { request, kind, upstreams, context: { crashes } } = this
     const { timeLeft, route: { objective } } = request
-    const attempted = request.attempted || crashes.standing(request) !== 'trusted'
+    const attempted = request.attempted || crashes.standing(request.identity) !== 'trusted'
     return waitForRoom({ path: kind, attempted, upstreams: upstreams.length, timeUntilAvailable: this.#timeUntilAvailable, objective, timeLeft, shared })
   }
 
@@ -178,7 +178,7 @@
    */
   #beginPlaceSearch (until: number): PlaceSearch | undefined {
     const { request, room, context: { clock, places, availability, suspects, crashes } } = this
-    if (room === undefined || places === undefined || crashes.standing(request) !== 'trusted') return undefined
+    if (room === undefined || places === undefined || crashes.standing(request.identity) !== 'trusted') return undefined
     const { route: { objective }, tried } = request
     return new PlaceSearch({
       placeClient: places,
@@ -241,9 +241,9 @@
    */
   #find (claim: Claim | undefined): Upstream | 'blocked' | 'closed' | undefined {
     const { request, context: { crashes, availability } } = this
-    const standing = crashes.standing(request)
+    const standing = crashes.standing(request.identity)
     if (standing === 'blocked') return standing
-    const mayBeSent = standing === 'trusted' || crashes.mayTry(request)
+    const mayBeSent = standing === 'trusted' || crashes.mayTry(request.identity)
     const upstream = mayBeSent ? this.#selectUpstream(standing) : undefined
     if (upstream === 'closed') return upstream
     if (upstream !== undefined) this.#reserve(upstream, claim)
@@ -276,7 +276,7 @@
 
   /** Begins the trial at once, so that no other waiting suspect is sent to the same upstream. */
   #beginTrial (upstream: Upstream | undefined): Upstream | undefined {
-    if (upstream !== undefined) this.trial = this.context.crashes.beginTrial(this.request, upstream.id)
+    if (upstream !== undefined) this.trial = this.context.crashes.beginTrial(this.request.identity, upstream.id)
     return upstream
   }
 
@@ -288,7 +288,7 @@
     const { request, context: { crashes } } = this
     request.blocked = true
     if (request.lost) return this.conclude({ kind: 'lost', why: crashedUpstreamsReason })
-    request.refuse(refusals.crashing(crashes.blockedFor(request)))
+    request.refuse(refusals.crashing(crashes.blockedFor(request.identity)))
   }
 
   #shouldRetry (result: AttemptResult): boolean {
--- a/packages/forward/src/request.ts
+++ b/packages/forward/src/request.ts
@@ -5,12 +5,13 @@
  */
 import { type IncomingMessage, type ServerResponse } from 'node:http'
 import { type Clock, type Subscription } from '@eiderwind/clock'
-import { fingerprint } from '@eiderwind/crashes'
+import { LazyIdentity, type RequestIdentity } from '@eiderwind/crashes'
 import { refusals, type AttemptResult, type Shortage, type Unavailability } from '@eiderwind/dispatch'
 import { type Fault } from '@eiderwind/fault'
 import { type Route, type Team } from '@eiderwind/traffic'
 import { answerFault } from '@eiderwind/wire'
 import { type Deliveries, type Delivery } from './delivery.js'
+import { type HeaderNames } from './names.js'
 import { Timing } from './timing.js'
 
 /** An admitted request. Times are in ms, on `Clock.now`. */
@@ -28,8 +29,8 @@
   readonly endsAt: number
   /** Time that the caller spent on earlier tries, in ms. 0 on the first try, or if it is not known. */
   readonly spent?: number
-  /** The header that returns the request's id on a refusal. */
-  readonly idHeader: string
+  /** The headers that the request is read from, and that returns its id on a refusal. */
+  readonly names: Pick<HeaderNames, 'request' | 'model' | 'parts'>
   /** Delivers answers at the speed at which callers read. */
   readonly deliveries: Deliveries
   /** Called once with the outcome, when the request has ended. */
@@ -65,6 +66,8 @@
   readonly timing: Timing
   /** Sends the answer to the caller. */
   readonly delivery: Delivery
+  /** What the request is recognized by when it, or a part of it, is sent again. */
+  readonly identity: RequestIdentity
   /** Whether the request is blocked: it is not sent to any further upstream, because it crashes them. */
   blocked = false
   /** Why it found no room. Undefined if it did, or if the queue gave no reason. */
@@ -78,7 +81,6 @@
   readonly #onEnd: (request: CallerRequest, outcome: string) => void
   readonly #timer: Subscription
   readonly #tried = new Set<string>()
-  #fingerprint: string | undefined
   #lost = false
   /** Number of attempts that count against the route's limit: those that may have reached the upstream. */
   #sends = 0
@@ -99,7 +101,8 @@
     this.endsAt = options.endsAt
     this.spent = options.spent ?? 0
     this.#clock = options.clock
-    this.#idHeader = options.idHeader
+    this.#idHeader = options.names.request
+    this.identity = this.#identify(options.names)
     this.#onEnd = options.onEnd
     this.delivery = options.deliveries.open(options.response, options.id, () => this.finish('stalled'))
     this.#timer = options.clock.after(Math.max(0, options.endsAt - options.clock.now()), () => this.#expire())
@@ -121,11 +124,10 @@
     return this.#tried.size > 0
   }
 
-  /** Identifies the request when its caller sends it again. Computed on first use. */
-  get fingerprint (): string {
-    const { incoming: { method = '', url = '', headers: { host = '' } }, team, body } = this
-    this.#fingerprint ??= fingerprint({ method, host, target: url, team: team?.name ?? '', body })
-    return this.#fingerprint
+  /** The value of a header that occurs once. Undefined also if the header has no name here. */
+  header (name: string | undefined): string | undefined {
+    const value = name === undefined ? undefined : this.incoming.headers[name]
+    return typeof value === 'string' ? value : undefined
   }
 
   /** Whether the answer of an attempt was lost. The request may then have run. */
@@ -214,6 +216,12 @@
     this.#onEnd(this, outcome)
   }
 
+  #identify (names: CallerRequestOptions['names']): RequestIdentity {
+    const { incoming: { method = '', url = '', headers }, team, body } = this
+    const prompt = { model: this.header(names.model) ?? '', parts: this.header(names.parts) }
+    return new LazyIdentity({ method, host: headers.host ?? '', target: url, team: team?.name ?? '', body }, prompt)
+  }
+
   #expire (): void {
     this.refuse(refusals.deadline(this.attempted))
   }
--- a/packages/forward/src/streampath.ts
+++ b/packages/forward/src/streampath.ts
@@ -130,7 +130,7 @@
 
   #tokens (engine: Engine): RequestTokens {
     const { request, context: { names } } = this
-    return requestTokens(header(request, names.tokens), header(request, names.length), engine)
+    return requestTokens(request.header(names.tokens), request.header(names.length), engine)
   }
 
   /** The latest attempt has the state of the stream. */
@@ -177,9 +177,3 @@
     return mayMove({ repeatable, hasAttemptsLeft, retriesLeft }) && this.choose(tried) !== undefined
   }
 }
-
-/** The value of a request header that occurs once. */
-function header ({ incoming }: CallerRequest, name: string | undefined): string | undefined {
-  const value = name === undefined ? undefined : incoming.headers[name]
-  return typeof value === 'string' ? value : undefined
-}
--- a/packages/forward/test/requests.ts
+++ b/packages/forward/test/requests.ts
@@ -20,7 +20,7 @@
     team: undefined,
     arrivedAt: 0,
     endsAt: 1000,
-    idHeader: 'id',
+    names: { request: 'id', model: 'model' },
     deliveries: new Deliveries({ clock, log: new Log({ sink: () => {} }), bounds: { perCaller: 32_768, total: 1_048_576, patience: 10_000 } }),
     onEnd: () => {}
   })
--- a/packages/gateway/src/callers.ts
+++ b/packages/gateway/src/callers.ts
@@ -195,7 +195,7 @@
       arrivedAt,
       endsAt: arrivedAt + Math.min(allowedTime, route.timeout),
       spent: usualMaxWaits?.spent(route.name, allowedTime, arrivedAt),
-      idHeader: names.request,
+      names,
       deliveries,
       onEnd: (request, outcome) => {
         this.#open.delete(request)
--- a/packages/gateway/src/crashwatch.ts
+++ b/packages/gateway/src/crashwatch.ts
@@ -71,7 +71,7 @@
   }
 
   #blocked (request: string, upstreams: readonly string[]): void {
-    const remaining = Math.round(this.crashes.blockedFor({ fingerprint: request }))
+    const remaining = Math.round(this.crashes.blockedFor({ fingerprint: request, parts: [], team: '' }))
     this.#options.log.write('request-blocked', { fingerprint: request, upstreams: upstreams.join(' '), remaining })
     this.#blocklist.add(request)
   }
--- a/packages/gateway/src/requestlog.ts
+++ b/packages/gateway/src/requestlog.ts
@@ -43,8 +43,7 @@
   }
 
   /**
-   * Writes the log line of a request. If the request was lost at an upstream, or is blocked, the line has its
-   * fingerprint: only the fingerprint shows that a caller sends the same request again and again.
+   * Writes the log line of a request.
    * @param sampled how many requests the line stands for; undefined if only for itself
    */
   #write (request: CallerRequest, outcome: string, took: number, sampled: number | undefined): void {
@@ -67,7 +66,7 @@
       rule: request.shortage,
       upstreams: request.emptySearch?.upstreams,
       closed: request.emptySearch?.cause,
-      fingerprint: request.lost || request.blocked ? request.fingerprint : undefined
+      ...names(request)
     })
   }
 }
@@ -92,3 +91,13 @@
     remote: remote || undefined
   }
 }
+
+/**
+ * The fingerprint of a request that was lost at an upstream or is blocked, and the shared parts of its prompt. Only
+ * these show that the same request, or the same part, is sent again and again.
+ */
+function names ({ lost, blocked, identity }: CallerRequest): { readonly fingerprint?: string, readonly parts?: string } {
+  if (!lost && !blocked) return {}
+  const { fingerprint, parts } = identity
+  return { fingerprint, parts: parts.length === 0 ? undefined : parts.join(' ') }
+}
--- a/packages/gateway/test/overload.ts
+++ b/packages/gateway/test/overload.ts
@@ -316,7 +316,7 @@
       arrivedAt,
       endsAt: arrivedAt + timeLeft,
       spent: usualMaxWaits.spent('r', timeLeft, arrivedAt),
-      idHeader: 'id',
+      names: { request: 'id', model: 'model' },
       deliveries: immediateDeliveries,
       onEnd: ({ timing }, outcome) => {
         if (timing.first !== undefined) caller.firstAt ??= arrivedAt + timing.first
