Recognize a part of a prompt that crashes engines

Callers saw: on one route 1 in 10 answered in time for 24 s, 30 and 41 engines ended. Cause: a request was recognized by the fingerprint of its whole content, so each new request with the same part was new (what returns under another name is taken for something new). Change: a request has several names: its fingerprint and the shared parts of its prompt with their model. All are kept in one history. A part is suspected after one crash under requests whose answer was just beginning, runs in trials, and is blocked after the crash of a trial, together with the parts that nobody was served with since and with the team if no other one had crashes. An answer that goes on past its beginning clears its parts at all gateways, narrows and lifts blocks, also later ones that rest on earlier crashes. Blocks are sets of names; reports, digest and store carry them beside the old fields. Why it works: every request with the part is a suspect from the first crash on, and the first part that all share is cleared by any stream that goes on.

--- a/packages/crashes/src/crashes.ts
+++ b/packages/crashes/src/crashes.ts
@@ -6,8 +6,10 @@
  * the exchange of heartbeats, and for a check whether a process still listens at an address.
  */
 import { type Clock } from '@eiderwind/clock'
-import { type RequestIdentity } from './identity.js'
-import { CrashHistory, type BlockedRequest, type Crash, type Standing } from './history.js'
+import { isTeamName, type RequestIdentity } from './identity.js'
+import { blockId, type Block } from './blocked.js'
+import { type Crash, type InterruptedRequest } from './crash.js'
+import { CrashHistory, type BlockChange, type Standing } from './history.js'
 import { Reports, type CrashReport } from './reports.js'
 import { Trials, type Trial } from './trials.js'
 
@@ -23,6 +25,18 @@
   readonly crashes: readonly CrashReport[]
   /** Fingerprints of requests that recently completed after a crash. */
   readonly cleared: readonly string[]
+  /**
+   * Names of requests that were recently served after a crash: the time since then, in ms. Undefined for builds that
+   * send `cleared` only.
+   */
+  readonly clearances?: Readonly<Record<string, number>> | undefined
+}
+
+/** How far an attempt had come when its connection broke. */
+export interface BrokenAttempt {
+  /** Whether its answer had gone on for long enough that its beginning did not crash the upstream. */
+  readonly survived: boolean
+  readonly trial: boolean
 }
 
 /** Dependencies of `Crashes`. */
@@ -32,18 +46,16 @@
   readonly hasEnded: (upstream: string) => boolean
   /** Whether a process still listens at an address. */
   readonly listensAt: (address: string) => Promise<boolean>
-  /** The trials of the other gateways: fingerprint of the request by upstream, an object per gateway. */
-  readonly otherTrials: () => ReadonlyArray<Readonly<Record<string, string>>>
+  /** The trials of the other gateways: the suspected names by upstream, an object per gateway. */
+  readonly otherTrials: () => ReadonlyArray<Readonly<Record<string, readonly string[]>>>
   /** Called when the other gateways should be notified at once. */
   readonly announce: () => void
   /** Called when waiting requests should search for an upstream again. */
   readonly changed: () => void
   /** Called when this gateway has found that an upstream crashed. */
   readonly crashed: (crash: Crash) => void
-  /**
-   * Called when this gateway decides to block a request, with the crashed upstreams of the request that are known here.
-   */
-  readonly blocked: (request: string, upstreams: readonly string[]) => void
+  /** Called when this gateway blocks requests, narrows a block or lifts it. */
+  readonly blockChanged: (change: BlockChange) => void
 }
 
 /**
@@ -58,28 +70,28 @@
   readonly #history: CrashHistory
   readonly #trials: Trials
   readonly #reports: Reports
-  /** Fingerprints of requests with broken attempts that are not reported yet, by upstream. */
-  readonly #unreported = new Map<string, Set<string>>()
+  /** Requests with broken attempts that are not reported yet, by upstream. */
+  readonly #unreported = new Map<string, InterruptedRequest[]>()
 
   constructor (options: CrashesOptions) {
-    const { clock, changed, blocked, announce, otherTrials } = options
+    const { clock, changed, blockChanged, announce, otherTrials } = options
     this.#options = options
-    this.#history = new CrashHistory({ clock, changed, blocked })
+    this.#history = new CrashHistory({ clock, changed, blockChanged })
     this.#trials = new Trials({ clock, others: otherTrials, begun: announce, ended: changed })
     this.#reports = new Reports(clock)
   }
 
   /** How a request may be sent. The check costs nothing while no upstream has crashed. */
   standing (request: RequestIdentity): Standing {
-    return this.#history.isEmpty ? 'trusted' : this.#history.standing(request.fingerprint)
+    return this.#history.isEmpty ? 'trusted' : this.#history.standing(request)
   }
 
   /**
-   * Whether a suspected request may be sent now. All of its crashes must be decided, and no gateway may have a trial of
-   * it.
+   * Whether a suspected request may be sent now. All crashes of its suspected names must be decided, and no gateway may
+   * have a trial of one of these names.
    */
-  mayTry ({ fingerprint }: RequestIdentity): boolean {
-    return !this.#history.isPending(fingerprint) && !this.#trials.has(fingerprint)
+  mayTry (request: RequestIdentity): boolean {
+    return this.#history.suspectedNames(request).every(each => !this.#history.isPending(each) && !this.#trials.has(each))
   }
 
   /** Upstreams that run a trial. Another suspect must not be sent there, and any other request should not. */
@@ -88,54 +100,106 @@
   }
 
   /** Time for which a request stays blocked, in ms. */
-  blockedFor ({ fingerprint }: RequestIdentity): number {
-    return this.#history.blockedFor(fingerprint)
+  blockedFor (request: RequestIdentity): number {
+    return this.#history.blockedFor(request)
   }
 
   /** Begins a trial: records that a suspect is sent to an upstream. */
-  beginTrial ({ fingerprint }: RequestIdentity, upstream: string): Trial {
-    return this.#trials.begin(fingerprint, upstream)
+  beginTrial (request: RequestIdentity, upstream: string): Trial {
+    return this.#trials.begin(request.fingerprint, this.#history.suspectedNames(request), upstream)
   }
 
   /** Records that a request has completed. */
   recordCompleted (request: RequestIdentity): void {
-    if (this.#history.isEmpty || !this.#history.clear(request.fingerprint)) return
-    this.#reports.addClearance(request.fingerprint)
+    if (this.#history.isEmpty) return
+    this.#clear([request.fingerprint, ...request.parts])
+  }
+
+  /** Records that the answer of a request has gone on long past its beginning, so no part of its prompt is harmful. */
+  recordSurvived (request: RequestIdentity): void {
+    if (this.#history.isEmpty) return
+    this.#clear(request.parts)
   }
 
   /** Records that the connection of a request to an upstream broke. */
-  recordBroken ({ fingerprint }: RequestIdentity, upstream: UpstreamAddress): void {
+  recordBroken ({ fingerprint, parts, team }: RequestIdentity, upstream: UpstreamAddress, { survived, trial }: BrokenAttempt): void {
     const at = this.#options.clock.now()
-    this.#history.suspect({ upstream: upstream.id, at, requests: [fingerprint] })
+    const beginning = parts.length === 0 || !survived
+    const request = { request: fingerprint, parts: beginning ? parts : [], team, beginning, trial }
+    this.#history.suspect({ upstream: upstream.id, at, requests: [request] })
+    if (!beginning) this.#clearAt(parts, at)
     const gathered = this.#unreported.get(upstream.id)
     if (gathered !== undefined) {
-      gathered.add(fingerprint)
+      gathered.push(request)
       return
     }
-    this.#unreported.set(upstream.id, new Set([fingerprint]))
+    this.#unreported.set(upstream.id, [request])
     this.#options.clock.after(gatherWindowMs, () => this.#checkCrash(upstream, at))
   }
 
+  /** Whether an upstream is known to have crashed since a time on `Clock.now`. */
+  hasCrashed (upstream: string, since: number): boolean {
+    return this.#history.hasCrashed(upstream, since)
+  }
+
   /** The heartbeat fields for the other gateways. */
-  get heartbeatFields (): CrashHeartbeatFields & { readonly trials: Readonly<Record<string, string>> } {
-    return { crashes: this.#reports.crashes, cleared: this.#reports.clearances, trials: this.#trials.own }
+  get heartbeatFields (): CrashHeartbeatFields & { readonly trials: Readonly<Record<string, string>>, readonly trialNames: Readonly<Record<string, readonly string[]>> } {
+    const { clearances } = this.#reports
+    return { crashes: this.#reports.crashes, cleared: Object.keys(clearances), clearances, trials: this.#trials.own, trialNames: this.trialNames }
+  }
+
+  /** The trials of this gateway: the names for which the request is suspected, by upstream. */
+  get trialNames (): Readonly<Record<string, readonly string[]>> {
+    return this.#trials.ownNames
   }
 
   /** Applies the heartbeat fields of another gateway. */
-  receive ({ crashes, cleared }: CrashHeartbeatFields): void {
+  receive ({ crashes, cleared, clearances }: CrashHeartbeatFields): void {
     const now = this.#options.clock.now()
     for (const { upstream, age, requests } of crashes) this.#history.confirm({ upstream, at: now - age, requests })
-    for (const request of cleared) this.#history.clear(request)
+    this.addClearances(clearances ?? Object.fromEntries(cleared.map(each => [each, 0])))
   }
 
-  /** The blocked requests. */
-  get blocked (): BlockedRequest[] {
-    return this.#history.blocked
+  /** Adds clearances from another gateway: the time since each, in ms, by name. */
+  addClearances (ages: Readonly<Record<string, number>>): void {
+    const now = this.#options.clock.now()
+    for (const [name, age] of Object.entries(ages)) this.#history.clear(name, now - age)
   }
 
-  /** Adds blocked requests from another gateway or from the store. */
-  block (blocked: readonly BlockedRequest[]): void {
-    for (const { request, age } of blocked) this.#history.block(request, age)
+  /** The blocks in force. */
+  get blocks (): Block[] {
+    return this.#history.blocks
+  }
+
+  /** The time since each name was last cleared, in ms. */
+  get clearances (): Record<string, number> {
+    return this.#history.clearances
+  }
+
+  /** Adds blocks from another gateway or from the store. */
+  block (blocks: readonly Block[]): void {
+    for (const each of blocks) this.#history.block(each)
+  }
+
+  /** Lifts a block on an operator's order, at all gateways. Returns whether there was one with this id. */
+  lift (id: string): boolean {
+    const names = this.blocks.find(each => blockId(each.names) === id)?.names ?? []
+    if (!this.#history.lift(id)) return false
+    for (const name of names.filter(each => !isTeamName(each))) this.#reports.addClearance(name)
+    this.#options.announce()
+    return true
+  }
+
+  #clear (names: readonly string[]): void {
+    for (const name of names) if (this.#history.clear(name)) this.#reports.addClearance(name)
+  }
+
+  /** Clears names also if no crash of them is known here yet. */
+  #clearAt (names: readonly string[], at: number): void {
+    for (const name of names) {
+      this.#history.clear(name, at)
+      this.#reports.addClearance(name, at)
+    }
   }
 
   /**
@@ -148,7 +212,7 @@
   }
 
   #concludeCheck (upstream: string, at: number, listens: boolean): void {
-    const requests = [...this.#unreported.get(upstream) ?? []]
+    const requests = this.#unreported.get(upstream) ?? []
     this.#unreported.delete(upstream)
     if (listens && !this.#options.hasEnded(upstream)) return this.#history.withdraw(upstream)
     const crash = { upstream, at, requests }
--- a/packages/crashes/src/identity.ts
+++ b/packages/crashes/src/identity.ts
@@ -26,11 +26,11 @@
 
 /** Bounds of what is read of a list of parts: characters, and parts without the last. Anything beyond is ignored. */
 const maxListLength = 4096
-const maxParts = 16
+const maxParts = 8
 
 /** Models and ids that a name of a part contains as they are. Others are replaced by a hash of both. */
-const plainModel = /^[\w.-]{1,64}$/
-const plainId = /^[\w-]{1,32}$/
+const plainModel = /^[\w.-]{1,32}$/
+const plainId = /^[\w-]{1,16}$/
 
 /** Length of the hash of a part, in hexadecimal digits. */
 const hashDigits = 16
@@ -48,6 +48,11 @@
   return `/${createHash('sha256').update(JSON.stringify([model, id])).digest('hex').slice(0, hashDigits)}`
 }
 
+/** Whether a name is that of a part. */
+export function isPartName (name: string): boolean {
+  return name.includes('/') && !isTeamName(name)
+}
+
 /** The name of a team. Its first character sets it apart from the names of requests and parts. */
 export function teamName (team: string): string {
   return `@${team}`
--- a/packages/crashes/src/trials.ts
+++ b/packages/crashes/src/trials.ts
@@ -9,8 +9,8 @@
 /** Dependencies of `Trials`. */
 export interface TrialsOptions {
   readonly clock: Clock
-  /** The trials of the other gateways: fingerprint of the request by upstream, an object per gateway. */
-  readonly others: () => ReadonlyArray<Readonly<Record<string, string>>>
+  /** The trials of the other gateways: the suspected names by upstream, an object per gateway. */
+  readonly others: () => ReadonlyArray<Readonly<Record<string, readonly string[]>>>
   /** Called when a trial begins, so that the other gateways are notified. */
   readonly begun: () => void
   /** Called when a trial has ended, so that waiting requests search for an upstream again. */
@@ -51,7 +51,7 @@
 export class Trials {
   readonly #options: TrialsOptions
   /** The trials of this gateway by upstream. */
-  readonly #own = new Map<string, { readonly request: string, readonly trial: Trial }>()
+  readonly #own = new Map<string, { readonly request: string, readonly names: readonly string[], readonly trial: Trial }>()
 
   constructor (options: TrialsOptions) {
     this.#options = options
@@ -62,20 +62,25 @@
     return Object.fromEntries([...this.#own].map(([upstream, { request }]) => [upstream, request]))
   }
 
+  /** The trials of this gateway: the names for which the request is suspected, by upstream. */
+  get ownNames (): Record<string, readonly string[]> {
+    return Object.fromEntries([...this.#own].map(([upstream, { names }]) => [upstream, names]))
+  }
+
   /** Upstreams at which any gateway has a trial. */
   get upstreams (): ReadonlySet<string> {
     return new Set([...this.#own.keys(), ...this.#options.others().flatMap(each => Object.keys(each))])
   }
 
-  /** Whether any gateway has a trial of a request now. */
-  has (request: string): boolean {
-    return [this.own, ...this.#options.others()].some(each => Object.values(each).includes(request))
+  /** Whether any gateway has a trial of a request with this name now. */
+  has (name: string): boolean {
+    return [this.ownNames, ...this.#options.others()].some(each => Object.values(each).some(names => names.includes(name)))
   }
 
-  /** Begins a trial. */
-  begin (request: string, upstream: string): Trial {
+  /** Begins a trial. @param names the names for which the request is suspected */
+  begin (request: string, names: readonly string[], upstream: string): Trial {
     const trial: Trial = new Trial(this.#options.clock, () => this.#end(upstream, trial))
-    this.#own.set(upstream, { request, trial })
+    this.#own.set(upstream, { request, names, trial })
     this.#options.begun()
     return trial
   }
--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -12,6 +12,7 @@
 import { type Context } from './context.js'
 import { outgoingCall } from './outgoing.js'
 import { type CallerRequest } from './request.js'
+import { Survival } from './survival.js'
 
 /** Maximum size of a collected answer and of a stream event, in bytes. It bounds memory. */
 export const maxCollectedBytes = 8 * 2 ** 20
@@ -55,6 +56,7 @@
   /** Whether anything of the request may have left this process. */
   #written = false
   #forwarded = false
+  readonly #survival = new Survival()
   #chunks: Buffer[] = []
   #size = 0
   #ended = false
@@ -82,6 +84,7 @@
     const { context } = this.#options
     if (this.#ended) return
     this.#flow?.pause()
+    this.#survival.paused()
     if (this.#inFlight !== undefined) context.inFlight.pause(this.#inFlight)
   }
 
@@ -147,6 +150,8 @@
   data (chunk: Buffer): void {
     if (this.#ended) return
     this.#received()
+    this.#survival.received(this.#options.context.clock.now())
+    if (this.#survival.isShown) this.#options.context.crashes.recordSurvived(this.request.identity)
     if (this.#forwarded) return this.onChunk(chunk)
     this.#size += chunk.length
     this.#chunks.push(chunk)
@@ -211,8 +216,8 @@
    * completes has not.
    */
   #reportToCrashes (result: AttemptResult): void {
-    const { context: { crashes }, request, upstream } = this.#options
-    if (result.kind === 'lost' && result.broken === true) crashes.recordBroken(request.identity, upstream)
+    const { context: { crashes }, request, upstream, trial } = this.#options
+    if (result.kind === 'lost' && result.broken === true) crashes.recordBroken(request.identity, upstream, { survived: this.#survival.isShown, trial: trial !== undefined })
     else if (isSuccess(result)) crashes.recordCompleted(request.identity)
   }
 }
--- a/packages/gateway/src/blocks.ts
+++ b/packages/gateway/src/blocks.ts
@@ -1,13 +1,15 @@
 /**
- * The interface to the store of blocked requests. If all gateways are killed at once, they load their blocked requests
- * from it. Owns the type only; the platform's adapter stores the records.
+ * The interface to the store of blocks. If all gateways are killed at once, they load their blocks from it. Owns the
+ * type only; the platform's adapter stores the records.
  */
-import { type BlockedRequest } from '@eiderwind/crashes'
+import { type Block } from '@eiderwind/crashes'
 
-/** The store of blocked requests. */
+/** The store of blocks. */
 export abstract class Blocks {
-  /** Delivers all stored requests, once the store can be read. Requests stored later are not delivered. */
-  abstract read (deliver: (blocked: readonly BlockedRequest[]) => void): void
-  /** Stores a request that has just been blocked, by its fingerprint. Retries until that succeeds. */
-  abstract write (request: string): void
+  /** Delivers all stored blocks, once the store can be read. Blocks stored later are not delivered. */
+  abstract read (deliver: (blocks: readonly Block[]) => void): void
+  /** Stores a block under its id, with the upstreams that crashed. Retries until that succeeds. */
+  abstract write (id: string, block: Block, upstreams: readonly string[]): void
+  /** Removes a block, if it is stored. Retries until that succeeds. */
+  abstract remove (id: string): void
 }
--- a/packages/gateway/src/crashwatch.ts
+++ b/packages/gateway/src/crashwatch.ts
@@ -1,10 +1,10 @@
 /**
  * Connects the detection of requests that crash upstreams with the rest of the gateway: the roster, heartbeats in both
- * directions, the log, and the list of blocked requests that the gateways share. Creates `Crashes` and `Blocklist`, and
+ * directions, the log, and the list of blocks that the gateways share. Creates `Crashes` and `Blocklist`, and
  * owns nothing else.
  */
 import { type Clock } from '@eiderwind/clock'
-import { Crashes, type Crash } from '@eiderwind/crashes'
+import { blockId, Crashes, type BlockChange, type Crash } from '@eiderwind/crashes'
 import { type Log } from '@eiderwind/log'
 import { type Heartbeat, type PeerAddress, type Peers } from '@eiderwind/peers'
 import { type Roster } from '@eiderwind/roster'
@@ -41,38 +41,47 @@
       clock,
       hasEnded: upstream => roster.hasEnded(upstream),
       listensAt: async address => await listensAt(address, clock, connectTime),
-      otherTrials: () => peers.live.flatMap(({ trials }) => trials === undefined ? [] : [trials]),
+      otherTrials: () => peers.live.map(trialNames),
       announce: () => peers.send(),
       changed,
       crashed: crash => this.#crashed(crash),
-      blocked: (request, upstreams) => this.#blocked(request, upstreams)
+      blockChanged: change => this.#blockChanged(change)
     })
     this.#blocklist = new Blocklist({ ...options, crashes: this.crashes })
   }
 
-  /** Loads the blocked requests that were stored before this process began. */
+  /** Loads the blocks that were stored before this process began. */
   start (): void {
     this.#blocklist.start()
   }
 
   /** This module's fields of the heartbeats to other gateways. */
-  get heartbeatFields (): Pick<Heartbeat, 'crashes' | 'cleared' | 'trials' | 'blocked'> {
+  get heartbeatFields (): Pick<Heartbeat, 'crashes' | 'cleared' | 'clearances' | 'trials' | 'trialNames' | 'blocked'> {
     return { ...this.crashes.heartbeatFields, blocked: this.#blocklist.digest }
   }
 
   /** Takes the crashes, cleared requests and digest from another gateway's heartbeat. */
-  receiveHeartbeat ({ crashes = [], cleared = [], blocked }: Heartbeat, from: PeerAddress): void {
-    this.crashes.receive({ crashes, cleared })
+  receiveHeartbeat ({ crashes = [], cleared = [], clearances, blocked }: Heartbeat, from: PeerAddress): void {
+    this.crashes.receive({ crashes, cleared, clearances })
     this.#blocklist.receiveDigest(blocked, from)
   }
 
   #crashed ({ upstream, requests }: Crash): void {
-    this.#options.log.write('upstream-crashed', { upstream, requests: requests.join(' ') })
+    const parts = new Set(requests.flatMap(each => each.parts))
+    this.#options.log.write('upstream-crashed', { upstream, requests: requests.map(each => each.request).join(' '), parts: parts.size === 0 ? undefined : [...parts].join(' ') })
   }
 
-  #blocked (request: string, upstreams: readonly string[]): void {
-    const remaining = Math.round(this.crashes.blockedFor({ fingerprint: request, parts: [], team: '' }))
-    this.#options.log.write('request-blocked', { fingerprint: request, upstreams: upstreams.join(' '), remaining })
-    this.#blocklist.add(request)
+  #blockChanged (change: BlockChange): void {
+    const { names, replaces, upstreams } = change
+    const id = blockId(names)
+    const block = this.crashes.blocks.find(each => blockId(each.names) === id)
+    if (block !== undefined) this.#options.log.write('request-blocked', { fingerprint: id, names: names.join(' '), upstreams: upstreams.join(' '), remaining: Math.round(block.duration - block.age) })
+    if (replaces !== undefined) this.#options.log.write('block-lifted', { fingerprint: replaces, left: names.length === 0 ? undefined : id })
+    this.#blocklist.store(change)
   }
 }
+
+/** The names for which a gateway has requests on trial, by upstream. Builds that send none have only fingerprints. */
+function trialNames ({ trials = {}, trialNames: names }: Heartbeat): Readonly<Record<string, readonly string[]>> {
+  return names ?? Object.fromEntries(Object.entries(trials).map(([upstream, request]) => [upstream, [request]]))
+}
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -4,14 +4,14 @@
  * decoder. Gateways of other builds read the names and values, so they never change; fields that a later build adds are
  * ignored. (Heartbeats, the datagrams between gateways, are in `peers`.)
  */
-import { type BlockedRequest } from '@eiderwind/crashes'
+import { blockId, type Block } from '@eiderwind/crashes'
 import { type Order, type OrderResult } from '@eiderwind/forming'
 import { Upstream } from '@eiderwind/roster'
 import { Traffic } from '@eiderwind/traffic'
 import { z } from 'zod'
 
 /** Paths of the messages. A request with any other path is answered like `confirmation`. */
-export const paths = { confirmation: '/confirmation', order: '/order', upstreams: '/upstreams', blocked: '/blocked' } as const
+export const paths = { confirmation: '/confirmation', order: '/order', upstreams: '/upstreams', blocked: '/blocked', lift: '/blocked/lift' } as const
 
 /** Maximum size of a relayed order, in bytes. An order names at most 32 nodes. */
 export const maxOrderBytes = 65_536
@@ -88,13 +88,28 @@
 
 const BlockedMessage = z.object({
   blocked: z.array(z.object({
-    /** The request's fingerprint. */
+    /** The id of the block: the request's fingerprint in builds that block nothing else. */
     request: z.string(),
-    /** Ms since it was blocked. */
-    age: z.number().nonnegative()
-  }))
+    /** Ms since the crash that led to it. */
+    age: z.number().nonnegative(),
+    /** The names of the block. Absent if the id is its only name, and for builds that block only whole requests. */
+    names: z.array(z.string()).min(1).optional(),
+    /** Ms from that crash to its end. Absent for builds in which all blocks last equally long. */
+    duration: z.number().positive().optional()
+  })),
+  /** Names of requests that were served: ms since then. Absent for builds that do not send it. */
+  cleared: z.record(z.string(), z.number().nonnegative()).optional()
 })
 
+/** The blocks of a gateway, and the clearances that may lift those of another one. */
+export interface BlockedList {
+  readonly blocks: readonly Block[]
+  readonly clearances: Readonly<Record<string, number>>
+}
+
+/** The duration of all blocks in builds that do not send one, in ms. */
+const defaultBlockDuration = 60 * 60_000
+
 const ResultMessage = z.object({ result: z.enum(['taken', 'refused', 'stale', 'closed', 'unanswered']) })
 
 /** The target of a request that asks another gateway to confirm a revision. */
@@ -141,14 +156,28 @@
   return UpstreamsMessage.parse(JSON.parse(text))
 }
 
-/** The requests that are blocked here. */
-export function encodeBlocked (blocked: readonly BlockedRequest[]): string {
-  return JSON.stringify({ blocked })
+/** The blocks and clearances of this gateway. */
+export function encodeBlocked ({ blocks, clearances }: BlockedList): string {
+  const blocked = blocks.map(({ names, age, duration }) => ({ request: blockId(names), age, names, duration }))
+  return JSON.stringify({ blocked, cleared: clearances })
+}
+
+/** Throws if the text is not a list of blocks. */
+export function decodeBlocked (text: string): BlockedList {
+  const { blocked, cleared = {} } = BlockedMessage.parse(JSON.parse(text))
+  const blocks = blocked.map(({ request, age, names = [request], duration = defaultBlockDuration }) => ({ names, age, duration }))
+  return { blocks, clearances: cleared }
+}
+
+/** The target of an order to lift a block. */
+export function liftTarget (id: string): string {
+  return `${paths.lift}?id=${encodeURIComponent(id)}`
 }
 
-/** Throws if the text is not a list of blocked requests. */
-export function decodeBlocked (text: string): BlockedRequest[] {
-  return BlockedMessage.parse(JSON.parse(text)).blocked
+/** The id of the block that a target orders to lift; undefined if it belongs to another message. */
+export function parseLift (target: string): string | undefined {
+  const { pathname, searchParams } = new URL(target, 'http://gateway')
+  return pathname === paths.lift ? searchParams.get('id') ?? '' : undefined
 }
 
 /** An order for another gateway to relay. */
--- a/packages/gateway/src/peerserver.ts
+++ b/packages/gateway/src/peerserver.ts
@@ -1,7 +1,7 @@
 /**
  * Answers other gateways over HTTP. It sends the age of this gateway's newest confirmation, with the whole
- * configuration if the requester's is older; its upstreams and their changes; and its blocked requests. It also sends
- * engines the orders that other gateways relay. Owns the TCP listener of the peers' address. The messages are in
+ * configuration if the requester's is older; its upstreams and their changes; and its blocks. It also sends engines the
+ * orders that other gateways relay, and lifts a block on an operator's order. Owns the TCP listener of the peers' address. The messages are in
  * `messages.ts`.
  */
 import { type IncomingMessage, type Server, type ServerResponse } from 'node:http'
@@ -11,7 +11,10 @@
 import { listen, makeServer, readBody } from '@eiderwind/wire'
 import { type ChangeLog } from './changelog.js'
 import { type GatewayBoard } from './facts.js'
-import { parseRequestedRevision, parseUpstreamsRequest, decodeOrder, encodeBlocked, encodeConfirmation, encodeResult, encodeUpstreamChanges, maxOrderBytes, paths, type UpstreamsRequest } from './messages.js'
+import { parseRequestedRevision, parseUpstreamsRequest, decodeOrder, encodeBlocked, encodeConfirmation, encodeResult, encodeUpstreamChanges, maxOrderBytes, parseLift, paths, type UpstreamsRequest } from './messages.js'
+
+/** Statuses of the answer to an order to lift a block. */
+const httpStatus = { ok: 200, notFound: 404 } as const
 
 /** Dependencies of `PeerServer`. */
 export interface PeerServerOptions {
@@ -19,7 +22,7 @@
   readonly board: GatewayBoard
   /** Provides the upstreams and their changes. */
   readonly changes: ChangeLog
-  /** Provides the blocked requests. */
+  /** Provides the blocks, and lifts them. */
   readonly crashes: Crashes
   /** `host:port` on which other gateways connect. */
   readonly address: string
@@ -50,14 +53,22 @@
     if (request.url === paths.order) return this.#answerOrder(request, response)
     response.setHeader('content-type', 'application/json')
     if (request.url === paths.blocked) {
-      response.end(encodeBlocked(this.#options.crashes.blocked))
+      response.end(encodeBlocked(this.#options.crashes))
       return
     }
+    const lifted = request.method === 'POST' ? parseLift(request.url ?? '/') : undefined
+    if (lifted !== undefined) return this.#lift(lifted, response)
     const upstreamsRequest = parseUpstreamsRequest(request.url ?? '/')
     if (upstreamsRequest !== undefined) return this.#answerUpstreams(upstreamsRequest, response)
     response.end(this.#confirmation(parseRequestedRevision(request.url ?? '/')))
   }
 
+  #lift (id: string, response: ServerResponse): void {
+    const isLifted = this.#options.crashes.lift(id)
+    response.statusCode = isLifted ? httpStatus.ok : httpStatus.notFound
+    response.end(JSON.stringify({ lifted: isLifted }))
+  }
+
   #answerOrder (request: IncomingMessage, response: ServerResponse): void {
     this.#relayOrder(request).then(result => response.end(encodeResult(result)), () => {
       // The gateway that relays counts a closed connection as "unanswered". An order that cannot be decoded gets no
--- a/packages/log/test/forms.test.ts
+++ b/packages/log/test/forms.test.ts
@@ -42,6 +42,7 @@
   '412 request-failed error',
   '413 request-blocked warn',
   '414 caller-stalled warn',
+  '415 block-lifted info',
   '420 upstream-suspected warn',
   '421 upstream-crashed warn',
   '422 upstream-resting info',
--- a/packages/peers/src/heartbeat.ts
+++ b/packages/peers/src/heartbeat.ts
@@ -3,7 +3,7 @@
  * the wire. Gateways of two builds serve one site together during a restart, so keys are never renamed or dropped, and
  * new keys must be optional.
  */
-import { type CrashReport } from '@eiderwind/crashes'
+import { unnamedRequest, type CrashReport, type InterruptedRequest } from '@eiderwind/crashes'
 import { type ColdReport, type LimitReport } from '@eiderwind/limits'
 import { parseJson } from '@eiderwind/wire'
 import { z } from 'zod'
@@ -52,14 +52,21 @@
    */
   readonly terms?: Readonly<Record<string, number>>
   /**
-   * Upstreams that crashed in the last second under requests of the sender: the time since the crash, in ms, and the
-   * fingerprints of those requests.
+   * Upstreams that crashed in the last second under requests of the sender: the time since the crash, in ms, and those
+   * requests.
    */
   readonly crashes?: readonly CrashReport[]
   /** Fingerprints of requests that completed in the last second although they had been in flight during crashes. */
   readonly cleared?: readonly string[]
+  /**
+   * Names of requests that were served in the last second although they had been in flight during crashes: the time
+   * since then, in ms. Absent for builds that send `cleared` only.
+   */
+  readonly clearances?: Readonly<Record<string, number>>
   /** Requests suspected of crashing upstreams that the sender is trying now: the fingerprint, by upstream. */
   readonly trials?: Readonly<Record<string, string>>
+  /** The names for which these are suspected, by upstream. Absent for builds that suspect whole requests only. */
+  readonly trialNames?: Readonly<Record<string, readonly string[]>>
   /**
    * Ids of the upstreams that announced in an answer to the sender that they are leaving. Absent if there are none, and
    * for builds that do not send it.
@@ -94,10 +101,19 @@
    * Whether the sender runs short of a resource and has the balancer send new callers to other gateways. Absent: no.
    */
   readonly away?: boolean
-  /** Digest of the requests that the sender has blocked. Absent if there are none. */
+  /** Digest of the sender's blocks. Absent if there are none. */
   readonly blocked?: string
 }
 
+/** A crash. Builds that recognize whole requests only send and read their fingerprints, `requests`. */
+const Crash = z.object({
+  upstream: z.string(),
+  age: z.number().nonnegative(),
+  requests: z.array(z.string()),
+  /** More about some of these requests, by fingerprint. */
+  named: z.record(z.string(), z.object({ parts: z.array(z.string()), team: z.string().optional(), beginning: z.boolean(), trial: z.boolean() })).optional()
+})
+
 /** The datagram: JSON with these keys. Unknown keys are dropped, so a newer gateway may send more. */
 const Datagram = z.object({
   id: z.string(),
@@ -121,11 +137,15 @@
   /** `terms`. Absent if there are none. */
   terms: z.record(z.string(), z.int()).optional(),
   /** `crashes`. Absent if there are none. */
-  crashes: z.array(z.object({ upstream: z.string(), age: z.number().nonnegative(), requests: z.array(z.string()) })).optional(),
+  crashes: z.array(Crash).optional(),
   /** `cleared`. Absent if there are none. */
   cleared: z.array(z.string()).optional(),
   /** `trials`. Absent if there are none. */
   trials: z.record(z.string(), z.string()).optional(),
+  /** `clearances`. Absent if there are none. */
+  clearances: z.record(z.string(), z.number().nonnegative()).optional(),
+  /** `trialNames`. Absent if there are none. */
+  tried: z.record(z.string(), z.array(z.string())).optional(),
   blocked: z.string().optional(),
   /** `leaving`. Absent if there are none. */
   leaving: z.array(z.string()).optional(),
@@ -144,7 +164,7 @@
 })
 
 /** Encodes a heartbeat as its datagram. */
-export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, offeredByModel, served, loads, interval, wantsReply, terms, crashes, cleared, trials, blocked, leaving, limits, evacuation, cold, contended, grants, away }: Heartbeat): string {
+export function encode ({ id, revision, canPlan, canWatch, inFlight, suspects, offeredByModel, served, loads, interval, wantsReply, terms, crashes, cleared, clearances, trials, trialNames, blocked, leaving, limits, evacuation, cold, contended, grants, away }: Heartbeat): string {
   return JSON.stringify({
     id,
     revision,
@@ -158,9 +178,11 @@
     every: interval,
     ask: onlyTrue(wantsReply),
     terms: unlessEmpty(terms),
-    crashes: unlessEmpty(crashes),
+    crashes: unlessEmpty(crashes?.map(encodeCrash)),
     cleared: unlessEmpty(cleared),
+    clearances: unlessEmpty(clearances),
     trials: unlessEmpty(trials),
+    tried: unlessEmpty(trialNames),
     blocked,
     leaving: unlessEmpty(leaving),
     limits: unlessEmpty(limits),
@@ -172,6 +194,20 @@
   })
 }
 
+function encodeCrash ({ upstream, age, requests }: CrashReport): z.infer<typeof Crash> {
+  const named = requests.filter(isNamed).map(({ request, parts, team, beginning, trial }) => [request, { parts: [...parts], team, beginning, trial }])
+  return { upstream, age, requests: requests.map(each => each.request), named: unlessEmpty(Object.fromEntries(named)) }
+}
+
+/** Whether more than its fingerprint is known of a request. */
+function isNamed ({ parts, beginning, trial }: InterruptedRequest): boolean {
+  return parts.length > 0 || !beginning || trial
+}
+
+function decodeCrash ({ upstream, age, requests, named = {} }: z.infer<typeof Crash>): CrashReport {
+  return { upstream, age, requests: requests.map(request => ({ ...unnamedRequest(request), ...named[request] })) }
+}
+
 /** Omits a flag from the datagram unless it is set. */
 function onlyTrue (flag: boolean | undefined): true | undefined {
   return flag === true ? true : undefined
@@ -186,9 +222,9 @@
 export function decode (message: Buffer): Heartbeat | undefined {
   const { data } = Datagram.safeParse(parseJson(message.toString()))
   if (data === undefined) return undefined
-  const { id, revision, able: canPlan, watch: canWatch, loads: inFlight, suspects, models: offeredByModel, served, weights: loads = {}, every: interval, ask: wantsReply, ...others } = data
+  const { id, revision, able: canPlan, watch: canWatch, loads: inFlight, suspects, models: offeredByModel, served, weights: loads = {}, every: interval, ask: wantsReply, crashes, tried: trialNames, ...others } = data
   // All other fields have the same name on the wire, and may be absent.
-  return { id, revision, canPlan, inFlight, suspects, offeredByModel, served, loads, ...defined({ canWatch, interval, wantsReply, ...others }) }
+  return { id, revision, canPlan, inFlight, suspects, offeredByModel, served, loads, ...defined({ canWatch, interval, wantsReply, crashes: crashes?.map(decodeCrash), trialNames, ...others }) }
 }
 
 /** The fields that are not undefined. */
