Do not count attempts at upstreams that crashed against a route's limit

Cause: each attempt counts, whoever is at fault. Change: an attempt whose upstream is known to have crashed since the request arrived does not count; the retry budget still does. A request that is itself suspected waits for its trial as before.

--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -291,9 +291,16 @@
     request.refuse(refusals.crashing(crashes.blockedFor(request.identity)))
   }
 
+  /** Whether the route allows one more attempt. Attempts whose upstream has crashed since do not count. */
+  protected get hasAttemptsLeft (): boolean {
+    const { request, context: { crashes } } = this
+    const crashed = [...request.tried].filter(each => crashes.hasCrashed(each, request.arrivedAt))
+    return request.hasAttemptsLeft(crashed.length)
+  }
+
   #shouldRetry (result: AttemptResult): boolean {
-    const { service, repeatable, hasAttemptsLeft } = this.request
-    const decision = decideRetry({ result, repeatable, hasAttemptsLeft })
+    const { service, repeatable } = this.request
+    const decision = decideRetry({ result, repeatable, hasAttemptsLeft: this.hasAttemptsLeft })
     if (decision === 'no') return false
     // A retry that no upstream takes would use up the retry budget for nothing.
     if (this.#timeUntilAvailable > 0 && this.#maxWait === 0) return false
--- a/packages/forward/src/request.ts
+++ b/packages/forward/src/request.ts
@@ -155,9 +155,9 @@
     return this.route.kind === 'repeatable' || (this.route.kind === 'stream' && this.route.resumable)
   }
 
-  /** Whether the route allows one more attempt. */
-  get hasAttemptsLeft (): boolean {
-    return this.#sends < this.route.attempts
+  /** Whether the route allows one more attempt. @param uncounted number of attempts that do not count */
+  hasAttemptsLeft (uncounted: number): boolean {
+    return this.#sends - uncounted < this.route.attempts
   }
 
   /** Records that an attempt is being started. */
--- a/packages/forward/src/streampath.ts
+++ b/packages/forward/src/streampath.ts
@@ -172,7 +172,7 @@
    * another upstream must have free capacity.
    */
   #shouldMove (): boolean {
-    const { service, repeatable, hasAttemptsLeft, tried } = this.request
+    const { hasAttemptsLeft, request: { service, repeatable, tried } } = this
     const retriesLeft = this.context.retryBudget(service).left
     return mayMove({ repeatable, hasAttemptsLeft, retriesLeft }) && this.choose(tried) !== undefined
   }
