Let callers see whether a stream without framing is whole

Cause: the caller's answer had no framing either and was closed in order; an unframed end was never accepted for a framed answer. Weighed: a reset alone (a stream still looks whole if the gateway is killed); chunks for all streams, with the last chunk only where the end is judged whole (kept), and a reset for callers with HTTP/1.0. An answer that ends with its connection counts as whole if it ends between two events and its upstream still listens; else it is continued elsewhere. An engine that closes its connection between two events and lives on cannot be told from one that has finished.

--- a/packages/crashes/src/crashes.ts
+++ b/packages/crashes/src/crashes.ts
@@ -138,6 +138,12 @@
     this.#options.clock.after(gatherWindowMs, () => this.#checkCrash(upstream, at))
   }
 
+  /** Finds out whether an upstream that has just closed a connection has ended. */
+  async hasEnded (upstream: UpstreamAddress): Promise<boolean> {
+    await this.#options.clock.wait(gatherWindowMs)
+    return !await this.#isListening(upstream)
+  }
+
   /** Whether an upstream is known to have crashed since a time on `Clock.now`. */
   hasCrashed (upstream: string, since: number): boolean {
     return this.#history.hasCrashed(upstream, since)
@@ -208,8 +214,11 @@
    * only its next incarnation does.
    */
   #checkCrash (upstream: UpstreamAddress, at: number): void {
-    if (this.#options.hasEnded(upstream.id)) return this.#concludeCheck(upstream.id, at, false)
-    this.#options.listensAt(upstream.address).then(listens => this.#concludeCheck(upstream.id, at, listens), () => this.#concludeCheck(upstream.id, at, false))
+    this.#isListening(upstream).then(listens => this.#concludeCheck(upstream.id, at, listens), () => this.#concludeCheck(upstream.id, at, false))
+  }
+
+  async #isListening ({ id, address }: UpstreamAddress): Promise<boolean> {
+    return !this.#options.hasEnded(id) && await this.#options.listensAt(address)
   }
 
   #concludeCheck (upstream: string, at: number, listens: boolean): void {
--- a/packages/forward/src/answers.ts
+++ b/packages/forward/src/answers.ts
@@ -33,6 +33,14 @@
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
 }
 
+/** Statuses of answers that have no body. */
+const bodylessStatuses = new Set([204, 304])
+
+/** Whether the body of an answer ends with its connection. A body that breaks off may then look complete. */
+export function endsWithConnection (method: string | undefined, status: number, headers: AnswerHeaders): boolean {
+  return method !== 'HEAD' && !bodylessStatuses.has(status) && !isFramed(headers)
+}
+
 /**
  * Ends a response by closing its connection, as the upstream does. Such an answer may have been cut off, so the
  * response must not get a length or chunks that would make it look complete.
--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -8,7 +8,7 @@
 import { isSuccess, type AttemptResult } from '@eiderwind/dispatch'
 import { type Upstream } from '@eiderwind/roster'
 import { Receiver, type AnswerHeaders, type CallFailure, type Cancel, type Flow } from '@eiderwind/wire'
-import { answerHeader, matchesRequest, reportsNotRun } from './answers.js'
+import { answerHeader, endsWithConnection, matchesRequest, reportsNotRun } from './answers.js'
 import { type Context } from './context.js'
 import { outgoingCall } from './outgoing.js'
 import { type CallerRequest } from './request.js'
@@ -160,13 +160,27 @@
 
   end (): void {
     if (this.#ended) return
-    if (this.#forwarded) {
-      return this.#end(this.isComplete() ? { kind: 'passed' } : { kind: 'lost', why: 'the stream ended in the middle of an event', broken: true })
-    }
     if (this.#reportsNotRun) {
       return this.#end({ kind: 'not-run', why: `the upstream answered ${this.#status}${this.#retryAfterNote}`, sent: true })
     }
-    this.#end({ kind: 'answered', status: this.#status, headers: this.#headers, body: Buffer.concat(this.#chunks) })
+    if (this.#forwarded && !this.isComplete()) {
+      return this.#end({ kind: 'lost', why: 'the stream ended in the middle of an event', broken: true })
+    }
+    if (endsWithConnection(this.request.incoming.method, this.#status, this.#headers)) this.#endUnlessCrashed()
+    else this.#complete()
+  }
+
+  /** Ends an attempt whose answer may have ended because its upstream did. */
+  #endUnlessCrashed (): void {
+    const { context: { crashes }, upstream } = this.#options
+    crashes.hasEnded(upstream).then(hasEnded => {
+      if (hasEnded) this.#end({ kind: 'lost', why: 'the upstream ended together with an answer without a length', broken: true })
+      else this.#complete()
+    }, error => this.#end({ kind: 'lost', why: String(error), broken: true }))
+  }
+
+  #complete (): void {
+    this.#end(this.#forwarded ? { kind: 'passed' } : { kind: 'answered', status: this.#status, headers: this.#headers, body: Buffer.concat(this.#chunks) })
   }
 
   fail ({ error, sent }: CallFailure): void {
--- a/packages/forward/src/delivery.ts
+++ b/packages/forward/src/delivery.ts
@@ -6,6 +6,7 @@
 import { type ServerResponse } from 'node:http'
 import { TurnQueue, type Clock, type Subscription } from '@eiderwind/clock'
 import { type Log } from '@eiderwind/log'
+import { breakOff } from '@eiderwind/wire'
 import { Backlog, type BacklogBounds } from './backlog.js'
 
 /** Maximum size of a write to a connection, in bytes. It is also the resolution at which a caller's reading is seen. */
@@ -272,7 +273,7 @@
     const { response } = this.#options
     if (this.#isBlocked) return
     if (this.#ending === 'cut') {
-      response.destroy()
+      breakOff(response)
       return
     }
     response.end()
--- a/packages/forward/src/streamattempt.ts
+++ b/packages/forward/src/streamattempt.ts
@@ -4,7 +4,6 @@
  * which the upstreams' protocol guarantees.
  */
 import { endToEndHeaders, type AnswerHeaders } from '@eiderwind/wire'
-import { endWithConnection, isFramed } from './answers.js'
 import { Attempt, maxCollectedBytes, type AttemptOptions } from './attempt.js'
 import { EventSplitter, type StreamEvent } from './events.js'
 
@@ -14,8 +13,6 @@
   lastEvent: number | undefined
   /** Whether the status and headers were sent. */
   started = false
-  /** Whether the answer to the caller marks its own end. */
-  framed = true
 
   constructor (lastEvent: number | undefined) {
     this.lastEvent = lastEvent
@@ -36,7 +33,6 @@
 export class StreamAttempt extends Attempt {
   readonly #progress: Progress
   readonly #splitter = new EventSplitter()
-  #framed = true
   #onFirst: (() => void) | undefined
 
   constructor (options: StreamAttemptOptions) {
@@ -50,12 +46,10 @@
   }
 
   protected onHead (status: number, headers: AnswerHeaders): void {
-    this.#framed = isFramed(headers)
     if (this.#progress.started) return
     this.#progress.started = true
-    this.#progress.framed = this.#framed
     const { response } = this.request
-    if (!this.#framed) endWithConnection(response)
+    // The answer is sent in chunks also if the upstream's is not, so that it looks broken if this process is killed.
     const { 'content-length': _length, ...forwardedHeaders } = endToEndHeaders(headers)
     response.writeHead(status, forwardedHeaders)
     response.flushHeaders()
@@ -74,12 +68,9 @@
     if (request.delivery.isFull(() => this.resume())) this.pause()
   }
 
-  /**
-   * Whether the answer ended between two events. If the caller's answer began with framing, this answer must mark its
-   * own end as well: an answer without framing may have been cut off, so it may only complete an unframed one.
-   */
+  /** Whether the answer ended between two events. */
   protected isComplete (): boolean {
-    return this.#splitter.atBoundary && (this.#framed || !this.#progress.framed)
+    return this.#splitter.atBoundary
   }
 
   #isNew (id: number | undefined): boolean {
--- a/packages/wire/src/answer.ts
+++ b/packages/wire/src/answer.ts
@@ -1,6 +1,6 @@
 /**
- * Sends faults to callers. A caller receives the complete fault. If another answer has already begun, the connection is
- * closed, so that the caller cannot mistake its first part for a complete answer.
+ * Sends faults to callers, and breaks off answers. A caller receives the complete fault. If another answer has already
+ * begun, its connection is closed or reset, so that the caller cannot mistake its first part for a complete answer.
  */
 import { type ServerResponse } from 'node:http'
 import { type Clock } from '@eiderwind/clock'
@@ -12,14 +12,21 @@
 
 /** Answers with a fault. Closes the connection instead if an answer has begun, so that it cannot appear complete. */
 export function answerFault (response: ServerResponse, fault: Fault): void {
-  if (response.headersSent) {
-    response.destroy()
-    return
-  }
+  if (response.headersSent) return breakOff(response)
   writeFault(response, fault)
   response.end()
 }
 
+/**
+ * Breaks off an answer that has begun. A caller takes an answer without length and chunks for complete when its
+ * connection is closed in order, so that connection is reset.
+ */
+export function breakOff (response: ServerResponse): void {
+  const { socket } = response
+  if (response.useChunkedEncodingByDefault || socket === null) response.destroy()
+  else socket.resetAndDestroy()
+}
+
 /**
  * Answers a request with a fault when its body may not have been read. The complete answer is sent at once. The rest of
  * the body is then read and dropped for `lingerTime`, and the connection is closed. It is closed because the rest of
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -5,7 +5,7 @@
   type ClaimAnswer, type ClaimMessage, type EntryRouter, type ExchangeAnswer, type KnownState, type SettleAnswer, type SettleMessage, type WorkerRouter
 } from './calls.js'
 export { Clients } from './client.js'
-export { answerFault, refuse } from './answer.js'
+export { answerFault, breakOff, refuse } from './answer.js'
 export { closeIdleConnections, listen, makeServer, serve, splitAddress, type Handler, type ServeOptions } from './serve.js'
 export { readBody } from './body.js'
 export { Receiver, send, type AnswerHeaders, type CallFailure, type Call, type Cancel, type Flow } from './call.js'
