--- a/packages/crashes/test/fleet.ts
+++ b/packages/crashes/test/fleet.ts
@@ -18,15 +18,15 @@
 }
 
 /**
- * The rule without trials: three crashes block a request regardless of the other requests in flight. All gateways share
- * one count without delay.
+ * The rule without trials: three crashes block a request, and every request with one of its parts, regardless of the
+ * other requests in flight. All gateways share one count without delay.
  */
 export class CountingPolicy implements CrashPolicy {
   readonly #crashes = new Map<string, Set<string>>()
   readonly underTrial = new Set<string>()
 
-  standing ({ fingerprint }: RequestIdentity): Standing {
-    return (this.#crashes.get(fingerprint)?.size ?? 0) >= 3 ? 'blocked' : 'trusted'
+  standing ({ fingerprint, parts }: RequestIdentity): Standing {
+    return [fingerprint, ...parts].some(each => (this.#crashes.get(each)?.size ?? 0) >= 3) ? 'blocked' : 'trusted'
   }
 
   mayTry (): boolean {
@@ -35,14 +35,14 @@
 
   beginTrial (): undefined {}
 
-  recordBroken ({ fingerprint }: RequestIdentity, { id }: { readonly id: string }): void {
-    this.#crashes.set(fingerprint, (this.#crashes.get(fingerprint) ?? new Set()).add(id))
+  recordBroken ({ fingerprint, parts }: RequestIdentity, { id }: UpstreamAddress): void {
+    for (const each of [fingerprint, ...parts]) this.#crashes.set(each, (this.#crashes.get(each) ?? new Set()).add(id))
   }
 
   recordSurvived (): void {}
 
-  recordCompleted ({ fingerprint }: RequestIdentity): void {
-    this.#crashes.delete(fingerprint)
+  recordCompleted ({ fingerprint, parts }: RequestIdentity): void {
+    for (const each of [fingerprint, ...parts]) this.#crashes.delete(each)
   }
 }
 
@@ -73,6 +73,8 @@
   readonly teams: number
   /** Time before the first harmful request, in ms. */
   readonly quiet: number
+  /** Whether the gateways recognize the parts. By default they do. */
+  readonly isRecognized?: boolean
 }
 
 /** The result of a simulation. */
@@ -238,7 +240,7 @@
     const { prompts } = this.#options
     const fingerprint = prompts === undefined || harmful === undefined ? name : `${name}-${++this.#harmfulSent}`
     const team = `@team-${Math.floor(this.#random() * (prompts?.teams ?? 1))}`
-    const parts = prompts === undefined ? [] : partsOf(prompts, fingerprint, harmful)
+    const parts = prompts === undefined || prompts.isRecognized === false ? [] : partsOf(prompts, fingerprint, harmful)
     this.#waiting.push({ fingerprint, parts, team, harmful, attempts: 0, tries: 1, waitsUntil: this.#clock.now() + maxWaitMs, gateway: this.#randomGateway() })
   }
 
--- a/packages/ctl/src/index.ts
+++ b/packages/ctl/src/index.ts
@@ -4,6 +4,7 @@
  */
 import sade, { type Sade } from 'sade'
 import { printCapacity, printExpected, printLate } from './logreports.js'
+import { liftBlock, printBlocks } from './blocks.js'
 import { printExplanation } from './explaincommand.js'
 import { commands, type Command, type Options } from './commands.js'
 import { Session, type Print } from './session.js'
@@ -72,6 +73,22 @@
     .action((file: string, options: { _: string[], json?: boolean }) => {
       status = printExpected({ files: [file, ...options._], json: options.json === true }, output)
     })
+  program
+    .command('blocks <gateway>')
+    .describe('List the blocks of requests that crash upstreams, as a gateway knows them.')
+    .option('--json', 'Write JSON, one object per line', false)
+    .example('blocks 10.1.0.40:7340')
+    .action((gateway: string, options: { json?: boolean }) => {
+      status = printBlocks({ gateway, json: options.json === true }, output)
+    })
+  program
+    .command('unblock <gateway> <id>')
+    .describe('Lift a block at all gateways.')
+    .option('--json', 'Write JSON, one object per line', false)
+    .example('unblock 10.1.0.40:7340 5c1e07a291bd3f06')
+    .action((gateway: string, id: string, options: { json?: boolean }) => {
+      status = liftBlock(id, { gateway, json: options.json === true }, output)
+    })
   const knownFlags = new Set(commands.flatMap(each => (each.options ?? []).map(option => option.flags)))
   for (const [flags] of commonOptions) knownFlags.add(flags)
   program.parse(args, {
