--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -67,12 +67,62 @@
     name: 'crash-without-verdict',
     point: 8,
     rule: 'a crash in which a request was the only suspect blocks it',
-    file: 'packages/crashes/dist/src/history.js',
-    find: 'suspects.length === 1',
-    replace: 'false',
+    file: 'packages/crashes/dist/src/decision.js',
+    find: 'request === undefined || others.length > 0',
+    replace: 'true',
     test: 'packages/crashes/dist/test/history.test.js',
     title: 'a request that is alone in three crashes*'
   },
+  {
+    name: 'clearance-forgotten',
+    point: 8,
+    rule: 'a request that was served clears its parts also of blocks that rest on earlier crashes',
+    file: 'packages/crashes/dist/src/history.js',
+    find: 'this.#clearances.add(name, at);',
+    replace: '',
+    test: 'packages/crashes/dist/test/parts.test.js',
+    title: 'a served request lifts the block*'
+  },
+  {
+    name: 'running-answers-suspected',
+    point: 8,
+    rule: 'the parts of a request in the middle of its answer are no suspects of a crash',
+    file: 'packages/crashes/dist/src/crash.js',
+    find: 'beginning ? [request, ...parts] : [request]',
+    replace: '[request, ...parts]',
+    test: 'packages/crashes/dist/test/parts.test.js',
+    title: 'a request in the middle of its answer*'
+  },
+  {
+    name: 'shared-part-blocked-by-count',
+    point: 8,
+    rule: 'a part that other parts explain is not blocked by the number of its crashes',
+    file: 'packages/crashes/dist/src/decision.js',
+    find: 'explanations(part, records).size >= threshold',
+    replace: 'records.crashesOf(part).length >= threshold',
+    test: 'packages/crashes/dist/test/partsharm.test.js',
+    title: '3 gateways, three harmful parts, few other requests*'
+  },
+  {
+    name: 'broken-stream-closed-in-order',
+    point: 3,
+    rule: 'a stream that is known to be broken does not look whole (MIXED)',
+    file: 'packages/wire/dist/src/answer.js',
+    find: 'response.useChunkedEncodingByDefault || socket === null',
+    replace: 'true',
+    test: 'platform/dist/test/unframed.test.js',
+    title: 'a caller with HTTP/1.0*'
+  },
+  {
+    name: 'end-of-a-crashed-engine-trusted',
+    point: 3,
+    rule: 'an answer that ends with its connection is whole only if its upstream still runs',
+    file: 'packages/forward/dist/src/attempt.js',
+    find: 'if (endsWithConnection(',
+    replace: 'if (false && endsWithConnection(',
+    test: 'platform/dist/test/unframed.test.js',
+    title: 'a stream whose engine crashes between two events*'
+  },
   {
     name: 'life-late-record',
     point: 1,
@@ -220,9 +270,9 @@
     name: 'run-without-lease',
     point: 5,
     rule: 'a worker runs keyed requests only while its lease of the slot is valid',
-    file: 'packages/run/dist/src/home.js',
-    find: 'held?.lease.valid === true ? held.book : undefined',
-    replace: 'held?.book',
+    file: 'packages/run/dist/src/claim.js',
+    find: 'this.lease.valid && this.#lapse',
+    replace: 'this.#lapse',
     test: 'packages/run/dist/test/home.test.js',
     title: 'a home checks its lease*'
   },
