Discard an unframed answer only if its upstream refuses connections

Cause: the check whether an upstream still listens took a time-out for its end, so over a lossy or slow link a whole answer without a length would have been lost.

--- a/packages/crashes/src/crashes.ts
+++ b/packages/crashes/src/crashes.ts
@@ -44,8 +44,8 @@
   readonly clock: Clock
   /** Whether an upstream has certainly ended, because a newer incarnation of it has started. */
   readonly hasEnded: (upstream: string) => boolean
-  /** Whether a process still listens at an address. */
-  readonly listensAt: (address: string) => Promise<boolean>
+  /** Tries to connect to an address. `unknown`: it failed for another reason than a refusal. */
+  readonly probe: (address: string) => Promise<'listening' | 'refused' | 'unknown'>
   /** The trials of the other gateways: the suspected names by upstream, an object per gateway. */
   readonly otherTrials: () => ReadonlyArray<Readonly<Record<string, readonly string[]>>>
   /** Called when the other gateways should be notified at once. */
@@ -138,10 +138,10 @@
     this.#options.clock.after(gatherWindowMs, () => this.#checkCrash(upstream, at))
   }
 
-  /** Finds out whether an upstream that has just closed a connection has ended. */
-  async hasEnded (upstream: UpstreamAddress): Promise<boolean> {
+  /** Finds out whether an upstream that has just closed a connection has certainly ended. */
+  async hasEnded ({ id, address }: UpstreamAddress): Promise<boolean> {
     await this.#options.clock.wait(gatherWindowMs)
-    return !await this.#isListening(upstream)
+    return this.#options.hasEnded(id) || await this.#options.probe(address) === 'refused'
   }
 
   /** Whether an upstream is known to have crashed since a time on `Clock.now`. */
@@ -218,7 +218,7 @@
   }
 
   async #isListening ({ id, address }: UpstreamAddress): Promise<boolean> {
-    return !this.#options.hasEnded(id) && await this.#options.listensAt(address)
+    return !this.#options.hasEnded(id) && await this.#options.probe(address) === 'listening'
   }
 
   #concludeCheck (upstream: string, at: number, listens: boolean): void {
--- a/packages/crashes/test/fleet.ts
+++ b/packages/crashes/test/fleet.ts
@@ -206,7 +206,7 @@
     const crashes = new Crashes({
       clock: this.#clock,
       hasEnded: () => false,
-      listensAt: async address => !this.#down.has(address),
+      probe: async address => this.#down.has(address) ? 'refused' : 'listening',
       otherTrials: () => this.#crashes.filter((_each, other) => other !== index).map(each => each.trialNames),
       announce: () => this.#sendReports(index),
       changed: () => {},
--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -5,7 +5,7 @@
  * that.
  */
 import { type Trial } from '@eiderwind/crashes'
-import { decideRetry, refusals, waitForRoom, type AttemptResult, type Unavailability, type QueuedRequest, type WaitHandlers } from '@eiderwind/dispatch'
+import { decideRetry, refusals, waitForRoom, type AttemptResult, type QueuedRequest, type WaitHandlers } from '@eiderwind/dispatch'
 import { type WaitingRequest } from '@eiderwind/fairness'
 import { type Fault } from '@eiderwind/fault'
 import { type Claim } from '@eiderwind/limits'
@@ -15,6 +15,7 @@
 import { type Context } from './context.js'
 import { PlaceSearch } from './placesearch.js'
 import { type CallerRequest, type EmptySearch } from './request.js'
+import { UpstreamSearch } from './upstreamsearch.js'
 
 /** Why a request that has crashed its upstreams is not sent to another one. */
 const crashedUpstreamsReason = 'each upstream that began to run this request has crashed'
@@ -25,17 +26,13 @@
  */
 const minRetryDelayMs = 200
 
-/** The empty set of upstreams. */
-const noUpstreams: ReadonlySet<string> = new Set()
-
 /** Serves one request. Subclasses choose the upstreams and handle their answers. */
 export abstract class Path {
   protected readonly context: Context
   protected readonly request: CallerRequest
   /** The trial that the next attempt belongs to, if the request is suspected of crashing its upstreams. */
   protected trial: Trial | undefined
-  /** Why no untried upstream took requests at the last search that found none. Undefined if one did. */
-  #unavailability: Unavailability | undefined
+  readonly #upstreamSearch: UpstreamSearch
   /** The current or last search for a place, where places may be issued. */
   #placeSearch: PlaceSearch | undefined
   /** Releases the reservation at the upstream of the next attempt. */
@@ -44,6 +41,7 @@
   constructor (context: Context, request: CallerRequest) {
     this.context = context
     this.request = request
+    this.#upstreamSearch = new UpstreamSearch(context, request, () => this.upstreams)
   }
 
   /** Serves the request. Resolves when the request has ended. */
@@ -114,12 +112,12 @@
     if (result?.kind === 'answered') return sendAnswer(request, result)
     if (result?.kind === 'lost') return request.refuse(refusals.lost(result.why))
     request.emptySearch = { upstreams: this.upstreams.length, cause: this.#emptySearchCause }
-    request.refuse(this.#queuedRefusal() ?? this.#unavailableRefusal() ?? this.refusal(result))
+    request.refuse(this.#queuedRefusal() ?? this.#upstreamSearch.refusal ?? this.refusal(result))
   }
 
   get #emptySearchCause (): EmptySearch['cause'] {
     const { request, context: { crashes } } = this
-    return crashes.standing(request.identity) === 'trusted' ? (this.#shortestUnavailability ?? this.#unavailability)?.cause : 'trial'
+    return crashes.standing(request.identity) === 'trusted' ? this.#upstreamSearch.cause : 'trial'
   }
 
   /**
@@ -129,12 +127,12 @@
   async #findUpstream (): Promise<Upstream | 'blocked' | 'closed' | undefined> {
     const { request, context: { clock, availability, queue } } = this
     this.trial = undefined
-    this.#unavailability = undefined
+    this.#upstreamSearch.begin()
     const time = this.#maxWait
     const until = clock.now() + time
     const claim = availability.claim(request.priority, until)
     this.#placeSearch = time > 0 ? this.#beginPlaceSearch(until) : undefined
-    const found = await queue.wait(this.#queuedRequest(until), () => this.#find(claim) ?? this.#closedPast(until), this.#waitHandlers)
+    const found = await queue.wait(this.#queuedRequest(until), () => this.#find(claim) ?? this.#upstreamSearch.closedPast(until), this.#waitHandlers)
     availability.release(claim)
     this.#placeSearch?.end()
     return found
@@ -169,7 +167,7 @@
     const { request, kind, upstreams, context: { crashes } } = this
     const { timeLeft, route: { objective } } = request
     const attempted = request.attempted || crashes.standing(request.identity) !== 'trusted'
-    return waitForRoom({ path: kind, attempted, upstreams: upstreams.length, timeUntilAvailable: this.#timeUntilAvailable, objective, timeLeft, shared })
+    return waitForRoom({ path: kind, attempted, upstreams: upstreams.length, timeUntilAvailable: this.#upstreamSearch.timeUntilAvailable, objective, timeLeft, shared })
   }
 
   /**
@@ -197,44 +195,6 @@
     return refusal.due === 0 ? undefined : refusals.queued(refusal.due, this.context.random())
   }
 
-  /**
-   * Returns 'closed' if waiting until a time on `Clock.now` is pointless, because no untried upstream takes requests
-   * before then.
-   */
-  #closedPast (until: number): 'closed' | undefined {
-    this.#unavailability = this.#shortestUnavailability
-    const end = this.#unavailability?.end ?? -Infinity
-    return end > until && end > this.context.clock.now() ? 'closed' : undefined
-  }
-
-  /**
-   * Time until an upstream that was not tried yet takes requests again, in ms. 0 if one takes requests now, or if the
-   * time is not known.
-   */
-  get #timeUntilAvailable (): number {
-    const first = this.#shortestUnavailability
-    return first === undefined ? 0 : first.end - this.context.clock.now()
-  }
-
-  /** Why none of the untried upstreams takes a request now, and until when. Undefined if one does. */
-  get #shortestUnavailability (): Unavailability | undefined {
-    const { tried, priority } = this.request
-    return this.context.availability.shortestUnavailability(this.upstreams, tried, priority)
-  }
-
-  /**
-   * The refusal if no upstream takes requests now, or if none did at the last search. That search counts too, since a
-   * token may have arrived after it. Undefined if the cause is a pause: an upstream that only refused requests has not
-   * said when it takes them again.
-   */
-  #unavailableRefusal (): Fault | undefined {
-    const { clock, availability, random } = this.context
-    const first = availability.shortestUnavailability(this.upstreams, noUpstreams, this.request.priority) ?? this.#unavailability
-    if (first === undefined || first.cause === 'pause') return undefined
-    const time = first.end - clock.now()
-    return first.cause === 'rest' ? refusals.resting(Math.max(0, time), random()) : refusals.limited(time > 0 ? time : undefined, random())
-  }
-
   /**
    * Finds the upstream to send the request to now, given the crashes that the request was part of. Returns undefined if
    * the request has to wait. Requests a token if only a token is missing.
@@ -303,7 +263,7 @@
     const decision = decideRetry({ result, repeatable, hasAttemptsLeft: this.hasAttemptsLeft })
     if (decision === 'no') return false
     // A retry that no upstream takes would use up the retry budget for nothing.
-    if (this.#timeUntilAvailable > 0 && this.#maxWait === 0) return false
+    if (this.#upstreamSearch.timeUntilAvailable > 0 && this.#maxWait === 0) return false
     return decision === 'free' || this.context.retryBudget(service).take()
   }
 }
--- a/packages/gateway/src/crashwatch.ts
+++ b/packages/gateway/src/crashwatch.ts
@@ -8,7 +8,7 @@
 import { type Log } from '@eiderwind/log'
 import { type Heartbeat, type PeerAddress, type Peers } from '@eiderwind/peers'
 import { type Roster } from '@eiderwind/roster'
-import { listensAt, type Connections } from '@eiderwind/wire'
+import { probeAddress, type Connections } from '@eiderwind/wire'
 import { Blocklist } from './blocklist.js'
 import { type Blocks } from './blocks.js'
 
@@ -40,7 +40,7 @@
     this.crashes = new Crashes({
       clock,
       hasEnded: upstream => roster.hasEnded(upstream),
-      listensAt: async address => await listensAt(address, clock, connectTime),
+      probe: async address => await probeAddress(address, clock, connectTime),
       otherTrials: () => peers.live.map(trialNames),
       announce: () => peers.send(),
       changed,
--- a/packages/wire/src/listens.ts
+++ b/packages/wire/src/listens.ts
@@ -1,23 +1,25 @@
-/** Checks whether a process still listens at an address. It opens and closes a connection and sends nothing on it. */
+/** Checks whether a process listens at an address. It opens and closes a connection and sends nothing on it. */
 import { connect } from 'node:net'
 import { type Clock } from '@eiderwind/clock'
 import { splitAddress } from './serve.js'
 
+/** What a connection attempt shows about an address. `unknown`: it failed for another reason than a refusal. */
+export type AddressState = 'listening' | 'refused' | 'unknown'
+
 /**
- * Resolves to whether a connection to `host:port` is established within `timeout` ms. A port on which no process
- * listens refuses the connection at once.
+ * Tries to connect to `host:port` for at most `timeout` ms. A port on which no process listens refuses the connection at
+ * once.
  */
-export function listensAt (address: string, clock: Clock, timeout: number): Promise<boolean> {
+export function probeAddress (address: string, clock: Clock, timeout: number): Promise<AddressState> {
   return new Promise(resolve => {
     const socket = connect(splitAddress(address))
-    const end = (listens: boolean): void => {
+    const end = (state: AddressState): void => {
       timer.cancel()
       socket.destroy()
-      resolve(listens)
+      resolve(state)
     }
-    const timer = clock.after(timeout, () => end(false))
-    socket.once('connect', () => end(true))
-    // The cause of the failure does not change the result.
-    socket.on('error', () => end(false))
+    const timer = clock.after(timeout, () => end('unknown'))
+    socket.once('connect', () => end('listening'))
+    socket.on('error', (error: NodeJS.ErrnoException) => end(error.code === 'ECONNREFUSED' ? 'refused' : 'unknown'))
   })
 }
