--- a/packages/crashes/test/parts.test.ts
+++ b/packages/crashes/test/parts.test.ts
@@ -151,6 +151,16 @@
   for (const team of ['@one', '@two', '@three']) t.is(standing([first], team), 'trusted')
 })
 
+test('a part that was served before is blocked alone only after two crashes of trials that leave nothing else', t => {
+  const { history, crash, standing } = fixture()
+  history.clear(first)
+  crash(interrupted([first]))
+  crash(interrupted([first], { trial: true }))
+  t.is(standing([first]), 'suspected')
+  crash(interrupted([first], { trial: true }))
+  t.is(standing([first]), 'blocked')
+})
+
 test('a block with a part first ends after a minute; the next crash in a trial blocks it for an hour', t => {
   const { clock, crash, standing } = fixture()
   crash(interrupted([bad]))
