Name the thresholds of parts after what they count

Cause: reading the diff: companionThreshold counts explanations, and the module did not name its load. Result: no behaviour changes; parts and history tests pass.

--- a/packages/crashes/src/decision.ts
+++ b/packages/crashes/src/decision.ts
@@ -5,6 +5,9 @@
  * shared as well: a harmful part always comes with the innocent first part of nearly all requests. So a name is not
  * blocked because it was in many crashes. A crash of an engine with a single suspect blocks the names of that request
  * together; a name leaves the block when a request that has it is served (`CrashHistory.clear`).
+ *
+ * The load that it answers: up to ten harmful parts at once, each in a new request every 200 ms at any of 3 to 300
+ * gateways, beside many, few or no other requests that share the parts before it.
  */
 import { suspectNames, type CrashEvent, type InterruptedRequest } from './crash.js'
 import { isPartName } from './identity.js'
@@ -48,12 +51,11 @@
 const requestThreshold = 4
 
 /**
- * Number of different suspected parts that came with a part in its crashes, from which on the part itself is taken for
- * the cause. It is much higher for a part that requests have been served with lately: then several harmful parts that
- * share it are more likely.
+ * Number of different explanations of a part's crashes from which on the part itself is taken for the cause. It is much
+ * higher for a part that requests have been served with lately: then several harmful parts that share it are likelier.
  */
-const companionThreshold = 4
-const servedCompanionThreshold = 12
+const explanationThreshold = 4
+const servedExplanationThreshold = 12
 
 /**
  * Number of crashes during trials before a part may be blocked that way. A power failure interrupts many requests with
@@ -145,12 +147,9 @@
   return [...event.requests.values()].flatMap(each => openNames(each, event, records)).filter(isPartName)
 }
 
-/**
- * Blocks each part that came with too many other suspected parts, together with the names that were in all of its
- * crashes.
- */
+/** Blocks each part that is taken for the cause of its crashes, together with the names that were in all of them. */
 function partBlocks (event: CrashEvent, records: CrashRecords): Decision[] {
-  return [...new Set(openParts(event, records))].filter(each => hasCrashedTooOften(each, records)).map(each => timed(companions(each, records), records))
+  return [...new Set(openParts(event, records))].filter(each => isLikelyCause(each, records)).map(each => timed(companions(each, records), records))
 }
 
 /** Blocks a set of names for a time that depends on whether it was blocked before. */
@@ -159,8 +158,8 @@
   return { names, duration: isFirst ? provisionalDurationMs : blockDurationMs }
 }
 
-function hasCrashedTooOften (part: string, records: CrashRecords): boolean {
-  const threshold = records.wasServed(part) ? servedCompanionThreshold : companionThreshold
+function isLikelyCause (part: string, records: CrashRecords): boolean {
+  const threshold = records.wasServed(part) ? servedExplanationThreshold : explanationThreshold
   return trialCrashes(part, records) >= trialThreshold && explanations(part, records).size >= threshold
 }
 
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -65,7 +65,7 @@
   },
   {
     name: 'crash-without-verdict',
-    point: 8,
+    point: 4,
     rule: 'a crash in which a request was the only suspect blocks it',
     file: 'packages/crashes/dist/src/decision.js',
     find: 'request === undefined || others.length > 0',
@@ -75,7 +75,7 @@
   },
   {
     name: 'clearance-forgotten',
-    point: 8,
+    point: 4,
     rule: 'a request that was served clears its parts also of blocks that rest on earlier crashes',
     file: 'packages/crashes/dist/src/history.js',
     find: 'this.#clearances.add(name, at);',
@@ -85,7 +85,7 @@
   },
   {
     name: 'running-answers-suspected',
-    point: 8,
+    point: 4,
     rule: 'the parts of a request in the middle of its answer are no suspects of a crash',
     file: 'packages/crashes/dist/src/crash.js',
     find: 'beginning ? [request, ...parts] : [request]',
@@ -95,7 +95,7 @@
   },
   {
     name: 'shared-part-blocked-by-count',
-    point: 8,
+    point: 4,
     rule: 'a part that other parts explain is not blocked by the number of its crashes',
     file: 'packages/crashes/dist/src/decision.js',
     find: 'explanations(part, records).size >= threshold',
