Count no attempt against a route's limit at an upstream that another request crashed

Cause: all attempts at crashed upstreams were left out of the limit, so a request that itself crashes engines had one more in each try. Change: an attempt is left out only if another request at the crashed upstream had a suspected part that this one does not have and that nobody was served with lately.

--- a/packages/crashes/src/crashes.ts
+++ b/packages/crashes/src/crashes.ts
@@ -144,9 +144,12 @@
     return this.#options.hasEnded(id) || await this.#options.probe(address) === 'refused'
   }
 
-  /** Whether an upstream is known to have crashed since a time on `Clock.now`. */
-  hasCrashed (upstream: string, since: number): boolean {
-    return this.#history.hasCrashed(upstream, since)
+  /**
+   * Whether an upstream is known to have crashed since a time on `Clock.now`, most likely under another request than
+   * this one.
+   */
+  wasCrashedByOthers (upstream: string, since: number, request: RequestIdentity): boolean {
+    return !this.#history.isEmpty && this.#history.wasCrashedByOthers(upstream, since, request)
   }
 
   /** The heartbeat fields for the other gateways. */
--- a/packages/crashes/src/decision.ts
+++ b/packages/crashes/src/decision.ts
@@ -143,7 +143,7 @@
 }
 
 /** The parts that are still suspected of a crash. */
-function openParts (event: CrashEvent, records: CrashRecords): string[] {
+export function openParts (event: CrashEvent, records: CrashRecords): string[] {
   return [...event.requests.values()].flatMap(each => openNames(each, event, records)).filter(isPartName)
 }
 
--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -251,10 +251,10 @@
     request.refuse(refusals.crashing(crashes.blockedFor(request.identity)))
   }
 
-  /** Whether the route allows one more attempt. Attempts whose upstream has crashed since do not count. */
+  /** Whether the route allows one more attempt. Attempts whose upstream crashed under another request do not count. */
   protected get hasAttemptsLeft (): boolean {
     const { request, context: { crashes } } = this
-    const crashed = [...request.tried].filter(each => crashes.hasCrashed(each, request.arrivedAt))
+    const crashed = [...request.tried].filter(each => crashes.wasCrashedByOthers(each, request.arrivedAt, request.identity))
     return request.hasAttemptsLeft(crashed.length)
   }
 
