--- a/packages/forward/src/answers.ts
+++ b/packages/forward/src/answers.ts
@@ -1,7 +1,7 @@
 /**
  * Interprets and forwards the answers of upstreams: which request they belong to, whether that request ran, and how the
- * end of the answer is marked (framing). Keeps no state. An answer to a caller gets a length or chunks only if the
- * upstream's answer had one of them.
+ * end of the answer is marked (framing). Keeps no state. A collected answer gets a length only if the upstream's answer had
+ * a length or chunks.
  */
 import { type ServerResponse } from 'node:http'
 import { type Answered } from '@eiderwind/dispatch'
