--- a/scripts/knownred.js
+++ b/scripts/knownred.js
@@ -40,3 +40,10 @@
   const isListed = line => entries.some(entry => isAbout(line, entry))
   return { passed, failed: failed.filter(line => !isListed(line)), excused: failed.filter(isListed), recovered: passed.filter(isListed) }
 }
+
+/** The lines that TAP writes below a failed test: its details and its log. */
+export function detailsOf (failedLine, lines) {
+  const first = lines.indexOf(failedLine) + 1
+  const length = lines.slice(first).findIndex(line => /^((not )?ok \d+|1\.\.\d+)/.test(line))
+  return lines.slice(first, length < 0 ? undefined : first + length)
+}
