Close new connections unread when a gateway accepts them more slowly than they come

Callers saw: while most new connections went to one gateway, it served fewer and fewer at the first try (57 of 100 at 4 times what it bears, 16 at 13 times), and none in time for 5 s and more after the flood. Cause: the runtime accepts one connection per turn of its loop, and the others wait in the queue of the operating system, up to 511. Requests were read after their callers had given up. Evidence: traced turns of the loop were short, and each accepted one connection with another one waiting. A window of connections per turn never acted and was taken back. Change: a turn without a new connection shows an empty queue. New event 432 and metric eiderwind_connections_closed_total.

--- a/packages/gateway/src/callers.ts
+++ b/packages/gateway/src/callers.ts
@@ -14,6 +14,7 @@
 import { closeIdleConnections, header, listen, readBody, refuse } from '@eiderwind/wire'
 import { admit, type Admission } from './admission.js'
 import { type GatewayBoard, type ConfigurationInForce } from './facts.js'
+import { NewConnections } from './newconnections.js'
 
 /** Dependencies of `Callers`. */
 export interface CallersOptions {
@@ -32,8 +33,12 @@
    * retry.
    */
   readonly usualMaxWaits: UsualMaxWaits | undefined
+  /** How long new connections may queue without a break before some are closed unread, in ms. Undefined: for any time. */
+  readonly maxConnectionWait: number | undefined
   /** Writes answers to callers as fast as they read. */
   readonly deliveries: Deliveries
+  /** Called for each new connection that is closed unread under overload. */
+  readonly connectionClosed: () => void
   /** Called with the code of each request that is refused before a service is chosen for it. */
   readonly refused: (code: string) => void
   /** Called once for each admitted request, with its outcome. */
@@ -56,8 +61,8 @@
 export class Callers {
   readonly #options: CallersOptions
   readonly #server: Server
+  readonly #connections: NewConnections
   readonly #open = new Set<CallerRequest>()
-  #connections = 0
   #isRefusing = false
   #requests = 0
 
@@ -71,10 +76,8 @@
     })
     closeIdleConnections(this.#server)
     this.#server.on('request', (request, response) => this.#accept(request, response))
-    this.#server.on('connection', socket => {
-      this.#connections++
-      socket.once('close', () => { this.#connections-- })
-    })
+    const { context: { clock, log }, maxConnectionWait: maxWait, connectionClosed: closed } = options
+    this.#connections = new NewConnections({ clock, log, server: this.#server, maxWait, closed })
     options.board.listen('inForce', inForce => { if (inForce !== undefined) this.#applyLimits(inForce) })
   }
 
@@ -95,7 +98,7 @@
 
   /** Number of callers' connections. */
   get connections (): number {
-    return this.#connections
+    return this.#connections.open
   }
 
   /** Whether requests with keys are served now. */
@@ -110,6 +113,7 @@
 
   async start (): Promise<void> {
     await listen(this.#server, this.#options.address)
+    this.#connections.start()
   }
 
   /** Refuses new requests from now on. */
@@ -120,6 +124,7 @@
 
   /** Accepts no new connections, and closes idle ones. */
   close (): void {
+    this.#connections.stop()
     this.#server.close()
     this.#server.closeIdleConnections()
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -318,7 +318,7 @@
   }
 
   #makeCallers (): Callers {
-    const { clock, log, platform, settings: { callers: address, dataCentre, maxConfirmationAge, strictKeys, fair } } = this.#options
+    const { clock, log, platform, settings: { callers: address, dataCentre, maxConfirmationAge, maxConnectionWait, strictKeys, fair } } = this.#options
     const conditions = this.#conditions
     const rooms = this.#rooms
     const context: Context = {
@@ -353,7 +353,9 @@
       strictKeys,
       random: Math.random,
       usualMaxWaits: fair ? new UsualMaxWaits() : undefined,
+      maxConnectionWait,
       deliveries: this.#deliveries,
+      connectionClosed: () => this.#metrics.connectionClosed(),
       refused: code => this.#metrics.refused(code),
       ended: (request, outcome) => requests.ended(request, outcome)
     })
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -66,6 +66,7 @@
   readonly #resumptions: Counter
   readonly #orders: Counter<'kind' | 'result'>
   readonly #rests: Counter
+  readonly #connectionsClosed: Counter
   readonly #unlisted: Counter<'how'>
 
   constructor (options: MetricsOptions) {
@@ -133,6 +134,7 @@
       registers
     })
     this.#rests = new Counter({ name: 'eiderwind_rests_total', help: 'Rests that upstreams have asked this gateway for.', registers })
+    this.#connectionsClosed = new Counter({ name: 'eiderwind_connections_closed_total', help: 'New connections of callers that were closed unread under overload.', registers })
     this.#registerGauges(registers)
     this.#server = createServer((request, response) => {
       if (request.url !== path) {
@@ -171,6 +173,11 @@
     if (kind === 'stream' && attempts.length > 1 && outcome.startsWith('answered 2')) this.#resumptions.inc()
   }
 
+  /** Counts a connection that was closed unread under overload. */
+  connectionClosed (): void {
+    this.#connectionsClosed.inc()
+  }
+
   /** @param delay in ms */
   loopDelayed (delay: number): void {
     this.#loopDelays.observe(delay / 1000)
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -62,6 +62,11 @@
   readonly evacuationTime: number | undefined
   /** Bounds on the bytes of answers that callers have not read yet (`[unread]`). */
   readonly unread: BacklogBounds
+  /**
+   * How long new connections may queue without a break before some are closed unread (`[overload]`). Undefined: for any
+   * time.
+   */
+  readonly maxConnectionWait: number | undefined
   /** The resources that the process may use before the balancer sends new callers to other gateways (`[readiness]`). */
   readonly readiness: ReadinessLimits
   /** Interval between the heartbeats of an upstream at the platform. */
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -67,6 +67,7 @@
   'gateway-strained': { number: 429, level: 'warn', text: 'This gateway runs short of `cause` and makes the balancer send new callers to other gateways (`away`), or no longer does. Also gives the lateness of its event loop, in ms, and the fractions of its memory and descriptors in use.' },
   'configuration-unconfirmed': { number: 430, level: 'warn', text: 'The configuration was not confirmed in time; requests with API keys are refused.' },
   'configuration-confirmed': { number: 431, level: 'info', text: 'The configuration is confirmed again.' },
+  'connections-closed': { number: 432, level: 'warn', text: 'This gateway is overloaded: in the last second, `closed` new connections of callers were closed unread, so that their callers can go to another gateway. `open` connections are served.' },
   'planner-acts': { number: 440, level: 'info', text: 'This gateway now plans the replicas of a service.' },
   'planner-rests': { number: 441, level: 'info', text: 'This gateway no longer plans the replicas of a service.' },
   'replica-decided': { number: 442, level: 'info', text: 'The planner decided to form or dissolve a replica and wrote the placement; orders follow. `shares`: each model\'s share of the load, on which targets depend; absent while there are too few requests and the configured shares count.' },
--- a/packages/log/test/forms.test.ts
+++ b/packages/log/test/forms.test.ts
@@ -55,6 +55,7 @@
   '429 gateway-strained warn',
   '430 configuration-unconfirmed warn',
   '431 configuration-confirmed info',
+  '432 connections-closed warn',
   '440 planner-acts info',
   '441 planner-rests info',
   '442 replica-decided info',
--- a/packages/settings/src/shapes.ts
+++ b/packages/settings/src/shapes.ts
@@ -200,6 +200,13 @@
     /** Time after which the connection of a caller is closed if it has unread bytes and reads none of them. */
     patience: Duration.default(10_000)
   }).prefault({}),
+  overload: z.strictObject({
+    /**
+     * How long new connections may queue without a break until some are closed unread, so that their callers go to
+     * other gateways. Empty: for any time.
+     */
+    wait: OptionalDuration
+  }).prefault({}),
   readiness: z.strictObject({
     /** Mean lateness of the event loop above which new callers are sent to other gateways. Empty: unlimited. */
     lateness: OptionalDuration,
