Count an unframed stream as cut if its replica stopped serving with it

Cause: the planner closes a replica that lost a member and cuts its streams. The head lives on and accepts connections, so an unframed stream that it ends between two events was judged whole. Change: such an end counts only if the head still serves the same replica by its record shortly after, or was already closing as planned.

--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -6,7 +6,7 @@
 import { type Trial } from '@eiderwind/crashes'
 import { type InFlightRequest } from '@eiderwind/detect'
 import { isSuccess, type AttemptResult } from '@eiderwind/dispatch'
-import { type Upstream } from '@eiderwind/roster'
+import { servesReplica, type Upstream } from '@eiderwind/roster'
 import { Receiver, type AnswerHeaders, type CallFailure, type Cancel, type Flow } from '@eiderwind/wire'
 import { answerHeader, endsWithConnection, matchesRequest, reportsNotRun } from './answers.js'
 import { type Context } from './context.js'
@@ -166,15 +166,18 @@
     if (this.#forwarded && !this.isComplete()) {
       return this.#end({ kind: 'lost', why: 'the stream ended in the middle of an event', broken: true })
     }
-    if (endsWithConnection(this.request.incoming.method, this.#status, this.#headers)) this.#endUnlessCrashed()
+    if (endsWithConnection(this.request.incoming.method, this.#status, this.#headers)) this.#endUnlessCut()
     else this.#complete()
   }
 
-  /** Ends an attempt whose answer may have ended because its upstream did. */
-  #endUnlessCrashed (): void {
-    const { context: { crashes }, upstream } = this.#options
+  /** Ends an attempt whose answer may have ended because its upstream did, or stopped serving its replica. */
+  #endUnlessCut (): void {
+    const { context: { crashes, roster }, upstream } = this.#options
+    // Such a replica serves the requests that it has to their ends.
+    const isClosing = roster.find(upstream.id)?.membership?.state === 'closing'
     crashes.hasEnded(upstream).then(hasEnded => {
       if (hasEnded) this.#end({ kind: 'lost', why: 'the upstream ended together with an answer without a length', broken: true })
+      else if (!isClosing && !servesReplica(upstream, roster.find(upstream.id))) this.#end({ kind: 'lost', why: 'the replica stopped serving together with an answer without a length', broken: true })
       else this.#complete()
     }, error => this.#end({ kind: 'lost', why: String(error), broken: true }))
   }
