Refuse a connection with 408 only after its sockets were read once more

Callers saw: 408 for a request that had arrived, after the process had stood still for longer than the time for a head (listed in KNOWN-RED.txt). Cause: Node.js checks that time in a timer, before it reads the sockets. Change: after that error a server waits for one turn, and refuses only if no request has begun on the connection. It answers malformed and too large heads itself now, with the statuses that Node.js uses.

--- a/packages/wire/src/serve.ts
+++ b/packages/wire/src/serve.ts
@@ -6,6 +6,7 @@
 import { type EntryRouter, type WorkerRouter } from './calls.js'
 import { answerFault } from './answer.js'
 import { readBody } from './body.js'
+import { closeAfterHeadTime } from './headtime.js'
 import { callsPath } from './headers.js'
 
 /** Maximum body of a call between processes, in bytes. The longest bodies are configurations. */
@@ -41,10 +42,12 @@
 }
 
 /**
- * Closes a connection when its idle time (`keepAliveTimeout`) ends, unless a request has arrived on it. Node.js alone
- * would close it before it reads that request if the event loop was delayed.
+ * Closes a connection when its idle time (`keepAliveTimeout`) or the time for a request's head (`headersTimeout`) ends,
+ * unless a request has arrived on it. Node.js alone would close it before it reads that request if the event loop was
+ * delayed.
  */
 export function closeIdleConnections (server: Server): void {
+  closeAfterHeadTime(server)
   server.on('timeout', socket => {
     const { bytesRead } = socket
     // Immediates run after the sockets are read.
--- a/packages/wire/test/serve.test.ts
+++ b/packages/wire/test/serve.test.ts
@@ -2,9 +2,9 @@
  * Guards against kept connections that a server closes with a request unread: their idle time ended while its event
  * loop was blocked, after the request had arrived.
  */
-import { createServer } from 'node:http'
+import { createServer, type RequestListener } from 'node:http'
 import { connect, type Socket } from 'node:net'
-import test from 'ava'
+import test, { type ExecutionContext } from 'ava'
 import { block, loopPhases, type LoopPhase } from '@eiderwind/clock/testing'
 import { closeIdleConnections, listen, makeServer } from '../src/index.js'
 
@@ -79,3 +79,42 @@
   writeAndBlock(socket, 'check', headerTime + 2 * checkInterval)
   t.regex(await nextAnswer(socket), /^HTTP\/1.1 200/)
 })
+
+/** A server whose heads must arrive within `headerTime`, and a connection to it. */
+async function connectForHead (t: ExecutionContext, answer: RequestListener): Promise<Socket> {
+  const server = createServer({ connectionsCheckingInterval: checkInterval, requestTimeout: 0 }, answer)
+  server.headersTimeout = headerTime
+  closeIdleConnections(server)
+  const port = await listen(server, '127.0.0.1:0')
+  t.teardown(() => {
+    server.closeAllConnections()
+    server.close()
+  })
+  return connect(port, '127.0.0.1')
+}
+
+test.serial('a head that is still incomplete after its time is refused, also if bytes of it keep arriving', async t => {
+  const socket = await connectForHead(t, (_incoming, response) => response.end('x'))
+  socket.write('GET / HTTP/1.1\r\n')
+  const writing = setInterval(() => socket.write('a: b\r\n'), checkInterval / 10)
+  t.regex(await nextAnswer(socket), /^HTTP\/1.1 408 Request Timeout/)
+  clearInterval(writing)
+  t.is(await nextAnswer(socket), 'closed')
+})
+
+for (const [title, malformed, status] of [['malformed', 'x\r\n\r\n', 400], ['too large', `GET / HTTP/1.1\r\na: ${'b'.repeat(20_000)}\r\n\r\n`, 431]] as const) {
+  test.serial(`a head that is ${title} is refused with ${status}`, async t => {
+    const socket = await connectForHead(t, (_incoming, response) => response.end('x'))
+    socket.write(malformed)
+    t.regex(await nextAnswer(socket), new RegExp(`^HTTP/1.1 ${status} `))
+    t.is(await nextAnswer(socket), 'closed')
+  })
+}
+
+test.serial('nothing is written into an answer in flight when the next request on its connection is malformed', async t => {
+  const socket = await connectForHead(t, (_incoming, response) => { response.write('first') })
+  socket.write(request)
+  t.regex(await nextAnswer(socket), /first/)
+  socket.write('x\r\n\r\n')
+  t.is(await nextAnswer(socket), 'closed')
+})
