Ask a head for its report before an unframed stream counts as whole

Callers saw: beside load, streams that lacked their last events and looked whole, also with the check of the head's record. Cause: a record may arrive later than the end of the connection. Change: the head's own report, which tells a change at once, decides; its record only if it does not answer.

--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -6,7 +6,7 @@
 import { type Trial } from '@eiderwind/crashes'
 import { type InFlightRequest } from '@eiderwind/detect'
 import { isSuccess, type AttemptResult } from '@eiderwind/dispatch'
-import { servesReplica, type Upstream } from '@eiderwind/roster'
+import { type Upstream } from '@eiderwind/roster'
 import { Receiver, type AnswerHeaders, type CallFailure, type Cancel, type Flow } from '@eiderwind/wire'
 import { answerHeader, endsWithConnection, matchesRequest, reportsNotRun } from './answers.js'
 import { type Context } from './context.js'
@@ -172,13 +172,10 @@
 
   /** Ends an attempt whose answer may have ended because its upstream did, or stopped serving its replica. */
   #endUnlessCut (): void {
-    const { context: { crashes, roster }, upstream } = this.#options
-    // Such a replica serves the requests that it has to their ends.
-    const isClosing = roster.find(upstream.id)?.membership?.state === 'closing'
-    crashes.hasEnded(upstream).then(hasEnded => {
-      if (hasEnded) this.#end({ kind: 'lost', why: 'the upstream ended together with an answer without a length', broken: true })
-      else if (!isClosing && !servesReplica(upstream, roster.find(upstream.id))) this.#end({ kind: 'lost', why: 'the replica stopped serving together with an answer without a length', broken: true })
-      else this.#complete()
+    const { context, upstream } = this.#options
+    context.serves(upstream).then(serves => {
+      if (serves) this.#complete()
+      else this.#end({ kind: 'lost', why: 'the upstream stopped serving together with an answer without a length', broken: true })
     }, error => this.#end({ kind: 'lost', why: String(error), broken: true }))
   }
 
--- a/packages/forward/src/context.ts
+++ b/packages/forward/src/context.ts
@@ -47,6 +47,11 @@
   readonly places?: PlaceClient
   /** The retry budget of a service. */
   readonly retryBudget: (service: string) => RetryBudget
+  /**
+   * Finds out whether an upstream that has just ended an answer with its connection still serves as it did when the
+   * request was sent.
+   */
+  readonly serves: (upstream: Upstream) => Promise<boolean>
   /** Called with the status and headers of each answer, which may describe the state of the upstream. */
   readonly answered: (upstream: Upstream, answer: AnswerHead) => void
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -35,6 +35,7 @@
 import { RequestLog } from './requestlog.js'
 import { Rooms } from './rooms.js'
 import { Sampling } from './sampling.js'
+import { isServing } from './serving.js'
 import { type GatewayOptions } from './settings.js'
 import { UpstreamFeed } from './upstreamfeed.js'
 
@@ -339,6 +340,7 @@
       forecast: new Forecast(),
       places: rooms?.placeClient,
       retryBudget: service => this.#budgets.of(service),
+      serves: async upstream => await isServing(upstream, { crashes: this.#crashWatch.crashes, probes: platform.probes, roster: this.#roster }),
       answered: (upstream, head) => {
         conditions.answered(upstream, head, platform.conditionOf(head.status, head.headers))
         rooms?.answered(upstream, head)
--- a/packages/roster/src/serving.ts
+++ b/packages/roster/src/serving.ts
@@ -7,9 +7,9 @@
 /**
  * Whether a head still serves the replica that it served before. A plain upstream has no replica that could stop.
  * @param before its record when the request was sent
- * @param now its record now; undefined if it is no longer listed
+ * @param now its record or its own report now; undefined if it is no longer listed
  */
-export function servesReplica ({ membership: before }: Upstream, now: Upstream | undefined): boolean {
+export function servesReplica ({ membership: before }: Upstream, now: Pick<Upstream, 'membership'> | undefined): boolean {
   if (before === undefined) return true
   const membership = now?.membership
   return membership !== undefined && membership.replica === before.replica && membership.epoch === before.epoch && servingStates.has(membership.state)
