--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -944,5 +944,45 @@
     replace: 'false',
     test: 'packages/detect/dist/test/detect.test.js',
     title: 'a single stream that stays silent*'
+  },
+  {
+    name: 'queue-stands',
+    point: 3,
+    rule: 'new connections are closed unread once the queue of connections has stood for too long',
+    file: 'packages/detect/dist/src/standingqueue.js',
+    find: 'this.#isOverloaded = !this.#isOverloaded',
+    replace: 'this.#isOverloaded = false',
+    test: 'packages/detect/dist/test/standingqueue.test.js',
+    title: 'at 4 times what the process can serve*'
+  },
+  {
+    name: 'burst-closed',
+    point: 3,
+    rule: 'a queue of connections that empties in time is no overload',
+    file: 'packages/detect/dist/src/standingqueue.js',
+    find: 'if (isEmpty) {',
+    replace: 'if (false) {',
+    test: 'packages/detect/dist/test/standingqueue.test.js',
+    title: 'at 0.5 times*'
+  },
+  {
+    name: 'closed-replica-whole',
+    point: 4,
+    rule: 'an answer without a length that ends when its replica was closed is not whole',
+    file: 'packages/gateway/dist/src/serving.js',
+    find: 'return servesReplica(upstream, report)',
+    replace: 'return true',
+    test: 'packages/gateway/dist/test/serving.test.js',
+    title: 'a head that reports its replica closed*'
+  },
+  {
+    name: 'head-time-first',
+    point: 4,
+    rule: 'a request that has arrived is read before the time for its head is judged',
+    file: 'packages/wire/dist/src/headtime.js',
+    find: 'if (code === headTimeoutCode)',
+    replace: 'if (false)',
+    test: 'packages/wire/dist/test/serve.test.js',
+    title: 'a request that has arrived before the header time-out*'
   }
 )
