Keep other listeners when a server's handler is replaced

Cause: found by reading: serve() removed all listeners of requests, also the one by which a malformed request is kept from being answered inside an answer in flight. Change: only the handler that it set before is removed. Result: the new test failed before (a status was written into the answer) and passes; 123 tests of wire, entry, worker and rpc pass.

--- a/packages/wire/src/serve.ts
+++ b/packages/wire/src/serve.ts
@@ -57,15 +57,21 @@
   })
 }
 
+/** What `serve` has each server handle requests with. Other listeners of the servers stay when it is replaced. */
+const handlers = new WeakMap<Server, Handler>()
+
 /** Replaces the router and handler of a server. */
 export function serve (server: Server, options: ServeOptions): void {
   const calls = options.router === undefined ? undefined : callsHandler(options.router)
   const handler = options.handler ?? notFound
-  server.removeAllListeners('request')
-  server.on('request', (request, response) => {
+  const handle: Handler = (request, response) => {
     if (calls !== undefined && request.url?.startsWith(`${callsPath}/`) === true) calls(request, response)
     else handler(request, response)
-  })
+  }
+  const replaced = handlers.get(server)
+  if (replaced !== undefined) server.off('request', replaced)
+  server.on('request', handle)
+  handlers.set(server, handle)
 }
 
 /**
--- a/packages/wire/test/serve.test.ts
+++ b/packages/wire/test/serve.test.ts
@@ -6,7 +6,7 @@
 import { connect, type Socket } from 'node:net'
 import test, { type ExecutionContext } from 'ava'
 import { block, loopPhases, type LoopPhase } from '@eiderwind/clock/testing'
-import { closeIdleConnections, listen, makeServer } from '../src/index.js'
+import { closeIdleConnections, listen, makeServer, serve } from '../src/index.js'
 
 const request = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
 
@@ -80,6 +80,21 @@
   t.regex(await nextAnswer(socket), /^HTTP\/1.1 200/)
 })
 
+test.serial('nothing is written into an answer in flight of a server whose handler was replaced', async t => {
+  const server = makeServer()
+  serve(server, { handler: (_incoming, response) => { response.write('first') } })
+  const port = await listen(server, '127.0.0.1:0')
+  t.teardown(() => {
+    server.closeAllConnections()
+    server.close()
+  })
+  const socket = connect(port, '127.0.0.1')
+  socket.write(request)
+  t.regex(await nextAnswer(socket), /first/)
+  socket.write('x\r\n\r\n')
+  t.is(await nextAnswer(socket), 'closed')
+})
+
 /** A server whose heads must arrive within `headerTime`, and a connection to it. */
 async function connectForHead (t: ExecutionContext, answer: RequestListener): Promise<Socket> {
   const server = createServer({ connectionsCheckingInterval: checkInterval, requestTimeout: 0 }, answer)
