Say what the rule of new connections measures, and what it closes wrongly

The rule takes the time without an empty queue for the wait of a connection; it is only an upper bound. No logic changed; the wait itself is to be measured next.

--- a/packages/detect/src/standingqueue.ts
+++ b/packages/detect/src/standingqueue.ts
@@ -1,8 +1,9 @@
 /**
  * Decides when new connections have to be closed unread, because a process accepts them more slowly than they arrive.
  * Pure; the caller passes the time. The operating system queues connections until the process accepts them, and does
- * not tell for how long. A queue that empties now and then is a burst. One that stays is an overload: each request in
- * it waits for longer than the one before, and in the end is read after its caller has given up.
+ * not tell for how long. While connections arrive faster than they are accepted, each one waits for longer than the one
+ * before, and in the end is read after its caller has given up. The time for which the queue has not been empty is an
+ * upper bound on that wait, so the rule also closes connections of a long burst that have waited for less.
  */
 
 /**
