Log why the planner closes a replica, and what the order ends

Cause: the line of an order to close named neither its reason nor the evidence, so a cut stream could not be told from one that its upstream had lost. Change: orders to close have a reason; engine-order logs manner, reason, evidence against the engines, the requests in flight at the head and the time since it sent anything; explain names the order for a stream that was cut. Result: no decision changes. The test of explain is new.

--- a/packages/ctl/src/explain.ts
+++ b/packages/ctl/src/explain.ts
@@ -101,6 +101,7 @@
     ...limitsOf(related.filter(each => each.node === end.node)),
     ...evacuationsOf(related),
     ...end.denied === true ? budgetOf(end, related) : [],
+    ...related.filter(each => each.name === 'engine-order' && each.kind === 'close').map(closeOf),
     ...dissolved.length > 0 ? [`the planner logged: ${dissolved.join('; ')}`] : []
   ].join('; ')
   const [code] = outcome.split(' ')
@@ -110,6 +111,15 @@
   return `${gateway} had it for ${String(end.took)} ms: ${reason}.${rule}${denied} Attempts: ${attempts === '' ? 'none' : attempts}.${evidence === '' ? '' : ` Shortly before: ${evidence}.`}`
 }
 
+/** Why the planner had a replica stop serving, and what the order ended. Older lines have no reason. */
+function closeOf ({ upstream, replica, manner, reason, evidence, streams, silence }: LogLine): string {
+  const effect = manner === 'cut' ? `cutting ${String(streams)} requests in flight` : 'after its requests in flight'
+  const why = reason === undefined ? '' : `: ${String(reason)}`
+  const against = evidence === undefined ? '' : ` (${String(evidence)})`
+  const last = silence === undefined ? '' : `, ${String(silence)} ms after the last data from it`
+  return `the planner closed ${String(replica)} at ${String(upstream)}, ${effect}${last}${why}${against}`
+}
+
 /** Until when an upstream asked for rest. */
 function restOf ({ upstream, time, rest }: LogLine): string {
   return `the upstream ${String(upstream)} asked for rest until ${new Date(Date.parse(time) + Number(rest)).toISOString()}`
--- a/packages/ctl/test/explain.test.ts
+++ b/packages/ctl/test/explain.test.ts
@@ -78,3 +78,9 @@
   t.is(explain(lines, 'd.4').story.length, 1)
   t.regex(explain(lines, 'nobody').cause, /No line names nobody/)
 })
+
+test('a stream that broke off names the order that closed its replica, with its reason and evidence', t => {
+  const order = readLine('{"time":"2026-12-02T10:00:01.550Z","event":443,"name":"engine-order","node":"entry-2","kind":"close","upstream":"i-1","replica":"d.4","epoch":4,"manner":"cut","reason":"i-9 missing","evidence":"i-9 1 probes unanswered in 612 ms","streams":7,"silence":980,"result":"taken","took":5}')
+  if (order === undefined) throw new Error('not a line')
+  t.regex(explain([...lines, order], 'r1').cause, /the planner closed d\.4 at i-1, cutting 7 requests in flight, 980 ms after the last data from it: i-9 missing \(i-9 1 probes unanswered in 612 ms\)/)
+})
--- a/packages/detect/src/inflight.ts
+++ b/packages/detect/src/inflight.ts
@@ -149,6 +149,12 @@
     this.#ended(request)
   }
 
+  /** When anything was last received from an upstream with requests in flight, on `Clock.now`. */
+  lastReceivedFrom (upstream: string): number | undefined {
+    const receivedAt = this.#upstreams.get(upstream)?.receivedAt ?? -Infinity
+    return receivedAt === -Infinity ? undefined : receivedAt
+  }
+
   /** Whether anything was received for one of the requests in flight at an upstream. */
   hasReceivedFrom (upstream: string): boolean {
     return [...this.#upstreams.get(upstream)?.requests ?? []].some(each => each.receivedAt > each.sentAt)
--- a/packages/detect/src/liveness.ts
+++ b/packages/detect/src/liveness.ts
@@ -89,6 +89,8 @@
   readonly #probedAt = new Map<string, number>()
   /** Consecutive probes that an engine left unanswered, by engine id. */
   readonly #missed = new Map<string, number>()
+  /** When the first of them was sent, on `Clock.now`. */
+  readonly #silentSince = new Map<string, number>()
 
   constructor (options: LivenessOptions) {
     this.#options = options
@@ -112,6 +114,21 @@
     for (const { members: [{ id }] } of replicas) this.#checkHead(id, suspects)
   }
 
+  /** What speaks against an engine, as text for the log. Undefined if nothing does. */
+  evidenceAgainst (id: string): string | undefined {
+    const missed = this.#missed.get(id) ?? 0
+    const unanswered = this.#unanswered.get(id) ?? 0
+    const since = this.#silentSince.get(id)
+    const notes = [
+      ...this.#dead.has(id) || this.#deadUnlisted.has(id) ? ['dead'] : [],
+      ...this.#options.roster.find(id) === undefined ? ['not listed'] : [],
+      ...missed > 0 ? [`${missed} probes unanswered${since === undefined ? '' : ` in ${Math.round(this.#options.clock.now() - since)} ms`}`] : [],
+      ...unanswered > 0 ? [`${unanswered} orders unanswered`] : [],
+      ...this.#options.suspects().has(id) ? ['suspected by most gateways'] : []
+    ]
+    return notes.length === 0 ? undefined : `${id} ${notes.join(', ')}`
+  }
+
   /** Records whether a head answered an order to close. */
   recordCloseAnswer (head: string, answered: boolean): void {
     this.#unanswered.set(head, answered ? 0 : (this.#unanswered.get(head) ?? 0) + 1)
@@ -135,7 +152,7 @@
   forget (replicas: readonly ReplicaNodes[]): void {
     const { roster } = this.#options
     const placed = new Set(replicas.flatMap(({ members }) => members.map(({ id }) => id)))
-    for (const known of [this.#unreachable, this.#dead, this.#deadUnlisted, this.#unanswered, this.#heartbeats, this.#probedAt, this.#missed]) {
+    for (const known of [this.#unreachable, this.#dead, this.#deadUnlisted, this.#unanswered, this.#heartbeats, this.#probedAt, this.#missed, this.#silentSince]) {
       for (const id of known.keys()) {
         if (!placed.has(id) && roster.find(id) === undefined && roster.departure(id) === undefined) known.delete(id)
       }
@@ -168,17 +185,19 @@
     this.#probedAt.set(id, probedAt)
     probes.isReachable(address).then(reachable => {
       // A time-out that elapsed during a pause of this process says nothing about the engine.
-      if (reachable || resumedAt() < probedAt) this.#recordProbe(id, reachable, stalled)
+      if (reachable || resumedAt() < probedAt) this.#recordProbe(id, reachable, { probedAt, stalled })
       changed()
     }).catch(failed)
   }
 
-  #recordProbe (id: string, reachable: boolean, stalled: boolean): void {
+  #recordProbe (id: string, reachable: boolean, { probedAt, stalled }: { probedAt: number, stalled: boolean }): void {
     if (reachable) {
       this.#unreachable.delete(id)
       this.#missed.delete(id)
+      this.#silentSince.delete(id)
       return
     }
+    if (!this.#silentSince.has(id)) this.#silentSince.set(id, probedAt)
     const missed = (this.#missed.get(id) ?? 0) + 1
     this.#missed.set(id, missed)
     if (stalled || missed >= missedProbesLimit) this.#unreachable.add(id)
--- a/packages/emulator/src/planner.ts
+++ b/packages/emulator/src/planner.ts
@@ -50,7 +50,7 @@
     unlistedEnded: () => {},
     decided: () => {},
     surveyed: () => {},
-    ordered: () => {},
+    sending: () => () => {},
     failed: error => { throw error }
   })
 }
--- a/packages/forming/src/lifecycle.ts
+++ b/packages/forming/src/lifecycle.ts
@@ -16,6 +16,8 @@
   readonly dissolved?: string
 }
 
+const staleEpoch = 'an engine has seen a higher epoch'
+
 /** The next step of a replica, by the first rule that applies. */
 export function nextForReplica (replica: PlannedReplica, draft: PlacementDraft, history: OrderHistory): ReplicaStep {
   const { snapshot } = draft
@@ -23,12 +25,12 @@
   if (!snapshot.isIntact(replica)) return nextForIncomplete(replica, snapshot, history)
   const state = snapshot.headState(replica)
   if (isAbandoned(replica, snapshot, history)) {
-    return state === 'open' || state === 'closing' ? { orders: [closeOrder(replica, 'finish')] } : dissolveOnceLeft(replica, 'its head has left', history)
+    return state === 'open' || state === 'closing' ? { orders: [closeOrder(replica, 'finish', 'its head was ordered to leave')] } : dissolveOnceLeft(replica, 'its head has left', history)
   }
   if (state === 'broken') return { dissolved: 'broken' }
   if (replica.retiring === true) return nextForRetiring(replica, draft, history)
   if (replica.members.some(({ id }) => history.sawHigherEpoch(id, replica.name))) {
-    return state === 'open' ? { orders: [closeOrder(replica, 'finish')] } : { dissolved: 'an engine has seen a higher epoch' }
+    return state === 'open' ? { orders: [closeOrder(replica, 'finish', staleEpoch)] } : { dissolved: staleEpoch }
   }
   return state === 'open' || state === 'closing' ? {} : nextForUnopened(replica, snapshot)
 }
@@ -64,7 +66,7 @@
 function nextForUnlistedHead (replica: PlannedReplica, snapshot: Snapshot, history: OrderHistory): ReplicaStep {
   const { id } = replica.members[0]
   if (snapshot.facts.dead.has(id)) return { dissolved: `${id} not listed` }
-  const close = closeOrder(replica, 'cut')
+  const close = closeOrder(replica, 'cut', 'its head is not listed')
   return { orders: [history.hasAnswered(close) ? leaveOrder(replica) : close] }
 }
 
@@ -79,8 +81,8 @@
   const dissolved = `${missing.join(' ')} missing`
   if (snapshot.facts.dead.has(id)) return { dissolved }
   const state = snapshot.headState(replica)
-  if (state === 'open') return { orders: [closeOrder(replica, missing.every(each => snapshot.isLeaving(each)) ? 'finish' : 'cut')] }
-  const close = closeOrder(replica, 'cut')
+  if (state === 'open') return { orders: [closeOrder(replica, missing.every(each => snapshot.isLeaving(each)) ? 'finish' : 'cut', dissolved)] }
+  const close = closeOrder(replica, 'cut', dissolved)
   // A head that is not listed may continue to serve until it has left. Then it counts as dead.
   if (snapshot.find(id) === undefined) return { orders: [history.hasAnswered(close) ? leaveOrder(replica) : close] }
   // A listed head may have opened since its last record.
@@ -105,9 +107,9 @@
   const state = draft.snapshot.headState(replica)
   if (state === 'open') {
     const urgent = draft.lacking.some(({ name }) => draft.snapshot.intact(name) === 0)
-    return { orders: [closeOrder(replica, urgent ? 'cut' : 'finish')] }
+    return { orders: [closeOrder(replica, urgent ? 'cut' : 'finish', 'retired')] }
   }
   if (state === 'closing') return {}
-  if (history.mayServe(replica.members[0].id, replica.name)) return { orders: [closeOrder(replica, 'finish')] }
+  if (history.mayServe(replica.members[0].id, replica.name)) return { orders: [closeOrder(replica, 'finish', 'retired')] }
   return state === 'ready' ? dissolveOnceLeft(replica, 'retired', history) : { dissolved: 'retired' }
 }
--- a/packages/forming/src/orders.ts
+++ b/packages/forming/src/orders.ts
@@ -30,6 +30,8 @@
   readonly members?: readonly string[]
   /** Set for `close`: complete the requests in flight, or cut them off. */
   readonly manner?: 'finish' | 'cut'
+  /** Set for `close`: why the replica stops serving, as text for the log. */
+  readonly reason?: string
   /** Whether the order makes the engine load weights from the weight store. */
   readonly loads: boolean
   /** Set for `stage`: whether nothing waits for the load, so that repairs have precedence. */
@@ -82,9 +84,9 @@
   return { kind: 'open', node: head.id, address: head.address, replica: name, epoch, loads: false }
 }
 
-/** Orders the head of a replica to stop serving. */
-export function closeOrder ({ name, epoch, members: [head] }: PlannedReplica, manner: 'finish' | 'cut'): UnfencedOrder {
-  return { kind: 'close', node: head.id, address: head.address, replica: name, epoch, manner, loads: false }
+/** Orders the head of a replica to stop serving. @param reason why, as text for the log */
+export function closeOrder ({ name, epoch, members: [head] }: PlannedReplica, manner: 'finish' | 'cut', reason: string): UnfencedOrder {
+  return { kind: 'close', node: head.id, address: head.address, replica: name, epoch, manner, reason, loads: false }
 }
 
 /**
--- a/packages/forming/src/reconciler.ts
+++ b/packages/forming/src/reconciler.ts
@@ -69,8 +69,11 @@
   readonly unlistedEnded: (engine: Upstream, how: UnlistedEnd) => void
   /** Called with the survey of the engines of a domain, about once a second. */
   readonly surveyed: (domain: string, survey: Survey) => void
-  /** Called when an order has ended, with the time that it took in ms. */
-  readonly ordered: (order: Order, result: OrderResult, took: number) => void
+  /**
+   * Called when an order is being sent. Returns the function that is called with its result.
+   * @param evidence what speaks against the engines of the replica, as text; set for orders to close
+   */
+  readonly sending: (order: Order, evidence: string | undefined) => (result: OrderResult) => void
 }
 
 /** Forms, opens, repairs and dissolves the replicas of every model service that this process leads. */
@@ -333,15 +336,22 @@
     this.#unlisted.recordLeft(node, replica)
   }
 
+  /** What speaks against the engines of a replica, as text for the log. Undefined if nothing does. */
+  #evidenceAgainst (replica: string): string | undefined {
+    const members = this.#domains.replicas.find(each => each.name === replica)?.members ?? []
+    const notes = members.flatMap(({ id }) => this.#liveness.evidenceAgainst(id) ?? [])
+    return notes.length === 0 ? undefined : notes.join('; ')
+  }
+
   /** Sends an order without waiting for its end. Another pass follows the answer. */
   #send (domain: string, order: Order): void {
-    const { clock, orders, ordered, failed } = this.#options
-    const sentAt = clock.now()
+    const { orders, sending, failed } = this.#options
+    const ended = sending(order, order.kind === 'close' ? this.#evidenceAgainst(order.replica) : undefined)
     orders.send(order).then(result => {
       this.#history.recordResult(order, result)
       if (order.kind === 'close') this.#liveness.recordCloseAnswer(order.node, result !== 'unanswered')
       if (result === 'closed' || (order.kind === 'leave' && result !== 'unanswered')) this.#recordLeft(order)
-      ordered(order, result, clock.now() - sentAt)
+      ended(result)
       this.#activity.recordChange(domain)
       this.wake()
     }).catch(failed)
--- a/packages/gateway/src/planning.ts
+++ b/packages/gateway/src/planning.ts
@@ -65,7 +65,7 @@
       log.write('engine-unlisted-ended', { upstream, domain, how })
     },
     surveyed: (domain, survey) => log.write('engines-surveyed', { domain, ...survey }),
-    ordered: (order, result, took) => recordOrder(options, order, result, took),
+    sending: (order, evidence) => recordOrder(options, order, evidence),
     failed: error => log.write('controller-failed', { controller: 'forming', cause: String((error as Error).stack) })
   })
 }
@@ -76,8 +76,24 @@
   return { shares: [...demand].map(([model, share]) => `${model} ${share.toFixed(2)}`).join(', ') }
 }
 
-/** Counts and logs an order to an engine. @param took time from the order to its answer, in ms */
-function recordOrder ({ log, metrics }: PlanningOptions, { kind, node: upstream, replica, epoch, model }: Order, result: OrderResult, took: number): void {
-  metrics.ordered(kind, result)
-  log.write('engine-order', { kind, upstream, replica, epoch, model, result, took: Math.round(took) })
+/** Counts and logs an order to an engine once it has ended. Returns the function to call with its result. */
+function recordOrder (options: PlanningOptions, order: Order, evidence: string | undefined): (result: OrderResult) => void {
+  const { clock, log, metrics } = options
+  const { kind, node: upstream, replica, epoch, model, manner, reason } = order
+  const sentAt = clock.now()
+  const affected = kind === 'close' ? affectedStreams(options, upstream) : {}
+  return result => {
+    metrics.ordered(kind, result)
+    log.write('engine-order', { kind, upstream, replica, epoch, model, manner, reason, evidence, ...affected, result, took: Math.round(clock.now() - sentAt) })
+  }
+}
+
+/**
+ * What an order to close ends: the requests in flight at the head, from all gateways, and how long ago this gateway
+ * received anything from it, in ms.
+ */
+function affectedStreams ({ clock, inFlight, peers }: PlanningOptions, head: string): { streams: number, silence: number | undefined } {
+  const others = peers.live.reduce((sum, each) => sum + (each.inFlight[head] ?? 0), 0)
+  const receivedAt = inFlight.lastReceivedFrom(head)
+  return { streams: inFlight.count(head) + others, silence: receivedAt === undefined ? undefined : Math.round(clock.now() - receivedAt) }
 }
