End nothing on doubt: close replicas only on proof that an engine is lost

Callers saw streams that ended without their ends, and 502 for requests that had been read, while every upstream was sound and only silent for a second. Cause: one unanswered probe made an engine unreachable, and an unreachable engine made its replica incomplete: it was closed with its streams cut, other replicas were retired, with their streams cut, to replace it, and targets shifted. The order waited in the silence and was carried out after it. Evidence: engine-order reason "i-2 missing", evidence "1 probes unanswered in 295 ms", streams 12; "retired", manner cut, at replicas that were not silent. Change: Silences separates doubt from proof. Doubt keeps an engine out of new replicas and holds orders to open and to retire; only proof (refused twice, or silent for longer than a sound process may be while most gateways suspect the head) makes a serving replica incomplete. Orders that rest on silence are dropped if it ended while the placement was written. A head is dead only with that proof too; a retained engine that has answered is judged the same way. Why it works: whatever a silence of up to 2.5 s does to probes, nothing is ordered by it that ends a stream. The emulator's killed engines refuse connections, as ended processes do.

--- a/packages/detect/src/liveness.ts
+++ b/packages/detect/src/liveness.ts
@@ -1,16 +1,19 @@
 /**
- * Decides which engines are unreachable and which heads are dead. An unreachable engine is left unused until it answers
- * again. The members of a dead head are free for other replicas, so a head must not be declared dead while it may still
- * serve. The README draws the states of an engine and the transitions between them.
+ * Decides which engines are unreachable, which are lost, and which heads are dead. An unreachable engine has not
+ * answered lately: it is put into no new replica until it answers again, and nothing that it serves is ended. An engine
+ * is lost once it is proven that it cannot go on: its replica is then closed. The members of a dead head are free for
+ * other replicas, so a head must not be declared dead while it may still serve. The README draws the states of an engine
+ * and the transitions between them.
  *
- * An engine is in doubt if the head of its replica is suspected, if it missed its last probe, or if its entry is
- * missing. Owns what is known of each engine in doubt, in memory only: all of it is found out again after a restart.
- * Relies on `Probes`, on the suspicions of all gateways, and on the reconciler to report the answers to its orders to
- * close.
+ * An engine is probed if the head of its replica is suspected, if it missed its last probe, or if its entry is missing.
+ * Owns what is known of each such engine, in memory only: all of it is found out again after a restart. Relies on
+ * `Silences` for what the probes prove, on `Probes`, on the suspicions of all gateways, and on the reconciler to report
+ * the answers to its orders to close.
  */
 import { type Clock } from '@eiderwind/clock'
 import { type Roster } from '@eiderwind/roster'
-import { type NodeAddress, type Probes } from './probes.js'
+import { type NodeAddress, type ProbeResult, type Probes } from './probes.js'
+import { Silences } from './silences.js'
 
 /** The nodes of a planned replica, the head first. */
 export interface ReplicaNodes {
@@ -71,12 +74,15 @@
   readonly since: number
   /** When the count was last requested, on `Clock.now`. */
   readonly requestedAt: number
+  /** Whether the last reading showed that the count has stopped. */
+  readonly hasStopped: boolean
 }
 
 /** Probes engines in doubt and declares heads dead. */
 export class Liveness {
   readonly #options: LivenessOptions
   readonly #unreachable = new Set<string>()
+  readonly #lost = new Set<string>()
   readonly #dead = new Set<string>()
   /**
    * Heads that were declared dead while they were not listed. A head that is listed again has not died: it only left
@@ -87,10 +93,7 @@
   readonly #unanswered = new Map<string, number>()
   readonly #heartbeats = new Map<string, HeartbeatReading>()
   readonly #probedAt = new Map<string, number>()
-  /** Consecutive probes that an engine left unanswered, by engine id. */
-  readonly #missed = new Map<string, number>()
-  /** When the first of them was sent, on `Clock.now`. */
-  readonly #silentSince = new Map<string, number>()
+  readonly #silences = new Silences()
 
   constructor (options: LivenessOptions) {
     this.#options = options
@@ -101,6 +104,19 @@
     return this.#unreachable
   }
 
+  /**
+   * Ids of the engines that certainly cannot go on: no process listens at their addresses, or they have been silent for
+   * longer than a sound process may be while most gateways suspect the head of their replica.
+   */
+  get lost (): ReadonlySet<string> {
+    return this.#lost
+  }
+
+  /** Ids of the unreachable engines that may be sound: their silence proves nothing yet. */
+  get doubtful (): ReadonlySet<string> {
+    return new Set([...this.#unreachable].filter(id => !this.#lost.has(id) && !this.#silences.isLong(id)))
+  }
+
   /** Ids of heads that certainly no longer serve. */
   get dead (): ReadonlySet<string> {
     return new Set([...this.#dead, ...this.#deadUnlisted])
@@ -111,18 +127,17 @@
     const suspects = this.#options.suspects()
     for (const id of this.#deadUnlisted) if (this.#options.roster.find(id) !== undefined) this.#deadUnlisted.delete(id)
     this.#probeDoubtful(replicas, suspects)
+    this.#checkLost(replicas, suspects)
     for (const { members: [{ id }] } of replicas) this.#checkHead(id, suspects)
   }
 
   /** What speaks against an engine, as text for the log. Undefined if nothing does. */
   evidenceAgainst (id: string): string | undefined {
-    const missed = this.#missed.get(id) ?? 0
     const unanswered = this.#unanswered.get(id) ?? 0
-    const since = this.#silentSince.get(id)
     const notes = [
       ...this.#dead.has(id) || this.#deadUnlisted.has(id) ? ['dead'] : [],
       ...this.#options.roster.find(id) === undefined ? ['not listed'] : [],
-      ...missed > 0 ? [`${missed} probes unanswered${since === undefined ? '' : ` in ${Math.round(this.#options.clock.now() - since)} ms`}`] : [],
+      ...[this.#silences.describe(id) ?? []].flat(),
       ...unanswered > 0 ? [`${unanswered} orders unanswered`] : [],
       ...this.#options.suspects().has(id) ? ['suspected by most gateways'] : []
     ]
@@ -144,7 +159,7 @@
 
   /** Records that an unlisted engine left `missed` consecutive probes unanswered. */
   recordSilence (id: string, missed: number): void {
-    if (missed > 0) this.#missed.set(id, missed)
+    if (missed > 0) this.#silences.recordMissed(id, missed, this.#options.clock.now())
     if (missed >= missedProbesLimit) this.#unreachable.add(id)
   }
 
@@ -152,11 +167,11 @@
   forget (replicas: readonly ReplicaNodes[]): void {
     const { roster } = this.#options
     const placed = new Set(replicas.flatMap(({ members }) => members.map(({ id }) => id)))
-    for (const known of [this.#unreachable, this.#dead, this.#deadUnlisted, this.#unanswered, this.#heartbeats, this.#probedAt, this.#missed, this.#silentSince]) {
-      for (const id of known.keys()) {
-        if (!placed.has(id) && roster.find(id) === undefined && roster.departure(id) === undefined) known.delete(id)
-      }
+    const isForgotten = (id: string): boolean => !placed.has(id) && roster.find(id) === undefined && roster.departure(id) === undefined
+    for (const known of [this.#unreachable, this.#lost, this.#dead, this.#deadUnlisted, this.#unanswered, this.#heartbeats, this.#probedAt]) {
+      for (const id of known.keys()) if (isForgotten(id)) known.delete(id)
     }
+    for (const id of [...this.#silences.ids]) if (isForgotten(id)) this.#silences.forget(id)
   }
 
   /**
@@ -168,7 +183,7 @@
     const isAbsent = (id: string): boolean => roster.find(id) === undefined && !isRetained(id)
     for (const { members } of replicas) {
       const stalled = suspects.has(members[0].id)
-      const doubtful = stalled || members.some(({ id }) => this.#unreachable.has(id) || this.#missed.has(id) || isAbsent(id))
+      const doubtful = stalled || members.some(({ id }) => this.#unreachable.has(id) || this.#silences.has(id) || isAbsent(id))
       if (doubtful) for (const each of members) if (stalled || !isRetained(each.id)) this.#probe(each, stalled)
     }
     for (const id of [...this.#unreachable, ...roster.lapsed]) {
@@ -183,26 +198,43 @@
     const probedAt = clock.now()
     if (probedAt - (this.#probedAt.get(id) ?? -Infinity) < probeInterval) return
     this.#probedAt.set(id, probedAt)
-    probes.isReachable(address).then(reachable => {
+    probes.probe(address).then(result => {
       // A time-out that elapsed during a pause of this process says nothing about the engine.
-      if (reachable || resumedAt() < probedAt) this.#recordProbe(id, reachable, { probedAt, stalled })
+      if (result !== 'silent' || resumedAt() < probedAt) this.#recordProbe(id, result, { probedAt, stalled })
       changed()
     }).catch(failed)
   }
 
-  #recordProbe (id: string, reachable: boolean, { probedAt, stalled }: { probedAt: number, stalled: boolean }): void {
-    if (reachable) {
+  #recordProbe (id: string, result: ProbeResult, { probedAt, stalled }: { probedAt: number, stalled: boolean }): void {
+    const { clock, resumedAt } = this.#options
+    this.#silences.record(id, result, { sentAt: probedAt, endedAt: clock.now(), resumedAt: resumedAt() })
+    if (result === 'answered') {
       this.#unreachable.delete(id)
-      this.#missed.delete(id)
-      this.#silentSince.delete(id)
+      this.#lost.delete(id)
       return
     }
-    if (!this.#silentSince.has(id)) this.#silentSince.set(id, probedAt)
-    const missed = (this.#missed.get(id) ?? 0) + 1
-    this.#missed.set(id, missed)
-    if (stalled || missed >= missedProbesLimit) this.#unreachable.add(id)
-    // The next check probes it again.
-    else this.#probedAt.delete(id)
+    if (stalled || this.#silences.missed(id) >= missedProbesLimit) this.#unreachable.add(id)
+    // The next check probes it again: a packet may have been lost, or a second refusal is needed.
+    const needsSecondRefusal = result === 'refused' && !this.#silences.hasRefused(id)
+    if (!this.#unreachable.has(id) || needsSecondRefusal) this.#probedAt.delete(id)
+  }
+
+  /** Finds the engines that are proven to be lost. */
+  #checkLost (replicas: readonly ReplicaNodes[], suspects: ReadonlySet<string>): void {
+    for (const { members } of replicas) {
+      const head = members[0].id
+      for (const { id } of members) if (this.#isLost(id, head, suspects)) this.#lost.add(id)
+    }
+  }
+
+  /**
+   * An engine that answers its head may be silent to this gateway for any time, so its silence counts only while the
+   * head sends nothing to most gateways. A head that refuses connections because it has too many still sends to those
+   * that it has.
+   */
+  #isLost (id: string, head: string, suspects: ReadonlySet<string>): boolean {
+    if (this.#silences.hasRefused(id) && (id !== head || suspects.has(head))) return true
+    return this.#silences.isLong(id) && suspects.has(head)
   }
 
   #checkHead (head: string, suspects: ReadonlySet<string>): void {
@@ -212,11 +244,12 @@
     else if (unanswered === 0 && !unreachable && !suspects.has(head)) this.#heartbeats.delete(head)
     else if (this.#options.roster.find(head) !== undefined) this.#readHeartbeat(head)
     else if (unanswered >= unansweredLimit && unreachable) this.#deadUnlisted.add(head)
+    if (this.#heartbeats.get(head)?.hasStopped === true && this.#isSilent(head, suspects)) this.#dead.add(head)
   }
 
   /**
-   * Reads the heartbeat count of a listed head in doubt, from the first suspicion on. Declares the head dead if the
-   * count has stopped and the head answers neither probes nor orders.
+   * Reads the heartbeat count of a listed head in doubt, from the first suspicion on, so that it is known whether the
+   * count has stopped once the other evidence is complete.
    */
   #readHeartbeat (head: string): void {
     const { clock, probes, changed, failed } = this.#options
@@ -226,11 +259,10 @@
     // The count of a head that answers probes and orders is read only once, as a first reading in case the head falls
     // silent later. Its replica is closed meanwhile.
     if (known !== undefined && !this.#unreachable.has(head) && (this.#unanswered.get(head) ?? 0) === 0) return
-    this.#heartbeats.set(head, { count: known?.count, since: known?.since ?? Infinity, requestedAt })
+    this.#heartbeats.set(head, { count: known?.count, since: known?.since ?? Infinity, requestedAt, hasStopped: known?.hasStopped ?? false })
     probes.heartbeatOf(head).then(count => {
       const since = count !== undefined && count === known?.count ? Math.min(known.since, requestedAt) : clock.now()
-      this.#heartbeats.set(head, { count, since, requestedAt })
-      if (count !== undefined && this.#hasStopped(since) && this.#isSilent(head)) this.#dead.add(head)
+      this.#heartbeats.set(head, { count, since, requestedAt, hasStopped: count !== undefined && this.#hasStopped(since) })
       changed()
     }).catch(failed)
   }
@@ -240,8 +272,12 @@
     return clock.now() - since >= stoppedIntervals * heartbeatInterval
   }
 
-  /** Whether a head answers neither probes nor orders. */
-  #isSilent (head: string): boolean {
-    return this.#unreachable.has(head) && (this.#unanswered.get(head) ?? 0) > 0
+  /**
+   * Whether a head is certainly silent: no process listens there, or it has answered no probe for longer than a sound
+   * process may be silent, and neither an order nor any other gateway got an answer.
+   */
+  #isSilent (head: string, suspects: ReadonlySet<string>): boolean {
+    if (this.#silences.hasRefused(head)) return true
+    return this.#silences.isLong(head) && ((this.#unanswered.get(head) ?? 0) > 0 || suspects.has(head))
   }
 }
--- a/packages/detect/src/probes.ts
+++ b/packages/detect/src/probes.ts
@@ -20,13 +20,19 @@
   readonly orderCount?: number
 }
 
+/**
+ * How a call to a process ended: with any answer, with a refused connection, since no process listens at the address, or
+ * without an answer.
+ */
+export type ProbeResult = 'answered' | 'refused' | 'silent'
+
 /**
  * Checks single nodes directly, since the platform's list may lag by seconds. Implemented by the platform's adapter;
  * used by `Liveness` and `Unlisted`.
  */
 export abstract class Probes {
   /** Whether the process at an address answers a call within the adapter's time-out, whatever the answer is. */
-  abstract isReachable (address: string): Promise<boolean>
+  abstract probe (address: string): Promise<ProbeResult>
 
   /**
    * The state that a node reports. Undefined if the node does not answer within the adapter's time-out, or if another
--- a/packages/detect/src/unlisted.ts
+++ b/packages/detect/src/unlisted.ts
@@ -12,6 +12,7 @@
 import { type Clock } from '@eiderwind/clock'
 import { withWeightsInUse, type Departure, type Roster, type Upstream } from '@eiderwind/roster'
 import { type EngineReport, type Probes } from './probes.js'
+import { Silences } from './silences.js'
 
 /** Dependencies of `Unlisted`. Times are in ms. */
 export interface UnlistedOptions {
@@ -48,14 +49,6 @@
  */
 const probeInterval = 300
 
-/**
- * Consecutive missed probes after which an engine is silent. A single lost packet delays a new connection far beyond
- * the time-out. For an engine that has not answered since its entry was removed, one missed probe is enough: most
- * likely it has died before, and its replica does not serve.
- */
-const missedProbesLimit = 2
-const missedFirstProbesLimit = 1
-
 /**
  * Consecutive answers that hint at an end after which an engine counts as leaving. Single hints also come from engines
  * that stay.
@@ -89,6 +82,7 @@
 export class Unlisted {
   readonly #options: UnlistedOptions
   readonly #engines = new Map<string, UnlistedEngine>()
+  readonly #silences = new Silences()
   /** When the entries of the engines that are no longer retained were removed, on `Clock.now`, by engine id. */
   readonly #endedDepartures = new Map<string, number>()
 
@@ -173,6 +167,7 @@
   #end (engine: UnlistedEngine, how: UnlistedEnd): void {
     const { id } = engine.upstream
     this.#engines.delete(id)
+    this.#silences.forget(id)
     if (how !== 'listed') this.#endedDepartures.set(id, engine.at)
     if (!engine.isExpired) this.#options.ended(engine.upstream, how)
     if (how === 'silent') this.#options.silent(id, engine.missed)
@@ -189,7 +184,7 @@
       const { upstream, hasAnswered } = engine
       if (report !== undefined) this.#answered(engine, report)
       // A time-out that elapsed during a pause of this process says nothing about the engine.
-      else if (resumedAt() < probedAt) this.#missed(engine)
+      else if (resumedAt() < probedAt) this.#recordMissed(engine)
       if (!hasAnswered || !this.#engines.has(id) || !isDeepStrictEqual(upstream, engine.upstream)) changed()
     }).catch(failed)
   }
@@ -197,6 +192,7 @@
   #answered (engine: UnlistedEngine, { loaded, staged, membership, leaving }: EngineReport): void {
     engine.hasAnswered = true
     engine.missed = 0
+    this.#silences.forget(engine.upstream.id)
     engine.upstream = this.#withoutLeftReplica(engine, { ...engine.upstream, loaded, staged, membership })
     engine.hints = leaving ? engine.hints + 1 : 0
     if (engine.hints >= leavingHintsLimit) this.#end(engine, 'leaving')
@@ -209,10 +205,28 @@
     return { ...upstream, membership: undefined }
   }
 
-  #missed (engine: UnlistedEngine): void {
+  /**
+   * An engine that has not answered since its entry was removed has most likely died before, and its replica does not
+   * serve: one missed probe is enough. Any other one may be silent for a while and go on.
+   */
+  #recordMissed (engine: UnlistedEngine): void {
     engine.missed++
-    if (engine.missed >= (engine.hasAnswered ? missedProbesLimit : missedFirstProbesLimit)) this.#end(engine, 'silent')
-    // The next check probes it again.
-    else engine.probedAt = -Infinity
+    if (!engine.hasAnswered) this.#end(engine, 'silent')
+    else this.#checkListening(engine).catch(this.#options.failed)
+  }
+
+  /** Checks whether any process listens at the address of an engine that did not report. */
+  async #checkListening (engine: UnlistedEngine): Promise<void> {
+    const { clock, probes, resumedAt, changed } = this.#options
+    const { id, address } = engine.upstream
+    const sentAt = clock.now()
+    const result = await probes.probe(address)
+    if (this.#engines.get(id) !== engine || (result === 'silent' && resumedAt() >= sentAt)) return
+    // Another process that answers at its address shows as much as none.
+    this.#silences.record(id, result === 'silent' ? 'silent' : 'refused', { sentAt, endedAt: clock.now(), resumedAt: resumedAt() })
+    if (this.#silences.hasRefused(id) || this.#silences.isLong(id)) {
+      this.#end(engine, 'silent')
+      changed()
+    } else engine.probedAt = -Infinity
   }
 }
--- a/packages/emulator/src/engines.ts
+++ b/packages/emulator/src/engines.ts
@@ -5,7 +5,7 @@
  */
 import { isDeepStrictEqual } from 'node:util'
 import { type ManualClock } from '@eiderwind/clock'
-import { Probes, type EngineReport, type NodeAddress } from '@eiderwind/detect'
+import { Probes, type EngineReport, type NodeAddress, type ProbeResult } from '@eiderwind/detect'
 import { Orders, type Order, type OrderResult } from '@eiderwind/forming'
 import { Outage, Roster, type Membership, type Upstream } from '@eiderwind/roster'
 import { type Engine, type Service } from '@eiderwind/traffic'
@@ -177,7 +177,11 @@
 
   /** The answers of the engines to probes. */
   readonly probes: Probes = new EmulatedProbes({
-    isReachable: async address => await this.#answers(address.split(':')[0]),
+    probe: async address => {
+      const id = address.split(':')[0]
+      if (!this.#node(id).alive) return 'refused'
+      return await this.#answers(id) ? 'answered' : 'silent'
+    },
     report: async ({ id }) => {
       const report = this.#reported.get(id) ?? this.#reportOf(this.#node(id))
       return await this.#answers(id) ? report : undefined
@@ -337,14 +341,14 @@
 }
 
 class EmulatedProbes extends Probes {
-  readonly #isReachable: Probes['isReachable']
+  readonly #probe: Probes['probe']
   readonly #report: Probes['report']
   readonly #heartbeatOf: Probes['heartbeatOf']
 
-  constructor ({ isReachable, report, heartbeatOf }: Pick<Probes, 'isReachable' | 'report' | 'heartbeatOf'>) {
+  constructor ({ probe, report, heartbeatOf }: Pick<Probes, 'probe' | 'report' | 'heartbeatOf'>) {
     super()
     this.#report = report
-    this.#isReachable = isReachable
+    this.#probe = probe
     this.#heartbeatOf = heartbeatOf
   }
 
@@ -352,8 +356,8 @@
     return this.#report(node)
   }
 
-  isReachable (address: string): Promise<boolean> {
-    return this.#isReachable(address)
+  probe (address: string): Promise<ProbeResult> {
+    return this.#probe(address)
   }
 
   heartbeatOf (node: string): Promise<number | undefined> {
--- a/packages/emulator/test/forming.test.ts
+++ b/packages/emulator/test/forming.test.ts
@@ -299,6 +299,8 @@
   const { head, members } = world.openReplicas.find(each => each.model === 'large') as World['openReplicas'][number]
   suspects.add(head)
   for (const id of members) world.unresponsive.add(id)
+  await advance(world, 2500)
+  t.true(world.openReplicas.some(each => each.head === head), 'a sound engine may be silent for this long')
   await advance(world, 1500)
   t.false(world.openReplicas.some(each => each.head === head))
   world.unresponsive.clear()
@@ -309,6 +311,25 @@
   reconciler.stop()
 })
 
+// Guards against sound replicas that are closed because an engine is silent for a while.
+test('engines that are silent for two seconds and a half cause no order to any replica', async t => {
+  for (const count of [1, 2, 4]) {
+    const world = createWorld(3)
+    const suspects = new Set<string>()
+    const reconciler = await startPlanner(world, new MemoryPlacements(), suspects)
+    const { head, members } = world.openReplicas.find(each => each.model === 'large') as World['openReplicas'][number]
+    const before = world.sentOrders.length
+    suspects.add(head)
+    for (const id of members.slice(-count)) world.unresponsive.add(id)
+    await advance(world, 2500)
+    world.unresponsive.clear()
+    suspects.clear()
+    await advance(world, 2000)
+    t.deepEqual(world.sentOrders.slice(before).filter(({ kind }) => kind !== 'stage'), [], `${count} engines`)
+    reconciler.stop()
+  }
+})
+
 test('missing answers are ignored while the planner\'s own process was paused', async t => {
   const world = createWorld(3)
   const suspects = new Set<string>()
--- a/packages/forming/src/facts.ts
+++ b/packages/forming/src/facts.ts
@@ -41,6 +41,13 @@
    * retained.
    */
   readonly unreachable: ReadonlySet<string>
+  /** Ids of engines that certainly cannot go on. Each of them is unreachable too, or has gone. */
+  readonly lost: ReadonlySet<string>
+  /**
+   * Ids of engines that have not answered for a while and may be sound. Nothing that callers wait for may end because
+   * of them.
+   */
+  readonly doubtful: ReadonlySet<string>
   /**
    * Ids of engines that are retained although they are not listed. They may be members of a replica but cannot be its
    * head.
--- a/packages/forming/src/fleet.ts
+++ b/packages/forming/src/fleet.ts
@@ -90,9 +90,9 @@
   }
 }
 
-/** Engines that are not counted now: those that do not answer, and those in evacuated data centres. */
+/** Engines that are not counted now: those that certainly cannot go on, and those in evacuated data centres. */
 export interface Exclusions {
-  readonly unreachable: ReadonlySet<string>
+  readonly lost: ReadonlySet<string>
   readonly evacuated: ReadonlySet<string>
 }
 
@@ -109,8 +109,8 @@
   return { key, nodes: upstreams.filter(each => isCounted(each, exclusions)).length, targets: placement.targets, appearing }
 }
 
-function isCounted (upstream: Upstream, { unreachable, evacuated }: Exclusions): boolean {
-  return isStaying(upstream, unreachable) && !evacuated.has(upstream.id)
+function isCounted (upstream: Upstream, { lost, evacuated }: Exclusions): boolean {
+  return isStaying(upstream, lost) && !evacuated.has(upstream.id)
 }
 
 /** Replicas of each model whose members are all available. */
--- a/packages/forming/src/lifecycle.ts
+++ b/packages/forming/src/lifecycle.ts
@@ -50,12 +50,12 @@
   return !snapshot.isIn(replica, id) && !snapshot.facts.unjoined.has(replica.name)
 }
 
-/** Has the missing members join. Opens the replica when all members are ready. */
+/** Has the missing members join. Opens the replica when all members are ready and have answered lately. */
 function nextForUnopened (replica: PlannedReplica, snapshot: Snapshot): ReplicaStep {
   const outside = snapshot.staying(replica).filter(({ id }) => !snapshot.isIn(replica, id))
   if (outside.length > 0) return { orders: outside.filter(each => snapshot.isMovable(each)).map(each => joinOrder(replica, each)) }
   const ready = replica.members.every(({ id }) => snapshot.find(id)?.membership?.state === 'ready')
-  return ready ? { orders: [openOrder(replica)] } : {}
+  return ready && snapshot.isCertain(replica) ? { orders: [openOrder(replica)] } : {}
 }
 
 /**
@@ -77,12 +77,14 @@
  */
 function nextForIncomplete (replica: PlannedReplica, snapshot: Snapshot, history: OrderHistory): ReplicaStep {
   const { id } = replica.members[0]
-  const missing = replica.members.map(each => each.id).filter(each => snapshot.isMissing(each))
+  const missing = snapshot.missingFrom(replica)
   const dissolved = `${missing.join(' ')} missing`
   if (snapshot.facts.dead.has(id)) return { dissolved }
   const state = snapshot.headState(replica)
-  if (state === 'open') return { orders: [closeOrder(replica, missing.every(each => snapshot.isLeaving(each)) ? 'finish' : 'cut', dissolved)] }
-  const close = closeOrder(replica, 'cut', dissolved)
+  if (missing.every(each => snapshot.isLeaving(each)) && state === 'open') return { orders: [closeOrder(replica, 'finish', dissolved)] }
+  const silent = missing.every(each => snapshot.facts.lost.has(each)) ? missing : undefined
+  const close = { ...closeOrder(replica, 'cut', dissolved), silent }
+  if (state === 'open') return { orders: [close] }
   // A head that is not listed may continue to serve until it has left. Then it counts as dead.
   if (snapshot.find(id) === undefined) return { orders: [history.hasAnswered(close) ? leaveOrder(replica) : close] }
   // A listed head may have opened since its last record.
--- a/packages/forming/src/orders.ts
+++ b/packages/forming/src/orders.ts
@@ -32,6 +32,11 @@
   readonly manner?: 'finish' | 'cut'
   /** Set for `close`: why the replica stops serving, as text for the log. */
   readonly reason?: string
+  /**
+   * Set for `close` if it rests on nothing but the silence of these engines, by id: the order is void once they have
+   * answered again.
+   */
+  readonly silent?: readonly string[]
   /** Whether the order makes the engine load weights from the weight store. */
   readonly loads: boolean
   /** Set for `stage`: whether nothing waits for the load, so that repairs have precedence. */
--- a/packages/forming/src/planner.ts
+++ b/packages/forming/src/planner.ts
@@ -75,6 +75,8 @@
   const { draft } = pool
   let formed = true
   while (formed) formed = draft.lacking.some(model => form(model, pool))
+  // A replica that seems to lack engines may only be silent. No other replica is closed for it.
+  if (draft.snapshot.facts.doubtful.size > 0) return
   for (const model of draft.lacking) {
     const donors = donorsFor(model, pool)
     if (donors.length > 0) draft.retire(donors, model)
--- a/packages/forming/src/reconciler.ts
+++ b/packages/forming/src/reconciler.ts
@@ -209,15 +209,16 @@
     this.#recordJoined(domains)
     this.#liveness.check(domains.flatMap(each => each.placement.replicas))
     const { dead } = this.#liveness
+    const lost = this.#lost
     const unreachable = this.#unreachable
     const demand = this.#options.demand(service.name)
     const maxReplicaSize = Math.max(...engine.models.map(each => each.size))
     const evacuated = this.#evacuated(domains)
-    const sizes = domains.map(each => domainSize(each, { unreachable, evacuated }, this.#appearances.isUnderWay(each, maxReplicaSize)))
+    const sizes = domains.map(each => domainSize(each, { lost, evacuated }, this.#appearances.isUnderWay(each, maxReplicaSize)))
     const targets = this.#targets(engine, sizes.filter((_each, index) => !isEvacuated(domains[index], evacuated)), demand, evacuated.size > 0)
     const fleet = this.#fleetFacts(domains, engine, demand, evacuated)
     const { needs: _needs, ...shared } = fleet
-    this.#activity.updateSharedFacts(JSON.stringify([service.name, shared, [...dead], [...unreachable], [...evacuated], [...this.#options.roster.lapsed], [...this.#unlisted.ids], this.#unlisted.unresponsive, [...targets]]))
+    this.#activity.updateSharedFacts(JSON.stringify([service.name, shared, [...dead], [...unreachable], [...lost], [...this.#liveness.doubtful], [...evacuated], [...this.#options.roster.lapsed], [...this.#unlisted.ids], this.#unlisted.unresponsive, [...targets]]))
     for (const domain of domains) {
       if (this.#domains.isWriting(domain.key)) continue
       if (!this.#activity.isDue(domain.key) && !this.#isSurveyDue(domain.key)) continue
@@ -248,12 +249,18 @@
 
   #sendAll (domain: Domain, { orders }: Step): void {
     for (const order of orders) {
+      if (this.#isVoid(order)) continue
       this.#history.recordSent(order)
       if (order.kind === 'open') this.#sendOpen(domain, order).catch(this.#options.failed)
       else this.#send(domain.key, order)
     }
   }
 
+  /** Whether an order rests on silence that has ended while the placement was written. */
+  #isVoid ({ silent }: Order): boolean {
+    return silent !== undefined && silent.every(id => !this.#lost.has(id))
+  }
+
   /**
    * Orders a head to open. If an order to join may still reach the head, the order to open is conditional: it costs a
    * probe. The order is dropped if the head is ordered to leave meanwhile.
@@ -301,6 +308,11 @@
     return new Set([...this.#liveness.unreachable, ...this.#unlisted.expired])
   }
 
+  /** Ids of the engines that certainly cannot go on, or are no longer retained. */
+  get #lost (): ReadonlySet<string> {
+    return new Set([...this.#liveness.lost, ...this.#unlisted.expired])
+  }
+
   /** Ids of the engines in data centres that are evacuated. */
   #evacuated (domains: readonly Domain[]): ReadonlySet<string> {
     const { evacuatedDataCentres } = this.#options.roster
@@ -318,7 +330,7 @@
   }
 
   #fleetFacts (domains: readonly Domain[], engine: Engine, demand: Demand, evacuated: ReadonlySet<string>): FleetFacts {
-    const intact = intactReplicas(domains, { unreachable: this.#unreachable, evacuated })
+    const intact = intactReplicas(domains, { lost: this.#lost, evacuated })
     const beforeTraffic = this.#options.beforeTraffic()
     const arriving = beforeTraffic && this.#arrivals.isUnderWay(domains)
     return { intact, needs: repairNeeds(engine.models, intact, demand), targetsMet: targetsMet(domains.filter(each => !isEvacuated(each, evacuated))), beforeTraffic, arriving, evacuating: evacuated.size > 0, warmSpares: this.#options.warmSpares }
@@ -326,9 +338,10 @@
 
   #domainFacts ({ placement, upstreams }: Domain, engine: Engine, targets: Counts, fleet: FleetFacts, evacuated: ReadonlySet<string>): DomainFacts {
     const { dead } = this.#liveness
-    const unreachable = this.#unreachable
+    const ids = new Set(upstreams.map(each => each.id))
+    const doubtful = new Set([...this.#liveness.doubtful].filter(id => ids.has(id)))
     const lapsed = new Set([...this.#options.roster.lapsed, ...this.#unlisted.unresponsive])
-    return { ...fleet, engine, placement, upstreams, unreachable, dead, unlisted: this.#unlisted.ids, lapsed, evacuated, unjoined: this.#unjoined, targets }
+    return { ...fleet, engine, placement, upstreams, unreachable: this.#unreachable, lost: this.#lost, doubtful, dead, unlisted: this.#unlisted.ids, lapsed, evacuated, unjoined: this.#unjoined, targets }
   }
 
   #recordLeft ({ node, replica }: Order): void {
--- a/packages/forming/src/snapshot.ts
+++ b/packages/forming/src/snapshot.ts
@@ -23,12 +23,36 @@
   }
 
   /**
-   * Whether an engine is unavailable: it is neither listed nor retained, is leaving, is unreachable, or is evacuated
-   * while other members of its replica are not.
+   * Whether an engine is unavailable for a new replica: it is neither listed nor retained, is leaving, is unreachable,
+   * or is evacuated while other members of its replica are not.
    */
   isMissing (id: string): boolean {
+    return this.#isUnavailable(id, this.facts.unreachable)
+  }
+
+  /** Whether an engine certainly ends what it serves. An engine that is only silent may be sound. */
+  isLost (id: string): boolean {
+    return this.#isUnavailable(id, this.facts.lost)
+  }
+
+  #isUnavailable (id: string, unreachable: ReadonlySet<string>): boolean {
     const upstream = this.find(id)
-    return upstream === undefined || !isStaying(upstream, this.facts.unreachable) || this.#withdrawn.has(id)
+    return upstream === undefined || !isStaying(upstream, unreachable) || this.#withdrawn.has(id)
+  }
+
+  /**
+   * Ids of the members that a replica lacks. A silent member is missing from a replica that forms, which ends nothing.
+   * It is missing from one that may serve only if it is lost.
+   */
+  missingFrom (replica: PlannedReplica): string[] {
+    const state = this.headState(replica)
+    const mayServe = state !== undefined && state !== 'joining'
+    return replica.members.map(({ id }) => id).filter(id => mayServe ? this.isLost(id) : this.isMissing(id))
+  }
+
+  /** Whether all members of a replica have answered lately. */
+  isCertain ({ members }: PlannedReplica): boolean {
+    return !members.some(({ id }) => this.facts.unreachable.has(id))
   }
 
   /** Whether an engine is not listed but retained because it answers. Gateways send it no requests. */
@@ -42,7 +66,7 @@
    */
   isLeaving (id: string): boolean {
     const leaves = this.find(id)?.leaving === true || this.#withdrawn.has(id)
-    return leaves && !this.facts.unreachable.has(id)
+    return leaves && !this.facts.lost.has(id)
   }
 
   /**
@@ -72,12 +96,13 @@
   }
 
   /** The members of a replica that are available. */
-  staying ({ members }: PlannedReplica): Upstream[] {
-    return members.filter(({ id }) => !this.isMissing(id)).map(({ id }) => this.find(id) as Upstream)
+  staying (replica: PlannedReplica): Upstream[] {
+    const missing = new Set(this.missingFrom(replica))
+    return replica.members.filter(({ id }) => !missing.has(id)).map(({ id }) => this.find(id) as Upstream)
   }
 
-  isIntact ({ members }: PlannedReplica): boolean {
-    return members.every(({ id }) => !this.isMissing(id))
+  isIntact (replica: PlannedReplica): boolean {
+    return this.missingFrom(replica).length === 0
   }
 
   isServing (replica: PlannedReplica): boolean {
