Keep the connection of a stream that moves until another upstream has sent an event

Callers got answers without their ends although their upstream was sound: a stream that moved away from a silent upstream closed its connection at once, and had no try left when the next attempt was refused or lost.

The first attempt is now kept. Whichever of the two attempts sends the next event goes on; the other one is cancelled, which counts neither as lost nor against its upstream. If one fails, the other one goes on. Both count as in flight, and the caller's leaving or the deadline ends both. At an upstream that works and is to be left (an evacuation) the first attempt is held while the next one is under way, since it would always send first.

forward/handover.ts decides, without a network. path.ts has given its retry charge, its wait and the ordering of waiting requests to modules of their own.

--- a/packages/dispatch/src/result.ts
+++ b/packages/dispatch/src/result.ts
@@ -28,6 +28,11 @@
    * have crashed.
    */
   | { readonly kind: 'lost', readonly why: string, readonly broken?: true | undefined }
+  /**
+   * This process ended the attempt because another attempt for the same request went on. Its upstream did not fail.
+   * `sent`: whether anything may have left this process.
+   */
+  | { readonly kind: 'cancelled', readonly why: string, readonly sent: boolean }
 
 /** Lowest HTTP status of a server error (RFC 9110, section 15.6). */
 const serverError = 500
--- a/packages/dispatch/src/retry.ts
+++ b/packages/dispatch/src/retry.ts
@@ -22,7 +22,7 @@
  * upstream, so the retry is free.
  */
 export function decideRetry ({ result, repeatable, hasAttemptsLeft }: RetryInputs): RetryDecision {
-  if (isSuccess(result)) return 'no'
+  if (isSuccess(result) || result.kind === 'cancelled') return 'no'
   if (result.kind !== 'not-run' && !repeatable) return 'no'
   if (!hasAttemptsLeft) return 'no'
   return result.kind === 'not-run' && !result.sent ? 'free' : 'budgeted'
--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -11,6 +11,7 @@
 import { answerHeader, endsWithConnection, matchesRequest, reportsNotRun } from './answers.js'
 import { type Context } from './context.js'
 import { outgoingCall } from './outgoing.js'
+import { Reading, type PauseReason } from './reading.js'
 import { type CallerRequest } from './request.js'
 import { Survival } from './survival.js'
 
@@ -23,6 +24,9 @@
 /** Maximum number of characters of a header value of an upstream in a log line. */
 const maxLoggedChars = 40
 
+/** Why a request should move: its upstream is silent, or works and is to be left. */
+export type MoveCause = 'silent' | 'planned'
+
 /** Options of an attempt. */
 export interface AttemptOptions {
   readonly context: Context
@@ -42,7 +46,7 @@
    * Called when the request should move to another upstream, with the reason; possibly several times. Returns whether
    * it moves.
    */
-  readonly onMove?: (why: string) => boolean
+  readonly onMove?: (why: string, cause: MoveCause) => boolean
   /** Called once, with the result. */
   readonly onEnd: (result: AttemptResult) => void
 }
@@ -52,7 +56,9 @@
   readonly #options: AttemptOptions
   #inFlight: InFlightRequest | undefined
   #cancel: Cancel | undefined
-  #flow: Flow | undefined
+  readonly #reading = new Reading()
+  #trial: Trial | undefined
+  #removeCancel: (() => void) | undefined
   #status = 0
   #headers: AnswerHeaders = {}
   /** Whether anything of the request may have left this process. */
@@ -66,6 +72,7 @@
   constructor (options: AttemptOptions) {
     super()
     this.#options = options
+    this.#trial = options.trial
   }
 
   /** Whether an answer with this status is forwarded as it arrives instead of being collected. */
@@ -82,20 +89,19 @@
   }
 
   /** Stops reading from the upstream. The upstream is not expected to send anything until `resume`. */
-  protected pause (): void {
+  protected pause (reason: PauseReason): void {
     const { context } = this.#options
     if (this.#ended) return
-    this.#flow?.pause()
+    this.#reading.pause(reason)
     this.#survival.paused()
     if (this.#inFlight !== undefined) context.inFlight.pause(this.#inFlight)
   }
 
-  /** Continues reading after `pause`. */
-  protected resume (): void {
+  /** Continues reading after `pause`, unless there is another reason not to. */
+  protected resume (reason: PauseReason): void {
     const { context } = this.#options
     if (this.#ended) return
-    if (this.#inFlight !== undefined) context.inFlight.resume(this.#inFlight)
-    this.#flow?.resume()
+    this.#reading.resume(reason, () => { if (this.#inFlight !== undefined) context.inFlight.resume(this.#inFlight) })
   }
 
   start (): void {
@@ -103,14 +109,14 @@
     request.beginAttempt(upstream.id)
     context.suspects.recordTry(upstream.id)
     this.#inFlight = context.inFlight.begin(upstream.id, model, {
-      stalled: () => { onMove?.('the upstream stalled') },
-      moved: onMove,
+      stalled: () => { onMove?.('the upstream stalled', 'silent') },
+      moved: why => onMove?.(why, 'planned') === true,
       lost: () => this.#lose('the upstream has restarted', true),
       withdrawn: why => this.#withdraw(why)
     })
     this.#cancel = context.connections.send(outgoingCall(request, upstream, context.names, lastEvent), this, newConnection)
     if (this.#ended) this.#cancel(new Error('The attempt has ended.'))
-    else request.cancelWith(() => this.abort('the request has ended'))
+    else this.#removeCancel = request.cancelWith(() => this.abort('the request has ended'))
   }
 
   /** Ends the attempt as lost and closes its connection. */
@@ -118,6 +124,18 @@
     this.#lose(why)
   }
 
+  /** Ends the attempt, and closes its connection, because another one goes on. */
+  cancel (why: string): void {
+    this.#end({ kind: 'cancelled', why, sent: this.#written })
+    this.#cancel?.(new Error(why))
+  }
+
+  /** Ends the trial that the attempt belongs to, so that the next attempt of its request may begin another one. */
+  leaveTrial (): void {
+    this.#trial?.end()
+    this.#trial = undefined
+  }
+
   /** Cancels the attempt unless it is already being sent. A call that waits for its connection fails as not sent. */
   #withdraw (why: string): void {
     if (!this.#written) this.#cancel?.(new Error(why))
@@ -147,7 +165,7 @@
       return this.abort('the answer carries the id of another request')
     }
     this.#received()
-    this.#flow = flow
+    this.#reading.attach(flow)
     this.#status = status
     this.#headers = headers
     context.answered(upstream, { status, headers, refused: this.#reportsNotRun, sentAt: this.#inFlight?.sentAt ?? 0 })
@@ -219,15 +237,16 @@
     const { context, upstream } = this.#options
     if (this.#inFlight !== undefined) context.inFlight.received(this.#inFlight)
     context.suspects.received(upstream.id)
-    this.#options.trial?.received()
+    this.#trial?.received()
   }
 
   #end (result: AttemptResult): void {
     if (this.#ended) return
     this.#ended = true
-    const { context: { inFlight }, trial, onEnd } = this.#options
+    const { context: { inFlight }, onEnd } = this.#options
+    this.#removeCancel?.()
     if (this.#inFlight !== undefined) inFlight.end(this.#inFlight)
-    trial?.end()
+    this.#trial?.end()
     this.#reportToCrashes(result)
     this.#chunks = []
     onEnd(result)
@@ -238,8 +257,8 @@
    * completes has not.
    */
   #reportToCrashes (result: AttemptResult): void {
-    const { context: { crashes }, request, upstream, trial } = this.#options
-    if (result.kind === 'lost' && result.broken === true) crashes.recordBroken(request.identity, upstream, { survived: this.#survival.isShown, trial: trial !== undefined })
+    const { context: { crashes }, request, upstream } = this.#options
+    if (result.kind === 'lost' && result.broken === true) crashes.recordBroken(request.identity, upstream, { survived: this.#survival.isShown, trial: this.#trial !== undefined })
     else if (isSuccess(result)) crashes.recordCompleted(request.identity)
   }
 }
--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -5,26 +5,26 @@
  * that.
  */
 import { type Trial } from '@eiderwind/crashes'
-import { decideRetry, refusals, waitForRoom, type AttemptResult, type QueuedRequest, type RetryBudget, type WaitHandlers } from '@eiderwind/dispatch'
-import { type WaitingRequest } from '@eiderwind/fairness'
+import { decideRetry, refusals, waitForRoom, type AttemptResult, type QueuedRequest } from '@eiderwind/dispatch'
 import { type Fault } from '@eiderwind/fault'
 import { type Claim } from '@eiderwind/limits'
 import { type Room } from '@eiderwind/places'
 import { type Upstream } from '@eiderwind/roster'
 import { sendAnswer } from './answers.js'
 import { type Context } from './context.js'
+import { orderingInputs } from './ordering.js'
 import { PlaceSearch } from './placesearch.js'
 import { type CallerRequest, type EmptySearch } from './request.js'
+import { RetryCharge } from './retrycharge.js'
+import { type KeptRun, type Outcome } from './run.js'
 import { UpstreamSearch } from './upstreamsearch.js'
+import { UpstreamWait } from './upstreamwait.js'
 
 /** Why a request that has crashed its upstreams is not sent to another one. */
 const crashedUpstreamsReason = 'each upstream that began to run this request has crashed'
 
-/**
- * Shortest fixed `Retry-After` of a refusal, in ms (`otherGatewayRetryS` in `@eiderwind/dispatch`). A caller that
- * retries sooner did not wait as it was told.
- */
-const minRetryDelayMs = 200
+/** What came of a search and its attempt. Undefined if no attempt was made. */
+type Next = Outcome | 'blocked' | undefined
 
 /** Serves one request. Subclasses choose the upstreams and handle their answers. */
 export abstract class Path {
@@ -37,41 +37,66 @@
   readonly #upstreamSearch: UpstreamSearch
   /** The current or last search for a place, where places may be issued. */
   #placeSearch: PlaceSearch | undefined
-  /** Whether the next attempt is a retry that the budget has to grant. */
-  #needsRetry = false
-  /** When the retry of the next attempt was taken from the budget, on `Clock.bootNow`. Undefined if it was not taken yet. */
-  #retryTakenAt: number | undefined
+  /** The charge of the retries to the budget of the service. */
+  protected readonly retries: RetryCharge
+  /** The result that the caller gets if no further attempt is made. Undefined before the end of the first attempt. */
+  #result: AttemptResult | undefined
+  readonly #wait: UpstreamWait
   /** Releases the reservation at the upstream of the next attempt. */
   #releaseReservation: (() => void) | undefined
 
   constructor (context: Context, request: CallerRequest) {
     this.context = context
     this.request = request
+    this.retries = new RetryCharge(context.clock, () => context.retryBudget(request.service))
+    this.#wait = new UpstreamWait(context, request)
     this.#upstreamSearch = new UpstreamSearch(context, request, () => this.upstreams)
   }
 
   /** Serves the request. Resolves when the request has ended. */
   async serve (): Promise<void> {
     const { request } = this
-    let result: AttemptResult | undefined
-    let latest: AttemptResult
+    let next: Next
     do {
-      const opened = this.context.sendGate?.opened
-      if (opened !== undefined) await opened
+      next = await this.#attemptNext()
       if (request.ended) return
-      const upstream = await this.#findUpstream()
-      if (request.ended) return this.#abandon()
-      if (upstream === 'blocked') return this.#concludeBlocked()
-      if (upstream === undefined || upstream === 'closed' || upstream === 'denied') break
-      const attempt = this.attempt(upstream)
-      this.#releaseReservation?.()
-      latest = await attempt
+      const kept = next === 'moving' ? undefined : this.fallBack()
+      if (kept !== undefined) next = await this.#await(kept)
       if (request.ended) return
-      request.endAttempt(upstream.id, latest, this.lastEvent)
-      this.#forgetHeld(upstream)
-      result = this.prefer(result, latest)
-    } while (this.#shouldRetry(latest))
-    this.conclude(result)
+      if (next === 'blocked') return this.#concludeBlocked()
+    } while (next === 'moving' || (next !== undefined && this.#shouldRetry(next)))
+    this.conclude(this.#result)
+  }
+
+  /** Sends the request to the next upstream. Returns undefined if there is none, or if the request needs none any more. */
+  async #attemptNext (): Promise<Next> {
+    const { request } = this
+    const opened = this.context.sendGate?.opened
+    if (opened !== undefined) await opened
+    if (request.ended || this.isServed) return undefined
+    const upstream = await this.#findUpstream()
+    if (request.ended || this.isServed) return this.#abandon()
+    if (upstream === 'blocked') return upstream
+    if (upstream === undefined || upstream === 'closed' || upstream === 'denied') return undefined
+    const attempt = this.attempt(upstream)
+    this.#releaseReservation?.()
+    const outcome = await this.#await({ upstream, next: () => attempt })
+    if (!request.ended && outcome !== 'moving') this.#forgetHeld(upstream)
+    return outcome
+  }
+
+  /** Waits until an attempt has ended or its stream moves. */
+  async #await (run: KeptRun): Promise<Outcome> {
+    const outcome = await run.next()
+    if (outcome === 'moving') this.retries.require()
+    else if (!this.request.ended) this.recordEnd(run, outcome)
+    return outcome
+  }
+
+  /** Records the end of an attempt. */
+  protected recordEnd ({ upstream, note }: KeptRun, result: AttemptResult): void {
+    this.request.endAttempt(upstream.id, result, this.lastEvent, note)
+    if (result.kind !== 'cancelled') this.#result = this.prefer(this.#result, result)
   }
 
   /** An attempt that was held says nothing about its upstream, which may be the only one. */
@@ -80,12 +105,27 @@
     this.wasHeld = false
   }
 
-  /** Cleans up when the request has ended before the next attempt began. */
-  #abandon (): void {
+  /** Cleans up when the request has ended, or needs no further attempt, before the next attempt began. */
+  #abandon (): undefined {
     this.#releaseReservation?.()
     this.trial?.end()
   }
 
+  /** Whether an attempt that was kept goes on, so that no other one is needed. */
+  protected get isServed (): boolean {
+    return false
+  }
+
+  /** Returns to an attempt that was kept. Undefined if there is none. */
+  protected fallBack (): KeptRun | undefined {
+    return undefined
+  }
+
+  /** Ends the current search for an upstream without a result. */
+  protected cancelSearch (): void {
+    this.#wait.cancel()
+  }
+
   protected abstract readonly kind: 'plain' | 'stream'
 
   /** Id of the last stream event that was sent to the caller. */
@@ -113,8 +153,8 @@
   /** Chooses an upstream that has free capacity now and is not in `avoided`. */
   protected abstract choose (avoided: ReadonlySet<string>): Upstream | undefined
 
-  /** Sends the request to an upstream. Resolves when the attempt has ended. */
-  protected abstract attempt (upstream: Upstream): Promise<AttemptResult>
+  /** Sends the request to an upstream. Resolves when the attempt has ended, or is kept while the request moves. */
+  protected abstract attempt (upstream: Upstream): Promise<Outcome>
 
   /** Picks which of two results the caller gets. */
   protected abstract prefer (before: AttemptResult | undefined, latest: AttemptResult): AttemptResult
@@ -141,35 +181,20 @@
    * may have to wait until the trial of another suspect has ended.
    */
   async #findUpstream (): Promise<Upstream | 'blocked' | 'closed' | 'denied' | undefined> {
-    const { request, context: { clock, availability, queue } } = this
     this.trial = undefined
     this.#upstreamSearch.begin()
     const time = this.#maxWait
-    const until = clock.now() + time
-    const claim = availability.claim(request.priority, until)
+    const until = this.context.clock.now() + time
     this.#placeSearch = time > 0 ? this.#beginPlaceSearch(until) : undefined
-    const found = await queue.wait(this.#queuedRequest(until), () => this.#find(claim) ?? this.#upstreamSearch.closedPast(until), this.#waitHandlers)
-    availability.release(claim)
+    const found = await this.#wait.run(this.#queuedRequest(until), claim => this.#find(claim) ?? this.#upstreamSearch.closedPast(until))
     this.#placeSearch?.end()
     return found
   }
 
   /** The request as an entry of the local queue. @param until the end of its wait on `Clock.now`, in ms */
   #queuedRequest (until: number): QueuedRequest {
-    const { room, request: { service, attempted } } = this
-    return { ...this.#orderingInputs(until), room: room?.key ?? service, attempted, orderedElsewhere: this.#placeSearch !== undefined }
-  }
-
-  /** The inputs that determine the order of waiting requests. @param until the end of the wait on `Clock.now`, in ms */
-  #orderingInputs (until: number): WaitingRequest {
-    const { work, request: { priority, team, arrivedAt, spent, attempted } } = this
-    const early = spent > 0 && spent < minRetryDelayMs
-    return { priority, team: team?.name ?? '', work, arrivedAt, inTimeUntil: attempted ? until : this.latestStart, until, again: spent > 0, early }
-  }
-
-  get #waitHandlers (): WaitHandlers {
-    const { request } = this
-    return { onWait: cancel => request.cancelWith(cancel), onShortage: shortage => { request.shortage = shortage } }
+    const { room, request, request: { service, attempted }, work, latestStart } = this
+    return { ...orderingInputs({ request, work, latestStart, until }), room: room?.key ?? service, attempted, orderedElsewhere: this.#placeSearch !== undefined }
   }
 
   /** Maximum wait for an upstream with free capacity, in ms. */
@@ -191,7 +216,7 @@
    * request gets none, since its upstream depends on the trials.
    */
   #beginPlaceSearch (until: number): PlaceSearch | undefined {
-    const { request, room, context: { clock, places, availability, suspects, crashes } } = this
+    const { request, room, work, latestStart, context: { clock, places, availability, suspects, crashes } } = this
     if (room === undefined || places === undefined || crashes.standing(request.identity) !== 'trusted') return undefined
     const { route: { objective }, tried } = request
     return new PlaceSearch({
@@ -200,7 +225,7 @@
       upstreams: () => this.upstreams,
       choose: excluded => excluded.size === 0 ? this.#chooseLocally('trusted') : this.choose(new Set([...tried, ...excluded])),
       mayUse: ({ id }) => !tried.has(id) && !crashes.underTrial.has(id) && availability.isAvailable(id) && suspects.mayTry(id)
-    }, { ...this.#orderingInputs(until), room, aloneUntil: clock.now() + this.#computeMaxWait(false), objective })
+    }, { ...orderingInputs({ request, work, latestStart, until }), room, aloneUntil: clock.now() + this.#computeMaxWait(false), objective })
   }
 
   /** The refusal if the queue shared by all gateways is too long. */
@@ -223,7 +248,7 @@
     const mayBeSent = standing === 'trusted' || crashes.mayTry(request.identity)
     const upstream = mayBeSent ? this.#selectUpstream(standing) : undefined
     if (upstream === 'closed') return upstream
-    if (this.#isDenied(upstream !== undefined)) return this.#deny()
+    if (this.retries.isDenied(upstream !== undefined)) return this.#deny()
     if (upstream !== undefined) this.#reserve(upstream, claim)
     else if (mayBeSent) availability.requestToken(claim, this.upstreams, request.tried)
     return standing === 'suspected' ? this.#beginTrial(upstream) : upstream
@@ -282,30 +307,10 @@
     if (decision === 'no') return false
     // Without room the request would wait for nothing.
     if (this.#upstreamSearch.timeUntilAvailable > 0 && this.#maxWait === 0) return false
-    if (decision === 'budgeted') this.#needsRetry = true
+    if (decision === 'budgeted') this.retries.require()
     return true
   }
 
-  get #budget (): RetryBudget {
-    return this.context.retryBudget(this.request.service)
-  }
-
-  /** Takes the retry of the next attempt from the budget. Returns false if none was left. */
-  protected takeRetry (): boolean {
-    const isGranted = this.#budget.take()
-    if (isGranted) this.#retryTakenAt = this.context.clock.bootNow()
-    return isGranted
-  }
-
-  /**
-   * Whether the next attempt is a retry that the budget does not grant. Takes the retry only when there is an upstream,
-   * since it has to be sent at once.
-   */
-  #isDenied (hasUpstream: boolean): boolean {
-    if (!this.#needsRetry || this.#retryTakenAt !== undefined) return false
-    return hasUpstream ? !this.takeRetry() : this.#budget.left < 1 && !this.#budget.mayTake()
-  }
-
   #deny (): 'denied' {
     this.request.retryDenied = true
     return 'denied'
@@ -317,11 +322,6 @@
    */
   protected mayBegin (): boolean {
     this.wasHeld = this.context.sendGate?.isClosed === true
-    if (this.wasHeld) return false
-    if (!this.#needsRetry) return true
-    const maySend = this.#budget.send(this.#retryTakenAt ?? -Infinity)
-    this.#retryTakenAt = undefined
-    if (maySend) this.#needsRetry = false
-    return maySend
+    return !this.wasHeld && this.retries.maySend()
   }
 }
--- a/packages/forward/src/request.ts
+++ b/packages/forward/src/request.ts
@@ -88,8 +88,8 @@
   #lost = false
   /** Number of attempts that count against the route's limit: those that may have reached the upstream. */
   #sends = 0
-  #currentUpstream: string | undefined
-  #cancel: (() => void) | undefined
+  readonly #running = new Set<string>()
+  readonly #cancels = new Set<() => void>()
   #ended = false
 
   constructor (options: CallerRequestOptions) {
@@ -118,9 +118,9 @@
     return this.#tried
   }
 
-  /** Id of the upstream of the current attempt. */
-  get currentUpstream (): string | undefined {
-    return this.#currentUpstream
+  /** Ids of the upstreams of the attempts under way: two while a stream moves. */
+  get currentUpstreams (): readonly string[] {
+    return [...this.#running]
   }
 
   /** Whether an attempt was started. An upstream may then have begun to run the request. */
@@ -168,7 +168,7 @@
   beginAttempt (upstream: string): void {
     this.#tried.add(upstream)
     this.#sends++
-    this.#currentUpstream = upstream
+    this.#running.add(upstream)
     this.timing.sent(this.#clock.now())
   }
 
@@ -183,27 +183,30 @@
   }
 
   /**
-   * Records how an attempt ended. An attempt that was never sent does not count. @param lastEvent id of the last stream
-   * event that was sent to the caller
+   * Records how an attempt ended. An attempt that was never sent does not count.
+   * @param lastEvent id of the last stream event that was sent to the caller
+   * @param note what happened to the attempt before, for the log
    */
-  endAttempt (upstream: string, result: AttemptResult, lastEvent?: number): void {
-    if (result.kind === 'not-run' && !result.sent) this.#sends--
+  endAttempt (upstream: string, result: AttemptResult, lastEvent?: number, note?: string): void {
+    if ('sent' in result && !result.sent) this.#sends--
     if (result.kind === 'lost') this.#lost = true
-    this.#currentUpstream = undefined
+    this.#running.delete(upstream)
     const at = Math.round(this.#clock.now() - this.arrivedAt)
     const how = result.kind === 'answered' ? String(result.status) : result.kind
-    const why = 'why' in result ? ` (${result.why})` : ''
+    const reasons = [...'why' in result ? [result.why] : [], ...note === undefined ? [] : [note]]
+    const why = reasons.length === 0 ? '' : ` (${reasons.join(', ')})`
     const after = lastEvent === undefined ? '' : ` after event ${lastEvent}`
     this.attempts.push(`${upstream} ${how}${why}${after} at ${at} ms`)
   }
 
   /**
-   * Sets the function that stops the current work, replacing the previous one. It is called when the request ends, or
-   * at once if it has ended.
+   * Adds a function that stops work for this request. It is called when the request ends, or at once if it has ended.
+   * Returns a function that removes it.
    */
-  cancelWith (cancel: () => void): void {
-    this.#cancel = cancel
+  cancelWith (cancel: () => void): () => void {
+    this.#cancels.add(cancel)
     if (this.#ended) cancel()
+    return () => this.#cancels.delete(cancel)
   }
 
   /** Answers with a refusal, or cuts the connection if an answer has begun. */
@@ -219,9 +222,8 @@
     if (this.#ended) return
     this.#ended = true
     this.#timer.cancel()
-    const cancel = this.#cancel
-    this.#cancel = undefined
-    cancel?.()
+    for (const cancel of this.#cancels) cancel()
+    this.#cancels.clear()
     this.#onEnd(this, outcome)
   }
 
--- a/packages/forward/src/streamattempt.ts
+++ b/packages/forward/src/streamattempt.ts
@@ -22,6 +22,8 @@
 /** Options of a stream attempt. */
 export interface StreamAttemptOptions extends AttemptOptions {
   readonly progress: Progress
+  /** Called when the next event is about to be sent to the caller. */
+  readonly onEvent?: (() => void) | undefined
   /** Called when the first event has arrived. */
   readonly onFirst?: (() => void) | undefined
 }
@@ -33,14 +35,42 @@
 export class StreamAttempt extends Attempt {
   readonly #progress: Progress
   readonly #splitter = new EventSplitter()
+  readonly #onEvent: (() => void) | undefined
   #onFirst: (() => void) | undefined
+  #isHeld = false
+  /** What arrived after reading was stopped by `hold`. */
+  #heldChunks: Buffer[] = []
 
   constructor (options: StreamAttemptOptions) {
     super(options)
     this.#progress = options.progress
+    this.#onEvent = options.onEvent
     this.#onFirst = options.onFirst
   }
 
+  /** Stops reading and forwards nothing until `release`. */
+  hold (): void {
+    this.#isHeld = true
+    this.pause('move')
+  }
+
+  release (): void {
+    this.#forwardHeld()
+    this.resume('move')
+  }
+
+  override end (): void {
+    this.#forwardHeld()
+    super.end()
+  }
+
+  #forwardHeld (): void {
+    const chunks = this.#heldChunks
+    this.#isHeld = false
+    this.#heldChunks = []
+    for (const each of chunks) this.onChunk(each)
+  }
+
   protected isForwarded (status: number): boolean {
     return status === okStatus
   }
@@ -56,16 +86,21 @@
   }
 
   protected onChunk (chunk: Buffer): void {
+    if (this.#isHeld) {
+      this.#heldChunks.push(chunk)
+      return
+    }
     const events = this.#splitter.push(chunk).filter(({ id }) => this.#isNew(id))
     if (this.#splitter.pendingBytes > maxCollectedBytes) return this.abort('an event is too long')
     if (events.length === 0) return
+    this.#onEvent?.()
     for (const { id } of events) this.#progress.lastEvent = id ?? this.#progress.lastEvent
     const { request } = this
     request.recordForwarded()
     this.#onFirst?.()
     this.#onFirst = undefined
     request.delivery.write(joinEventBytes(events))
-    if (request.delivery.isFull(() => this.resume())) this.pause()
+    if (request.delivery.isFull(() => this.resume('caller'))) this.pause('caller')
   }
 
   /** Whether the answer ended between two events. */
--- a/packages/forward/src/streampath.ts
+++ b/packages/forward/src/streampath.ts
@@ -1,7 +1,8 @@
 /**
  * Serves a stream or any request to a model service. The answer is forwarded as it arrives. A stream that breaks off or
  * stalls is resumed at another upstream after the last event that the caller received, if its route permits that. This
- * module owns the progress of the stream over all attempts; the steps are those of `Path`.
+ * module owns the progress of the stream over all attempts; the steps are those of `Path`, and `Handover` decides which
+ * attempt of a stream that moves goes on.
  */
 import { mayMove, refusals, type AttemptResult } from '@eiderwind/dispatch'
 import { type Fault } from '@eiderwind/fault'
@@ -9,11 +10,14 @@
 import { type Upstream } from '@eiderwind/roster'
 import { type Engine } from '@eiderwind/traffic'
 import { expectedFirstEventTime, requestTokens, workOf, type RequestTokens } from '@eiderwind/work'
+import { type MoveCause } from './attempt.js'
 import { type Context } from './context.js'
+import { Handover, isWholeAnswer } from './handover.js'
 import { lastEventName } from './names.js'
 import { Path } from './path.js'
 import { type CallerRequest } from './request.js'
-import { Progress, StreamAttempt } from './streamattempt.js'
+import { Run, type KeptRun, type Outcome } from './run.js'
+import { Progress } from './streamattempt.js'
 
 /** The load of an idle head and the pace of a typical model. The latest start of a request is computed with them. */
 const idleHead = { inFlight: 0, unread: 0 }
@@ -32,6 +36,7 @@
   protected readonly kind = 'stream'
   readonly #target: Target
   readonly #progress: Progress
+  readonly #handover = new Handover<Run>(() => this.cancelSearch())
 
   constructor (context: Context, request: CallerRequest, target: Target) {
     super(context, request)
@@ -75,38 +80,57 @@
     return engine === undefined ? choice.plain(service, avoided) : choice.head(service, model, engine, avoided)
   }
 
-  protected attempt (upstream: Upstream): Promise<AttemptResult> {
+  protected attempt (upstream: Upstream): Promise<Outcome> {
     const { context, request, lastEvent, trial } = this
     const { model } = this.#target
     const isFirst = !request.attempted
     const markPromptRead = this.#recordExpectation(upstream)
-    return new Promise(resolve => {
-      const attempt = new StreamAttempt({
-        context,
-        request,
-        upstream,
-        model,
-        lastEvent,
-        newConnection: false,
-        trial,
-        mayBegin: () => this.mayBegin(),
-        progress: this.#progress,
-        onFirst: () => {
-          markPromptRead?.()
-          if (isFirst) this.#recordForecastError()
-        },
-        onMove: why => {
-          const isMoved = this.#shouldMove()
-          if (isMoved) attempt.abort(why)
-          return isMoved
-        },
-        onEnd: result => {
-          markPromptRead?.()
-          resolve(result)
-        }
-      })
-      attempt.start()
+    const run: Run = new Run({
+      context,
+      request,
+      upstream,
+      model,
+      lastEvent,
+      newConnection: false,
+      trial,
+      mayBegin: () => this.mayBegin(),
+      progress: this.#progress,
+      onEvent: () => this.#handover.sent(run),
+      onFirst: () => {
+        markPromptRead?.()
+        if (isFirst) this.#recordForecastError()
+      },
+      onMove: (why, cause) => this.#move(run, why, cause),
+      onEnd: result => {
+        markPromptRead?.()
+        this.#ended(run, result)
+      }
     })
+    this.#handover.begin(run)
+    const outcome = run.next()
+    run.start()
+    return outcome
+  }
+
+  /** Moves the stream of an attempt, if it may move. The attempt is kept until the next one has sent an event. */
+  #move (run: Run, why: string, cause: MoveCause): boolean {
+    if (!this.#handover.mayMove(run) || !this.#shouldMove()) return false
+    this.#handover.keep(run, cause === 'planned')
+    run.move(why)
+    return true
+  }
+
+  #ended (run: Run, result: AttemptResult): void {
+    const isObsolete = this.#handover.ended(run, isWholeAnswer(result, this.#progress.started))
+    if (isObsolete && !this.request.ended) this.recordEnd(run, result)
+  }
+
+  protected override get isServed (): boolean {
+    return this.#handover.keptWon
+  }
+
+  protected override fallBack (): KeptRun | undefined {
+    return this.#handover.takeKept()
   }
 
   /**
@@ -174,8 +198,8 @@
    * turn do not count on the same retry.
    */
   #shouldMove (): boolean {
-    const { hasAttemptsLeft, request: { service, repeatable, tried } } = this
+    const { hasAttemptsLeft, retries, request: { service, repeatable, tried } } = this
     const retriesLeft = this.context.retryBudget(service).left
-    return mayMove({ repeatable, hasAttemptsLeft, retriesLeft }) && this.choose(tried) !== undefined && this.takeRetry()
+    return mayMove({ repeatable, hasAttemptsLeft, retriesLeft }) && this.choose(tried) !== undefined && retries.take()
   }
 }
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -176,14 +176,16 @@
     return await this.#registry.metrics()
   }
 
-  ended ({ route: { kind }, service, attempts, shortage, listAge, timing: { error } }: CallerRequest, outcome: string, seconds: number): void {
+  ended ({ route: { kind }, service, attempts, tried, shortage, listAge, timing: { error } }: CallerRequest, outcome: string, seconds: number): void {
     this.#requests.inc({ kind, service, outcome })
     this.#latencies.observe({ kind }, seconds)
     if (shortage !== undefined && outcome.startsWith('busy')) this.#shortages.inc({ rule: shortage })
     if (listAge !== undefined) this.#listAges.observe(listAge / 1000)
     if (error !== undefined) this.#errors.observe(Math.abs(error) / 1000)
     for (const each of attempts) this.#attempts.inc({ kind, ending: each.split(' ')[1] })
-    if (kind === 'stream' && attempts.length > 1 && outcome.startsWith('answered 2')) this.#resumptions.inc()
+    const [first] = tried
+    const isResumed = attempts.length > 1 && attempts[attempts.length - 1].split(' ')[0] !== first
+    if (kind === 'stream' && isResumed && outcome.startsWith('answered 2')) this.#resumptions.inc()
   }
 
   /** Counts a connection that was closed unread under overload. */
--- a/packages/gateway/src/requestlog.ts
+++ b/packages/gateway/src/requestlog.ts
@@ -47,8 +47,8 @@
    * @param sampled how many requests the line stands for; undefined if only for itself
    */
   #write (request: CallerRequest, outcome: string, took: number, sampled: number | undefined): void {
-    const { id, route, service, team, attempts: endedAttempts, currentUpstream, timing, queuedAt, listAge } = request
-    const inProgress = currentUpstream === undefined ? [] : [`${currentUpstream} under way`]
+    const { id, route, service, team, attempts: endedAttempts, currentUpstreams, timing, queuedAt, listAge } = request
+    const inProgress = currentUpstreams.map(each => `${each} under way`)
     const attempts = [...endedAttempts, ...inProgress].join('; ')
     this.#options.log.write('request-ended', {
       request: id,
