Log how long the queue of closed connections had waited, and how much of it was a pause

Callers saw new connections closed unread although the queue was empty right after. The event connections-closed now has the longest wait of a probe while connections were closed (wait), and for how much of it the process did not run (paused). npm run unread plays pauses and stops of gateways.

--- a/packages/detect/src/pauses.ts
+++ b/packages/detect/src/pauses.ts
@@ -20,6 +20,7 @@
   readonly #paused: (time: number) => void
   #tickedAt: number
   #resumedAt = -Infinity
+  #total = 0
   #timer: Subscription | undefined
 
   /** @param paused called after each pause since `start` with its length, in ms */
@@ -36,6 +37,12 @@
     return this.#resumedAt
   }
 
+  /** The sum of all pauses so far, in ms. */
+  get total (): number {
+    this.#tick()
+    return this.#total
+  }
+
   start (): void {
     this.#timer = this.#clock.every(tickInterval, () => this.#tick())
   }
@@ -50,6 +57,7 @@
     this.#tickedAt = tickedAt
     if (pause <= pauseGap) return
     this.#resumedAt = this.#clock.now()
+    this.#total += pause
     if (this.#timer !== undefined) this.#paused(pause)
   }
 }
--- a/packages/gateway/src/callers.ts
+++ b/packages/gateway/src/callers.ts
@@ -6,6 +6,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type Random } from '@eiderwind/clock'
+import { type Pauses } from '@eiderwind/detect'
 import { refusals } from '@eiderwind/dispatch'
 import { type UsualMaxWaits } from '@eiderwind/fairness'
 import { Fault } from '@eiderwind/fault'
@@ -20,6 +21,8 @@
 export interface CallersOptions {
   readonly context: Context
   readonly board: GatewayBoard
+  /** The pauses of this process. */
+  readonly pauses: Pauses
   /** `host:port` on which callers connect. */
   readonly address: string
   /** Maximum age of the newest confirmation of the configuration where a recent one is needed, in ms. */
@@ -76,8 +79,8 @@
     })
     closeIdleConnections(this.#server)
     this.#server.on('request', (request, response) => this.#accept(request, response))
-    const { context: { clock, log }, maxConnectionWait: maxWait, connectionClosed: closed } = options
-    this.#connections = new NewConnections({ clock, log, server: this.#server, maxWait, closed })
+    const { context: { clock, log }, pauses, maxConnectionWait: maxWait, connectionClosed: closed } = options
+    this.#connections = new NewConnections({ clock, log, server: this.#server, pauses, maxWait, closed })
     options.board.listen('inForce', inForce => { if (inForce !== undefined) this.#applyLimits(inForce) })
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -342,6 +342,7 @@
     return new Callers({
       context,
       board: this.#board,
+      pauses: this.#pauses,
       address,
       maxConfirmationAge,
       strictKeys,
--- a/packages/gateway/src/newconnections.ts
+++ b/packages/gateway/src/newconnections.ts
@@ -6,7 +6,7 @@
  */
 import { connect, type AddressInfo, type Server, type Socket } from 'node:net'
 import { type Clock, type Subscription } from '@eiderwind/clock'
-import { StandingQueue } from '@eiderwind/detect'
+import { StandingQueue, type Pauses } from '@eiderwind/detect'
 import { type Log } from '@eiderwind/log'
 
 /** Dependencies of `NewConnections`. */
@@ -14,12 +14,30 @@
   readonly clock: Clock
   readonly log: Log
   readonly server: Server
+  /** The pauses of this process. */
+  readonly pauses: Pauses
   /** How long connections of a burst may wait to be accepted, in ms. Undefined: for any time. */
   readonly maxWait: number | undefined
   /** Called for each connection that is closed unread. */
   readonly closed: () => void
 }
 
+/** A connection to the own server that was not accepted yet. */
+interface Probe {
+  readonly socket: Socket
+  /** When it was sent, and the sum of all pauses of this process before, in ms. */
+  readonly sentAt: number
+  readonly pausedBefore: number
+}
+
+/** How long a probe has waited, and for how much of that this process was paused, in ms. */
+interface ProbeWait {
+  readonly wait: number
+  readonly paused: number
+}
+
+const noWait: ProbeWait = { wait: 0, paused: 0 }
+
 /** Time between two log lines about closed connections, in ms. */
 const logInterval = 1000
 
@@ -28,15 +46,16 @@
   readonly #options: NewConnectionsOptions
   readonly #queue: StandingQueue
   /** The probes that were not accepted yet, the oldest first. */
-  readonly #probes: Socket[] = []
+  readonly #probes: Probe[] = []
   /** Remote ports of the connections that were accepted before the own port of each probe was known. */
   readonly #acceptedPorts = new Set<number>()
   /** Whether a connection was accepted in this turn of the event loop. */
   #hasArrived = false
   #isObserving = false
   #open = 0
-  /** Connections closed unread since the last log line. */
+  /** Connections closed unread since the last log line, and the longest wait of a probe meanwhile. */
   #closed = 0
+  #longestWait = noWait
   #timer: Subscription | undefined
 
   constructor (options: NewConnectionsOptions) {
@@ -50,7 +69,7 @@
     })
     server.on('drop', connection => {
       if (this.#accepted(connection?.remotePort)) return
-      this.#closed++
+      this.#recordClosed()
       options.closed()
     })
   }
@@ -66,14 +85,14 @@
 
   stop (): void {
     this.#timer?.cancel()
-    for (const probe of this.#probes) probe.destroy()
+    for (const { socket } of this.#probes) socket.destroy()
   }
 
   /** Records an accepted or dropped connection. Returns whether it is a probe. */
   #accepted (port: number | undefined): boolean {
-    const probe = this.#probes.find(each => each.localPort !== undefined && each.localPort === port)
+    const probe = this.#probes.find(({ socket: { localPort } }) => localPort !== undefined && localPort === port)
     if (probe !== undefined) this.#endProbe(probe)
-    else if (port !== undefined && this.#probes.some(each => each.connecting)) this.#acceptedPorts.add(port)
+    else if (port !== undefined && this.#isConnecting) this.#acceptedPorts.add(port)
     this.#hasArrived = true
     if (!this.#isObserving) {
       this.#isObserving = true
@@ -82,6 +101,20 @@
     return probe !== undefined
   }
 
+  /** Whether a probe has no port yet. */
+  get #isConnecting (): boolean {
+    return this.#probes.some(({ socket }) => socket.connecting)
+  }
+
+  #recordClosed (): void {
+    this.#closed++
+    const [oldest] = this.#probes
+    if (oldest === undefined) return
+    const { clock, pauses } = this.#options
+    const wait = clock.now() - oldest.sentAt
+    if (wait > this.#longestWait.wait) this.#longestWait = { wait, paused: pauses.total - oldest.pausedBefore }
+  }
+
   /**
    * Runs at the end of each turn until one has brought no connection. The runtime accepts one connection per turn, so
    * such a turn shows that none waits.
@@ -102,36 +135,40 @@
 
   /** Sends a connection to the end of the queue. */
   #probe (now: number): void {
-    const address = this.#options.server.address() as AddressInfo | null
+    const { server, pauses } = this.#options
+    const address = server.address() as AddressInfo | null
     if (address === null) return
-    const probe = connect(address.port, address.address)
+    const socket = connect(address.port, address.address)
+    const probe = { socket, sentAt: now, pausedBefore: pauses.total }
     this.#queue.probe(now)
     this.#probes.push(probe)
-    probe.once('connect', () => {
-      if (this.#acceptedPorts.has(probe.localPort ?? 0)) this.#endProbe(probe)
-      if (!this.#probes.some(each => each.connecting)) this.#acceptedPorts.clear()
+    socket.once('connect', () => {
+      if (this.#acceptedPorts.has(socket.localPort ?? 0)) this.#endProbe(probe)
+      if (!this.#isConnecting) this.#acceptedPorts.clear()
     })
     // A probe that fails is no longer in the queue.
-    probe.on('error', () => this.#endProbe(probe))
+    socket.on('error', () => this.#endProbe(probe))
   }
 
-  #endProbe (probe: Socket): void {
+  #endProbe (probe: Probe): void {
     const index = this.#probes.indexOf(probe)
     if (index < 0) return
     this.#probes.splice(index, 1)
     this.#queue.probeAccepted()
-    probe.destroy()
+    probe.socket.destroy()
   }
 
   /** Ends all probes once the queue is empty. */
   #endProbes (): void {
-    for (const probe of this.#probes.splice(0)) probe.destroy()
+    for (const { socket } of this.#probes.splice(0)) socket.destroy()
     this.#acceptedPorts.clear()
   }
 
   #report (): void {
     if (this.#closed === 0) return
-    this.#options.log.write('connections-closed', { closed: this.#closed, open: this.#open })
+    const { wait, paused } = this.#longestWait
+    this.#options.log.write('connections-closed', { closed: this.#closed, open: this.#open, wait: Math.round(wait), paused: Math.round(paused) })
     this.#closed = 0
+    this.#longestWait = noWait
   }
 }
