Judge a queue of connections after a pause of the gateway by what happens after it

Callers who connected while a gateway was paused for 0.3 to 1.2 s were closed unread when it went on, although it would have read them at once.

--- a/packages/detect/src/standingqueue.ts
+++ b/packages/detect/src/standingqueue.ts
@@ -6,6 +6,9 @@
  *
  * A burst may wait for almost as long as callers do, since it is served in the end. Under sustained overload that would
  * only make all of them wait, so connections are then closed sooner.
+ *
+ * What arrives while the process is paused says nothing about how fast it accepts connections. So after a pause only
+ * the wait since its end counts.
  */
 
 /** Bound on the wait under sustained overload, as a share of that for a burst. */
@@ -64,8 +67,9 @@
    * Takes what one turn of the event loop showed.
    * @param isEmpty whether there was no new connection
    * @param now in ms
+   * @param resumedAt when the last pause of the process ended, in ms
    */
-  observe (isEmpty: boolean, now: number): void {
+  observe (isEmpty: boolean, now: number, resumedAt = -Infinity): void {
     if (isEmpty) {
       this.#probes = []
       this.#since = undefined
@@ -73,7 +77,7 @@
       return
     }
     this.#since ??= now
-    const wait = this.#probes.length === 0 ? 0 : now - this.#probes[0]
+    const wait = this.#probes.length === 0 ? 0 : now - Math.max(this.#probes[0], resumedAt)
     if (this.#closingSince === undefined) this.#beginClosing(wait, now)
     else this.#continueClosing(wait, this.#closingSince, now)
   }
--- a/packages/detect/test/standingqueue.test.ts
+++ b/packages/detect/test/standingqueue.test.ts
@@ -129,3 +129,36 @@
   queue.observe(false, 210)
   t.false(queue.isOverloaded)
 })
+
+/** A queue with a probe that has waited for longer than a burst may, and a pause of the process within that time. */
+function pausedQueue (): { readonly queue: StandingQueue, readonly resumedAt: number } {
+  const queue = new StandingQueue(maxWait)
+  queue.observe(false, 0)
+  queue.probe(30)
+  return { queue, resumedAt: 30 + 4 * maxWait }
+}
+
+// Guards against a pause of the process that counts as the wait of overload: all that had arrived meanwhile was closed
+// unread although the process would have read it at once.
+test('a pause of the process closes no connection, and neither does the wait before it', t => {
+  const { queue, resumedAt } = pausedQueue()
+  queue.observe(false, resumedAt, resumedAt)
+  t.false(queue.isOverloaded)
+  queue.observe(false, resumedAt + maxWait, resumedAt)
+  t.false(queue.isOverloaded)
+})
+
+test('a queue that stands for too long after a pause of the process is overload', t => {
+  const { queue, resumedAt } = pausedQueue()
+  queue.observe(false, resumedAt, resumedAt)
+  queue.observe(false, resumedAt + maxWait + 1, resumedAt)
+  t.true(queue.isOverloaded)
+})
+
+test('connections that were closed before a pause of the process are read after it', t => {
+  const { queue } = pausedQueue()
+  queue.observe(false, 31 + maxWait)
+  t.true(queue.isOverloaded)
+  queue.observe(false, 500, 500)
+  t.false(queue.isOverloaded)
+})
--- a/packages/gateway/src/newconnections.ts
+++ b/packages/gateway/src/newconnections.ts
@@ -120,10 +120,11 @@
    * such a turn shows that none waits.
    */
   #observe (): void {
-    const { server, clock, maxWait } = this.#options
+    const { server, clock, pauses, maxWait } = this.#options
+    const { resumedAt } = pauses
     const now = clock.now()
     const isEmpty = !this.#hasArrived
-    this.#queue.observe(isEmpty, now)
+    this.#queue.observe(isEmpty, now, resumedAt)
     // A server with one open connection or more then drops each new one.
     server.maxConnections = this.#queue.isOverloaded ? 1 : Infinity
     this.#isObserving = this.#hasArrived
