Read and answer what was sent to a stopping gateway before its connections are closed

Now the gateway goes on to accept, read and refuse (503, Connection: close) until a short turn of the event loop brought neither a connection nor a request and all are answered (wire/quiet.ts), at most until the grace period ends. Idle connections are closed in the same way once requests are refused. The event callers-closed tells whether nothing was left.

--- a/packages/gateway/src/callers.ts
+++ b/packages/gateway/src/callers.ts
@@ -12,7 +12,7 @@
 import { Fault } from '@eiderwind/fault'
 import { CallerRequest, PlainPath, StreamPath, type Context, type Deliveries } from '@eiderwind/forward'
 import { pickShare } from '@eiderwind/traffic'
-import { closeIdleConnections, header, listen, readBody, refuse } from '@eiderwind/wire'
+import { closeIdleConnections, header, listen, readBody, refuse, untilQuiet } from '@eiderwind/wire'
 import { admit, type Admission } from './admission.js'
 import { type GatewayBoard, type ConfigurationInForce } from './facts.js'
 import { NewConnections } from './newconnections.js'
@@ -68,6 +68,8 @@
   readonly #open = new Set<CallerRequest>()
   #isRefusing = false
   #requests = 0
+  /** Requests whose answers are not complete. */
+  #unanswered = 0
 
   constructor (options: CallersOptions) {
     this.#options = options
@@ -119,17 +121,31 @@
     this.#connections.start()
   }
 
-  /** Refuses new requests from now on. */
-  refuse (): void {
+  /**
+   * Refuses new requests from now on, and closes idle connections unless requests arrive all the time.
+   * @param until how long to wait for a moment without any, on `Clock.now`
+   */
+  async refuse (until: number): Promise<void> {
     this.#isRefusing = true
-    this.#server.closeIdleConnections()
+    const isQuiet = await untilQuiet(this.#server, { clock: this.#options.context.clock, until, isAnswered: () => true })
+    if (isQuiet) this.#server.closeIdleConnections()
   }
 
-  /** Accepts no new connections, and closes idle ones. */
-  close (): void {
+  /**
+   * Refuses what arrives until all requests that were sent are read and answered. Then accepts no new connections, and
+   * closes idle ones.
+   * @param until when it closes in any case, on `Clock.now`
+   */
+  async close (until: number): Promise<void> {
+    const { clock, log } = this.#options.context
+    const begunAt = clock.now()
+    const requestsBefore = this.#requests
+    this.#isRefusing = true
+    const quiet = await untilQuiet(this.#server, { clock, until, isAnswered: () => this.#unanswered === 0 })
     this.#connections.stop()
+    // Closes idle connections too.
     this.#server.close()
-    this.#server.closeIdleConnections()
+    log.write('callers-closed', { drained: Math.round(clock.now() - begunAt), requests: this.#requests - requestsBefore, quiet })
   }
 
   #applyLimits ({ traffic }: ConfigurationInForce): void {
@@ -138,6 +154,8 @@
   }
 
   #accept (incoming: IncomingMessage, response: ServerResponse): void {
+    this.#unanswered++
+    response.once('close', () => { this.#unanswered-- })
     this.#handle(incoming, response).catch(error => {
       this.#options.context.log.write('request-failed', { cause: String((error as Error).stack) })
       response.destroy()
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -49,6 +49,9 @@
 /** Interval between checks whether all requests have ended, at a stop, in ms. */
 const stopCheckInterval = 50
 
+/** Minimum time for the requests that are still to be read at a stop, in ms, also if the grace period is over. */
+const minClosingTime = 100
+
 /** A gateway: it serves callers, and plans the replicas of the services that it leads. */
 export class Gateway {
   readonly #options: GatewayOptions
@@ -280,8 +283,8 @@
 
   /**
    * Performs a planned stop. It reports "not ready", waits until the balancer has noticed, and finishes the requests in
-   * flight. After `refuseAfter` it refuses new requests. It closes everything once all answers are delivered, or when
-   * the grace period ends.
+   * flight. After `refuseAfter` it refuses new requests. It closes everything once all answers are delivered and
+   * nothing more is to be read, or when the grace period ends.
    */
   async stop (): Promise<void> {
     const { clock, settings } = this.#options
@@ -290,10 +293,10 @@
     this.#leadership.resign()
     await clock.wait(settings.notice)
     while (this.#callers.open + this.#deliveries.waiting > 0 && clock.now() - startedAt < settings.grace) {
-      if (clock.now() - startedAt > settings.refuseAfter) this.#callers.refuse()
+      if (clock.now() - startedAt > settings.refuseAfter) await this.#callers.refuse(clock.now() + stopCheckInterval)
       await clock.wait(stopCheckInterval)
     }
-    this.#callers.close()
+    await this.#callers.close(Math.max(startedAt + settings.grace, clock.now() + minClosingTime))
     this.#rooms?.stop()
     for (const part of [this.#sampling, this.#reconciler, this.#stalls, this.#readiness, this.#evacuationController, this.#pauses, this.#loopDelays, this.#confirmations, this.#upstreamSync, this.#peerServer, this.#peers, this.#health, this.#metrics, this.#options.platform]) part.stop()
     this.#connections.close()
--- a/packages/log/test/forms.test.ts
+++ b/packages/log/test/forms.test.ts
@@ -13,6 +13,7 @@
   '105 controller-failed warn',
   '106 process-paused warn',
   '107 loop-delayed warn',
+  '108 callers-closed info',
   '200 store-lost warn',
   '201 store-back info',
   '202 configuration-new info',
