Answer a request with a 500 if handling it fails by an error of this program

A caller whose request hit an internal error got its connection closed without an answer, and the request stayed among the open ones: Callers destroyed the response and ended nothing. Now its work is ended, and unless an answer has begun the caller gets a 500 (code internal, Connection: close) that says whether the request may have run. An answer that has begun is broken off as before; one that was written to its end is left to be delivered. request-failed names the request.

--- a/packages/dispatch/src/refusals.ts
+++ b/packages/dispatch/src/refusals.ts
@@ -132,6 +132,16 @@
     return new Fault('lost', { detail: `${why}.` })
   },
 
+  /**
+   * An error of this program ended the request.
+   * @param mayHaveRun whether an upstream may have begun to run the request
+   */
+  internal (mayHaveRun: boolean): Fault {
+    const detail = 'This gateway failed at the request.'
+    if (mayHaveRun) return new Fault('internal', { detail })
+    return new Fault('internal', { detail, outcome: 'not-run', remedy: 'Send the request again on a new connection. If it fails again, tell the operators its id.' })
+  },
+
   /**
    * The deadline of the caller or the time limit of the route has passed. `Retry-After` is the default of the code,
    * 1 s.
--- a/packages/fault/src/kinds.ts
+++ b/packages/fault/src/kinds.ts
@@ -44,6 +44,7 @@
   'answer-too-large': { status: 409, outcome: 'ran', remedy: 'The request ran, but its answer was too large to store; get the answer by other means.' },
   lost: { status: 502, outcome: 'unknown', remedy: 'Look up whether the request ran before you send it again.' },
   interrupted: { status: 502, outcome: 'unknown', remedy: 'Send the request again with Last-Event-ID and the text so far, to continue the stream.', retryAfter: 1 },
+  internal: { status: 500, outcome: 'unknown', remedy: 'Look up whether the request ran before you send it again. Tell the operators its id.' },
   'upstream-down': { status: 503, outcome: 'not-run', remedy: 'Come back after the time given; the upstream takes no connections.', retryAfter: 2 },
   crashing: { status: 503, outcome: 'not-run', remedy: 'Do not send this request again as it is: each upstream that began to run it has crashed. Change it, or ask an operator.' },
   'stale-revision': { status: 409, outcome: 'not-run', remedy: 'Read the configuration again and repeat the change on its present revision.' },
--- a/packages/gateway/src/callers.ts
+++ b/packages/gateway/src/callers.ts
@@ -156,10 +156,24 @@
   #accept (incoming: IncomingMessage, response: ServerResponse): void {
     this.#unanswered++
     response.once('close', () => { this.#unanswered-- })
-    this.#handle(incoming, response).catch(error => {
-      this.#options.context.log.write('request-failed', { cause: String((error as Error).stack) })
+    this.#handle(incoming, response).catch(error => this.#fail(incoming, response, error))
+  }
+
+  /** Ends a request that was not handled to its end. Its caller gets a 500, unless an answer has begun. */
+  #fail (incoming: IncomingMessage, response: ServerResponse, error: unknown): void {
+    const { log, names } = this.#options.context
+    log.write('request-failed', { request: header(incoming, names.request), cause: error instanceof Error ? error.stack : String(error) })
+    if (response.writableEnded) return
+    if (!response.headersSent) response.setHeader('connection', 'close')
+    const request = [...this.#open].find(each => each.response === response)
+    const fault = refusals.internal(request?.attempted === true)
+    try {
+      if (request === undefined) this.#refuse(incoming, response, fault)
+      else request.refuse(fault)
+    } catch {
+      // The error that led here is logged. If refusing fails too, nothing more can be sent on this connection.
       response.destroy()
-    })
+    }
   }
 
   async #handle (incoming: IncomingMessage, response: ServerResponse): Promise<void> {
