Break the new rules on unread requests, and name the line of a breakage that no longer existed

npm run prove of queue-stands, pause-is-overload, closed-after-pause, closed-unread, error-unanswered: 5 of 5 red. queue-stands named a line that standingqueue.ts lacks since it measures the wait.

--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -1100,11 +1100,51 @@
     point: 3,
     rule: 'new connections are closed unread once the queue of connections has stood for too long',
     file: 'packages/detect/dist/src/standingqueue.js',
-    find: 'this.#isOverloaded = !this.#isOverloaded',
-    replace: 'this.#isOverloaded = false',
+    find: 'this.#closingSince = now',
+    replace: 'this.#closingSince = undefined',
     test: 'packages/detect/dist/test/standingqueue.test.js',
     title: 'at 4 times what the process can serve*'
   },
+  {
+    name: 'pause-is-overload',
+    point: 3,
+    rule: 'a pause of the process does not count as a wait of new connections',
+    file: 'packages/detect/dist/src/standingqueue.js',
+    find: 'Math.max(this.#probes[0], resumedAt)',
+    replace: 'this.#probes[0]',
+    test: 'packages/detect/dist/test/standingqueue.test.js',
+    title: 'a pause of the process closes no connection*'
+  },
+  {
+    name: 'closed-after-pause',
+    point: 3,
+    rule: 'a server is closed only after a short turn in which nothing was to be read',
+    file: 'packages/wire/dist/src/quiet.js',
+    find: 'now - readUntil <= maxTurn',
+    replace: 'true',
+    test: 'packages/wire/dist/test/quiet.test.js',
+    title: 'a turn in which the loop was blocked*'
+  },
+  {
+    name: 'closed-unread',
+    point: 3,
+    rule: 'a server is closed only once nothing more is to be read',
+    file: 'packages/wire/dist/src/quiet.js',
+    find: '!arrivals.take()',
+    replace: 'true',
+    test: 'packages/wire/dist/test/quiet.test.js',
+    title: 'requests on connections that were not accepted yet*'
+  },
+  {
+    name: 'error-unanswered',
+    point: 4,
+    rule: 'a request is answered if handling it fails',
+    file: 'packages/gateway/dist/src/callers.js',
+    find: 'request.refuse(fault)',
+    replace: 'response.destroy()',
+    test: 'packages/gateway/dist/test/callers.test.js',
+    title: 'a request gets a 500 and is ended if serving it fails'
+  },
   {
     name: 'burst-closed',
     point: 3,
