--- a/packages/gateway/src/callers.ts
+++ b/packages/gateway/src/callers.ts
@@ -6,12 +6,13 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { type Random } from '@eiderwind/clock'
+import { type Pauses } from '@eiderwind/detect'
 import { refusals } from '@eiderwind/dispatch'
 import { type UsualMaxWaits } from '@eiderwind/fairness'
 import { Fault } from '@eiderwind/fault'
 import { CallerRequest, PlainPath, StreamPath, type Context, type Deliveries } from '@eiderwind/forward'
 import { pickShare } from '@eiderwind/traffic'
-import { closeIdleConnections, header, listen, readBody, refuse } from '@eiderwind/wire'
+import { closeIdleConnections, header, listen, readBody, refuse, untilQuiet } from '@eiderwind/wire'
 import { admit, type Admission } from './admission.js'
 import { type GatewayBoard, type ConfigurationInForce } from './facts.js'
 import { NewConnections } from './newconnections.js'
@@ -20,6 +21,8 @@
 export interface CallersOptions {
   readonly context: Context
   readonly board: GatewayBoard
+  /** The pauses of this process. */
+  readonly pauses: Pauses
   /** `host:port` on which callers connect. */
   readonly address: string
   /** Maximum age of the newest confirmation of the configuration where a recent one is needed, in ms. */
@@ -65,6 +68,8 @@
   readonly #open = new Set<CallerRequest>()
   #isRefusing = false
   #requests = 0
+  /** Requests whose answers are not complete. */
+  #unanswered = 0
 
   constructor (options: CallersOptions) {
     this.#options = options
@@ -76,8 +81,8 @@
     })
     closeIdleConnections(this.#server)
     this.#server.on('request', (request, response) => this.#accept(request, response))
-    const { context: { clock, log }, maxConnectionWait: maxWait, connectionClosed: closed } = options
-    this.#connections = new NewConnections({ clock, log, server: this.#server, maxWait, closed })
+    const { context: { clock, log }, pauses, maxConnectionWait: maxWait, connectionClosed: closed } = options
+    this.#connections = new NewConnections({ clock, log, server: this.#server, pauses, maxWait, closed })
     options.board.listen('inForce', inForce => { if (inForce !== undefined) this.#applyLimits(inForce) })
   }
 
@@ -116,17 +121,31 @@
     this.#connections.start()
   }
 
-  /** Refuses new requests from now on. */
-  refuse (): void {
+  /**
+   * Refuses new requests from now on, and closes idle connections unless requests arrive all the time.
+   * @param until how long to wait for a moment without any, on `Clock.now`
+   */
+  async refuse (until: number): Promise<void> {
     this.#isRefusing = true
-    this.#server.closeIdleConnections()
+    const isQuiet = await untilQuiet(this.#server, { clock: this.#options.context.clock, until, isAnswered: () => true })
+    if (isQuiet) this.#server.closeIdleConnections()
   }
 
-  /** Accepts no new connections, and closes idle ones. */
-  close (): void {
+  /**
+   * Refuses what arrives until all requests that were sent are read and answered. Then accepts no new connections, and
+   * closes idle ones.
+   * @param until when it closes in any case, on `Clock.now`
+   */
+  async close (until: number): Promise<void> {
+    const { clock, log } = this.#options.context
+    const begunAt = clock.now()
+    const requestsBefore = this.#requests
+    this.#isRefusing = true
+    const quiet = await untilQuiet(this.#server, { clock, until, isAnswered: () => this.#unanswered === 0 })
     this.#connections.stop()
+    // Closes idle connections too.
     this.#server.close()
-    this.#server.closeIdleConnections()
+    log.write('callers-closed', { drained: Math.round(clock.now() - begunAt), requests: this.#requests - requestsBefore, quiet })
   }
 
   #applyLimits ({ traffic }: ConfigurationInForce): void {
@@ -135,10 +154,26 @@
   }
 
   #accept (incoming: IncomingMessage, response: ServerResponse): void {
-    this.#handle(incoming, response).catch(error => {
-      this.#options.context.log.write('request-failed', { cause: String((error as Error).stack) })
+    this.#unanswered++
+    response.once('close', () => { this.#unanswered-- })
+    this.#handle(incoming, response).catch(error => this.#fail(incoming, response, error))
+  }
+
+  /** Ends a request that was not handled to its end. Its caller gets a 500, unless an answer has begun. */
+  #fail (incoming: IncomingMessage, response: ServerResponse, error: unknown): void {
+    const { log, names } = this.#options.context
+    log.write('request-failed', { request: header(incoming, names.request), cause: error instanceof Error ? error.stack : String(error) })
+    if (response.writableEnded) return
+    if (!response.headersSent) response.setHeader('connection', 'close')
+    const request = [...this.#open].find(each => each.response === response)
+    const fault = refusals.internal(request?.attempted === true)
+    try {
+      if (request === undefined) this.#refuse(incoming, response, fault)
+      else request.refuse(fault)
+    } catch {
+      // The error that led here is logged. If refusing fails too, nothing more can be sent on this connection.
       response.destroy()
-    })
+    }
   }
 
   async #handle (incoming: IncomingMessage, response: ServerResponse): Promise<void> {
