Judge the end of an answer without a length by the orders of its head

Cause: the planner closes a draining head with finish and, as soon as the list shows it closing, with cut (seen 130 ms later, same reason). A gateway that still lists the head as closing took the end of the cut stream for its end without asking. A closed head may also be open again within milliseconds, and its report then says open. The other direction: the last streams of a head that closes as planned counted as cut and moved, since its report said ready.

The head is now always asked for its report. Gateways that have requests at a head of a service that sends such answers read its order count when it is listed as closing. A head that is ready with that count, or open with one order more, has begun nothing that could cut. A head that does not answer is asked again for up to two seconds in place of its record, and so is a plain upstream's port while a connection attempt shows nothing: silence proves neither a crash nor an end.

--- a/packages/crashes/src/crashes.ts
+++ b/packages/crashes/src/crashes.ts
@@ -64,6 +64,9 @@
  */
 const gatherWindowMs = 5
 
+/** How often an upstream whose answer has ended is probed while the connection attempts show nothing. */
+const maxEndProbes = 6
+
 /** Requests that are known or suspected to crash upstreams. */
 export class Crashes {
   readonly #options: CrashesOptions
@@ -138,10 +141,19 @@
     this.#options.clock.after(gatherWindowMs, () => this.#checkCrash(upstream, at))
   }
 
-  /** Finds out whether an upstream that has just closed a connection has certainly ended. */
+  /**
+   * Finds out whether an upstream that has just closed a connection has certainly ended. A connection attempt that
+   * shows nothing is repeated, since the path to the upstream may be silent for more than a second.
+   */
   async hasEnded ({ id, address }: UpstreamAddress): Promise<boolean> {
-    await this.#options.clock.wait(gatherWindowMs)
-    return this.#options.hasEnded(id) || await this.#options.probe(address) === 'refused'
+    const { clock, hasEnded, probe } = this.#options
+    for (let count = 0; count < maxEndProbes; count++) {
+      await clock.wait(gatherWindowMs)
+      if (hasEnded(id)) return true
+      const state = await probe(address)
+      if (state !== 'unknown') return state === 'refused'
+    }
+    return hasEnded(id)
   }
 
   /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,7 +34,7 @@
 import { RequestLog } from './requestlog.js'
 import { Rooms } from './rooms.js'
 import { Sampling } from './sampling.js'
-import { isServing } from './serving.js'
+import { Serving } from './serving.js'
 import { type GatewayOptions } from './settings.js'
 import { upstreamsCall } from './upstreamcalls.js'
 import { UpstreamSync } from './upstreamsync.js'
@@ -312,6 +312,7 @@
     const { clock, log, platform, settings: { callers: address, dataCentre, maxConfirmationAge, maxConnectionWait, strictKeys, fair } } = this.#options
     const conditions = this.#conditions
     const rooms = this.#rooms
+    const serving = new Serving({ clock, crashes: this.#crashWatch.crashes, probes: platform.probes, roster: this.#roster, inFlight: this.#inFlight })
     const context: Context = {
       clock,
       log,
@@ -332,7 +333,7 @@
       retryBudget: service => this.#budgets.of(service),
       sendGate: this.#upstreamSync.gate,
       written: request => { request.listAge = this.#upstreamSync.list.recordWrite() },
-      serves: async upstream => await isServing(upstream, { crashes: this.#crashWatch.crashes, probes: platform.probes, roster: this.#roster }),
+      serves: async upstream => await serving.isServing(upstream),
       answered: (upstream, head) => {
         conditions.answered(upstream, head, platform.conditionOf(head.status, head.headers))
         rooms?.answered(upstream, head)
