End answers whose bytes are no answer and do not end

What callers saw: nothing more than a 504 at the deadline, but while an upstream sent such bytes, the gateway read them at full speed. Memory grew by 179 MiB for a collected body in chunks of one byte, and without bound for the answer to a probe or an order; an event without an end, in pieces of 100 bytes, occupied the event loop: 1.5 MB took 10 s.

Cause: the client library bounds only the fields of one head, not empty lines, the status line, chunk sizes or extensions; `Collector` had no maximum; each piece was kept with the buffer it was read from; the splitter copied and searched all earlier bytes of an event again for each piece. Informational heads were taken for the answer, so that an attempt was given up as foreign.

--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -7,7 +7,7 @@
 import { type InFlightRequest } from '@eiderwind/detect'
 import { isSuccess, type AttemptResult } from '@eiderwind/dispatch'
 import { type Upstream } from '@eiderwind/roster'
-import { Receiver, type AnswerHeaders, type CallFailure, type Cancel, type Flow } from '@eiderwind/wire'
+import { Bytes, Receiver, type AnswerHeaders, type CallFailure, type Cancel, type Flow } from '@eiderwind/wire'
 import { answerHeader, endsWithConnection, matchesRequest, reportsNotRun } from './answers.js'
 import { type Context } from './context.js'
 import { outgoingCall } from './outgoing.js'
@@ -59,8 +59,7 @@
   #written = false
   #forwarded = false
   readonly #survival = new Survival()
-  #chunks: Buffer[] = []
-  #size = 0
+  readonly #bytes = new Bytes()
   #ended = false
 
   constructor (options: AttemptOptions) {
@@ -161,9 +160,8 @@
     this.#survival.received(this.#options.context.clock.now())
     if (this.#survival.isShown) this.#options.context.crashes.recordSurvived(this.request.identity)
     if (this.#forwarded) return this.onChunk(chunk)
-    this.#size += chunk.length
-    this.#chunks.push(chunk)
-    if (this.#size > maxCollectedBytes) this.abort('the answer is too long')
+    this.#bytes.add(chunk)
+    if (this.#bytes.size > maxCollectedBytes) this.abort('the answer is too long')
   }
 
   end (): void {
@@ -188,7 +186,7 @@
   }
 
   #complete (): void {
-    this.#end(this.#forwarded ? { kind: 'passed' } : { kind: 'answered', status: this.#status, headers: this.#headers, body: Buffer.concat(this.#chunks) })
+    this.#end(this.#forwarded ? { kind: 'passed' } : { kind: 'answered', status: this.#status, headers: this.#headers, body: this.#bytes.take() })
   }
 
   fail ({ error, sent }: CallFailure): void {
@@ -229,7 +227,7 @@
     if (this.#inFlight !== undefined) inFlight.end(this.#inFlight)
     trial?.end()
     this.#reportToCrashes(result)
-    this.#chunks = []
+    this.#bytes.take()
     onEnd(result)
   }
 
--- a/packages/forward/src/events.ts
+++ b/packages/forward/src/events.ts
@@ -2,6 +2,7 @@
  * Splits a stream of server-sent events (HTML, section 9.2) into complete events, so that a caller never gets one part
  * of an event from one upstream and the rest from another. It owns the bytes of the incomplete event.
  */
+import { Bytes } from '@eiderwind/wire'
 
 /** A complete event of a stream. */
 export interface StreamEvent {
@@ -16,38 +17,70 @@
 const emptyLine = '\n\n'
 const emptyLineCrlf = '\n\r\n'
 
+/** Bytes of an empty line that may have arrived without its last byte. */
+const tailLength = emptyLineCrlf.length - 1
+
 const emptyBuffer = Buffer.alloc(0)
 
 const idField = Buffer.from('id:')
 
 /** Splits the bytes of one stream into events. */
 export class EventSplitter {
-  #incomplete: Buffer = emptyBuffer
+  readonly #incomplete = new Bytes()
+  /** The last bytes of the incomplete event, in which the empty line that ends it may have begun. */
+  #tail: Buffer = emptyBuffer
 
   /** Whether all bytes so far belong to complete events. */
   get atBoundary (): boolean {
-    return this.#incomplete.length === 0
+    return this.#incomplete.size === 0
   }
 
   /** Bytes of the incomplete event. */
   get pendingBytes (): number {
-    return this.#incomplete.length
+    return this.#incomplete.size
   }
 
   /** Adds the next bytes and returns the events that they complete. */
   push (chunk: Buffer): StreamEvent[] {
-    const bytes = this.#incomplete.length === 0 ? chunk : Buffer.concat([this.#incomplete, chunk])
     const events: StreamEvent[] = []
-    let start = 0
-    for (let end = eventEnd(bytes, start); end >= 0; end = eventEnd(bytes, start)) {
-      const event = bytes.subarray(start, end)
-      events.push({ bytes: event, id: eventId(event) })
+    let start = this.#endIncomplete(chunk)
+    if (start < 0) {
+      this.#keep(chunk)
+      return events
+    }
+    if (start > 0) events.push(streamEvent(this.#takeWith(chunk.subarray(0, start))))
+    for (let end = eventEnd(chunk, start); end >= 0; end = eventEnd(chunk, start)) {
+      events.push(streamEvent(chunk.subarray(start, end)))
       start = end
     }
-    // A copy, since a view would keep all of the bytes in memory.
-    this.#incomplete = start === bytes.length ? emptyBuffer : Buffer.from(bytes.subarray(start))
+    this.#keep(chunk.subarray(start))
     return events
   }
+
+  /** Where the incomplete event ends in the next bytes: -1 if it does not, 0 if there is none. */
+  #endIncomplete (chunk: Buffer): number {
+    if (this.atBoundary) return 0
+    // Only the new bytes are searched, so that the work for a long event grows with its length alone.
+    const end = eventEnd(Buffer.concat([this.#tail, chunk]), 0)
+    return end < 0 ? -1 : end - this.#tail.length
+  }
+
+  #takeWith (last: Buffer): Buffer {
+    this.#incomplete.add(last)
+    this.#tail = emptyBuffer
+    return this.#incomplete.take()
+  }
+
+  /** Keeps bytes of an incomplete event. A copy, since a view would keep all of the bytes in memory. */
+  #keep (bytes: Buffer): void {
+    if (bytes.length === 0) return
+    this.#incomplete.add(Buffer.from(bytes))
+    this.#tail = Buffer.concat([this.#tail, bytes.subarray(-tailLength)]).subarray(-tailLength)
+  }
+}
+
+function streamEvent (bytes: Buffer): StreamEvent {
+  return { bytes, id: eventId(bytes) }
 }
 
 /** Index after the empty line that ends the event at `start`, or -1 if the event is incomplete. */
--- a/packages/forward/test/events.test.ts
+++ b/packages/forward/test/events.test.ts
@@ -14,6 +14,21 @@
   }
 })
 
+/** Each piece used to copy and search all bytes before it: 8 MiB in pieces of 100 bytes occupied the process for minutes. */
+test('the work for an event that does not end grows with its length alone', t => {
+  const splitter = new EventSplitter()
+  const piece = Buffer.from(`data: ${'a'.repeat(93)}\n`)
+  const startedAt = performance.now()
+  while (splitter.pendingBytes < 8 * 2 ** 20) {
+    splitter.push(piece)
+    if (performance.now() - startedAt > 10_000) return t.fail(`${splitter.pendingBytes} bytes in 10 s`)
+  }
+  const [event, next] = splitter.push(Buffer.from('\nid: 7\n\n'))
+  t.is(event.bytes.length, Math.ceil(8 * 2 ** 20 / piece.length) * piece.length + 1)
+  t.is(next.id, 7)
+  t.true(splitter.atBoundary)
+})
+
 test('an incomplete event is not returned', t => {
   const splitter = new EventSplitter()
   t.is(splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\ndata:')).length, 1)
--- a/packages/wire/src/ask.ts
+++ b/packages/wire/src/ask.ts
@@ -31,13 +31,15 @@
   readonly fresh?: boolean
   /** Cancels the call when it is aborted. The connection is then closed. */
   readonly signal?: AbortSignal
+  /** Maximum length of the answer's body, in bytes. Default: that of `Collector`. */
+  readonly maxBytes?: number
 }
 
 /**
  * Sends a call and resolves to the complete answer, whatever its status. Rejects with `CallError` if the call fails or
  * no complete answer arrives within `timeout` ms. The connection is then closed.
  */
-export function ask (connections: Pick<Connections, 'send'>, clock: Clock, call: Call, timeout: number, { fresh = false, signal }: AskOptions = {}): Promise<Collected> {
+export function ask (connections: Pick<Connections, 'send'>, clock: Clock, call: Call, timeout: number, { fresh = false, signal, maxBytes }: AskOptions = {}): Promise<Collected> {
   return new Promise((resolve, reject) => {
     let expired = false
     const stop = (): void => cancel(new Error('The call was cancelled.'))
@@ -46,6 +48,7 @@
       signal?.removeEventListener('abort', stop)
     }
     const collector = new Collector({
+      maxBytes,
       whole: answer => {
         finish()
         resolve(answer)
--- a/packages/wire/src/call.ts
+++ b/packages/wire/src/call.ts
@@ -51,6 +51,9 @@
 /** The error code that the client library uses when a connection cannot be established in time. */
 export const connectTimeoutCode = 'UND_ERR_CONNECT_TIMEOUT'
 
+/** Lower statuses are informational: an answer follows. */
+const leastFinalStatus = 200
+
 /**
  * Cancels a call. The receiver's `fail` is called at once, unless the call has ended. A call that still waits for a
  * connection fails as not sent, and it is not sent afterwards.
@@ -78,7 +81,7 @@
       receiver.begun()
     },
     onResponseStart (controller, status, headers) {
-      if (!ended) receiver.head(status, headers, controller)
+      if (!ended && status >= leastFinalStatus) receiver.head(status, headers, controller)
     },
     onResponseData (_controller, chunk) {
       if (!ended) receiver.data(chunk)
--- a/packages/wire/src/connections.ts
+++ b/packages/wire/src/connections.ts
@@ -5,6 +5,7 @@
  */
 import { connect, type Socket } from 'node:net'
 import { Client } from 'undici'
+import { Overhead } from './overhead.js'
 import { Receiver, connectTimeoutCode, send, type AnswerHeaders, type Call, type CallFailure, type Cancel, type Flow } from './call.js'
 
 /** Options of a set of connections. Times are in ms. */
@@ -33,6 +34,8 @@
   readonly client: Client
   /** Undefined until it is established. */
   socket: Socket | undefined
+  /** The count of the bytes around bodies, from the same time on. */
+  overhead: Overhead | undefined
   /** Whether this side has closed it or must not use it again. */
   closed: boolean
   /** How the other side ended it, or undefined while it has not. */
@@ -111,6 +114,7 @@
           timeout: this.#connectTime,
           opened: socket => {
             connection.socket = socket
+            connection.overhead = new Overhead(socket)
             done(null, watchEnding(socket, connection))
           },
           failed: error => done(error, null)
@@ -122,7 +126,7 @@
       keepAliveTimeout: this.#idleTime,
       keepAliveTimeoutThreshold: keepAliveMargin
     })
-    const connection: Connection = { client, socket: undefined, closed: false, ending: undefined, wasPaused: false }
+    const connection: Connection = { client, socket: undefined, overhead: undefined, closed: false, ending: undefined, wasPaused: false }
     this.#open.add(connection)
     client.on('disconnect', () => this.#close(connection))
     return connection
@@ -176,6 +180,7 @@
   }
 
   override begun (): void {
+    this.#connection.overhead?.begin()
     this.#receiver.begun()
   }
 
@@ -192,6 +197,7 @@
   }
 
   data (chunk: Buffer): void {
+    this.#connection.overhead?.addBody(chunk.length)
     this.#receiver.data(chunk)
   }
 
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -10,6 +10,7 @@
 export { readBody } from './body.js'
 export { Receiver, send, type AnswerHeaders, type CallFailure, type Call, type Cancel, type Flow } from './call.js'
 export { Relay, endToEndHeaders, type RelayOptions } from './relay.js'
+export { Bytes } from './bytes.js'
 export { Collector, type Collected, type CollectorOptions } from './collector.js'
 export { Connections, type ConnectionsOptions } from './connections.js'
 export { parseJson } from './json.js'
