--- a/packages/forward/test/moves.test.ts
+++ b/packages/forward/test/moves.test.ts
@@ -88,6 +88,32 @@
   t.is(stream.outcome, 'answered 200')
 })
 
+// Guards against streams that end because the room that they were to move to was taken meanwhile.
+test('a stream that finds no room at another upstream goes on at its first one, during the search and after it', async t => {
+  for (const isDuringSearch of [true, false]) {
+    const stream = new ScriptedStream({ upstreams: 2 })
+    await settle()
+    stream.call('u0').head().events(1, 2)
+    const moved = stream.stall('u0')
+    stream.upstreams = 1
+    await moved
+    t.false(stream.calls.has('u1'))
+    if (!isDuringSearch) {
+      stream.clock.advance(900)
+      await settle()
+      t.is(stream.outcome, undefined)
+    }
+    stream.call('u0').events(3, 3)
+    stream.upstreams = 2
+    await settle()
+    stream.call('u0').events(4, 4).end()
+    await stream.served
+    t.deepEqual(stream.received, [1, 2, 3, 4])
+    t.is(stream.outcome, 'answered 200')
+    t.false(stream.calls.has('u1'))
+  }
+})
+
 // Guards against streams that end with a silent upstream although they are under way elsewhere.
 test('a stream whose first upstream crashes while it moves goes on alone at the next one', async t => {
   const stream = await movingStream()
