--- a/packages/ctl/test/explain.test.ts
+++ b/packages/ctl/test/explain.test.ts
@@ -84,3 +84,17 @@
   if (order === undefined) throw new Error('not a line')
   t.regex(explain([...lines, order], 'r1').cause, /the planner closed d\.4 at i-1, cutting 7 requests in flight, 980 ms after the last data from it: i-9 missing \(i-9 1 probes unanswered in 612 ms\)/)
 })
+
+// Guards against attempts that the command takes for lost ones, or whose upstreams it does not recognize.
+test('a stream that kept its first attempt while it moved is explained by both attempts', t => {
+  const attempts = 'i-2 cancelled (i-1 went on) after event 5 at 700 ms; i-1 lost (other side closed, went on after a move: the upstream stalled) after event 9 at 900 ms'
+  const both = [
+    '{"time":"2026-12-02T10:00:01.000Z","event":420,"name":"upstream-suspected","node":"entry-2","upstream":"i-1","flights":3}',
+    '{"time":"2026-12-02T10:00:01.100Z","event":420,"name":"upstream-suspected","node":"entry-2","upstream":"i-3","flights":3}',
+    `{"time":"2026-12-02T10:00:01.600Z","event":411,"name":"request-ended","node":"entry-1","request":"r1","outcome":"cut","took":900,"attempts":"${attempts}"}`
+  ].map(readLine).filter(each => each !== undefined)
+  const { story, cause } = explain(both, 'r1')
+  t.deepEqual(story.map(each => each.upstream), ['i-1', undefined])
+  t.true(cause.includes(attempts))
+  t.regex(cause, /i-1 stalled/)
+})
