--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,7 +34,7 @@
 import { RequestLog } from './requestlog.js'
 import { Rooms } from './rooms.js'
 import { Sampling } from './sampling.js'
-import { isServing } from './serving.js'
+import { Serving } from './serving.js'
 import { type GatewayOptions } from './settings.js'
 import { upstreamsCall } from './upstreamcalls.js'
 import { UpstreamSync } from './upstreamsync.js'
@@ -49,6 +49,9 @@
 /** Interval between checks whether all requests have ended, at a stop, in ms. */
 const stopCheckInterval = 50
 
+/** Minimum time for the requests that are still to be read at a stop, in ms, also if the grace period is over. */
+const minClosingTime = 100
+
 /** A gateway: it serves callers, and plans the replicas of the services that it leads. */
 export class Gateway {
   readonly #options: GatewayOptions
@@ -280,8 +283,8 @@
 
   /**
    * Performs a planned stop. It reports "not ready", waits until the balancer has noticed, and finishes the requests in
-   * flight. After `refuseAfter` it refuses new requests. It closes everything once all answers are delivered, or when
-   * the grace period ends.
+   * flight. After `refuseAfter` it refuses new requests. It closes everything once all answers are delivered and
+   * nothing more is to be read, or when the grace period ends.
    */
   async stop (): Promise<void> {
     const { clock, settings } = this.#options
@@ -290,10 +293,10 @@
     this.#leadership.resign()
     await clock.wait(settings.notice)
     while (this.#callers.open + this.#deliveries.waiting > 0 && clock.now() - startedAt < settings.grace) {
-      if (clock.now() - startedAt > settings.refuseAfter) this.#callers.refuse()
+      if (clock.now() - startedAt > settings.refuseAfter) await this.#callers.refuse(clock.now() + stopCheckInterval)
       await clock.wait(stopCheckInterval)
     }
-    this.#callers.close()
+    await this.#callers.close(Math.max(startedAt + settings.grace, clock.now() + minClosingTime))
     this.#rooms?.stop()
     for (const part of [this.#sampling, this.#reconciler, this.#stalls, this.#readiness, this.#evacuationController, this.#pauses, this.#loopDelays, this.#confirmations, this.#upstreamSync, this.#peerServer, this.#peers, this.#health, this.#metrics, this.#options.platform]) part.stop()
     this.#connections.close()
@@ -312,6 +315,7 @@
     const { clock, log, platform, settings: { callers: address, dataCentre, maxConfirmationAge, maxConnectionWait, strictKeys, fair } } = this.#options
     const conditions = this.#conditions
     const rooms = this.#rooms
+    const serving = new Serving({ clock, crashes: this.#crashWatch.crashes, probes: platform.probes, roster: this.#roster, inFlight: this.#inFlight })
     const context: Context = {
       clock,
       log,
@@ -332,7 +336,7 @@
       retryBudget: service => this.#budgets.of(service),
       sendGate: this.#upstreamSync.gate,
       written: request => { request.listAge = this.#upstreamSync.list.recordWrite() },
-      serves: async upstream => await isServing(upstream, { crashes: this.#crashWatch.crashes, probes: platform.probes, roster: this.#roster }),
+      serves: async upstream => await serving.isServing(upstream),
       answered: (upstream, head) => {
         conditions.answered(upstream, head, platform.conditionOf(head.status, head.headers))
         rooms?.answered(upstream, head)
@@ -342,6 +346,7 @@
     return new Callers({
       context,
       board: this.#board,
+      pauses: this.#pauses,
       address,
       maxConfirmationAge,
       strictKeys,
