--- a/packages/emulator/src/engines.ts
+++ b/packages/emulator/src/engines.ts
@@ -177,24 +177,29 @@
 
   /** The answers of the engines to probes. */
   readonly probes: Probes = new EmulatedProbes({
-    isReachable: async address => await this.#answers(address.split(':')[0]),
+    isReachable: async address => await this.probeResult(address.split(':')[0]) === 'answered',
     report: async ({ id }) => {
       const report = this.#reported.get(id) ?? this.#reportOf(this.#node(id))
-      return await this.#answers(id) ? report : undefined
+      return await this.probeResult(id) === 'answered' ? report : undefined
     },
     heartbeatOf: async id => {
       this.observedHeartbeats.add(id)
-      const node = this.#nodes.get(id)
-      if (node === undefined || this.roster.find(id) === undefined) return undefined
-      return node.alive ? ++node.heartbeats : node.heartbeats
+      return this.roster.find(id) === undefined ? undefined : this.heartbeatCount(id)
     }
   })
 
-  async #answers (id: string): Promise<boolean> {
+  /** How a probe of an engine ends. */
+  protected async probeResult (id: string): Promise<'answered' | 'refused' | 'silent'> {
     const node = this.#node(id)
     const reachable = node.alive && node.reachable && !this.unresponsive.has(id)
-    if (!reachable && this.probeTimeout > 0) await new Promise<void>(resolve => { this.clock.after(this.probeTimeout, resolve) })
-    return reachable
+    if (!reachable && this.probeTimeout > 0) await this.clock.wait(this.probeTimeout)
+    return reachable ? 'answered' : 'silent'
+  }
+
+  /** The heartbeat count of a listed engine. By default a live engine has written one since it was read last. */
+  protected heartbeatCount (id: string): number {
+    const node = this.#node(id)
+    return node.alive ? ++node.heartbeats : node.heartbeats
   }
 
   #carryOut (node: Node, order: Order): OrderResult {
--- a/packages/emulator/src/planner.ts
+++ b/packages/emulator/src/planner.ts
@@ -1,5 +1,5 @@
 /** The real planner on emulated engines, and the advance of their clock. */
-import { Reconciler, type Demand, type Placements } from '@eiderwind/forming'
+import { Reconciler, type Demand, type Order, type Placements } from '@eiderwind/forming'
 import { type EmulatedEngines } from './engines.js'
 
 /**
@@ -13,6 +13,8 @@
    * Default: it was never paused.
    */
   readonly resumedAt?: () => number
+  /** Whether the planner's process is paused now. Default: it is not. */
+  readonly isPaused?: () => boolean
   /** Whether no caller has been served yet. */
   readonly beforeTraffic?: () => boolean
   /** Another planner, whose loads this one takes into account. */
@@ -22,6 +24,8 @@
   readonly keepUnlisted?: number
   /** Whether spares load weights before they are needed. */
   readonly warmSpares?: boolean
+  /** Called when an order is being sent, with what speaks against the engines of its replica. */
+  readonly sending?: (order: Order, evidence: string | undefined) => void
 }
 
 /** Time between two heartbeats of an engine to the store, in ms. */
@@ -35,7 +39,7 @@
     orders: engines,
     probes: engines.probes,
     placements,
-    services: () => [engines.service],
+    services: () => options.isPaused?.() === true ? [] : [engines.service],
     leads: options.isActing ?? (() => true),
     contested: () => {},
     suspects: () => options.suspects ?? new Set<string>(),
@@ -50,7 +54,10 @@
     unlistedEnded: () => {},
     decided: () => {},
     surveyed: () => {},
-    sending: () => () => {},
+    sending: (order, evidence) => {
+      options.sending?.(order, evidence)
+      return () => {}
+    },
     failed: error => { throw error }
   })
 }
