--- a/packages/emulator/src/engines.ts
+++ b/packages/emulator/src/engines.ts
@@ -5,7 +5,7 @@
  */
 import { isDeepStrictEqual } from 'node:util'
 import { type ManualClock } from '@eiderwind/clock'
-import { Probes, type EngineReport, type NodeAddress } from '@eiderwind/detect'
+import { Probes, type EngineReport, type NodeAddress, type ProbeResult } from '@eiderwind/detect'
 import { Orders, type Order, type OrderResult } from '@eiderwind/forming'
 import { Outage, Roster, type Membership, type Upstream } from '@eiderwind/roster'
 import { type Engine, type Service } from '@eiderwind/traffic'
@@ -177,7 +177,7 @@
 
   /** The answers of the engines to probes. */
   readonly probes: Probes = new EmulatedProbes({
-    isReachable: async address => await this.probeResult(address.split(':')[0]) === 'answered',
+    probe: async address => await this.probeResult(address.split(':')[0]),
     report: async ({ id }) => {
       const report = this.#reported.get(id) ?? this.#reportOf(this.#node(id))
       return await this.probeResult(id) === 'answered' ? report : undefined
@@ -189,9 +189,10 @@
   })
 
   /** How a probe of an engine ends. */
-  protected async probeResult (id: string): Promise<'answered' | 'refused' | 'silent'> {
+  protected async probeResult (id: string): Promise<ProbeResult> {
     const node = this.#node(id)
-    const reachable = node.alive && node.reachable && !this.unresponsive.has(id)
+    if (!node.alive) return 'refused'
+    const reachable = node.reachable && !this.unresponsive.has(id)
     if (!reachable && this.probeTimeout > 0) await this.clock.wait(this.probeTimeout)
     return reachable ? 'answered' : 'silent'
   }
@@ -342,14 +343,14 @@
 }
 
 class EmulatedProbes extends Probes {
-  readonly #isReachable: Probes['isReachable']
+  readonly #probe: Probes['probe']
   readonly #report: Probes['report']
   readonly #heartbeatOf: Probes['heartbeatOf']
 
-  constructor ({ isReachable, report, heartbeatOf }: Pick<Probes, 'isReachable' | 'report' | 'heartbeatOf'>) {
+  constructor ({ probe, report, heartbeatOf }: Pick<Probes, 'probe' | 'report' | 'heartbeatOf'>) {
     super()
     this.#report = report
-    this.#isReachable = isReachable
+    this.#probe = probe
     this.#heartbeatOf = heartbeatOf
   }
 
@@ -357,8 +358,8 @@
     return this.#report(node)
   }
 
-  isReachable (address: string): Promise<boolean> {
-    return this.#isReachable(address)
+  probe (address: string): Promise<ProbeResult> {
+    return this.#probe(address)
   }
 
   heartbeatOf (node: string): Promise<number | undefined> {
