--- a/packages/emulator/test/silences.test.ts
+++ b/packages/emulator/test/silences.test.ts
@@ -19,11 +19,12 @@
 }
 
 /**
- * Time from a real death until the replica is closed, in ms. A refused connection proves it at once; the end of a head
- * or of a machine is known once its entry is gone, or after a silence that is longer than a sound one.
+ * Time from a real death until the replica is closed, in ms. A refused connection proves it at once; the end of a
+ * member's machine is known after a silence that is longer than a sound one, that of a head once its entry is gone.
  */
 const maxCloseTime = 5000
 const maxRefusedTime = 1500
+const maxSilentTime = 3500
 
 /** Time from a real death until the streams that may go on elsewhere leave, in ms. */
 const maxStreamTime = 1000
@@ -32,7 +33,7 @@
   for (const how of ['process', 'machine'] as const) {
     // Guards against this failure: a planner that waits for proof leaves a replica with a dead engine as it is.
     test.serial(`a replica whose ${part} really dies is closed, and its streams go on elsewhere (${how})`, async t => {
-      const bound = part === 'member' && how === 'process' ? maxRefusedTime : maxCloseTime
+      const bound = part === 'head' ? maxCloseTime : how === 'process' ? maxRefusedTime : maxSilentTime
       for (let seed = 1; seed <= 6; seed++) {
         for (const { closed, streams } of await playDeath(seed, part, how)) {
           t.true(closed !== undefined && closed <= bound, `seed ${seed}: closed after ${closed} ms`)
