Let a draining replica, and one that is retired, complete its requests

Callers lost streams at replicas that left as announced: the head was told to finish its requests and, 8 to 130 ms later, to cut them. Cause: nextForIncomplete chose between finish and cut only while the head was open; as soon as it reported that it closes, it got the order to cut. A replica that gives its engines to a model without any was cut at once. Change: while all missing members leave as announced, a closing replica gets no order; a retired one is always closed with finish. Why it works: cut is ordered only if an engine that is missing is lost.

--- a/packages/forming/src/lifecycle.ts
+++ b/packages/forming/src/lifecycle.ts
@@ -81,7 +81,11 @@
   const dissolved = `${missing.join(' ')} missing`
   if (snapshot.facts.dead.has(id)) return { dissolved }
   const state = snapshot.headState(replica)
-  if (missing.every(each => snapshot.isLeaving(each)) && state === 'open') return { orders: [closeOrder(replica, 'finish', dissolved)] }
+  if (missing.every(each => snapshot.isLeaving(each))) {
+    if (state === 'open') return { orders: [closeOrder(replica, 'finish', dissolved)] }
+    // Its requests in flight are completed.
+    if (state === 'closing') return {}
+  }
   const silent = missing.every(each => snapshot.facts.lost.has(each)) ? missing : undefined
   const close = { ...closeOrder(replica, 'cut', dissolved), silent }
   if (state === 'open') return { orders: [close] }
@@ -101,16 +105,10 @@
   return history.hasLeft(replica.members[0].id, replica.name) ? { dissolved } : { orders: [leaveOrder(replica)] }
 }
 
-/**
- * Closes, then dissolves a replica that gives its engines to another model. If some model has no replica, requests in
- * flight are cut.
- */
+/** Closes, then dissolves a replica that gives its engines to another model. Its requests in flight are completed. */
 function nextForRetiring (replica: PlannedReplica, draft: PlacementDraft, history: OrderHistory): ReplicaStep {
   const state = draft.snapshot.headState(replica)
-  if (state === 'open') {
-    const urgent = draft.lacking.some(({ name }) => draft.snapshot.intact(name) === 0)
-    return { orders: [closeOrder(replica, urgent ? 'cut' : 'finish', 'retired')] }
-  }
+  if (state === 'open') return { orders: [closeOrder(replica, 'finish', 'retired')] }
   if (state === 'closing') return {}
   if (history.mayServe(replica.members[0].id, replica.name)) return { orders: [closeOrder(replica, 'finish', 'retired')] }
   return state === 'ready' ? dissolveOnceLeft(replica, 'retired', history) : { dissolved: 'retired' }
