--- a/packages/detect/src/liveness.ts
+++ b/packages/detect/src/liveness.ts
@@ -97,6 +97,8 @@
   readonly #heartbeats = new Map<string, HeartbeatReading>()
   readonly #probedAt = new Map<string, number>()
   readonly #silences = new Silences()
+  /** Since when heads have been suspected by most gateways without a break, on `Clock.now`. */
+  readonly #suspectedSince = new Map<string, number>()
 
   constructor (options: LivenessOptions) {
     this.#options = options
@@ -129,6 +131,7 @@
   check (replicas: readonly ReplicaNodes[]): void {
     const suspects = this.#options.suspects()
     for (const id of this.#deadUnlisted) if (this.#options.roster.find(id) !== undefined) this.#deadUnlisted.delete(id)
+    this.#recordSuspicions(suspects)
     this.#probeDoubtful(replicas, suspects)
     this.#checkLost(replicas, suspects)
     for (const { members: [{ id }] } of replicas) this.#checkHead(id, suspects)
@@ -223,22 +226,30 @@
     if (!this.#unreachable.has(id) || needsSecondRefusal) this.#probedAt.delete(id)
   }
 
-  /** Finds the engines that are proven to be lost. */
+  #recordSuspicions (suspects: ReadonlySet<string>): void {
+    for (const id of this.#suspectedSince.keys()) if (!suspects.has(id)) this.#suspectedSince.delete(id)
+    for (const id of suspects) if (!this.#suspectedSince.has(id)) this.#suspectedSince.set(id, this.#options.clock.now())
+  }
+
+  /** Finds the members that are proven to be lost, and those of which a head shows otherwise because it sends again. */
   #checkLost (replicas: readonly ReplicaNodes[], suspects: ReadonlySet<string>): void {
     for (const { members } of replicas) {
       const head = members[0].id
-      for (const { id } of members) if (this.#isLost(id, head, suspects)) this.#lost.add(id)
+      for (const { id } of members) {
+        if (this.#isLost(id, head, suspects)) this.#lost.add(id)
+        else this.#lost.delete(id)
+      }
     }
   }
 
   /**
-   * An engine that answers its head may be silent to this gateway for any time, so its silence counts only while the
-   * head sends nothing to most gateways. A head that refuses connections because it has too many still sends to those
+   * An engine that answers its head may be silent to this gateway for any time, so its silence counts only if the head
+   * has sent nothing to most gateways for as long. A head that refuses connections because it has too many still sends to those
    * that it has.
    */
   #isLost (id: string, head: string, suspects: ReadonlySet<string>): boolean {
     if (this.#silences.hasRefused(id) && (id !== head || suspects.has(head))) return true
-    return this.#silences.isLong(id) && suspects.has(head)
+    return this.#silences.isLong(id) && this.#silences.isTooLong(this.#options.clock.now() - (this.#suspectedSince.get(head) ?? Infinity))
   }
 
   #checkHead (head: string, suspects: ReadonlySet<string>): void {
--- a/packages/detect/src/silences.ts
+++ b/packages/detect/src/silences.ts
@@ -70,7 +70,12 @@
   /** Whether an engine has been silent for longer than a sound process may be. */
   isLong (id: string): boolean {
     const silence = this.#silences.get(id)
-    return silence !== undefined && silence.until - silence.since > maxSoundSilence
+    return silence !== undefined && this.isTooLong(silence.until - silence.since)
+  }
+
+  /** Whether a sound process may not be silent for this time, in ms. */
+  isTooLong (time: number): boolean {
+    return time > maxSoundSilence
   }
 
   /** Whether no process listens at an engine's address. */
--- a/packages/detect/src/unlisted.ts
+++ b/packages/detect/src/unlisted.ts
@@ -23,8 +23,8 @@
   readonly retentionTime: number
   /** When this process last resumed after a pause of its own, on `Clock.now`. */
   readonly resumedAt: () => number
-  /** Whether an engine was found unreachable. */
-  readonly isUnreachable: (id: string) => boolean
+  /** Whether an engine certainly cannot go on. */
+  readonly isLost: (id: string) => boolean
   /** Called with an engine that is no longer retained because it left `missed` consecutive probes unanswered. */
   readonly silent: (id: string, missed: number) => void
   /** Called after a report or a missed probe has changed what is known about an engine. */
@@ -137,22 +137,22 @@
   }
 
   #retain ({ upstream, at }: Departure): void {
-    const { clock, retentionTime, roster, isUnreachable, retained } = this.#options
+    const { clock, retentionTime, roster, isLost, retained } = this.#options
     const { id } = upstream
     if (this.#engines.has(id) || this.#endedDepartures.get(id) === at) return
-    if (upstream.domain === undefined || upstream.leaving || clock.now() - at >= retentionTime || isUnreachable(id) || roster.hasEnded(id)) return
+    if (upstream.domain === undefined || upstream.leaving || clock.now() - at >= retentionTime || isLost(id) || roster.hasEnded(id)) return
     this.#engines.set(id, { upstream, at, probedAt: -Infinity, isExpired: false, hasAnswered: false, missed: 0, hints: 0, left: undefined })
     retained(upstream)
   }
 
   #drop (): void {
-    const { clock, retentionTime, roster, isUnreachable } = this.#options
+    const { clock, retentionTime, roster, isLost } = this.#options
     const listed = this.#engines.size === 0 ? new Set() : new Set(roster.upstreams.map(each => each.address))
     for (const engine of [...this.#engines.values()]) {
       const { id, address } = engine.upstream
       if (roster.find(id) !== undefined) this.#end(engine, 'listed')
       // If its address is listed for another upstream, answers from there would be taken for its own.
-      else if (isUnreachable(id) || listed.has(address)) this.#end(engine, 'silent')
+      else if (isLost(id) || listed.has(address)) this.#end(engine, 'silent')
       else if (roster.hasEnded(id) || !roster.isKnown(id)) this.#end(engine, 'expired')
       else if (!engine.isExpired && clock.now() - engine.at >= retentionTime) this.#expire(engine)
     }
@@ -222,8 +222,7 @@
     const sentAt = clock.now()
     const result = await probes.probe(address)
     if (this.#engines.get(id) !== engine || (result === 'silent' && resumedAt() >= sentAt)) return
-    // Another process that answers at its address shows as much as none.
-    this.#silences.record(id, result === 'silent' ? 'silent' : 'refused', { sentAt, endedAt: clock.now(), resumedAt: resumedAt() })
+    this.#silences.record(id, result, { sentAt, endedAt: clock.now(), resumedAt: resumedAt() })
     if (this.#silences.hasRefused(id) || this.#silences.isLong(id)) {
       this.#end(engine, 'silent')
       changed()
--- a/packages/detect/test/unlisted.test.ts
+++ b/packages/detect/test/unlisted.test.ts
@@ -38,7 +38,7 @@
   readonly probes = new StubProbes()
   readonly ends: UnlistedEnd[] = []
   readonly silent: string[] = []
-  readonly unreachable = new Set<string>()
+  readonly lost = new Set<string>()
   resumedAt = -Infinity
   readonly unlisted: Unlisted
 
@@ -50,7 +50,7 @@
       probes,
       retentionTime,
       resumedAt: () => this.resumedAt,
-      isUnreachable: id => this.unreachable.has(id),
+      isLost: id => this.lost.has(id),
       silent: (id, missed) => this.silent.push(`${id} ${missed}`),
       changed: () => {},
       retained: () => {},
@@ -142,12 +142,12 @@
   t.true(fixture.unlisted.has('a'))
 })
 
-test('an engine that is unreachable, was leaving or has begun a later incarnation is not retained', async t => {
-  const unreachable = new Fixture()
-  unreachable.unreachable.add('a')
-  unreachable.lapse()
-  await unreachable.advance(100)
-  t.false(unreachable.unlisted.has('a'))
+test('an engine that is lost, was leaving or has begun a later incarnation is not retained', async t => {
+  const lost = new Fixture()
+  lost.lost.add('a')
+  lost.lapse()
+  await lost.advance(100)
+  t.false(lost.unlisted.has('a'))
   const leaving = new Fixture()
   leaving.roster.apply([{ upstream: { ...engine, leaving: true } }])
   leaving.lapse()
--- a/packages/dispatch/src/retry.ts
+++ b/packages/dispatch/src/retry.ts
@@ -37,8 +37,8 @@
 }
 
 /**
- * Whether a stream may be closed at an upstream that is suspected of a stall, given that another upstream has room.
- * Without a retry left the stream stays, since a stalled upstream may still continue but a closed stream cannot.
+ * Whether a stream may be sent to another upstream that has room, while its own is suspected of a stall. That costs one
+ * retry and one attempt, so without either the stream waits for its own upstream alone.
  */
 export function mayMove ({ repeatable, hasAttemptsLeft, retriesLeft }: MoveInputs): boolean {
   return repeatable && hasAttemptsLeft && retriesLeft > 0
--- a/packages/forming/src/reconciler.ts
+++ b/packages/forming/src/reconciler.ts
@@ -114,7 +114,7 @@
     this.#unlisted = new Unlisted({
       ...options,
       retentionTime: options.keepUnlisted,
-      isUnreachable: id => this.#liveness.unreachable.has(id),
+      isLost: id => this.#liveness.lost.has(id),
       silent: (id, missed) => this.#liveness.recordSilence(id, missed),
       changed: () => this.#livenessChanged(),
       retained: options.unlisted,
--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -197,6 +197,8 @@
   /** Ends an attempt whose answer may have ended because its upstream did, or stopped serving its replica. */
   #endUnlessCut (): void {
     const { context, upstream } = this.#options
+    // The whole answer has arrived: its upstream sends nothing more.
+    if (this.#inFlight !== undefined) context.inFlight.pause(this.#inFlight)
     context.serves(upstream).then(serves => {
       if (serves) this.#complete()
       else this.#end({ kind: 'lost', why: 'the upstream stopped serving together with an answer without a length', broken: true })
--- a/packages/forward/src/handover.ts
+++ b/packages/forward/src/handover.ts
@@ -3,7 +3,7 @@
  * the silence of an upstream may end, and the next attempt may fail. Whichever of the two sends the next event first
  * goes on, and the other one is cancelled. If one fails, the other one goes on.
  *
- * Owns which of the attempts are alive. Pure; relies on its callers to report what the attempts do.
+ * Owns which of the attempts are under way. Pure; relies on its callers to report what the attempts do.
  */
 import { type AttemptResult } from '@eiderwind/dispatch'
 
@@ -31,21 +31,21 @@
 
 /** The attempts of one stream: the current one, and the one that is kept while the stream moves. */
 export class Handover<Item extends Contender> {
-  readonly #onKeptWon: () => void
+  readonly #onFallback: () => void
   #current: Item | undefined
   #kept: Item | undefined
-  #keptWon = false
+  #isKeptChosen = false
   /** Whether the stream moves although the upstream of the kept attempt works. */
   #isPlanned = false
 
-  /** @param onKeptWon called when the kept attempt goes on, so that no further one is started */
-  constructor (onKeptWon: () => void) {
-    this.#onKeptWon = onKeptWon
+  /** @param onFallback called when the kept attempt goes on, so that no further one is started */
+  constructor (onFallback: () => void) {
+    this.#onFallback = onFallback
   }
 
   /** Whether the kept attempt goes on. `takeKept` is due. */
-  get keptWon (): boolean {
-    return this.#keptWon
+  get isKeptChosen (): boolean {
+    return this.#isKeptChosen
   }
 
   /**
@@ -57,9 +57,13 @@
     if (this.#isPlanned) this.#kept?.hold()
   }
 
-  /** Whether an attempt may be kept while its stream moves. One that is kept already moves no further. */
-  mayMove (item: Item): boolean {
-    return item === this.#current
+  /**
+   * Whether an attempt may be kept while its stream moves. One that is kept already moves no further, and the silence of
+   * the next one is no reason to give up the first.
+   * @param isPlanned whether the stream moves although its upstream works
+   */
+  mayMove (item: Item, isPlanned: boolean): boolean {
+    return item === this.#current && (isPlanned || this.#kept === undefined)
   }
 
   /**
@@ -75,10 +79,10 @@
     earlier?.cancel('the stream moved once more')
   }
 
-  /** Records that an attempt sends its next event to the caller now. */
+  /** Records that an attempt sends the head of its answer or its next event to the caller now. */
   sent (item: Item): void {
     if (item === this.#current) this.#cancelKept(item)
-    else if (item === this.#kept && !this.#isPlanned) this.#letKeptWin(item)
+    else if (item === this.#kept && !this.#isPlanned) this.#continueKept(item)
   }
 
   /**
@@ -87,8 +91,8 @@
    */
   ended (item: Item, isWhole: boolean): boolean {
     if (item === this.#kept) {
-      if (isWhole) this.#letKeptWin(item)
-      if (this.#keptWon) return false
+      if (isWhole) this.#continueKept(item)
+      if (this.#isKeptChosen) return false
       this.#kept = undefined
       return true
     }
@@ -102,26 +106,26 @@
   takeKept (): Item | undefined {
     const item = this.#kept
     this.#kept = undefined
-    this.#keptWon = false
+    this.#isKeptChosen = false
     this.#current = item
     item?.release()
     return item
   }
 
-  /** @param winner the attempt that goes on */
-  #cancelKept (winner: Item): void {
+  /** @param chosen the attempt that goes on */
+  #cancelKept (chosen: Item): void {
     const kept = this.#kept
     if (kept === undefined) return
     // Cleared first: the end of the kept attempt is reported while it is cancelled.
     this.#kept = undefined
-    kept.cancel(`${winner.upstream.id} went on`)
+    kept.cancel(`${chosen.upstream.id} went on`)
   }
 
-  /** @param winner the kept attempt */
-  #letKeptWin (winner: Item): void {
-    if (this.#keptWon) return
-    this.#keptWon = true
-    this.#current?.cancel(`${winner.upstream.id} went on`)
-    this.#onKeptWon()
+  /** @param chosen the kept attempt */
+  #continueKept (chosen: Item): void {
+    if (this.#isKeptChosen) return
+    this.#isKeptChosen = true
+    this.#current?.cancel(`${chosen.upstream.id} went on`)
+    this.#onFallback()
   }
 }
--- a/packages/forward/src/streamattempt.ts
+++ b/packages/forward/src/streamattempt.ts
@@ -22,7 +22,7 @@
 /** Options of a stream attempt. */
 export interface StreamAttemptOptions extends AttemptOptions {
   readonly progress: Progress
-  /** Called when the next event is about to be sent to the caller. */
+  /** Called when the head of the answer or the next event is about to be sent to the caller. */
   readonly onEvent?: (() => void) | undefined
   /** Called when the first event has arrived. */
   readonly onFirst?: (() => void) | undefined
@@ -77,6 +77,8 @@
 
   protected onHead (status: number, headers: AnswerHeaders): void {
     if (this.#progress.started) return
+    // The head belongs to the upstream that goes on.
+    this.#onEvent?.()
     this.#progress.started = true
     const { response } = this.request
     // The answer is sent in chunks also if the upstream's is not, so that it looks broken if this process is killed.
--- a/packages/forward/src/streampath.ts
+++ b/packages/forward/src/streampath.ts
@@ -114,8 +114,9 @@
 
   /** Moves the stream of an attempt, if it may move. The attempt is kept until the next one has sent an event. */
   #move (run: Run, why: string, cause: MoveCause): boolean {
-    if (!this.#handover.mayMove(run) || !this.#shouldMove()) return false
-    this.#handover.keep(run, cause === 'planned')
+    const isPlanned = cause === 'planned'
+    if (!this.#handover.mayMove(run, isPlanned) || !this.#shouldMove()) return false
+    this.#handover.keep(run, isPlanned)
     run.move(why)
     return true
   }
@@ -126,7 +127,7 @@
   }
 
   protected override get isServed (): boolean {
-    return this.#handover.keptWon
+    return this.#handover.isKeptChosen
   }
 
   protected override fallBack (): KeptRun | undefined {
--- a/packages/forward/test/handover.test.ts
+++ b/packages/forward/test/handover.test.ts
@@ -43,18 +43,18 @@
   const { handover, first, second, wins } = movingStream()
   handover.begin(second)
   handover.sent(first)
-  t.deepEqual([first.cancelled, second.cancelled, wins(), handover.keptWon], [undefined, 'first went on', 1, true])
+  t.deepEqual([first.cancelled, second.cancelled, wins(), handover.isKeptChosen], [undefined, 'first went on', 1, true])
   handover.sent(first)
   t.is(wins(), 1)
   t.is(handover.takeKept(), first)
-  t.true(handover.mayMove(first))
+  t.true(handover.mayMove(first, false))
 })
 
 // Guards against a second attempt that is begun although the silence has ended during the search for it.
 test('the kept attempt goes on if it sends an event before the next one has begun', t => {
   const { handover, first, wins } = movingStream()
   handover.sent(first)
-  t.deepEqual([wins(), handover.keptWon], [1, true])
+  t.deepEqual([wins(), handover.isKeptChosen], [1, true])
 })
 
 // Guards against streams that get the events of two upstreams.
@@ -110,9 +110,10 @@
 // Guards against more than two attempts at once.
 test('an attempt that is kept moves no further, and is cancelled if the next one moves', t => {
   const { handover, first, second } = movingStream()
-  t.false(handover.mayMove(first))
+  t.false(handover.mayMove(first, false))
+  t.false(handover.mayMove(second, false), 'its silence is no reason to give up the first')
   handover.begin(second)
-  t.true(handover.mayMove(second))
+  t.true(handover.mayMove(second, true))
   handover.keep(second, false)
   t.is(first.cancelled, 'the stream moved once more')
   t.is(handover.takeKept(), second)
--- a/packages/forward/test/moves.test.ts
+++ b/packages/forward/test/moves.test.ts
@@ -182,14 +182,26 @@
   }
 })
 
-// Guards against three attempts at once.
-test('a stream that moves away from the second silent upstream gives up the first', async t => {
+// Guards against a sound first attempt that is given up because the next upstream is silent too, and against three at once.
+test('a stream whose next upstream is silent too keeps both, and goes on at the first to send', async t => {
   const stream = await movingStream()
   await stream.stall('u1')
-  t.deepEqual(stream.inFlight.counts, { u1: 1, u2: 1 })
-  stream.call('u1').head().events(3, 3).end()
+  t.deepEqual(stream.inFlight.counts, { u0: 1, u1: 1 })
+  stream.call('u0').events(3, 3).end()
+  await stream.served
+  t.true(stream.call('u1').isClosed)
+  t.deepEqual(stream.received, [1, 2, 3])
+})
+
+// Guards against the head of one upstream before the events of another one.
+test('an upstream whose head is sent to the caller while the stream moves is the one that goes on', async t => {
+  const stream = new ScriptedStream()
+  await settle()
+  await stream.stall('u0')
+  stream.call('u1').head()
+  t.true(stream.call('u0').isClosed)
+  stream.call('u1').events(1, 3).end()
   await stream.served
-  t.true(stream.call('u2').isClosed)
   t.deepEqual(stream.received, [1, 2, 3])
 })
 
