--- a/review/common/site.mjs
+++ b/review/common/site.mjs
@@ -167,7 +167,11 @@
     console.log(violations.length === 0 ? 'held' : `broken: ${violations[0]}`)
     status = violations.length === 0 ? 0 : 1
   } catch (error) {
-    deployment.note(`could not run: ${error.stack}`)
+    deployment.note(`could not run: ${error.message}`)
+    for (const { id, child, lines } of deployment.gateways) {
+      deployment.note(`${id}: exit code ${child?.exitCode ?? 'none'}`)
+      for (const each of lines.slice(-10)) deployment.note(`log of ${id}: ${each}`)
+    }
     console.log(`could not run: ${error.message}`)
   }
   await deployment.stop()
