--- a/review/5/play.mjs
+++ b/review/5/play.mjs
@@ -1,121 +1,67 @@
 /**
- * Many users come at once, each with a request as long as the configuration permits. The platform ends a process that
- * exceeds its memory, as DEPLOY says, and starts it again. Checks the rule on faults: processes do not end three times on
- * two machines or more.
+ * One of three gateways is cut off from the other two for 12 s, and the workers are cold for 3 s towards the end of it.
+ * Checks the rule FAILBACK: a cold worker gets at most `coldPerS` x `coldOvershoot` + `coldSlack` requests within one second.
  */
-import { randomBytes } from 'node:crypto'
-import { once } from 'node:events'
-import { readFileSync } from 'node:fs'
-import { request } from 'node:http'
 import { fileURLToPath } from 'node:url'
-import { configuration, keys, models } from '../common/config.mjs'
-import { hasTrouble, pause, run, until } from '../common/site.mjs'
+import { configuration } from '../common/config.mjs'
+import { Partition } from '../common/partition.mjs'
+import { bounds, hasTrouble, heartbeatMs, pause, run, until } from '../common/site.mjs'
 import { send, steadily } from '../common/traffic.mjs'
 import { WorkerSite } from '../common/workers.mjs'
 
-/** `limits.memoryMb` of a front machine (DEPLOY, "Settings of a process"). */
-const memoryMb = 350
+/** The bounds of a deployment with cold workers (demands, "Sehati"). */
+const cold = { coldPerS: 32, coldStartS: 3, coldOvershoot: 1.5, coldSlack: 5 }
+const bound = cold.coldPerS * cold.coldOvershoot + cold.coldSlack
 
-/** Users of a burst at one machine, and the rate of each: together the rate of the machine's link, 1,000 Mbit/s. */
-const users = 60
-const bytesPerSecond = 125e6 / users
+const cutTime = 12_000
+/** When the workers become cold, after the beginning of the cut, in ms. */
+const coldAfter = 10_300
 
-const bursts = 3
-const pieceBytes = 64 * 1024
-const restartTime = 300
+/** Time from which requests to a cold worker count here, in ms: its entry has to reach the gateways first. */
+const known = 800
 
-/** The resident memory of a process, in MB; 0 if it has ended. */
-function memoryOf ({ pid }) {
-  try {
-    return Number(/VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? 0) / 1024
-  } catch {
-    return 0
-  }
-}
-
-/** The platform's part: ends a process that exceeds its memory, and starts it again. Returns the function that ends this. */
-function superviseMemory (deployment, gateway) {
-  gateway.most = 0
-  const timer = setInterval(() => {
-    const { child } = gateway
-    if (child.exitCode !== null || child.signalCode !== null || gateway.isEnding) return
-    const memory = memoryOf(child)
-    gateway.most = Math.max(gateway.most, memory)
-    if (memory <= memoryMb) return
-    gateway.isEnding = true
-    gateway.ends++
-    deployment.note(`${gateway.id} holds ${Math.round(memory)} MB, more than ${memoryMb}: the platform ends it, for the ${gateway.ends}. time`)
-    once(child, 'exit').then(async () => {
-      await pause(restartTime)
-      deployment.launch(gateway)
-      gateway.isEnding = false
-    })
-    child.kill('SIGKILL')
-  }, 20)
-  return () => clearInterval(timer)
-}
-
-/** Sends a request with a long body at the rate of one user. Resolves with what came of it. */
-function sendLong ({ callerPort: port }, bytes, model) {
-  return new Promise(resolve => {
-    const headers = { host: 'site.example', 'x-eiderwind-request-id': randomBytes(8).toString('hex'), 'x-eiderwind-deadline-ms': '8000', 'x-eiderwind-credential': keys.one, 'x-eiderwind-model': model, 'content-length': bytes }
-    const outgoing = request({ host: '127.0.0.1', port, path: '/chat/?events=5', method: 'POST', headers }, response => {
-      response.resume()
-      response.on('error', () => resolve('cut'))
-      response.on('end', () => resolve(response.complete ? String(response.statusCode) : 'cut'))
-    })
-    outgoing.on('error', () => resolve('no answer'))
-    const piece = Buffer.alloc(pieceBytes, 'x')
-    let left = bytes
-    const timer = setInterval(() => {
-      const next = piece.subarray(0, Math.min(left, pieceBytes))
-      left -= next.length
-      if (left > 0) return outgoing.write(next)
-      clearInterval(timer)
-      outgoing.end(next)
-    }, pieceBytes / bytesPerSecond * 1000)
-    outgoing.on('close', () => clearInterval(timer))
-  })
-}
-
-function countEach (values) {
-  const counts = new Map()
-  for (const each of values) counts.set(each, (counts.get(each) ?? 0) + 1)
-  return [...counts].map(([value, count]) => `${value}: ${count}`).join(', ')
-}
+const model = { name: 'small', size: 2, load: 2000, warm: 1100 }
 
 await run(fileURLToPath(new URL('.', import.meta.url)), async deployment => {
   const given = configuration()
+  Object.assign(given.services[1], { coldPerS: cold.coldPerS, coldStartS: cold.coldStartS })
+  given.services[1].engine.models = given.services[1].engine.models.filter(each => each.name === model.name)
   await deployment.start(given)
   const site = new WorkerSite(deployment.store)
   deployment.atEnd(() => site.stop())
-  for (let count = 0; count < 8; count++) await site.addEngine(models)
-  for (const id of ['front-1', 'front-2']) await deployment.addGateway({ id })
-  for (const each of deployment.gateways) {
-    await deployment.untilReady(each)
-    // Only its first start is the first one of the whole system.
-    each.fields.bootstrap = false
-    deployment.atEnd(superviseMemory(deployment, each))
+  for (let count = 0; count < 2; count++) await site.addEngine([model])
+  const partition = new Partition()
+  deployment.atEnd(() => partition.stop())
+  for (const id of ['front-1', 'front-2', 'front-3']) {
+    const storeAddressOf = async peerPort => await partition.add(id, peerPort, deployment.store.port)
+    await deployment.addGateway({ id, storeAddressOf, extra: { ...bounds, coldOvershoot: cold.coldOvershoot, coldSlack: cold.coldSlack } })
   }
-  await until(() => site.serving().length >= 2, 'replicas serve')
+  for (const each of deployment.gateways) await deployment.untilReady(each)
+  await until(() => site.serving().length === 1, 'a replica serves')
   await pause(3000)
-  const stop = steadily(200, async () => await Promise.all(deployment.gateways.map(async gateway => await send(deployment, gateway, { path: '/chat/?events=20', headers: { 'x-eiderwind-model': 'small' } }))))
-  const { maxBodyBytes } = given.limits
-  for (let burst = 1; burst <= bursts; burst++) {
-    await pause(2000)
-    deployment.note(`burst ${burst}: ${users} users at each gateway, ${hasTrouble ? 'at once' : 'one after the other'}, ${maxBodyBytes} bytes each`)
-    await Promise.all(deployment.gateways.map(async gateway => {
-      const sends = []
-      for (let index = 0; index < users; index++) {
-        sends.push(sendLong(gateway, maxBodyBytes, models[index % models.length].name))
-        if (!hasTrouble) await pause(120)
-      }
-      deployment.note(`${gateway.id}: ${countEach(await Promise.all(sends))}; most memory so far ${Math.round(gateway.most)} MB`)
-    }))
-    for (const each of deployment.gateways) await deployment.untilReady(each)
+  const { head } = site.serving()[0]
+  deployment.note(`the head is ${head.id}`)
+  const stop = steadily(20, () => Promise.all([0, 2].map(index => send(deployment, deployment.gateways[index], { path: '/chat/?events=3', headers: { 'x-eiderwind-model': model.name } }))))
+  await pause(1000)
+  if (hasTrouble) {
+    partition.isolate('front-3', true)
+    deployment.note('front-3 is cut off from front-1 and front-2')
+  }
+  await pause(coldAfter)
+  const coldAt = performance.now()
+  head.makeCold(cold.coldStartS * 1000)
+  deployment.note(`${head.id} is cold for ${cold.coldStartS} s`)
+  await pause(cutTime - coldAfter)
+  if (hasTrouble) {
+    partition.isolate('front-3', false)
+    deployment.note('the cut has ended')
   }
+  await pause(cold.coldStartS * 1000)
   await stop()
-  const often = deployment.gateways.filter(each => each.ends >= bursts)
-  deployment.note(`ends over the memory limit: ${deployment.gateways.map(each => `${each.id} ${each.ends}`).join(', ')}`)
-  return often.length >= 2 ? often.map(each => `Fault: ${each.id} ended ${each.ends} times over its memory limit`) : []
+  const times = site.arrivals.filter(each => each.worker === head && each.at >= coldAt + known && each.at < coldAt + cold.coldStartS * 1000).map(each => each.at - coldAt)
+  const counts = times.map(begin => ({ begin, count: times.filter(each => each >= begin && each < begin + 1000).length }))
+  const worst = counts.reduce((one, other) => other.count > one.count ? other : one, { begin: 0, count: 0 })
+  deployment.note(`requests that reached ${head.id} in each tenth of a second since it became cold: ${Array.from({ length: 30 }, (_each, index) => site.arrivals.filter(({ worker, at }) => worker === head && Math.floor((at - coldAt) / 100) === index).length).join(' ')}`)
+  deployment.note(`most within one second: ${worst.count}, from ${Math.round(worst.begin)} ms on; the bound is ${bound}; heartbeats of workers come every ${heartbeatMs} ms`)
+  return worst.count > bound ? [`FAILBACK: ${worst.count} requests within one second, bound ${bound}`] : []
 })
