--- a/review/common/site.mjs
+++ b/review/common/site.mjs
@@ -56,6 +56,13 @@
   #begunAt = performance.now()
   #version = 1
   #stops = []
+  /** Every process of a gateway that was started, also those that have ended. */
+  #children = []
+
+  constructor () {
+    // Runs at each end of the script but a SIGKILL: nothing that it started may outlast it.
+    process.on('exit', () => this.#endNow())
+  }
 
   /** Writes a line into the record. */
   note (text) {
@@ -117,6 +124,7 @@
     const { PATH, HOME, LANG } = process.env
     const child = spawn(program, args, { cwd: root, env: { PATH, HOME, LANG, EIDERWIND_BOOT: settings }, stdio: ['ignore', 'pipe', 'pipe'] })
     gateway.child = child
+    this.#children.push(child)
     for (const stream of [child.stdout, child.stderr]) {
       let rest = ''
       stream.setEncoding('utf8').on('data', text => {
@@ -133,6 +141,13 @@
     this.note(`${gateway.id} is ready`)
   }
 
+  #endNow () {
+    for (const child of this.#children) {
+      if (child.exitCode === null && child.signalCode === null) child.kill('SIGKILL')
+    }
+    rmSync(this.#folder, { recursive: true, force: true })
+  }
+
   async stop () {
     for (const stop of this.#stops) await stop()
     for (const { child } of this.gateways) {
@@ -154,12 +169,15 @@
 export async function run (folder, play) {
   const deployment = new Deployment()
   let status = 2
-  const limit = setTimeout(() => {
-    deployment.note('the case took too long')
+  const end = why => {
+    deployment.note(`could not run: ${why}`)
     deployment.save(folder)
-    for (const { child } of deployment.gateways) child?.kill('SIGKILL')
     process.exit(2)
-  }, 115_000)
+  }
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, () => end(`ended by ${signal}`))
+  process.on('uncaughtException', error => end(error.message))
+  process.on('unhandledRejection', error => end(String(error)))
+  const limit = setTimeout(() => end('the case took too long'), 115_000)
   try {
     const violations = await play(deployment)
     for (const each of violations) deployment.note(`VIOLATION ${each}`)
