--- a/review/1/play.mjs
+++ b/review/1/play.mjs
@@ -1,66 +1,78 @@
 /**
- * The machine of a replica's head is cut off from the gateways and from the store for 10 s. The head and the members of
- * its group run on and reach each other. Checks the rule TWO: no member takes a join of another group while the head of its
- * own group is open.
+ * One worker, the head of an open group, is partitioned from the store and from one of four gateways for 5 s. That
+ * gateway plans the groups, and alone has streams at the head. The rule TWO is checked at the workers.
  */
-import { fileURLToPath } from 'node:url'
-import { configuration, models } from '../common/config.mjs'
 import { hasTrouble, heartbeatMs, pause, run, until } from '../common/site.mjs'
-import { send, steadily } from '../common/traffic.mjs'
+import { Links } from '../common/links.mjs'
 import { WorkerSite } from '../common/workers.mjs'
+import { configuration, models } from '../common/config.mjs'
+import { send, steadily } from '../common/traffic.mjs'
 
-/** Heartbeats of silence after which the store removes an entry (PROTOCOL, "Service discovery"). */
-const lapseHeartbeats = 3
-
-/** Length of the cut, in ms. */
-const cutTime = 10_000
+const cutTime = 5000
+const engines = 13
+const lapse = 3 * heartbeatMs
 
-await run(fileURLToPath(new URL('.', import.meta.url)), async deployment => {
-  const { store } = deployment
+await run(import.meta.dirname, async deployment => {
+  const links = new Links()
+  const site = new WorkerSite(deployment.store)
+  deployment.atEnd(() => {
+    site.stop()
+    links.stop()
+  })
   await deployment.start(configuration())
-  const site = new WorkerSite(store, { proxied: true })
-  deployment.atEnd(() => site.stop())
-  for (let count = 0; count < 8; count++) await site.addEngine(models)
-  for (const id of ['front-1', 'front-2']) await deployment.addGateway({ id })
+  for (let index = 0; index < 2; index++) await site.addPlain()
+  for (let index = 0; index < engines; index++) await site.addEngine(models)
+  for (const id of ['gateway-1', 'gateway-2', 'gateway-3', 'gateway-4']) await deployment.addGateway({ id, storeAddressOf: port => links.add(id, port, deployment.store.port) })
   for (const each of deployment.gateways) await deployment.untilReady(each)
-  await until(() => site.serving().length >= 2, 'replicas serve')
+  const large = () => site.serving().filter(({ members }) => members.length === models[0].size)
+  await until(() => large().length >= 2, 'two groups of the large model serve', 40_000)
+  await pause(3000)
+  const planner = deployment.gateways.filter(({ lines }) => lines.some(each => each.includes('planner-acts'))).at(-1)
+  const others = deployment.gateways.filter(each => each !== planner)
+  deployment.note(`${planner.id} plans the groups`)
+  // Notes each violation as it is seen.
+  site.violations.push = text => {
+    deployment.note(`${text}; open heads: ${site.serving().map(each => each.head.id).join(' ')}`)
+    return Array.prototype.push.call(site.violations, text)
+  }
+
+  const stream = (gateway, model) => send(deployment, gateway, { path: '/chat/?events=60', headers: { 'x-eiderwind-model': model, 'x-eiderwind-token-usage': '700,300' } })
+  const stops = [
+    steadily(100, () => stream(planner, 'large')),
+    ...others.map(each => steadily(400, () => stream(each, 'small'))),
+    ...others.map(each => steadily(400, () => send(deployment, each, { path: '/safe/', deadline: 1500 })))
+  ]
   await pause(3000)
-  const groups = site.serving()
-  for (const { head, members } of groups) deployment.note(`group of ${head.id} is open: ${members.join(' ')}`)
+  const { head, members } = large()[0]
+  deployment.note(`${head.id} is the head of an open group: ${members.join(' ')}`)
+  if (hasTrouble) await cutOff(head)
+  else await pause(cutTime)
+  await pause(3000)
+  for (const stop of stops) await stop()
+  for (const each of planner.lines) if (/"(upstream-suspected|replica-decided|engine-order|upstream-departed)"/.test(each)) deployment.note(`log of ${planner.id}: ${each.slice(0, 320)}`)
+  return site.violations
 
-  const stop = steadily(250, async () => {
-    const sends = deployment.gateways.flatMap(gateway => models.map(({ name }) => send(deployment, gateway, { path: '/chat/?events=20', headers: { 'x-eiderwind-model': name } })))
-    await Promise.all(sends)
-  })
-  await pause(2000)
-  const { head, members } = groups[0]
-  if (hasTrouble) {
-    head.writeEntry()
+  /** Partitions a head from the store and from the gateway that plans. It serves all others. */
+  async function cutOff (head) {
+    const isOpen = () => head.openMembers !== undefined
+    // The store takes one more heartbeat, then the partition begins.
+    const write = head.writeEntry.bind(head)
+    await new Promise(resolve => {
+      head.writeEntry = () => {
+        write()
+        head.writeEntry = write
+        resolve()
+      }
+    })
     head.stopWrites()
-    head.proxy.set({ kind: 'silent' })
-    deployment.note(`${head.id} is cut off from the gateways and the store; its group: ${members.join(' ')}`)
-    const lapse = setTimeout(() => {
-      store.remove('servers', head.id)
-      deployment.note(`the store removes the entry of ${head.id}`)
-    }, lapseHeartbeats * heartbeatMs)
-    deployment.atEnd(() => clearTimeout(lapse))
-  }
-  const violations = []
-  for (const end = Date.now() + cutTime; Date.now() < end; await pause(20)) {
-    for (const each of site.violations.splice(0)) {
-      deployment.note(`${each} (${head.id} reports: open, ${head.openMembers?.join(' ') ?? 'not open'})`)
-      violations.push(each)
-    }
-  }
-  if (hasTrouble) {
-    head.proxy.set({ kind: 'pass' })
+    await links.cutWorker(planner.id, head.address, true)
+    deployment.note(`${head.id} is cut off from the store and from ${planner.id}; its group is open: ${isOpen()}`)
+    await pause(lapse)
+    deployment.store.remove('servers', head.id)
+    deployment.note(`the store drops the entry of ${head.id} after three heartbeats of silence; its group is open: ${isOpen()}`)
+    await pause(cutTime - lapse)
+    await links.cutWorker(planner.id, head.address, false)
     head.resumeWrites()
-    deployment.note(`${head.id} is reached again`)
-  }
-  await pause(2000)
-  await stop()
-  for (const { id, lines } of deployment.gateways) {
-    for (const line of lines) if (/"(replica-decided|engine-order|planner-acts)"/.test(line)) deployment.note(`log of ${id}: ${line}`)
+    deployment.note(`the partition of ${head.id} ends`)
   }
-  return [...violations, ...site.violations].filter(each => each.startsWith('TWO'))
 })
