--- a/review/1/play.mjs
+++ b/review/1/play.mjs
@@ -48,7 +48,7 @@
   if (hasTrouble) await cutOff(head)
   else await pause(cutTime)
   await pause(3000)
-  for (const stop of stops) await stop()
+  await Promise.all(stops.map(stop => stop()))
   for (const each of planner.lines) if (/"(upstream-suspected|replica-decided|engine-order|upstream-departed)"/.test(each)) deployment.note(`log of ${planner.id}: ${each.slice(0, 320)}`)
   return site.violations
 
