Review, case 5: a gateway back from a cut keeps a worker that has gone

In a fleet of seven the two gateways that read the list lose the store for 8 s, then the two that read it instead. Each time a worker's entry goes.

--- a/review/5/play.mjs
+++ b/review/5/play.mjs
@@ -1,85 +1,138 @@
 /**
- * The operator moves a route that is not a streaming one to the model service for a while. The heads answer its requests
- * with a whole body. Checks the rule LOST: a request that was passed on to a sound worker is answered, around a change of
- * the configuration too.
+ * Two of seven gateways lose the store, those that read the list of workers for all; soon after they are back, the two
+ * that read it then. Each time a worker of a plain service leaves without saying so. The rule DRAIN is checked at the
+ * workers, for gateways that are in touch.
  */
-import { Agent } from 'node:http'
-import { fileURLToPath } from 'node:url'
-import { EngineWorker } from '../../platform/dist/test/standins/worker.js'
-import { configuration, models } from '../common/config.mjs'
-import { hasTrouble, heartbeatMs, pause, run, until } from '../common/site.mjs'
-import { send } from '../common/traffic.mjs'
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { connect } from 'node:net'
+import { join } from 'node:path'
+import { hasTrouble, pause, run } from '../common/site.mjs'
 import { WorkerSite } from '../common/workers.mjs'
+import { configuration, keys } from '../common/config.mjs'
+import { call } from '../../platform/dist/test/standins/client.js'
+import { freePorts } from '../../platform/dist/test/standins/ports.js'
+import { entryHeader } from '../../platform/dist/test/standins/worker.js'
 
-/** Requests that may be closed without an answer (RULES, LOST). */
-const allowed = 3
-/** How much more often requests are cut around a change than at other times, for the change to count. */
-const ratio = 3
-/** Time after its acknowledgement for which a configuration counts, in ms: `configApplyMs` and 1 s. */
-const changeTime = 3000
-/** How long requests are sent before the first change, between both, and after the second, in ms. */
-const times = [4000, 2800, 6000]
+const contactMs = 3000
+const drainMs = 2000
+const cutTime = 8000
+/** Time between the end of one cut and the next one, in ms. */
+const gap = 1100
+const rounds = 5
+const gateways = 7
+const workers = 6
+const callersEach = 4
+/** How long a worker works on a request, in ms. */
+const workTime = 40
+/** Connections that fill the queue of a stopped path. */
+const fillers = 40
 
-/** An engine that answers requests of the plain routes with a whole body that has a length. */
-class AnsweringEngine extends EngineWorker {
-  async serve (request, response, body) {
-    if (!request.url.startsWith('/once/')) return await super.serve(request, response, body)
-    if (this.openMembers === undefined) return this.refuse(response)
-    this.recordRun(request, body)
-    await pause(30)
-    const answer = JSON.stringify({ answer: `to ${request.headers['x-eiderwind-request-id']}` })
-    response.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(answer) })
-    response.end(answer)
+const program = join(import.meta.dirname, 'storepath.mjs')
+
+/** The path of a gateway to the store. */
+class StorePath {
+  #fillers = []
+  /** The spans in which it was cut, on `performance.now`. */
+  spans = []
+
+  async start (storePort) {
+    [this.port] = await freePorts(1)
+    this.child = spawn(process.execPath, [program, this.port, storePort].map(String), { stdio: ['ignore', 'pipe', 'inherit'] })
+    process.on('exit', () => this.stop())
+    await once(this.child.stdout, 'data')
+    return `127.0.0.1:${this.port}`
+  }
+
+  cut () {
+    this.child.kill('SIGSTOP')
+    this.spans.push({ from: performance.now(), to: Infinity })
+    this.#fillers = Array.from({ length: fillers }, () => connect(this.port, '127.0.0.1').on('error', () => {}))
+  }
+
+  heal () {
+    for (const each of this.#fillers) each.destroy()
+    this.child.kill('SIGCONT')
+    this.spans.at(-1).to = performance.now()
+  }
+
+  /** Whether the gateway had its path for the last `contactMs` ms. */
+  isInTouch (at) {
+    return !this.spans.some(({ from, to }) => at >= from && at < to + contactMs)
+  }
+
+  stop () {
+    this.child.kill('SIGKILL')
   }
 }
 
-await run(fileURLToPath(new URL('.', import.meta.url)), async deployment => {
-  const given = configuration()
-  const route = given.routes.find(each => each.name === 'once')
-  await deployment.start(given)
+await run(import.meta.dirname, async deployment => {
   const site = new WorkerSite(deployment.store)
-  deployment.atEnd(() => site.stop())
-  for (let count = 0; count < 8; count++) await new AnsweringEngine(site, 'chat', 'zone-1', models).start(heartbeatMs)
-  for (let count = 0; count < 3; count++) await site.addPlain()
-  for (const id of ['front-1', 'front-2']) await deployment.addGateway({ id })
+  const paths = new Map()
+  deployment.atEnd(() => {
+    site.stop()
+    for (const each of paths.values()) each.stop()
+  })
+  await deployment.start(configuration())
+  const addWorker = async () => {
+    const worker = await site.addPlain()
+    const serve = worker.serve.bind(worker)
+    worker.serve = async (...args) => {
+      await pause(workTime)
+      await serve(...args)
+    }
+  }
+  for (let index = 0; index < workers; index++) await addWorker()
+  for (let index = 1; index <= gateways; index++) {
+    const path = new StorePath()
+    paths.set(`gateway-${index}`, path)
+    await deployment.addGateway({ id: `gateway-${index}`, storeAddressOf: async () => await path.start(deployment.store.port) })
+  }
   for (const each of deployment.gateways) await deployment.untilReady(each)
-  await until(() => site.serving().length >= 2, 'replicas serve')
-  await pause(3000)
+  await pause(4000)
 
-  const changedAt = []
-  const outcomes = []
+  const lastUse = ({ lines }) => lines.filter(each => each.includes('"store-use"')).at(-1) ?? ''
+  const readers = () => deployment.gateways.filter(each => lastUse(each).includes('for others'))
   const over = new AbortController()
-  const callers = deployment.gateways.map(async gateway => {
-    // Each caller keeps its connection for its next request.
-    const agent = new Agent({ keepAlive: true, maxSockets: 1 })
+  const callers = deployment.gateways.flatMap(gateway => Array.from({ length: callersEach }, () => gateway)).map(async ({ id, callerPort: port }) => {
     while (!over.signal.aborted) {
-      const at = performance.now()
-      const { id, status, whole } = await send(deployment, gateway, { path: '/once/', deadline: 1500, agent, headers: { 'x-eiderwind-model': 'small' } })
-      const ran = site.runs.filter(each => each.id === id).map(each => `${each.worker} of ${each.incarnation.service}`)
-      if (ran.length > 0) deployment.note(`${id} ran at ${ran.join(', ')}`)
-      outcomes.push({ id, at, status, isLost: ran.length > 0 && !whole, ran: ran.join(', ') })
-      await pause(100)
+      await call({ port, path: '/safe/', key: keys.one, body: 'a request', deadline: 1500, headers: { [entryHeader]: id } })
+      await pause(50)
     }
-    agent.destroy()
   })
-  for (const [index, service] of ['chat', 'plain'].entries()) {
-    await pause(times[index])
-    if (!hasTrouble) continue
-    route.service = service
-    deployment.configure(given)
-    changedAt.push(performance.now())
-    deployment.note(`the route \`once\` belongs to the service \`${service}\` now`)
+  const departures = []
+  for (let round = 0; round < rounds; round++) {
+    const chosen = readers().slice(0, 2)
+    if (hasTrouble) {
+      for (const { id } of chosen) paths.get(id).cut()
+      deployment.note(`${chosen.map(each => each.id).join(' and ')}, which read the list for all, are cut off from the store`)
+    }
+    await pause(50)
+    const worker = [...site.workers.values()].find(each => departures.every(({ worker }) => worker !== each))
+    worker.loseEntry()
+    departures.push({ worker, at: performance.now() })
+    deployment.note(`the entry of ${worker.id} goes; it serves on`)
+    await pause(cutTime / 2)
+    worker.kill(0)
+    await addWorker()
+    await pause(cutTime / 2 - 50)
+    if (hasTrouble) for (const { id } of chosen) paths.get(id).heal()
+    deployment.note('the path to the store is whole again')
+    await pause(gap)
   }
-  await pause(times[2])
   over.abort()
   await Promise.all(callers)
-
-  const isAroundChange = ({ at }) => changedAt.some(each => at >= each && at < each + changeTime)
-  const share = list => list.length === 0 ? 0 : list.filter(each => each.isLost).length / list.length
-  const around = outcomes.filter(isAroundChange)
-  const others = outcomes.filter(each => !isAroundChange(each))
-  deployment.note(`around the changes ${around.filter(each => each.isLost).length} of ${around.length} requests ran and got no whole answer, at other times ${others.filter(each => each.isLost).length} of ${others.length}`)
-  const lost = around.filter(each => each.isLost)
-  if (lost.length <= allowed || share(around) <= ratio * share(others)) return []
-  return lost.map(({ id, status, ran }) => `LOST: ${id} ran at ${ran}; its caller got status ${status} and no whole answer`)
+  const violations = []
+  for (const { worker, at } of departures) {
+    for (const arrival of site.arrivals) {
+      if (arrival.worker !== worker || arrival.at - at <= drainMs) continue
+      const late = `${Math.round(arrival.at - at)} ms after its entry went`
+      const inTouch = paths.get(arrival.entry).isInTouch(arrival.at)
+      deployment.note(`${arrival.id} from ${arrival.entry}, ${inTouch ? 'in touch' : 'not in touch'}, reached ${worker.id} ${late}`)
+      if (inTouch) violations.push(`DRAIN: ${arrival.id} from ${arrival.entry} reached ${worker.id} ${late}, bound ${drainMs} ms`)
+    }
+  }
+  deployment.note(`${site.arrivals.length} requests reached workers`)
+  for (const { id, lines } of deployment.gateways) for (const each of lines) if (/"(store-lost|store-back|store-use|upstream-retained|upstream-departed)"/.test(each)) deployment.note(`log of ${id}: ${each.slice(0, 260)}`)
+  return violations
 })
