Review: no process outlasts a script that is killed

Tried by ending running scripts: after SIGKILL of case 5, 14 of its processes ran on. A guard now ends them and removes the folder. Cases 3 and 5, each ended by SIGKILL and by SIGTERM: none left.

--- a/review/5/play.mjs
+++ b/review/5/play.mjs
@@ -7,7 +7,7 @@
 import { once } from 'node:events'
 import { connect } from 'node:net'
 import { join } from 'node:path'
-import { hasTrouble, pause, run } from '../common/site.mjs'
+import { guarded, hasTrouble, pause, run } from '../common/site.mjs'
 import { WorkerSite } from '../common/workers.mjs'
 import { configuration, keys } from '../common/config.mjs'
 import { call } from '../../platform/dist/test/standins/client.js'
@@ -38,7 +38,7 @@
 
   async start (storePort) {
     [this.port] = await freePorts(1)
-    this.child = spawn(process.execPath, [program, this.port, storePort].map(String), { stdio: ['ignore', 'pipe', 'inherit'] })
+    this.child = guarded(spawn(process.execPath, [program, this.port, storePort].map(String), { stdio: ['ignore', 'pipe', 'inherit'] }))
     process.on('exit', () => this.stop())
     await once(this.child.stdout, 'data')
     return `127.0.0.1:${this.port}`
--- a/review/common/site.mjs
+++ b/review/common/site.mjs
@@ -47,6 +47,18 @@
   })
 }
 
+const guard = spawn(process.execPath, [fileURLToPath(new URL('guard.mjs', import.meta.url))], { stdio: ['pipe', 'ignore', 'ignore'] })
+guard.stdin.on('error', () => {})
+guard.unref()
+guard.stdin.unref()
+
+/** Has a process end with this one, however this one ends. */
+export function guarded (child) {
+  guard.stdin.write(`+${child.pid}\n`)
+  child.once('exit', () => guard.stdin.write(`-${child.pid}\n`))
+  return child
+}
+
 /** The deployment of one case. */
 export class Deployment {
   store = new StoreStandIn()
@@ -60,7 +72,8 @@
   #children = []
 
   constructor () {
-    // Runs at each end of the script but a SIGKILL: nothing that it started may outlast it.
+    guard.stdin.write(`${this.#folder}\n`)
+    // Runs at each end of the script but a SIGKILL, for which there is the guard: nothing that it started may outlast it.
     process.on('exit', () => this.#endNow())
   }
 
@@ -122,7 +135,7 @@
     const [, command] = /^run = "(.*)"$/m.exec(readFileSync(join(root, 'deploy/system.toml'), 'utf8'))
     const [program, ...args] = command.split(' ')
     const { PATH, HOME, LANG } = process.env
-    const child = spawn(program, args, { cwd: root, env: { PATH, HOME, LANG, EIDERWIND_BOOT: settings }, stdio: ['ignore', 'pipe', 'pipe'] })
+    const child = guarded(spawn(program, args, { cwd: root, env: { PATH, HOME, LANG, EIDERWIND_BOOT: settings }, stdio: ['ignore', 'pipe', 'pipe'] }))
     gateway.child = child
     this.#children.push(child)
     for (const stream of [child.stdout, child.stderr]) {
