An error that reaches the event loop is logged with its stack, and a restart shows in a metric

Callers' requests were lost with gateways that ended by themselves, and the log of such a gateway held no line about it: Node.js writes the error to standard error only, without a time.

Event 109 (uncaught-error) has the stack, is written in full before the exit, and has lines of its own in the log's token bucket. eiderwind_start_time_seconds shows each restart.

--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -55,6 +55,9 @@
 /** Bounds of the histogram of the list's age, in s: from a round trip to above the usual bounds on leaving upstreams. */
 const listAgeBuckets = [0.05, 0.1, 0.3, 0.6, 0.9, 1.2, 1.5, 2, 3, 6]
 
+/** When this process started, in Unix s. */
+const startTime = performance.timeOrigin / 1000
+
 /** Counters, histograms and gauges. Labels are kinds, services and outcomes, of which there are few. */
 export class Metrics {
   readonly #registry = new Registry()
@@ -255,6 +258,7 @@
     single('eiderwind_evacuated_flights', 'Requests in flight at upstreams of evacuated data centres.', () => evacuationController.running)
     single('eiderwind_evacuated_streams_moved_total', 'Streams that were resumed elsewhere since their data centre is evacuated.', () => evacuationController.moved)
     this.#registerRoomGauges(single)
+    single('eiderwind_start_time_seconds', 'When this process started, in Unix s. A change of it shows a restart.', () => startTime)
     single('eiderwind_memory_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss())
     labelled('eiderwind_engines', 'Engines by the state of their membership.', 'state', () => this.#engines())
     labelled('eiderwind_retries_granted_total', 'Retries that the retry budget granted.', 'service', () => budgets.counts('granted'))
--- a/packages/life/src/run.ts
+++ b/packages/life/src/run.ts
@@ -1,6 +1,7 @@
 /**
  * The life cycle of a process, for all programs: start, serve until a signal arrives, drain, exit. It owns the handling
- * of signals and writes the events 100 to 102 and 104. It relies on a `Daemon` to start and to drain.
+ * of signals and of errors that nothing else handles, and writes the events 100 to 102, 104 and 109. It relies on a
+ * `Daemon` to start and to drain.
  */
 import { type Log } from '@eiderwind/log'
 
@@ -20,9 +21,16 @@
   stop (): Promise<void>
 }
 
-/** Runs a daemon until SIGTERM or SIGINT, which have no effect once it stops. Resolves to the exit status: 0, or 1 if it could not start. */
+/**
+ * Runs a daemon until SIGTERM or SIGINT, which have no effect once it stops. Resolves to the exit status: 0, or 1 if it
+ * could not start or an error reached the event loop.
+ */
 export async function run (daemon: Daemon): Promise<number> {
   const stopped = stopSignal()
+  return await Promise.race([serve(daemon, stopped), uncaughtError(daemon.log)])
+}
+
+async function serve (daemon: Daemon, stopped: Promise<void>): Promise<number> {
   try {
     daemon.log.write('started', await daemon.start())
   } catch (error) {
@@ -36,6 +44,24 @@
   return ok
 }
 
+/**
+ * Logs errors that reach the event loop. Resolves to the exit status at the first one. Without this listener, Node.js
+ * writes the error to standard error only.
+ */
+function uncaughtError (log: Log): Promise<number> {
+  return new Promise(resolve => {
+    process.on('uncaughtException', error => {
+      log.write('uncaught-error', { cause: causeOf(error) })
+      resolve(failed)
+    })
+  })
+}
+
+/** The stack of an error. Any value can be thrown, so it may have none. */
+function causeOf (error: unknown): string {
+  return error instanceof Error ? error.stack ?? String(error) : String(error)
+}
+
 /**
  * Resolves at the first SIGTERM or SIGINT. The listeners remain, because without one a later signal would end the process
  * with its requests in flight.
--- a/packages/log/src/linewriter.ts
+++ b/packages/log/src/linewriter.ts
@@ -6,7 +6,7 @@
 import { fstatSync } from 'node:fs'
 import { Socket } from 'node:net'
 import sonic, { type SonicBoom } from 'sonic-boom'
-import { type Sink } from './log.js'
+import { type Level } from './events.js'
 
 /** File descriptor of standard output. */
 const standardOutput = 1
@@ -17,6 +17,12 @@
 /** Size of the token bucket, in lines: what accumulates in three seconds. */
 const burstLines = 300
 
+/**
+ * Lines that the token bucket lends to events at level `error`. Other events must not displace the reason why a process
+ * ends.
+ */
+const errorReserve = 100
+
 /** Size of the buffer for a slow reader, in bytes: slightly more than a burst of lines of 800 bytes each. */
 const bufferSize = 256 * 1024
 
@@ -50,11 +56,11 @@
   }
 
   /** The sink to pass to a `Log`. */
-  readonly sink: Sink = line => {
+  readonly sink = (line: string, level: Level = 'info'): void => {
     const now = this.#now()
     this.#tokens = Math.min(burstLines, this.#tokens + (now - this.#refilledAt) / 1000 * linesPerSecond)
     this.#refilledAt = now
-    if (this.#tokens < 1) {
+    if (this.#tokens < leastTokens(level)) {
       this.#dropped++
       return
     }
@@ -80,6 +86,11 @@
   }
 }
 
+/** Tokens that must be left for a line of this level. */
+function leastTokens (level: Level): number {
+  return level === 'error' ? 1 - errorReserve : 1
+}
+
 /**
  * Sets a pipe or socket to non-blocking mode. A write that waits for a reader that has stopped reading would delay the
  * exit of the process. Creating a `Socket` object sets the mode; the object is not used otherwise. Writes to files do
--- a/packages/log/src/log.ts
+++ b/packages/log/src/log.ts
@@ -19,8 +19,8 @@
 /** Fields of an event in addition to its number and name. They must not contain keys or tokens. */
 export type Fields = Readonly<Record<string, string | number | boolean | undefined>> & ReservedFields
 
-/** Receives one line, without its line break. */
-export type Sink = (line: string) => void
+/** Receives one line, without its line break, and the level of its event. */
+export type Sink = (line: string, level: Level) => void
 
 /** Options of a log. */
 export interface LogOptions {
@@ -42,7 +42,7 @@
     this.#fields = options.fields ?? {}
     // The library shares loggers with the same name. A new symbol as the name keeps two logs of one process separate.
     this.#logger = loglevel.getLogger(Symbol('eiderwind'))
-    this.#logger.methodFactory = () => sink
+    this.#logger.methodFactory = level => line => sink(line, level as Level)
     this.#logger.setLevel(options.level ?? 'info', false)
   }
 
--- a/packages/log/test/forms.test.ts
+++ b/packages/log/test/forms.test.ts
@@ -14,6 +14,7 @@
   '106 process-paused warn',
   '107 loop-delayed warn',
   '108 callers-closed info',
+  '109 uncaught-error error',
   '200 store-lost warn',
   '201 store-back info',
   '202 configuration-new info',
--- a/packages/log/test/linewriter.test.ts
+++ b/packages/log/test/linewriter.test.ts
@@ -53,6 +53,17 @@
   t.is((await readLines(log, 2 * burst + rate)).length, 2 * burst + rate)
 })
 
+// Guards against: a process whose log is busy ends without a line that says why.
+test('lines at level error are written when the others have used up the rate', async t => {
+  const log = openLogFile(t)
+  const writer = new LineWriter({ fd: log.fd, now: () => 0 })
+  for (let index = 0; index < burst + 5; index++) writer.sink(`line ${index}`)
+  writer.sink('the cause', 'error')
+  writer.sink('one more line', 'warn')
+  t.is(writer.takeDropped(), 6)
+  t.is((await readLines(log, burst + 1)).at(-1), 'the cause')
+})
+
 test('lines that do not fit into the buffer are dropped and counted', async t => {
   const log = openLogFile(t)
   const writer = new LineWriter({ fd: log.fd, now: () => 0 })
