A call to an address that cannot be called fails as not sent, and nothing is thrown (FAULT, LOST)

What callers saw: no answers, since every gateway ended, one after the other, within 3 s of another writer's entry with an address such as host:99999.

Cause: ask() started its timer before it sent the call. For an origin that is no URL the client library throws, the promise rejects, but the timer stays, and its callback read a variable that was never set: a ReferenceError in a timer, which ends the process. Heartbeats were the second place: dgram throws at once for such a port, also in a timer.

Connections.send never throws now: it fails its receiver once, as not sent, so a request goes to the next upstream and no timer is left. A datagram that cannot be sent is lost, like any other. The package address holds the one form of an address; splitAddress moves there.

Before: wire connections.test and peers.test of this commit fail with the errors above; listens.test rejects.

--- /dev/null
+++ b/packages/address/src/index.ts
@@ -0,0 +1,2 @@
+/** The form of an address. */
+export { Address, ListenAddress, splitAddress } from './address.js'
--- a/packages/daemon/src/roles.ts
+++ b/packages/daemon/src/roles.ts
@@ -7,7 +7,7 @@
 import { Log, Metric } from '@eiderwind/log'
 import { type EntrySettings, type WorkerSettings } from '@eiderwind/settings'
 import { HttpStore } from '@eiderwind/store'
-import { splitAddress } from '@eiderwind/wire'
+import { splitAddress } from '@eiderwind/address'
 import { Worker } from '@eiderwind/worker'
 import { LoopDelays, type Daemon } from '@eiderwind/life'
 
--- a/packages/peers/src/datagrams.ts
+++ b/packages/peers/src/datagrams.ts
@@ -3,7 +3,7 @@
  * its implementation over UDP. Owns the socket. Nothing is sent again: a lost datagram is followed by the next one.
  */
 import { createSocket, type Socket } from 'node:dgram'
-import { splitAddress } from '@eiderwind/wire'
+import { Address, splitAddress } from '@eiderwind/address'
 
 /** Called with each datagram and the `host:port` of its sender. */
 export type Receiver = (message: Buffer, from: string) => void
@@ -12,7 +12,7 @@
 export abstract class Datagrams {
   /** Rejects if the address cannot be bound. */
   abstract start (receive: Receiver): Promise<void>
-  /** @param address `host:port` */
+  /** Never throws: a datagram that cannot be sent is lost. @param address `host:port` */
   abstract send (message: string, address: string): void
   abstract stop (): void
 }
@@ -43,6 +43,7 @@
   }
 
   send (message: string, address: string): void {
+    if (!Address.safeParse(address).success) return
     const { host, port } = splitAddress(address)
     // Failures are ignored for the same reason as errors of the socket in `start`.
     this.#socket?.send(message, port, host, () => {})
--- a/packages/peers/test/peers.test.ts
+++ b/packages/peers/test/peers.test.ts
@@ -301,3 +301,15 @@
   t.is(encode(heartbeat({ away: false })), datagram)
   t.is(decode(Buffer.from(datagram))?.away, undefined)
 })
+
+// Guards against: the address of a gateway that is none ended every gateway at its next heartbeat (FAULT).
+test('heartbeats go to the other gateways although one has an address that cannot be called', async t => {
+  const clock = new ManualClock()
+  const peers = await startedPeers(t, clock)
+  const other = await peer(t, 'other')
+  const odd = ['127.0.0.1:99999', 'x y', '[::', ''].map((address, index) => ({ id: `odd-${index}`, address }))
+  peers.setAddresses([...odd, { id: 'other', address: other.address }])
+  t.notThrows(() => clock.advance(interval))
+  await until(() => other.received.length > 1)
+  t.notThrows(() => peers.post('127.0.0.1:99999', 'text'))
+})
--- a/packages/wire/src/ask.ts
+++ b/packages/wire/src/ask.ts
@@ -3,7 +3,7 @@
  * this way. Relies on `Collector` to store the answer.
  */
 import { type Clock } from '@eiderwind/clock'
-import { type Call } from './call.js'
+import { type Call, type Cancel } from './call.js'
 import { Collector, type Collected } from './collector.js'
 import { type Connections } from './connections.js'
 
@@ -42,7 +42,14 @@
 export function ask (connections: Pick<Connections, 'send'>, clock: Clock, call: Call, timeout: number, { fresh = false, signal, maxBytes }: AskOptions = {}): Promise<Collected> {
   return new Promise((resolve, reject) => {
     let expired = false
+    // Set before the call is sent: it may fail at once.
+    let cancel: Cancel = () => {}
     const stop = (): void => cancel(new Error('The call was cancelled.'))
+    const timer = clock.after(timeout, () => {
+      expired = true
+      cancel(new Error(`No answer within ${timeout} ms.`))
+    })
+    signal?.addEventListener('abort', stop)
     const finish = (): void => {
       timer.cancel()
       signal?.removeEventListener('abort', stop)
@@ -58,11 +65,6 @@
         reject(new CallError(error, sent, expired))
       }
     })
-    const timer = clock.after(timeout, () => {
-      expired = true
-      cancel(new Error(`No answer within ${timeout} ms.`))
-    })
-    const cancel = connections.send(call, collector, fresh)
-    signal?.addEventListener('abort', stop)
+    cancel = connections.send(call, collector, fresh)
   })
 }
--- a/packages/wire/src/connections.ts
+++ b/packages/wire/src/connections.ts
@@ -74,11 +74,16 @@
   }
 
   /**
-   * Sends a call on an idle connection, or on a new one if none is idle.
+   * Sends a call on an idle connection, or on a new one if none is idle. Never throws: a call to an origin that is not a
+   * scheme, host and port fails at once, as not sent.
    * @param fresh whether to use a new connection in any case
    */
   send (call: Call, receiver: Receiver, fresh = false): Cancel {
-    const connection = (fresh ? undefined : this.#takeIdle(call.origin)) ?? this.#make(call.origin)
+    const connection = (fresh ? undefined : this.#takeIdle(call.origin)) ?? this.#tryMake(call.origin)
+    if (connection instanceof Error) {
+      receiver.fail({ error: connection, sent: false })
+      return () => {}
+    }
     return send(connection.client, call, new FramedReceiver(receiver, connection, whole => this.#release(call.origin, connection, whole)))
   }
 
@@ -104,8 +109,16 @@
     return undefined
   }
 
+  /** Returns the error of the client library if it does not accept the origin. */
+  #tryMake (origin: string): Connection | Error {
+    try {
+      return this.#make(origin)
+    } catch (error) {
+      return error as Error
+    }
+  }
+
   #make (origin: string): Connection {
-    this.#opened++
     const client: Client = new Client(origin, {
       connect: (options, done) => {
         openSocket({
@@ -127,6 +140,7 @@
       keepAliveTimeoutThreshold: keepAliveMargin
     })
     const connection: Connection = { client, socket: undefined, overhead: undefined, closed: false, ending: undefined, wasPaused: false }
+    this.#opened++
     this.#open.add(connection)
     client.on('disconnect', () => this.#close(connection))
     return connection
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -6,7 +6,7 @@
 } from './calls.js'
 export { Clients } from './client.js'
 export { answerFault, breakOff, refuse } from './answer.js'
-export { closeIdleConnections, listen, makeServer, serve, splitAddress, type Handler, type ServeOptions } from './serve.js'
+export { closeIdleConnections, listen, makeServer, serve, type Handler, type ServeOptions } from './serve.js'
 export { untilQuiet, type QuietOptions } from './quiet.js'
 export { readBody } from './body.js'
 export { Receiver, send, type AnswerHeaders, type CallFailure, type Call, type Cancel, type Flow } from './call.js'
--- a/packages/wire/src/serve.ts
+++ b/packages/wire/src/serve.ts
@@ -2,6 +2,7 @@
  * HTTP servers for callers' requests and for calls between processes. Relies on tRPC for the procedures of the calls.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { splitAddress } from '@eiderwind/address'
 import { TRPCError } from '@trpc/server'
 import { type EntryRouter, type WorkerRouter } from './calls.js'
 import { answerFault } from './answer.js'
@@ -89,12 +90,6 @@
   })
 }
 
-/** The parts of `host:port`. The form of the address was checked when the settings were read. */
-export function splitAddress (address: string): { host: string, port: number } {
-  const colon = address.lastIndexOf(':')
-  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) }
-}
-
 /** A procedure of a router, called by name. */
 type Procedure = (input: unknown) => Promise<unknown>
 
--- a/packages/wire/test/connections.test.ts
+++ b/packages/wire/test/connections.test.ts
@@ -1,9 +1,9 @@
 /** Which answers count as complete, by their framing and the end of the connection, and when connections are reused. */
 import { createServer, type Server, type Socket } from 'node:net'
 import test from 'ava'
-import { SystemClock } from '@eiderwind/clock'
+import { ManualClock, SystemClock } from '@eiderwind/clock'
 import { block } from '@eiderwind/clock/testing'
-import { Connections, Receiver, ask, type AnswerHeaders, type CallFailure, type Flow } from '../src/index.js'
+import { Collector, Connections, Receiver, ask, type AnswerHeaders, type CallFailure, type Flow } from '../src/index.js'
 
 const clock = new SystemClock()
 
@@ -109,6 +109,30 @@
   t.like(error, { sent: false, refused: true })
 })
 
+/** Origins that the client library does not accept. */
+const oddOrigins = ['http://127.0.0.1:99999', 'http://ho?st#x:80', 'http://[::', 'http://x y:80', 'http://\\\\:80', 'text', '']
+
+// Guards against: an address that is none ended the process, by the time-out of a call that was never sent (FAULT).
+test('a call to an origin that cannot be called fails once, at once and as not sent, and nothing is left of it', async t => {
+  const connections = new Connections()
+  const manual = new ManualClock()
+  for (const origin of oddOrigins) {
+    let failures = 0
+    const receiver = new Collector({ whole: () => t.fail(), failed: ({ sent }) => { failures += sent ? 2 : 1 } })
+    const cancel = connections.send({ origin, path: '/', method: 'GET', headers: {}, body: undefined }, receiver)
+    t.is(failures, 1, origin)
+    cancel(new Error('The caller left.'))
+    t.is(failures, 1, origin)
+    const abort = new AbortController()
+    const asked = ask(connections, manual, { origin, path: '/', method: 'GET', headers: {}, body: undefined }, 500, { signal: abort.signal })
+    t.like(await t.throwsAsync(asked), { sent: false, refused: false, expired: false }, origin)
+    t.notThrows(() => manual.advance(1000))
+    abort.abort()
+  }
+  t.is(connections.count, 0)
+  t.is(connections.opened, 0)
+})
+
 /** Reads an answer at once, or after a pause of 50 ms. */
 class PausingReceiver extends Receiver {
   readonly #pauses: boolean
--- a/packages/wire/test/listens.test.ts
+++ b/packages/wire/test/listens.test.ts
@@ -19,3 +19,8 @@
   clock.advance(1000)
   t.is(await state, 'unknown')
 })
+
+// Guards against: the address of an upstream that is none ends the process that checks whether it still listens.
+test('an address that cannot be called is not reported as refused', async t => {
+  for (const address of ['127.0.0.1:99999', '[::', 'x y:80', '']) t.is(await probeAddress(address, new ManualClock(), 1000), 'unknown')
+})
