--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -4,6 +4,7 @@
  * only encoder and decoder. Gateways of other builds read the names and values, so they never change; fields that a
  * later build adds are ignored. (Heartbeats, the datagrams between gateways, are in `peers`.)
  */
+import { Address } from '@eiderwind/address'
 import { blockId, type Block } from '@eiderwind/crashes'
 import { type NodeAddress } from '@eiderwind/detect'
 import { type Order, type OrderResult } from '@eiderwind/forming'
@@ -86,7 +87,7 @@
   kind: z.enum(['join', 'open', 'close', 'stage', 'leave']),
   /** Id and address of the engine that receives the order. */
   node: z.string(),
-  address: z.string(),
+  address: Address,
   replica: z.string(),
   epoch: z.number(),
   model: z.string().optional(),
@@ -214,7 +215,7 @@
 const ProbeMessage = z.object({
   /** Id and address of the engine. */
   id: z.string(),
-  address: z.string()
+  address: Address
 })
 
 const ProbeAnswer = z.object({ answers: z.boolean() })
--- a/packages/settings/src/shapes.ts
+++ b/packages/settings/src/shapes.ts
@@ -3,9 +3,9 @@
  * the remedy "Give ..." of the problem that `read.ts` reports. Operators write the keys and their values, so neither
  * the names nor the accepted forms may change.
  */
+import { Address, ListenAddress } from '@eiderwind/address'
 import { z } from 'zod'
 
-const Address = z.string().regex(/^[^\s:]+:\d{1,5}$/, 'an address as host:port, such as 127.0.0.1:7000')
 const Addresses = z.string().default('').transform(text => text.split(',').map(each => each.trim()).filter(each => each !== '')).pipe(z.array(Address))
 const Id = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9.-]*$/, 'a name of letters, digits, dots and dashes')
 const Milliseconds = z.coerce.number('a number of milliseconds').int('a whole number of milliseconds').positive('more than 0 milliseconds')
@@ -49,11 +49,11 @@
   process: Process,
   listen: z.strictObject({
     /** Address for callers. */
-    callers: Address,
+    callers: ListenAddress,
     /** Address for operators. */
-    operators: Address,
+    operators: ListenAddress,
     /** Address at which other entries and workers reach this process. */
-    peers: Address
+    peers: ListenAddress
   }),
   platform: z.strictObject({
     url: Url,
@@ -141,11 +141,11 @@
   }),
   listen: z.strictObject({
     /** Address for callers. */
-    callers: Address,
+    callers: ListenAddress,
     /** Address for the balancer's health checks. */
-    health: Address,
+    health: ListenAddress,
     /** Address for the other gateways, TCP and UDP. */
-    peers: Address
+    peers: ListenAddress
   }),
   platform: z.strictObject({
     /** Address of the platform's store. */
@@ -224,7 +224,7 @@
   observe: z.strictObject({
     level: Level,
     /** `host:port` at which the metrics are served in text form. If empty, they are not served. */
-    metrics: z.union([z.literal(''), Address]).default('')
+    metrics: z.union([z.literal(''), ListenAddress]).default('')
   }).prefault({})
 })
 export type DirectSettings = z.infer<typeof DirectSettings>
@@ -234,7 +234,7 @@
   process: Process,
   listen: z.strictObject({
     /** Address at which entries and other workers reach this process. */
-    peers: Address
+    peers: ListenAddress
   }),
   node: z.strictObject({
     /** Id of the node in the node list of the platform. */
