--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -1350,5 +1350,45 @@
     replace: "process.once('SIGTERM'",
     test: 'platform/dist/test/unread.test.js',
     title: 'a gateway that is told to stop three times*'
+  },
+  {
+    name: 'odd-origin-thrown',
+    point: 4,
+    rule: 'a call to an origin that cannot be called fails its receiver and throws nothing',
+    file: 'packages/wire/dist/src/connections.js',
+    find: '?? this.#tryMake(call.origin)',
+    replace: '?? this.#make(call.origin)',
+    test: 'packages/wire/dist/test/connections.test.js',
+    title: 'a call to an origin that cannot be called*'
+  },
+  {
+    name: 'odd-datagram-thrown',
+    point: 4,
+    rule: 'a heartbeat to an address that cannot be called is lost and throws nothing',
+    file: 'packages/peers/dist/src/datagrams.js',
+    find: 'if (!Address.safeParse(address).success)',
+    replace: 'if (false)',
+    test: 'packages/peers/dist/test/peers.test.js',
+    title: 'heartbeats go to the other gateways although*'
+  },
+  {
+    name: 'port-without-bound',
+    point: 4,
+    rule: 'an address has a port that a socket accepts',
+    file: 'packages/address/dist/src/address.js',
+    find: 'const maxPort = 65_535',
+    replace: 'const maxPort = 99_999',
+    test: 'packages/address/dist/test/address.test.js',
+    title: 'no address: *'
+  },
+  {
+    name: 'uncaught-error-unlogged',
+    point: 7,
+    rule: 'a process that ends by an error logs why',
+    file: 'packages/life/dist/src/run.js',
+    find: "log.write('uncaught-error', { cause: causeOf(error) });",
+    replace: '',
+    test: 'packages/life/dist/test/run.test.js',
+    title: 'an error that reaches the event loop is logged*'
   }
 )
