--- a/packages/gateway/src/callers.ts
+++ b/packages/gateway/src/callers.ts
@@ -14,6 +14,7 @@
 import { pickShare } from '@eiderwind/traffic'
 import { closeIdleConnections, header, listen, readBody, refuse, untilQuiet } from '@eiderwind/wire'
 import { admit, type Admission } from './admission.js'
+import { type Bodies } from './bodies.js'
 import { type GatewayBoard, type ConfigurationInForce } from './facts.js'
 import { NewConnections } from './newconnections.js'
 
@@ -38,6 +39,8 @@
   readonly usualMaxWaits: UsualMaxWaits | undefined
   /** How long new connections may queue without a break before some are closed unread, in ms. Undefined: for any time. */
   readonly maxConnectionWait: number | undefined
+  /** The bodies of requests that have not ended. */
+  readonly bodies: Bodies
   /** Writes answers to callers as fast as they read. */
   readonly deliveries: Deliveries
   /** Called for each new connection that is closed unread under overload. */
@@ -177,13 +180,15 @@
   }
 
   async #handle (incoming: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { context, board } = this.#options
+    const { context, board, bodies } = this.#options
     const arrivedAt = context.clock.now()
     this.#requests++
     if (board.read('stopping')) response.setHeader('connection', 'close')
     const inForce = board.read('inForce')
     if (inForce === undefined) return this.#refuse(incoming, response, refusals.behind())
-    const body = await readBody(incoming, inForce.traffic.limits.body)
+    const held = bodies.open()
+    response.once('close', () => held.release())
+    const body = await readBody(incoming, inForce.traffic.limits.body, held)
     if (response.destroyed) return
     if (body.isErr()) return this.#refuse(incoming, response, body.error)
     const admission = this.#admit(incoming, inForce)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
 import { Outage, Roster } from '@eiderwind/roster'
 import { Connections } from '@eiderwind/wire'
 import { Forecast } from '@eiderwind/work'
+import { Bodies } from './bodies.js'
 import { Budgets } from './budgets.js'
 import { Callers } from './callers.js'
 import { Conditions } from './conditions.js'
@@ -79,6 +80,7 @@
   readonly #budgets: Budgets
   readonly #callers: Callers
   readonly #deliveries: Deliveries
+  readonly #bodies: Bodies
   readonly #confirmations: Confirmations
   readonly #upstreamSync: UpstreamSync
   readonly #peerServer: PeerServer
@@ -174,10 +176,12 @@
     })
     this.#rooms = settings.sharedRoom === true ? this.#makeRooms() : undefined
     this.#evacuationController = new EvacuationController({ clock, log, board, roster: this.#roster, inFlight: this.#inFlight, evacuationTime: settings.evacuationTime })
+    this.#bodies = new Bodies(settings.maxBodyBytes)
     this.#deliveries = new Deliveries({ clock, log, bounds: settings.unread })
     this.#metrics = new Metrics({
       clock,
       board,
+      bodies: this.#bodies,
       deliveries: this.#deliveries,
       upstreamList: this.#upstreamSync.list,
       away: () => this.#readiness.cause !== undefined,
@@ -355,6 +359,7 @@
       random: Math.random,
       usualMaxWaits: fair ? new UsualMaxWaits() : undefined,
       maxConnectionWait,
+      bodies: this.#bodies,
       deliveries: this.#deliveries,
       connectionClosed: () => this.#metrics.connectionClosed(),
       refused: code => this.#metrics.refused(code),
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -11,6 +11,7 @@
 import { type CallerRequest, type Deliveries } from '@eiderwind/forward'
 import { type Roster } from '@eiderwind/roster'
 import { closeIdleConnections, listen, type Connections } from '@eiderwind/wire'
+import { type Bodies } from './bodies.js'
 import { type Budgets } from './budgets.js'
 import { type EvacuationController } from './evacuationcontroller.js'
 import { type UpstreamLimits } from './upstreamlimits.js'
@@ -22,6 +23,7 @@
 export interface MetricsOptions {
   readonly clock: Clock
   readonly board: GatewayBoard
+  readonly bodies: Bodies
   readonly deliveries: Deliveries
   readonly upstreamList: UpstreamList
   /** Whether new callers are sent to other gateways. */
@@ -222,7 +224,7 @@
   }
 
   #registerGauges (registers: Registry[]): void {
-    const { clock, board, deliveries, upstreamList, away, inFlight, queue, connections, budgets, rests, upstreamLimits: { limits, tokens, cold }, evacuationController } = this.#options
+    const { clock, board, bodies, deliveries, upstreamList, away, inFlight, queue, connections, budgets, rests, upstreamLimits: { limits, tokens, cold }, evacuationController } = this.#options
     const single = (name: string, help: string, read: () => number): void => {
       const gauge: Gauge = new Gauge({ name, help, registers, collect: () => gauge.set(read()) })
     }
@@ -247,6 +249,8 @@
     single('eiderwind_away', 'Whether this gateway runs short and has the balancer send new callers to others: 1 or 0.', () => Number(away()))
     single('eiderwind_slow_callers', 'Callers for whom a part of an answer is kept, since they have not read it.', () => deliveries.waiting)
     single('eiderwind_unread_bytes', 'Bytes of answers that are kept for them.', () => deliveries.bytes)
+    single('eiderwind_body_bytes', 'Bytes of requests that are held until these have ended.', () => bodies.held)
+    single('eiderwind_bodies_refused_total', 'Requests that were refused since their bodies found no room.', () => bodies.refused)
     single('eiderwind_callers_stalled_total', 'Callers whose connections were closed since they read nothing of what was kept for them.', () => deliveries.closed)
     single('eiderwind_connections_opened_total', 'Connections opened to upstreams.', () => connections.opened)
     single('eiderwind_resting', 'Upstreams that rest now, or are left out for a moment since they refuse.', () => rests.count)
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -68,6 +68,8 @@
   readonly evacuationTime: number | undefined
   /** Bounds on the bytes of answers that callers have not read yet (`[unread]`). */
   readonly unread: BacklogBounds
+  /** Upper bound on the bytes of requests that are held (`[overload] bodies`). */
+  readonly maxBodyBytes: number
   /**
    * How long new connections may queue without a break before some are closed unread (`[overload]`). Undefined: for any
    * time.
--- a/packages/gateway/test/callers.test.ts
+++ b/packages/gateway/test/callers.test.ts
@@ -10,6 +10,7 @@
 import { Log } from '@eiderwind/log'
 import { listen } from '@eiderwind/wire'
 import test, { type ExecutionContext } from 'ava'
+import { Bodies } from '../src/bodies.js'
 import { Callers, type CallersOptions } from '../src/callers.js'
 import { gatewayBoard, type ConfigurationInForce } from '../src/facts.js'
 
@@ -40,7 +41,7 @@
     retryBudget: fail
   } as unknown as Context
   const port = await freePort()
-  const options = { context, board, pauses: new Pauses(clock), address: `127.0.0.1:${port}`, strictKeys: false, random: () => 0, deliveries: { open }, refused: () => {}, ended: () => {} }
+  const options = { context, board, pauses: new Pauses(clock), address: `127.0.0.1:${port}`, strictKeys: false, random: () => 0, bodies: new Bodies(limits.body), deliveries: { open }, refused: () => {}, ended: () => {} }
   const callers = new Callers(options as unknown as CallersOptions)
   await callers.start()
   t.teardown(async () => await callers.close(clock.now()))
--- a/packages/settings/src/shapes.ts
+++ b/packages/settings/src/shapes.ts
@@ -205,7 +205,9 @@
      * How long new connections may queue without a break until some are closed unread, so that their callers go to
      * other gateways. Empty: for any time.
      */
-    wait: OptionalDuration
+    wait: OptionalDuration,
+    /** Upper bound on the bytes of callers' requests that are held until these have ended. */
+    bodies: Bytes.default(64 * 2 ** 20)
   }).prefault({}),
   readiness: z.strictObject({
     /** Mean lateness of the event loop above which new callers are sent to other gateways. Empty: unlimited. */
--- a/packages/settings/test/forms.test.ts
+++ b/packages/settings/test/forms.test.ts
@@ -9,7 +9,7 @@
   '[bounds]', 'revoke = 5000 ms', 'strict_keys = false', 'drain = 4000 ms', 'evacuate = 5 s', 'grace = 8 s', 'pulse = 1200 ms', 'retry_ratio = 0.2', 'retry_slack = 160', 'retry_window = 10 s', 'cold_overshoot = 1.5', 'cold_slack = 5',
   '[room]', 'fair = true', 'shared = true',
   '[unread]', 'caller = 128 KiB', 'total = 16 MiB', 'patience = 5 s',
-  '[overload]', 'wait = 200 ms',
+  '[overload]', 'wait = 200 ms', 'bodies = 48 MiB',
   '[readiness]', 'lateness = 30 ms', 'memory = 350 MiB', 'descriptors = 4100',
   '[planner]', 'keep_unlisted = 8 s', 'warm_spares = true',
   '[observe]', 'level = debug', 'metrics = 10.0.0.1:7341'
@@ -25,7 +25,7 @@
       bounds: { revoke: 5000, strict_keys: false, drain: 4000, evacuate: 5000, grace: 8000, pulse: 1200, retry_ratio: 0.2, retry_slack: 160, retry_window: 10_000, cold_overshoot: 1.5, cold_slack: 5 },
       room: { fair: true, shared: true },
       unread: { caller: 131_072, total: 16_777_216, patience: 5000 },
-      overload: { wait: 200 },
+      overload: { wait: 200, bodies: 50_331_648 },
       readiness: { lateness: 30, memory: 367_001_600, descriptors: 4100 },
       planner: { keep_unlisted: 8000, warm_spares: true },
       observe: { level: 'debug', metrics: '10.0.0.1:7341' }
@@ -34,14 +34,14 @@
 })
 
 test('a key that is missing or empty has its default', t => {
-  const short = text.split('\n').filter(each => !/^(first|revoke|strict_keys|drain|evacuate|grace|pulse|retry_|cold_|fair|shared|keep_unlisted|warm_spares|caller =|total|patience|wait|lateness|memory|descriptors|level|metrics)/.test(each)).join('\n')
+  const short = text.split('\n').filter(each => !/^(first|revoke|strict_keys|drain|evacuate|grace|pulse|retry_|cold_|fair|shared|keep_unlisted|warm_spares|caller =|total|patience|wait|bodies|lateness|memory|descriptors|level|metrics)/.test(each)).join('\n')
   const settings = checkSettings('x.ini', short.replace('[bounds]', '[bounds]\nrevoke =\nstrict_keys =\ndrain =\nevacuate =\ngrace =\npulse =\nretry_ratio =\nretry_slack =\nretry_window =\ncold_overshoot =\ncold_slack =').replace('[planner]', '[planner]\nkeep_unlisted =').replace('[readiness]', '[readiness]\nlateness = ms\nmemory = MiB\ndescriptors =').replace('[observe]', '[observe]\nmetrics =')).unwrap() as { direct: object }
   t.like(settings.direct, {
     process: { first: false },
     bounds: { revoke: 5000, strict_keys: true, drain: 2000, evacuate: undefined, grace: 8000, pulse: 1200, retry_ratio: 0.1, retry_slack: 20, retry_window: 10_000, cold_overshoot: undefined, cold_slack: undefined },
     room: { fair: false, shared: false },
     unread: { caller: 32_768, total: 33_554_432, patience: 10_000 },
-    overload: { wait: undefined },
+    overload: { wait: undefined, bodies: 67_108_864 },
     readiness: { lateness: undefined, memory: undefined, descriptors: undefined },
     planner: { keep_unlisted: 0, warm_spares: false },
     observe: { level: 'info', metrics: '' }
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -1390,5 +1390,15 @@
     replace: '',
     test: 'packages/life/dist/test/run.test.js',
     title: 'an error that reaches the event loop is logged*'
+  },
+  {
+    name: 'bodies-unbounded',
+    point: 4,
+    rule: 'a gateway bounds the bytes of the requests that it holds',
+    file: 'packages/gateway/dist/src/bodies.js',
+    find: 'this.#held + more <= this.#maxBytes',
+    replace: 'true',
+    test: 'platform/dist/test/bodies.test.js',
+    title: 'a gateway stays within its memory*'
   }
 )
