Delays that are too long for the runtime are bounded (FAULT)

What callers saw: nothing was traced to it; found by reading.

Cause: setTimeout runs a task whose delay is above 2^31 - 1 ms, Infinity or NaN after 1 ms. A route with such a timeoutMs expires its requests at once, and a periodic task with such a period occupies the process.

Evidence: the tests with 2^31, 1e300, Infinity and NaN ms failed before, with TimeoutOverflowWarning: Timeout duration was set to 1.

SystemClock takes them as 2^31 - 1 ms, 24.8 days: too late by a bounded time is harmless for each task, since what waits that long checks its own time.

--- a/packages/clock/src/system.ts
+++ b/packages/clock/src/system.ts
@@ -6,6 +6,9 @@
 import { Clock, type Subscription, type Task } from './clock.js'
 import { Suspension } from './suspension.js'
 
+/** The longest delay of `setTimeout`, in ms. It runs a task with a longer delay, or with NaN, after 1 ms. */
+const maxDelay = 2 ** 31 - 1
+
 /** The clocks of the machine: `performance.now` (CLOCK_MONOTONIC, which continues during SIGSTOP) and `Date.now`. */
 export class SystemClock extends Clock {
   readonly #suspension = new Suspension(performance.now(), Date.now())
@@ -23,11 +26,12 @@
     return Date.now()
   }
 
+  /** A delay of more than `maxDelay`, or one that is no number, counts as `maxDelay`. */
   after (delay: number, task: Task): Subscription {
     let immediate: NodeJS.Immediate | undefined
     // Node.js runs timers before it reads its sockets. After a delay of the event loop, a time-out would otherwise
     // expire although the answer has arrived. Immediates run after the sockets are read.
-    const timer = setTimeout(() => { immediate = setImmediate(task) }, delay)
+    const timer = setTimeout(() => { immediate = setImmediate(task) }, delay <= maxDelay ? delay : maxDelay)
     return {
       cancel: () => {
         clearTimeout(timer)
--- a/packages/clock/test/clock.test.ts
+++ b/packages/clock/test/clock.test.ts
@@ -114,6 +114,18 @@
   t.false(ran)
 })
 
+// Guards against: a delay from a number that another process sent ran its task at once, again and again (FAULT).
+for (const delay of [2 ** 31, 1e300, Infinity, NaN]) {
+  test(`a task with a delay of ${delay} ms does not run soon`, async t => {
+    const clock = new SystemClock()
+    let ran = 0
+    const timer = clock.every(delay, () => { ran++ })
+    await clock.wait(50)
+    timer.cancel()
+    t.is(ran, 0)
+  })
+}
+
 test('a turn queue runs a bounded number of tasks in a turn, in order, and the rest in the following turns', t => {
   const clock = new ManualClock()
   const queue = new TurnQueue(clock, 3)
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -33,6 +33,16 @@
     test: 'platform/dist/test/departureschedules.test.js',
     title: 'no request is sent to an upstream that departed*'
   },
+  {
+    name: 'long-delay-runs-at-once',
+    point: 4,
+    rule: 'a delay beyond that of the runtime is bounded',
+    file: 'packages/clock/dist/src/system.js',
+    find: 'delay <= maxDelay ? delay : maxDelay',
+    replace: 'delay',
+    test: 'packages/clock/dist/test/clock.test.js',
+    title: 'a task with a delay of Infinity ms does not run soon'
+  },
   {
     name: 'no-hold-after-pause',
     point: 4,
