An error ends one task, not the process (FAULT, LOST)

What callers saw: all requests in flight at a gateway ended with it.

Cause: nothing contained what a timer, the handling of a datagram, of a message between gateways, of a health or metrics request, or a delivery of the platform throws. A delivery that failed also counted as a failure of the store.

--- a/packages/clock/src/system.ts
+++ b/packages/clock/src/system.ts
@@ -9,9 +9,19 @@
 /** The longest delay of `setTimeout`, in ms. It runs a task with a longer delay, or with NaN, after 1 ms. */
 const maxDelay = 2 ** 31 - 1
 
+/** Receives what a task has thrown. */
+export type TaskErrorHandler = (error: unknown) => void
+
 /** The clocks of the machine: `performance.now` (CLOCK_MONOTONIC, which continues during SIGSTOP) and `Date.now`. */
 export class SystemClock extends Clock {
   readonly #suspension = new Suspension(performance.now(), Date.now())
+  readonly #onError: TaskErrorHandler
+
+  /** @param onError called if a task throws. Default: the error is thrown again, so that it reaches the event loop. */
+  constructor (onError: TaskErrorHandler = error => { throw error }) {
+    super()
+    this.#onError = onError
+  }
 
   now (): number {
     return performance.now()
@@ -31,7 +41,7 @@
     let immediate: NodeJS.Immediate | undefined
     // Node.js runs timers before it reads its sockets. After a delay of the event loop, a time-out would otherwise
     // expire although the answer has arrived. Immediates run after the sockets are read.
-    const timer = setTimeout(() => { immediate = setImmediate(task) }, delay <= maxDelay ? delay : maxDelay)
+    const timer = setTimeout(() => { immediate = setImmediate(() => this.#run(task)) }, delay <= maxDelay ? delay : maxDelay)
     return {
       cancel: () => {
         clearTimeout(timer)
@@ -39,4 +49,12 @@
       }
     }
   }
+
+  #run (task: Task): void {
+    try {
+      task()
+    } catch (error) {
+      this.#onError(error)
+    }
+  }
 }
--- a/packages/clock/test/clock.test.ts
+++ b/packages/clock/test/clock.test.ts
@@ -114,6 +114,19 @@
   t.false(ran)
 })
 
+// Guards against: one error in a timer ended the whole process, with all of its requests (FAULT, LOST).
+test('a task that throws is reported and ends alone: periodic tasks, the same one too, go on', async t => {
+  const errors: string[] = []
+  const clock = new SystemClock(error => errors.push(String(error)))
+  const others: number[] = []
+  const failing = clock.every(5, () => { throw new Error('failed') })
+  const other = clock.every(5, () => { others.push(1) })
+  while (errors.length < 3 || others.length < 3) await clock.wait(5)
+  failing.cancel()
+  other.cancel()
+  t.true(errors.every(each => each === 'Error: failed'))
+})
+
 // Guards against: a delay from a number that another process sent ran its task at once, again and again (FAULT).
 for (const delay of [2 ** 31, 1e300, Infinity, NaN]) {
   test(`a task with a delay of ${delay} ms does not run soon`, async t => {
--- a/packages/daemon/src/roles.ts
+++ b/packages/daemon/src/roles.ts
@@ -9,7 +9,7 @@
 import { HttpStore } from '@eiderwind/store'
 import { splitAddress } from '@eiderwind/address'
 import { Worker } from '@eiderwind/worker'
-import { LoopDelays, type Daemon } from '@eiderwind/life'
+import { LoopDelays, TaskFailures, type Daemon } from '@eiderwind/life'
 
 /** The settings that both roles have. */
 type CommonSettings = Pick<EntrySettings, 'process' | 'observe'>
@@ -17,8 +17,8 @@
 /** Creates an entry from its settings. */
 export function entryDaemon (settings: EntrySettings): Daemon {
   const { process: { id, data_centre: dataCentre, region }, listen, platform, operators, limits, planner } = settings
-  const clock = new SystemClock()
   const { log, metric } = observers(settings, 'entry')
+  const clock = systemClock(log)
   const delays = loopDelays(clock, log)
   const firstOperator = operators.name === undefined || operators.token_sha256 === undefined ? undefined : { name: operators.name, token: operators.token_sha256 }
   const store = new HttpStore({ ...platform, clock })
@@ -58,8 +58,8 @@
 /** Creates a worker from its settings. */
 export function workerDaemon (settings: WorkerSettings): Daemon {
   const { process: { data_centre: dataCentre }, listen, node, upstream, entries, lease, limits } = settings
-  const clock = new SystemClock()
   const { log, metric } = observers(settings, 'worker')
+  const clock = systemClock(log)
   const delays = loopDelays(clock, log)
   const worker = new Worker({
     clock,
@@ -97,6 +97,12 @@
   return { log, metric }
 }
 
+/** The clock of a role: a task that throws is logged and ends alone. */
+function systemClock (log: Log): Clock {
+  const failures = new TaskFailures({ log, now: () => performance.now() })
+  return new SystemClock(error => failures.record('timer', error))
+}
+
 /** Logs long delays of the event loop. The two roles count no work of their own. */
 function loopDelays (clock: Clock, log: Log): LoopDelays {
   return new LoopDelays({ clock, log, work: () => ({}), observed: () => {} })
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -90,7 +90,7 @@
   readonly #sampling: Sampling
 
   constructor (options: GatewayOptions) {
-    const { clock, log, platform, settings } = options
+    const { clock, log, failures, platform, settings } = options
     const board = this.#board
     this.#options = options
     this.#pauses = new Pauses(clock, time => log.write('process-paused', { paused: Math.round(time) }))
@@ -111,6 +111,7 @@
       heartbeat: () => this.#heartbeat(),
       received: (heartbeat, from) => this.#receiveHeartbeat(heartbeat, from),
       receivedOther: (datagram, from) => this.#receiveDatagram(datagram, from),
+      contain: handle => failures.run('datagram', handle),
       interval: heartbeatInterval,
       timeout: heartbeatTimeout,
       urgent: () => this.#leadership.isUrgent
@@ -189,7 +190,8 @@
       rests: this.#conditions.rests,
       upstreamLimits: this.#upstreamLimits,
       evacuationController: this.#evacuationController,
-      rooms: this.#rooms
+      rooms: this.#rooms,
+      failures
     })
     this.#callers = this.#makeCallers()
     this.#confirmations = new Confirmations({
@@ -206,7 +208,8 @@
       crashes: this.#crashWatch.crashes,
       address: settings.peers,
       orders: platform.orders,
-      probes: platform.probes
+      probes: platform.probes,
+      failures
     })
     this.#readiness = new Readiness({
       clock,
@@ -216,7 +219,7 @@
       connections: () => this.#callers.connections + this.#connections.count,
       others: () => this.#peers.live
     })
-    this.#health = new Health(settings.health, () => this.ready)
+    this.#health = new Health(settings.health, () => this.ready, failures)
     this.#loopDelays = new LoopDelays({ clock, log, work: () => this.#work(), observed: delay => this.#metrics.loopDelayed(delay) })
     this.#stalls = this.#makeStalls()
     this.#reconciler = makeReconciler({
@@ -254,7 +257,7 @@
 
   /** Listens on all addresses, then watches the platform. Rejects if an address cannot be used. */
   async start (): Promise<void> {
-    const { clock, log, platform, settings } = this.#options
+    const { clock, log, failures, platform, settings } = this.#options
     growDescriptorTable().catch(() => { /* Never rejects: a table that cannot grow further stays as it is. */ })
     await Promise.all([this.#callers.start(), this.#health.start(), this.#peerServer.start(), this.#peers.start()])
     this.#confirmations.start()
@@ -268,7 +271,8 @@
       outage: this.#outage,
       peers: this.#peers,
       conditions: this.#conditions,
-      evacuationController: this.#evacuationController
+      evacuationController: this.#evacuationController,
+      failures
     }))
     platform.register({ id: settings.id, address: settings.peers })
     if (!settings.isFirstStart) this.#crashWatch.start()
--- a/packages/gateway/src/health.ts
+++ b/packages/gateway/src/health.ts
@@ -3,6 +3,7 @@
  * definition of "ready" is in `gateway.ts`.
  */
 import { createServer, type Server } from 'node:http'
+import { type TaskFailures } from '@eiderwind/life'
 import { closeIdleConnections, listen } from '@eiderwind/wire'
 
 /** Statuses of the health check (RFC 9110). */
@@ -13,10 +14,11 @@
   readonly #server: Server
   readonly #address: string
 
-  constructor (address: string, ready: () => boolean) {
+  constructor (address: string, ready: () => boolean, failures: TaskFailures) {
     this.#address = address
     this.#server = createServer((_request, response) => {
-      response.statusCode = ready() ? statuses.ready : statuses.notReady
+      response.statusCode = statuses.notReady
+      failures.run('health', () => { if (ready()) response.statusCode = statuses.ready })
       response.end()
     })
     closeIdleConnections(this.#server)
--- a/packages/gateway/src/listener.ts
+++ b/packages/gateway/src/listener.ts
@@ -1,9 +1,11 @@
 /**
  * Passes what the platform delivers to the part that owns it. The configuration and its confirmations go to the board,
  * upstreams to `UpstreamSync`, gateways to the peers, evacuations to `EvacuationController`, and answers and failures of
- * the store to outage detection. Logs changes of the gateway's view.
+ * the store to outage detection. Logs changes of the gateway's view. A delivery that fails here is no failure of the store:
+ * the watches go on.
  */
 import { type Clock } from '@eiderwind/clock'
+import { type TaskFailures } from '@eiderwind/life'
 import { type Log } from '@eiderwind/log'
 import { type Peers } from '@eiderwind/peers'
 import { type Outage } from '@eiderwind/roster'
@@ -24,10 +26,36 @@
   readonly peers: Peers
   readonly conditions: Conditions
   readonly evacuationController: EvacuationController
+  readonly failures: TaskFailures
 }
 
-/** The listener of a gateway's platform. */
+/** The listener of a gateway's platform. None of its methods throws. */
 export function platformListener (options: PlatformListenerOptions): PlatformListener {
+  const { failures } = options
+  const contain = <Delivered extends unknown[]>(deliver: (...delivered: Delivered) => void) => (...delivered: Delivered): void => {
+    failures.run('delivery', () => deliver(...delivered))
+  }
+  const to = receivers(options)
+  return {
+    configuration: contain(to.configuration),
+    confirmed: contain(to.confirmed),
+    upstreams: contain(to.upstreams),
+    upstreamChanges: contain(to.upstreamChanges),
+    upstreamsComplete: contain(to.upstreamsComplete),
+    // These two only read the board.
+    isSuperseded: to.isSuperseded,
+    upstreamsRevision: to.upstreamsRevision,
+    evacuations: contain(to.evacuations),
+    gateways: contain(to.gateways),
+    condition: contain(to.condition),
+    storeAnswered: contain(to.storeAnswered),
+    storeFailed: contain(to.storeFailed),
+    taskFailed: to.taskFailed
+  }
+}
+
+/** What each delivery does. */
+function receivers (options: PlatformListenerOptions): PlatformListener {
   const { clock, log, board, outage, peers, conditions, evacuationController, upstreams } = options
   return {
     ...upstreams,
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -9,6 +9,7 @@
 import { type Queue } from '@eiderwind/dispatch'
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { type CallerRequest, type Deliveries } from '@eiderwind/forward'
+import { type TaskFailures } from '@eiderwind/life'
 import { type Roster } from '@eiderwind/roster'
 import { closeIdleConnections, listen, type Connections } from '@eiderwind/wire'
 import { type Budgets } from './budgets.js'
@@ -36,6 +37,7 @@
   readonly evacuationController: EvacuationController
   /** Absent if each gateway searches for room alone. */
   readonly rooms: Rooms | undefined
+  readonly failures: TaskFailures
 }
 
 const path = '/metrics'
@@ -160,7 +162,10 @@
       this.text().then(text => {
         response.setHeader('content-type', this.#registry.contentType)
         response.end(text)
-      }, () => response.destroy())
+      }).catch(error => {
+        options.failures.record('metrics', error)
+        response.destroy()
+      })
     })
     closeIdleConnections(this.#server)
   }
@@ -222,7 +227,7 @@
   }
 
   #registerGauges (registers: Registry[]): void {
-    const { clock, board, deliveries, upstreamList, away, inFlight, queue, connections, budgets, rests, upstreamLimits: { limits, tokens, cold }, evacuationController } = this.#options
+    const { clock, board, deliveries, upstreamList, away, inFlight, queue, connections, budgets, rests, upstreamLimits: { limits, tokens, cold }, evacuationController, failures } = this.#options
     const single = (name: string, help: string, read: () => number): void => {
       const gauge: Gauge = new Gauge({ name, help, registers, collect: () => gauge.set(read()) })
     }
@@ -258,6 +263,7 @@
     single('eiderwind_evacuated_flights', 'Requests in flight at upstreams of evacuated data centres.', () => evacuationController.running)
     single('eiderwind_evacuated_streams_moved_total', 'Streams that were resumed elsewhere since their data centre is evacuated.', () => evacuationController.moved)
     this.#registerRoomGauges(single)
+    single('eiderwind_task_failures_total', 'Tasks of this program that ended by an error, each alone.', () => failures.count)
     single('eiderwind_start_time_seconds', 'When this process started, in Unix s. A change of it shows a restart.', () => startTime)
     single('eiderwind_memory_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss())
     labelled('eiderwind_engines', 'Engines by the state of their membership.', 'state', () => this.#engines())
--- a/packages/gateway/src/peerserver.ts
+++ b/packages/gateway/src/peerserver.ts
@@ -9,6 +9,7 @@
 import { type Crashes } from '@eiderwind/crashes'
 import { type Probes } from '@eiderwind/detect'
 import { type OrderResult, type Orders } from '@eiderwind/forming'
+import { type TaskFailures } from '@eiderwind/life'
 import { listen, makeServer, readBody } from '@eiderwind/wire'
 import { type GatewayBoard } from './facts.js'
 import { parseRequestedRevision, parseUpstreamsRequest, decodeOrder, decodeProbe, encodeBlocked, encodeConfirmation, encodeProbeAnswer, encodeResult, maxOrderBytes, parseLift, paths, type UpstreamsRequest } from './messages.js'
@@ -31,6 +32,7 @@
   readonly orders: Orders
   /** Probes engines that do not answer other gateways. */
   readonly probes: Pick<Probes, 'report'>
+  readonly failures: TaskFailures
 }
 
 /** The server for other gateways. */
@@ -40,7 +42,10 @@
 
   constructor (options: PeerServerOptions) {
     this.#options = options
-    this.#server = makeServer({ handler: (request, response) => this.#handle(request, response) })
+    this.#server = makeServer({
+      // The gateway that asks counts a closed connection as no answer.
+      handler: (request, response) => options.failures.run('message', () => this.#handle(request, response), () => response.destroy())
+    })
   }
 
   async start (): Promise<void> {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -4,6 +4,7 @@
  */
 import { type Clock } from '@eiderwind/clock'
 import { type BacklogBounds } from '@eiderwind/forward'
+import { type TaskFailures } from '@eiderwind/life'
 import { type Log } from '@eiderwind/log'
 import { type ColdBound } from './upstreamlimits.js'
 import { type Platform } from './platform.js'
@@ -13,6 +14,8 @@
 export interface GatewayOptions {
   readonly clock: Clock
   readonly log: Log
+  /** Contains errors of this program. The clock reports to it too. */
+  readonly failures: TaskFailures
   readonly platform: Platform
   readonly settings: GatewaySettings
 }
--- a/packages/life/src/run.ts
+++ b/packages/life/src/run.ts
@@ -4,6 +4,7 @@
  * `Daemon` to start and to drain.
  */
 import { type Log } from '@eiderwind/log'
+import { causeOf } from './cause.js'
 
 /** The addresses on which a daemon listens, by purpose. They become fields of the event `started`. */
 export type Addresses = Readonly<Record<string, string>>
@@ -57,11 +58,6 @@
   })
 }
 
-/** The stack of an error. Any value can be thrown, so it may have none. */
-function causeOf (error: unknown): string {
-  return error instanceof Error ? error.stack ?? String(error) : String(error)
-}
-
 /**
  * Resolves at the first SIGTERM or SIGINT. The listeners remain, because without one a later signal would end the process
  * with its requests in flight.
--- a/packages/log/test/forms.test.ts
+++ b/packages/log/test/forms.test.ts
@@ -15,6 +15,7 @@
   '107 loop-delayed warn',
   '108 callers-closed info',
   '109 uncaught-error error',
+  '110 task-failed error',
   '200 store-lost warn',
   '201 store-back info',
   '202 configuration-new info',
--- a/packages/peers/src/peers.ts
+++ b/packages/peers/src/peers.ts
@@ -45,6 +45,8 @@
   readonly received?: (heartbeat: Heartbeat, from: PeerAddress) => void
   /** Called with each datagram that is not a heartbeat, and the `host:port` of its sender. Default: it is dropped. */
   readonly receivedOther?: (message: Buffer, from: string) => void
+  /** Handles a datagram by calling `handle`, which may throw. Default: calls it. */
+  readonly contain?: (handle: () => void) => void
   /**
    * Whether the loss of this gateway must be detected soon: it then sends each `interval` in a fleet of any size.
    * Default: never.
@@ -175,8 +177,8 @@
 
   /** Binds the address and starts to send. Rejects if the address cannot be bound. */
   async start (): Promise<void> {
-    const { clock, interval } = this.#options
-    await this.#datagrams.start((message, from) => this.#receive(message, from))
+    const { clock, interval, contain = handle => handle() } = this.#options
+    await this.#datagrams.start((message, from) => contain(() => this.#receive(message, from)))
     this.#timer = clock.every(interval, () => this.#sendRegularly())
   }
 
--- a/packages/peers/test/peers.test.ts
+++ b/packages/peers/test/peers.test.ts
@@ -313,3 +313,36 @@
   await until(() => other.received.length > 1)
   t.notThrows(() => peers.post('127.0.0.1:99999', 'text'))
 })
+
+// Guards against: a datagram whose handling fails ended the gateway (FAULT).
+test('a datagram whose handling throws ends nothing else: the next one is taken', async t => {
+  const errors: string[] = []
+  const received: string[] = []
+  const port = await freePort()
+  const peers = new Peers({
+    clock: new ManualClock(),
+    id: 'self',
+    address: `127.0.0.1:${port}`,
+    heartbeat,
+    interval,
+    timeout,
+    received: ({ id }) => {
+      if (id === 'odd') throw new Error('not taken')
+      received.push(id)
+    },
+    contain: handle => {
+      try {
+        handle()
+      } catch (error) {
+        errors.push(String(error))
+      }
+    }
+  })
+  await peers.start()
+  t.teardown(() => peers.stop())
+  const sender = await peer(t, 'a')
+  for (const id of ['odd', 'a']) sender.socket.send(encode(heartbeat({ id })), port, '127.0.0.1')
+  await until(() => received.length > 0)
+  t.deepEqual(received, ['a'])
+  t.deepEqual(errors, ['Error: not taken'])
+})
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -33,6 +33,56 @@
     test: 'platform/dist/test/departureschedules.test.js',
     title: 'no request is sent to an upstream that departed*'
   },
+  {
+    name: 'timer-error-uncontained',
+    point: 7,
+    rule: 'an error in a timer ends that task only',
+    file: 'packages/clock/dist/src/system.js',
+    find: 'this.#onError(error);',
+    replace: 'throw error;',
+    test: 'packages/clock/dist/test/clock.test.js',
+    title: 'a task that throws is reported and ends alone*'
+  },
+  {
+    name: 'failures-unbounded',
+    point: 7,
+    rule: 'the lines of failed tasks are bounded',
+    file: 'packages/life/dist/src/taskfailures.js',
+    find: 'return this.#lines++ < maxLines;',
+    replace: 'return true;',
+    test: 'packages/life/dist/test/taskfailures.test.js',
+    title: 'at most ten lines*'
+  },
+  {
+    name: 'message-error-uncontained',
+    point: 7,
+    rule: 'an error in the handling of a message ends that message only',
+    file: 'packages/gateway/dist/src/peerserver.js',
+    find: "options.failures.run('message', () => this.#handle(request, response), () => response.destroy())",
+    replace: 'this.#handle(request, response)',
+    test: 'packages/gateway/dist/test/failures.test.js',
+    title: 'a message of another gateway*'
+  },
+  {
+    name: 'delivery-error-uncontained',
+    point: 7,
+    rule: 'an error in the handling of a delivery ends that delivery only',
+    file: 'packages/gateway/dist/src/listener.js',
+    find: "failures.run('delivery', () => deliver(...delivered));",
+    replace: 'deliver(...delivered);',
+    test: 'packages/gateway/dist/test/failures.test.js',
+    title: 'no delivery of the platform throws*'
+  },
+  {
+    name: 'datagram-error-uncontained',
+    point: 7,
+    rule: 'an error in the handling of a datagram ends that datagram only',
+    file: 'packages/peers/dist/src/peers.js',
+    find: 'contain(() => this.#receive(message, from))',
+    replace: 'this.#receive(message, from)',
+    test: 'packages/peers/dist/test/peers.test.js',
+    title: 'a datagram whose handling throws*'
+  },
   {
     name: 'long-delay-runs-at-once',
     point: 4,
