A task that throws stops no one behind it: turns, tokens, places, the feed (LOST)

What callers saw: nothing was traced to it; found by reading each chain that continues after its own work.

Cause: TurnQueue dropped the other tasks of a turn, the issuers of tokens and places set no timer again when a delivery threw, and the feed of upstreams ended for good when a listener threw at one change.

Each continues in finally, or tries again after the usual pause. rests, cold, history, pace and reports set no timer after work that can throw.

Before: clock, limits and places tests failed (the replies behind the failing one were missing), upstreamfeed.test timed out. The fixture of the latter fails a test for each reported failure that it does not expect, as its thrown error did.

--- a/packages/clock/src/turnqueue.ts
+++ b/packages/clock/src/turnqueue.ts
@@ -28,7 +28,12 @@
     const due = this.#tasks.splice(0, this.#maxPerTurn - this.#count)
     this.#count += due.length
     this.#schedule()
-    for (const each of due) each()
+    try {
+      for (let task = due.shift(); task !== undefined; task = due.shift()) task()
+    } finally {
+      // Left only if a task threw: the next turn runs them.
+      this.#tasks.unshift(...due)
+    }
   }
 
   #schedule (): void {
--- a/packages/clock/test/clock.test.ts
+++ b/packages/clock/test/clock.test.ts
@@ -152,6 +152,19 @@
   t.is(ran.at(-1), 8)
 })
 
+// Guards against: an error in the delivery to one caller took the deliveries to others with it (LOST).
+test('a task of a turn queue that throws leaves the others to the next turn', t => {
+  const clock = new ManualClock()
+  const queue = new TurnQueue(clock, 3)
+  const ran: number[] = []
+  for (let index = 0; index < 3; index++) queue.run(() => ran.push(index))
+  queue.run(() => { throw new Error('failed') })
+  for (const index of [4, 5]) queue.run(() => ran.push(index))
+  t.throws(() => clock.advance(0), { message: 'failed' })
+  clock.advance(0)
+  t.deepEqual(ran, [0, 1, 2, 4, 5])
+})
+
 test('a task that adds tasks to its turn queue does not run more of them in its turn than the bound', t => {
   const clock = new ManualClock()
   const queue = new TurnQueue(clock, 2)
--- a/packages/gateway/src/upstreamfeed.ts
+++ b/packages/gateway/src/upstreamfeed.ts
@@ -75,12 +75,20 @@
   }
 
   async #run (): Promise<void> {
-    const { clock, sources } = this.#options
+    const { clock, failed } = this.#options
     while (!this.#stopped) {
-      for (const source of sources()) await this.#follow(source)
+      await this.#followSources().catch(failed)
+      await clock.wait(retryPause)
+    }
+  }
+
+  /** Follows each source in turn until none answers. Rejects if the list or a part that reads it throws. */
+  async #followSources (): Promise<void> {
+    try {
+      for (const source of this.#options.sources()) await this.#follow(source)
+    } finally {
       this.#isSourceAnswering = false
       this.#check()
-      await clock.wait(retryPause)
     }
   }
 
--- a/packages/gateway/test/upstreamfeed.test.ts
+++ b/packages/gateway/test/upstreamfeed.test.ts
@@ -35,13 +35,15 @@
   readonly ages: number[]
   readonly roster: Roster
   readonly source: { list: Upstream[], age: () => number | undefined }
+  /** What the feed reported as failed. */
+  readonly failures: unknown[]
   readonly setStoreReached: (reached: boolean) => void
   /** Total time of pauses of this process, in ms. */
   pausedTime: number
 }
 
 /** Runs a test with a source and a follower, and closes both. */
-async function withFeed (run: (feed: FeedFixture) => Promise<void>): Promise<void> {
+async function withFeed (run: (feed: FeedFixture) => Promise<void>, expectsFailures = false): Promise<void> {
   const clock = new SystemClock()
   const source = { list: [upstream('a')], age: (): number | undefined => 0 }
   const server = createServer((_request, response) => {
@@ -52,7 +54,7 @@
   const board = gatewayBoard()
   board.write('store', true)
   const roster = new Roster(clock)
-  const state: FeedFixture = { isFollowing: false, ages: [], roster, source, setStoreReached: reached => board.write('store', reached), pausedTime: 0 }
+  const state: FeedFixture = { isFollowing: false, ages: [], roster, source, failures: [], setStoreReached: reached => board.write('store', reached), pausedTime: 0 }
   const setFollowing = (following: boolean): void => {
     if (state.isFollowing && !following) state.ages.push(clock.bootNow() - board.read('upstreamsAt'))
     state.isFollowing = following
@@ -62,11 +64,12 @@
   const connections = new Connections({ connectTime: 500 })
   const log = { write: () => {} } as unknown as Log
   const upstreamList = new UpstreamList({ clock, log, board, roster, outage: new Outage(clock), maxAge })
-  const feed = new UpstreamFeed({ clock, board, upstreamList, platform, call: upstreamsCall(clock, connections), maxListAge: maxAge, sources: () => [{ id: 'source', address: `127.0.0.1:${port}` }], failed: error => { throw error } })
+  const feed = new UpstreamFeed({ clock, board, upstreamList, platform, call: upstreamsCall(clock, connections), maxListAge: maxAge, sources: () => [{ id: 'source', address: `127.0.0.1:${port}` }], failed: error => state.failures.push(error) })
   feed.start()
   pauses.start()
   try {
     await run(state)
+    if (!expectsFailures && state.failures.length > 0) throw state.failures[0]
   } finally {
     feed.stop()
     pauses.stop()
@@ -115,3 +118,18 @@
     t.false(feed.isFollowing)
   })
 })
+
+// Guards against: a part that throws at one change of the list ended the following of other gateways for good.
+test('a list that a part cannot take is reported, and its source is followed on', async t => {
+  await withFeed(async feed => {
+    await waitUntil(() => feed.isFollowing)
+    const unsubscribe = feed.roster.listen(() => { throw new Error('a listener failed') })
+    feed.source.list = [upstream('b')]
+    await waitUntil(() => feed.failures.length > 0)
+    t.regex(String(feed.failures[0]), /a listener failed/)
+    unsubscribe()
+    feed.source.list = [upstream('c')]
+    await waitUntil(() => feed.roster.upstreams.some(each => each.id === 'c'))
+    t.true(feed.isFollowing)
+  }, true)
+})
--- a/packages/limits/src/issuer.ts
+++ b/packages/limits/src/issuer.ts
@@ -135,10 +135,14 @@
     known.waiting = known.waiting.filter(each => each.until >= now)
     const isLimited = this.#queue(upstream, now) !== undefined
     const mayIssue = (): boolean => !isLimited || known.bucket.take(now)
-    while (known.waiting.length > 0 && mayIssue()) {
-      const { from, number } = known.waiting.shift() as WaitingRequest
-      deliver(from, { token: 'grant', number })
+    try {
+      while (known.waiting.length > 0 && mayIssue()) {
+        const { from, number } = known.waiting.shift() as WaitingRequest
+        deliver(from, { token: 'grant', number })
+      }
+    } finally {
+      // The others are served even if a delivery fails.
+      this.#schedule(upstream, known, now)
     }
-    this.#schedule(upstream, known, now)
   }
 }
--- a/packages/limits/test/issuer.test.ts
+++ b/packages/limits/test/issuer.test.ts
@@ -8,11 +8,16 @@
   readonly replies: string[] = []
   rate = 10
   begin = 0
+  /** The number of the request to which no reply can be delivered. */
+  failing: number | undefined
   readonly issuer = new Issuer({
     clock: this.clock,
     rate: () => this.rate,
     begin: () => this.begin,
-    deliver: (to, reply) => { this.replies.push(`${to}${reply.number} ${reply.token === 'grant' ? 'granted' : `in ${reply.due}`}`) }
+    deliver: (to, reply) => {
+      if (reply.number === this.failing) throw new Error('not delivered')
+      this.replies.push(`${to}${reply.number} ${reply.token === 'grant' ? 'granted' : `in ${reply.due}`}`)
+    }
   })
 
   request (from: string, number: number, fields: Partial<TokenRequest> = {}): void {
@@ -114,3 +119,15 @@
   t.deepEqual(fixture.newReplies, ['a1 in 100'])
   t.deepEqual(fixture.issuer.upstreams, [])
 })
+
+// Guards against: one delivery that fails ended the service of all requests that wait for the same upstream.
+test('requests behind one whose token cannot be delivered get theirs', t => {
+  const fixture = new Fixture()
+  const { clock } = fixture
+  for (const number of [1, 2, 3]) fixture.request('a', number)
+  t.is(fixture.newReplies.length, 3)
+  fixture.failing = 1
+  t.throws(() => clock.advance(100), { message: 'not delivered' })
+  clock.advance(200)
+  t.deepEqual(fixture.newReplies, ['a2 granted', 'a3 granted'])
+})
--- a/packages/places/src/issuer.ts
+++ b/packages/places/src/issuer.ts
@@ -179,9 +179,13 @@
     const time = Math.max(minCheckInterval, Math.min(maxCheckInterval, queue.nextCheckAt - clock.now()))
     queue.timer = clock.after(time, () => {
       queue.timer = undefined
-      this.#grantFree(queue)
-      this.#review(queue)
-      this.#schedule(queue)
+      try {
+        this.#grantFree(queue)
+        this.#review(queue)
+      } finally {
+        // The requests that wait are checked again even if this check fails.
+        this.#schedule(queue)
+      }
     })
   }
 }
--- a/packages/places/test/issuer.test.ts
+++ b/packages/places/test/issuer.test.ts
@@ -10,13 +10,18 @@
   readonly counts = new InFlightCounts()
   readonly replies: string[] = []
   heads: Head[] = [head('a', 1), head('b', 1)]
+  /** The number of the request to which no reply can be delivered. */
+  failing: number | undefined
   readonly localInFlight = new Map<string, number>()
   readonly issuer = new Issuer({
     clock: this.clock,
     heads: () => this.heads,
     inFlight: upstream => this.localInFlight.get(upstream) ?? 0,
     counts: this.counts,
-    deliver: (to, reply) => { this.replies.push(`${to}${reply.number} ${reply.place}${reply.place === 'grant' ? ` ${reply.upstream}` : ''}`) },
+    deliver: (to, reply) => {
+      if (reply.number === this.failing) throw new Error('not delivered')
+      this.replies.push(`${to}${reply.number} ${reply.place}${reply.place === 'grant' ? ` ${reply.upstream}` : ''}`)
+    },
     random: () => 0
   })
 
@@ -320,3 +325,16 @@
   t.true((served.get('many') ?? 0) >= 40, `${served.get('many')} of the many served`)
   t.true(refusedLate <= (refusedLate + refusedEarly) * 0.1, `${refusedLate} of ${refusedLate + refusedEarly} refusals came after the review`)
 })
+
+// Guards against: one delivery that fails ended the checks of all requests that wait for the same room.
+test('requests behind one whose reply cannot be delivered get theirs', t => {
+  const fixture = new Fixture()
+  const { clock } = fixture
+  fixture.heads = []
+  for (const number of [1, 2]) fixture.request('x', number, { until: 100 * number, inTimeUntil: 100 * number })
+  t.is(fixture.newReplies.length, 2)
+  fixture.failing = 1
+  t.throws(() => clock.advance(200), { message: 'not delivered' })
+  clock.advance(1000)
+  t.deepEqual(fixture.newReplies, ['x2 later'])
+})
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -83,6 +83,16 @@
     test: 'packages/peers/dist/test/peers.test.js',
     title: 'a datagram whose handling throws*'
   },
+  {
+    name: 'turn-drops-the-others',
+    point: 7,
+    rule: 'a task that throws takes no other task of its turn with it',
+    file: 'packages/clock/dist/src/turnqueue.js',
+    find: 'this.#tasks.unshift(...due);',
+    replace: '',
+    test: 'packages/clock/dist/test/clock.test.js',
+    title: 'a task of a turn queue that throws*'
+  },
   {
     name: 'long-delay-runs-at-once',
     point: 4,
