--- a/packages/gateway/src/peerserver.ts
+++ b/packages/gateway/src/peerserver.ts
@@ -15,6 +15,9 @@
 import { parseRequestedRevision, parseUpstreamsRequest, decodeOrder, decodeProbe, encodeBlocked, encodeConfirmation, encodeProbeAnswer, encodeResult, maxOrderBytes, parseLift, paths, type UpstreamsRequest } from './messages.js'
 import { type UpstreamSync } from './upstreamsync.js'
 
+/** The base that makes a request's target a URL. */
+const base = 'http://gateway'
+
 /** Statuses of the answer to an order to lift a block. */
 const httpStatus = { ok: 200, notFound: 404 } as const
 
@@ -58,6 +61,7 @@
   }
 
   #handle (request: IncomingMessage, response: ServerResponse): void {
+    if (!URL.canParse(request.url ?? '/', base)) return this.#refuseTarget(response)
     if (request.url === paths.order) return this.#answerOrder(request, response)
     if (request.url === paths.probe) return this.#answerProbe(request, response)
     response.setHeader('content-type', 'application/json')
@@ -72,6 +76,12 @@
     response.end(this.#confirmation(parseRequestedRevision(request.url ?? '/')))
   }
 
+  /** Any process may send to the port, so a target that is none is no error of this program. */
+  #refuseTarget (response: ServerResponse): void {
+    response.statusCode = httpStatus.notFound
+    response.end()
+  }
+
   #lift (id: string, response: ServerResponse): void {
     const isLifted = this.#options.crashes.lift(id)
     response.statusCode = isLifted ? httpStatus.ok : httpStatus.notFound
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -93,6 +93,16 @@
     test: 'packages/clock/dist/test/clock.test.js',
     title: 'a task of a turn queue that throws*'
   },
+  {
+    name: 'odd-target-believed',
+    point: 7,
+    rule: 'a target that is none is refused',
+    file: 'packages/gateway/dist/src/peerserver.js',
+    find: "!URL.canParse(request.url ?? '/', base)",
+    replace: 'false',
+    test: 'platform/dist/test/oddrequests.test.js',
+    title: 'a request whose target is no path*'
+  },
   {
     name: 'long-delay-runs-at-once',
     point: 4,
