--- a/packages/clock/test/clock.test.ts
+++ b/packages/clock/test/clock.test.ts
@@ -114,6 +114,31 @@
   t.false(ran)
 })
 
+// Guards against: one error in a timer ended the whole process, with all of its requests (FAULT, LOST).
+test('a task that throws is reported and ends alone: periodic tasks, the same one too, go on', async t => {
+  const errors: string[] = []
+  const clock = new SystemClock(error => errors.push(String(error)))
+  const others: number[] = []
+  const failing = clock.every(5, () => { throw new Error('failed') })
+  const other = clock.every(5, () => { others.push(1) })
+  while (errors.length < 3 || others.length < 3) await clock.wait(5)
+  failing.cancel()
+  other.cancel()
+  t.true(errors.every(each => each === 'Error: failed'))
+})
+
+// Guards against: a delay from a number that another process sent ran its task at once, again and again (FAULT).
+for (const delay of [2 ** 31, 1e300, Infinity, NaN]) {
+  test(`a task with a delay of ${delay} ms does not run soon`, async t => {
+    const clock = new SystemClock()
+    let ran = 0
+    const timer = clock.every(delay, () => { ran++ })
+    await clock.wait(50)
+    timer.cancel()
+    t.is(ran, 0)
+  })
+}
+
 test('a turn queue runs a bounded number of tasks in a turn, in order, and the rest in the following turns', t => {
   const clock = new ManualClock()
   const queue = new TurnQueue(clock, 3)
@@ -127,6 +152,19 @@
   t.is(ran.at(-1), 8)
 })
 
+// Guards against: an error in the delivery to one caller took the deliveries to others with it (LOST).
+test('a task of a turn queue that throws leaves the others to the next turn', t => {
+  const clock = new ManualClock()
+  const queue = new TurnQueue(clock, 3)
+  const ran: number[] = []
+  for (let index = 0; index < 3; index++) queue.run(() => ran.push(index))
+  queue.run(() => { throw new Error('failed') })
+  for (const index of [4, 5]) queue.run(() => ran.push(index))
+  t.throws(() => clock.advance(0), { message: 'failed' })
+  clock.advance(0)
+  t.deepEqual(ran, [0, 1, 2, 4, 5])
+})
+
 test('a task that adds tasks to its turn queue does not run more of them in its turn than the bound', t => {
   const clock = new ManualClock()
   const queue = new TurnQueue(clock, 2)
