A list is followed although an item, an event or an answer cannot be used, or a listener throws (FAULT)

What callers saw: a worker that started got no requests, for as long as the gateway ran: it no longer followed the list.

Causes: (1) Watch decoded all events of an answer before it delivered any, so one that is no change of an object dropped the others, which were not asked for again. (2) An answer that is no JSON, or lacks a field, was an error of its own kind: the watch asked for the changes since the same revision again and again. (3) A page whose last item has no name, or half of a surrogate pair in it, ended the read of the list; pages that do not go on were requested without end. (4) storeFailed of the listener is called where errors are handled: if it throws, run() rejects, and it was run once only. (5) Tasks.repeat decided by a set of names, so another task of that name ended the repetitions of one that had failed (two runs of one watch, two writes of one block).

Now an event that cannot be decoded is left out with a line, the others are delivered, and the list is read, which shows what it changed; the list counts as complete only up to the earlier time until then. An answer that cannot be used is a StoreError, after which the list is read. A page goes on after its last readable name.

--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -23,6 +23,56 @@
     test: 'platform/dist/test/departureschedules.test.js',
     title: 'no request is sent to an upstream that departed*'
   },
+  {
+    name: 'odd-event-drops-others',
+    point: 4,
+    rule: 'an event that cannot be decoded is left out, and the others of its answer are delivered',
+    file: 'platform/dist/src/watch.js',
+    find: "decodeEach(events, each => decode(ObjectChange, each, 'An event of a watch'), report)",
+    replace: "events.map(each => decode(ObjectChange, each, 'An event of a watch'))",
+    test: 'platform/dist/test/watch.test.js',
+    title: 'an event that cannot be decoded*'
+  },
+  {
+    name: 'odd-event-taken-as-known',
+    point: 4,
+    rule: 'after an event that was left out, the list is read',
+    file: 'platform/dist/src/watch.js',
+    find: 'if (changes.length < events.length)',
+    replace: 'if (changes.length < 0)',
+    test: 'platform/dist/test/watch.test.js',
+    title: 'an event that cannot be decoded*'
+  },
+  {
+    name: 'unusable-answer-asked-for-again',
+    point: 4,
+    rule: 'after an answer to a watch that cannot be used, the list is read',
+    file: 'platform/dist/src/watch.js',
+    find: 'error.isUnusable || ',
+    replace: '',
+    test: 'platform/dist/test/watch.test.js',
+    title: 'after an answer to a watch*'
+  },
+  {
+    name: 'watch-ends-with-its-listener',
+    point: 4,
+    rule: 'a watch that ended since its listener threw is run again',
+    file: 'platform/dist/src/platform.js',
+    find: 'this.#tasks.repeat(`watch of ',
+    replace: 'this.#tasks.run(`watch of ',
+    test: 'platform/dist/test/watch.test.js',
+    title: 'a platform follows its lists again*'
+  },
+  {
+    name: 'nameless-item-ends-list',
+    point: 4,
+    rule: 'a page is followed by the next one although its last item has no name',
+    file: 'platform/dist/src/store.js',
+    find: 'const name = decodeEach(items, nameOf, () => { }).at(-1);',
+    replace: 'const name = nameOf(items.at(-1));',
+    test: 'platform/dist/test/watch.test.js',
+    title: 'a page whose last items*'
+  },
   {
     name: 'old-list-not-asked',
     point: 4,
