--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -23,6 +23,16 @@
     test: 'platform/dist/test/departureschedules.test.js',
     title: 'no request is sent to an upstream that departed*'
   },
+  {
+    name: 'raw-name-in-path',
+    point: 4,
+    rule: 'the name of an object is encoded in the path of a call',
+    file: 'platform/dist/src/store.js',
+    find: 'const segment = encodeURIComponent(name).replace(encodedSegmentChars, decodeURIComponent);',
+    replace: 'const segment = name;',
+    test: 'platform/dist/test/storenames.test.js',
+    title: 'objects of any name*'
+  },
   {
     name: 'odd-event-drops-others',
     point: 4,
