An answer that ends with its connection is forwarded as one by entry and worker (MIXED)

Callers of an entry saw a whole 200 for an answer that had broken off: an answer of a worker with neither a length nor chunks, closed or reset in the middle, reached them in chunks with the last chunk, or with a length of the part that had arrived. A worker did the same with its upstream's answer, and a caller with HTTP/1.0 saw an ordinary close for every answer that broke off.

Cause: three places wrote a head without the framing of the answer they forwarded: Relay left it to Node.js (chunks), sendAnswer of the entry and reply of the worker set the length of what they had collected. forward had the same fault once and kept its remedy for itself. Entry and worker also called through an Agent of the client library, which takes the end of an answer without a length for whole, a reset too; only the gateway used Connections, which checks.

Fix: wire/framing.ts is the one place that writes the head of a forwarded answer. It has a length or chunks only if the answer has; otherwise the connection ends with it. A response that breaks off is reset where a close would look whole. forward, entry and worker use it, and entry and worker call through Connections. The book of a home stores an answer's length if the answer was framed, and replays it so.

The length of an answer to HEAD, and of a 304, is forwarded as it came; the gateway answered HEAD with the length 0.

Breakages unframed-answer-gets-chunks, unframed-answer-gets-length and broken-relay-closed-in-order turn them red. entry/src/attempting.ts changes by the name of the connections only. The harness of the entry's tests gives its port instead of its origin, and uses Connections as the entry does.

--- a/packages/entry/src/attempting.ts
+++ b/packages/entry/src/attempting.ts
@@ -7,7 +7,7 @@
 import { failure, workerFault, type AttemptEnd } from './outcome.js'
 import { type Target } from './targets.js'
 import { Fault } from '@eiderwind/fault'
-import { Collector, send, wireHeaders, type Call, type Collected } from '@eiderwind/wire'
+import { Collector, wireHeaders, type Call, type Collected } from '@eiderwind/wire'
 
 /** Options of one attempt. */
 export interface AttemptOptions {
@@ -22,7 +22,7 @@
  * disconnects.
  */
 export function collectAttempt (context: Context, exchange: Exchange, target: Target, options: AttemptOptions = {}): Promise<AttemptEnd> {
-  const { clock, targets, inFlight, dispatcher } = context
+  const { clock, targets, inFlight, connections } = context
   const attempt = attemptAt(target, clock)
   options.begun?.(attempt)
   targets.recordSent(target.worker)
@@ -34,7 +34,7 @@
       targets.recordEnded(target.worker)
       resolve(end)
     }
-    const cancel = send(dispatcher, attemptCall(context, exchange, attempt, options.headers), new Collector({
+    const cancel = connections.send(attemptCall(context, exchange, attempt, options.headers), new Collector({
       whole: answer => finish(endOfAnswer(context, attempt, answer)),
       failed: ({ sent }) => finish(endOfFailure(sent, isExpired(exchange, clock)))
     }))
--- a/packages/entry/src/context.ts
+++ b/packages/entry/src/context.ts
@@ -2,12 +2,11 @@
  * The dependencies that all requests of an entry share: those of its request paths and of its attempts. An entry
  * creates one context when it starts.
  */
-import { type Dispatcher } from 'undici'
 import { type Clock } from '@eiderwind/clock'
 import { type CurrentConfiguration } from '@eiderwind/config'
 import { type Log, type Metric } from '@eiderwind/log'
 import { type Affinity, type BalancedPolicy, type RetryBudget } from '@eiderwind/route'
-import { type Clients } from '@eiderwind/wire'
+import { type Clients, type Connections } from '@eiderwind/wire'
 import { type AttemptsInFlight } from './inflight.js'
 import { type Targets } from './targets.js'
 
@@ -22,7 +21,7 @@
   readonly budget: RetryBudget
   readonly clients: Clients
   /** Connections to workers. */
-  readonly dispatcher: Dispatcher
+  readonly connections: Connections
   readonly log: Log
   readonly metric: Metric
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -6,7 +6,6 @@
 import { type Server } from 'node:http'
 import { Server as TcpServer } from 'node:net'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
-import { Agent } from 'undici'
 import { v7 } from 'uuid'
 import { splitAddress } from '@eiderwind/address'
 import { Scheduler } from '@eiderwind/board'
@@ -19,7 +18,7 @@
 import { type EntryAddress, type Operator, type Peer } from '@eiderwind/schema'
 import { Reports } from '@eiderwind/spread'
 import { type Store } from '@eiderwind/store'
-import { Clients, entryRouter, listen, makeServer, serve } from '@eiderwind/wire'
+import { Clients, Connections, entryRouter, listen, makeServer, serve } from '@eiderwind/wire'
 import { Callers } from './callers.js'
 import { Calls } from './calls.js'
 import { type Context } from './context.js'
@@ -47,6 +46,10 @@
  */
 const minIdleTime = 250
 
+/** Maximum time to connect to a worker, and how long an idle connection to one is kept open, in ms. */
+const connectTime = 2000
+const idleTime = 30_000
+
 /** Maximum time that a stop waits until no request has arrived for `minIdleTime`, in ms. */
 const maxCloseTime = 2000
 
@@ -93,7 +96,7 @@
   readonly #options: EntryOptions
   readonly #current = new CurrentConfiguration()
   readonly #clients: Clients
-  readonly #dispatcher = new Agent({ pipelining: 1, bodyTimeout: 0, headersTimeout: 0, keepAliveTimeout: 30_000, connect: { timeout: 2000 } })
+  readonly #connections = new Connections({ connectTime, idleTime })
   readonly #scheduler: Scheduler
   readonly #reports: Reports
   readonly #servers: Server[] = []
@@ -160,7 +163,8 @@
       server.close()
       server.closeAllConnections()
     }
-    await Promise.all([this.#clients.close(), this.#dispatcher.destroy()])
+    this.#connections.close()
+    await this.#clients.close()
   }
 
   #startControllers (board: EntryBoard, self: EntryAddress, peers: Peers): Spreader {
@@ -206,7 +210,7 @@
       affinity: new Affinity(),
       budget: new RetryBudget(clock),
       clients: this.#clients,
-      dispatcher: this.#dispatcher,
+      connections: this.#connections,
       log,
       metric
     }
--- a/packages/entry/src/modelpath.ts
+++ b/packages/entry/src/modelpath.ts
@@ -5,7 +5,7 @@
 import { Fault } from '@eiderwind/fault'
 import { ranked } from '@eiderwind/hash'
 import { prefixDigests } from '@eiderwind/route'
-import { answerFault, endToEndHeaders, type Collected } from '@eiderwind/wire'
+import { answerFault, collectedHeaders, writeForwardedHead, type Collected } from '@eiderwind/wire'
 import { collectAttempt } from './attempting.js'
 import { promptText, type Completion } from './completion.js'
 import { type Context } from './context.js'
@@ -96,8 +96,8 @@
 }
 
 /** Answers the caller with an upstream's complete answer. */
-export function sendAnswer ({ response }: Exchange, { status, headers, body }: Collected): void {
+export function sendAnswer ({ request, response }: Exchange, answer: Collected): void {
   if (response.destroyed) return
-  response.writeHead(status, { ...endToEndHeaders(headers), 'content-length': body.length })
-  response.end(body)
+  writeForwardedHead(response, answer.status, collectedHeaders(request.method, answer))
+  response.end(answer.body)
 }
--- a/packages/entry/src/plainpath.ts
+++ b/packages/entry/src/plainpath.ts
@@ -7,7 +7,7 @@
 import { Fault } from '@eiderwind/fault'
 import { noPreference } from '@eiderwind/route'
 import { type PlainService } from '@eiderwind/schema'
-import { Relay, answerFault, send, wireHeaders, type AnswerHeaders, type Flow } from '@eiderwind/wire'
+import { Relay, answerFault, wireHeaders, type AnswerHeaders, type Flow } from '@eiderwind/wire'
 import { attemptCall, isOwnAnswer } from './attempting.js'
 import { type Context } from './context.js'
 import { attemptAt, isExpired, timeLeft, type Attempt, type Exchange } from './exchange.js'
@@ -55,7 +55,7 @@
  * Sends a request to a worker and forwards the answer as it arrives. Resolves to undefined once an answer has begun.
  */
 function tryRelay (context: Context, exchange: Exchange, target: Target): Promise<Failure | undefined> {
-  const { clock, targets, inFlight, dispatcher } = context
+  const { clock, targets, inFlight, connections } = context
   const attempt = attemptAt(target, clock)
   targets.recordSent(target.worker)
   return new Promise(resolve => {
@@ -67,7 +67,7 @@
       resolve(failed)
     }
     const relay = new PlainRelay(context, exchange, attempt, finish)
-    const cancel = send(dispatcher, attemptCall(context, exchange, attempt), relay)
+    const cancel = connections.send(attemptCall(context, exchange, attempt), relay)
     const timer = clock.after(timeLeft(exchange, clock), () => cancel(new Error('The deadline has passed.')))
     const removeFromList = inFlight.add(target, cancel)
     const onCallerGone = (): void => cancel(new Error('The caller disconnected.'))
--- a/packages/entry/src/stream.ts
+++ b/packages/entry/src/stream.ts
@@ -3,12 +3,12 @@
  * has received (`transcript.ts`). A stream is complete only with its end mark.
  */
 import { Fault } from '@eiderwind/fault'
-import { answerFault, callerHeaders, endToEndHeaders, send, wireHeaders, type AnswerHeaders } from '@eiderwind/wire'
+import { answerFault, callerHeaders, endToEndHeaders, wireHeaders, type AnswerHeaders } from '@eiderwind/wire'
 import { attemptCall } from './attempting.js'
 import { type Completion } from './completion.js'
 import { type Context } from './context.js'
 import { attemptAt, timeLeft, type Exchange } from './exchange.js'
-import { type Choice } from './modelpath.js'
+import { sendAnswer, type Choice } from './modelpath.js'
 import { failure, finalFault, accountForEarlierTries, type Failure } from './outcome.js'
 import { Part, type PartEnd } from './part.js'
 import { type Target } from './targets.js'
@@ -84,7 +84,7 @@
 
   /** Streams from one replica until the end mark or a failure. */
   #streamPart (target: Target): Promise<PartEnd> {
-    const { clock, inFlight, dispatcher } = this.#context
+    const { clock, inFlight, connections } = this.#context
     const exchange = this.#exchange
     const progress = this.#transcript.resume()
     if (progress.hasFinishReason) return Promise.resolve(this.#end())
@@ -102,7 +102,7 @@
         forwardAnswer: (status, headers, body) => this.#forwardAnswer(status, headers, body),
         ended: end => finish(this.#transcript.isComplete ? this.#end() : end)
       }, this.#exchange.response)
-      const cancel = send(dispatcher, attemptCall(this.#context, exchange, attempt, {}, this.#body(progress.offset, progress.text)), part)
+      const cancel = connections.send(attemptCall(this.#context, exchange, attempt, {}, this.#body(progress.offset, progress.text)), part)
       const timer = clock.after(timeLeft(exchange, clock), () => cancel(new Error('The deadline has passed.')))
       const removeFromList = inFlight.add(target, cancel)
       const onCallerGone = (): void => {
@@ -125,7 +125,8 @@
     if (this.#begun) return
     this.#begun = true
     metric.timing('request.first_byte_ms', clock.now() - this.#exchange.startedAt, { service: this.#exchange.service })
-    const { [wireHeaders.attempt]: _attempt, ...kept } = endToEndHeaders(headers)
+    // The stream has no length, since another replica may go on with it, and this process judges itself whether it ended.
+    const { [wireHeaders.attempt]: _attempt, 'content-length': _length, ...kept } = endToEndHeaders(headers)
     this.#exchange.response.writeHead(200, kept)
     this.#exchange.response.flushHeaders()
   }
@@ -138,11 +139,9 @@
 
   /** Answers the caller with the engine's answer if that is not a stream, such as an error about the request. */
   #forwardAnswer (status: number, headers: AnswerHeaders, body: Buffer): PartEnd {
-    const { response } = this.#exchange
     if (this.#begun) return { type: 'failed', failure: failure(new Fault('interrupted')) }
-    const { [wireHeaders.attempt]: _attempt, ...kept } = endToEndHeaders(headers)
-    response.writeHead(status, { ...kept, 'content-length': body.length })
-    response.end(body)
+    const { [wireHeaders.attempt]: _attempt, ...kept } = headers
+    sendAnswer(this.#exchange, { status, headers: kept, body })
     return { type: 'done' }
   }
 
--- a/packages/entry/test/harness.ts
+++ b/packages/entry/test/harness.ts
@@ -1,12 +1,11 @@
 import { type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { Agent } from 'undici'
 import { SystemClock } from '@eiderwind/clock'
 import { CurrentConfiguration } from '@eiderwind/config'
 import { Log, Metric } from '@eiderwind/log'
 import { Affinity, BalancedPolicy, RetryBudget } from '@eiderwind/route'
 import { emptyConfiguration, type EntryAddress, type Report, type Service } from '@eiderwind/schema'
 import { Reports } from '@eiderwind/spread'
-import { Clients, answerFault, listen, makeServer, type SettleAnswer } from '@eiderwind/wire'
+import { Clients, Connections, answerFault, listen, makeServer, type SettleAnswer } from '@eiderwind/wire'
 import { Fault, type Code } from '@eiderwind/fault'
 import { Callers } from '../src/callers.js'
 import { entryBoard, type EntryBoard } from '../src/facts.js'
@@ -48,11 +47,12 @@
   readonly #clock = new SystemClock()
   readonly #servers: Server[] = []
   readonly #clients = new Clients(this.#clock)
-  readonly #dispatcher = new Agent({ bodyTimeout: 0, headersTimeout: 0 })
+  readonly #connections = new Connections()
   readonly #inFlight: AttemptsInFlight
   readonly #callers: Callers
   readonly #failed: string[] = []
-  #origin = ''
+  /** The port at which callers reach the entry; 0 before the start. */
+  port = 0
 
   constructor () {
     const { board, current } = this
@@ -75,7 +75,7 @@
       affinity: new Affinity(),
       budget: new RetryBudget(this.#clock),
       clients: this.#clients,
-      dispatcher: this.#dispatcher,
+      connections: this.#connections,
       log: new Log({ sink: line => this.#note(line) }),
       metric: new Metric()
     }
@@ -88,8 +88,7 @@
   }
 
   async start (): Promise<void> {
-    const port = await this.#serve((request, response) => { this.#callers.handle(request, response) })
-    this.#origin = `http://127.0.0.1:${port}`
+    this.port = await this.#serve((request, response) => { this.#callers.handle(request, response) })
   }
 
   /** Adds a worker that answers over HTTP. A worker of the plain service is the home of every slot. */
@@ -117,7 +116,7 @@
 
   /** Sends a caller's request. */
   async ask (path: string, init: RequestInit = {}): Promise<Response> {
-    return await fetch(this.#origin + path, { ...init, headers: { authorization: `Bearer ${key}`, ...init.headers } })
+    return await fetch(`http://127.0.0.1:${this.port}${path}`, { ...init, headers: { authorization: `Bearer ${key}`, ...init.headers } })
   }
 
   async stop (): Promise<void> {
@@ -126,7 +125,8 @@
       server.close()
       server.closeAllConnections()
     }
-    await Promise.all([this.#clients.close(), this.#dispatcher.destroy()])
+    this.#connections.close()
+    await this.#clients.close()
   }
 
   #note (line: string): void {
--- a/packages/forward/src/answers.ts
+++ b/packages/forward/src/answers.ts
@@ -1,11 +1,9 @@
 /**
- * Interprets and forwards the answers of upstreams: which request they belong to, whether that request ran, and how the
- * end of the answer is marked (framing). Keeps no state. A collected answer gets a length only if the upstream's answer had
- * a length or chunks.
+ * Interprets and forwards the answers of upstreams: which request they belong to, and whether that request ran. Keeps no
+ * state. Relies on `wire` for the framing of forwarded answers.
  */
-import { type ServerResponse } from 'node:http'
 import { type Answered } from '@eiderwind/dispatch'
-import { endToEndHeaders, type AnswerHeaders } from '@eiderwind/wire'
+import { collectedHeaders, writeForwardedHead, type AnswerHeaders } from '@eiderwind/wire'
 import { type HeaderNames } from './names.js'
 import { type CallerRequest } from './request.js'
 
@@ -28,36 +26,11 @@
   return status === misdirected || answerHeader(headers, names.notRun) !== undefined
 }
 
-/** Whether an answer marks its own end, by a length or by chunks. */
-export function isFramed (headers: AnswerHeaders): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
-}
-
-/** Statuses of answers that have no body. */
-const bodylessStatuses = new Set([204, 304])
-
-/** Whether the body of an answer ends with its connection. A body that breaks off may then look complete. */
-export function endsWithConnection (method: string | undefined, status: number, headers: AnswerHeaders): boolean {
-  return method !== 'HEAD' && !bodylessStatuses.has(status) && !isFramed(headers)
-}
-
-/**
- * Ends a response by closing its connection, as the upstream does. Such an answer may have been cut off, so the
- * response must not get a length or chunks that would make it look complete.
- */
-export function endWithConnection (response: ServerResponse): void {
-  response.shouldKeepAlive = false
-  response.useChunkedEncodingByDefault = false
-}
-
 /** Sends a collected answer to the caller with the framing of the upstream's answer. */
-export function sendAnswer (request: CallerRequest, { status, headers, body }: Answered): void {
-  const { incoming, response, delivery } = request
-  const framed = isFramed(headers)
-  if (!framed) endWithConnection(response)
-  const length = framed ? { 'content-length': String(body.length) } : {}
+export function sendAnswer (request: CallerRequest, answer: Answered): void {
+  const { incoming: { method }, response, delivery } = request
   request.recordForwarded()
-  response.writeHead(status, { ...endToEndHeaders(headers), ...length })
-  delivery.end(incoming.method === 'HEAD' ? undefined : body)
-  request.finish(`answered ${status}`)
+  writeForwardedHead(response, answer.status, collectedHeaders(method, answer))
+  delivery.end(method === 'HEAD' ? undefined : answer.body)
+  request.finish(`answered ${answer.status}`)
 }
--- a/packages/wire/src/relay.ts
+++ b/packages/wire/src/relay.ts
@@ -1,10 +1,11 @@
 /**
- * Forwards an answer to a caller's response as it arrives. If the answer ends early, the response is cut off too, so
- * that an incomplete answer never appears complete.
+ * Forwards an answer to a caller's response as it arrives, with the framing of the answer (`framing.ts`). If the answer
+ * ends early, the response is broken off too, so that an incomplete answer never appears complete.
  */
 import { type ServerResponse } from 'node:http'
+import { breakOff } from './answer.js'
 import { Receiver, type AnswerHeaders, type CallFailure, type Flow } from './call.js'
-import { hopHeaders } from './headers.js'
+import { writeForwardedHead } from './framing.js'
 
 /** Options of a relay. */
 export interface RelayOptions {
@@ -35,7 +36,7 @@
     if (!this.#checkGuard()) return
     this.#begun = true
     const { response, headers: more } = this.#options
-    response.writeHead(status, { ...endToEndHeaders(headers), ...more })
+    writeForwardedHead(response, status, { ...headers, ...more })
     response.flushHeaders()
   }
 
@@ -55,7 +56,7 @@
       this.#options.failed(failure)
       return
     }
-    this.#options.response.destroy()
+    breakOff(this.#options.response)
     this.#options.done(false)
   }
 
@@ -74,12 +75,3 @@
     return false
   }
 }
-
-/** The headers of an answer, without the headers that belong to one connection (RFC 9110, section 7.6.1). */
-export function endToEndHeaders (headers: AnswerHeaders): Record<string, string | string[]> {
-  const forwarded: Record<string, string | string[]> = {}
-  for (const [name, value] of Object.entries(headers)) {
-    if (value !== undefined && !hopHeaders.has(name)) forwarded[name] = value
-  }
-  return forwarded
-}
--- a/packages/worker/src/model.ts
+++ b/packages/worker/src/model.ts
@@ -6,7 +6,7 @@
 import { Fault } from '@eiderwind/fault'
 import { type Queue, type Ticket } from '@eiderwind/admit'
 import { type Attempts } from '@eiderwind/run'
-import { Relay, answerFault, send, wireHeaders, type CallFailure, type RelayOptions } from '@eiderwind/wire'
+import { Relay, answerFault, wireHeaders, type CallFailure, type RelayOptions } from '@eiderwind/wire'
 import { z } from 'zod'
 import { type Flights } from './flights.js'
 import { type Head } from './head.js'
@@ -79,7 +79,7 @@
       }
     })
     const call = { origin: upstream.url, path: inbound.path, method: inbound.method, headers: upstreamHeaders(request), body: inbound.body }
-    const cancel = send(upstream.dispatcher, call, relay)
+    const cancel = upstream.connections.send(call, relay)
     const removeFlight = flights.add(() => cancel(new Error('The grants of the replica\'s head have lapsed.')))
     response.once('close', () => {
       if (!response.writableFinished) cancel(new Error('The entry closed the connection before the answer was complete.'))
--- a/packages/worker/src/plain.ts
+++ b/packages/worker/src/plain.ts
@@ -7,7 +7,7 @@
 import { Fault } from '@eiderwind/fault'
 import { type Queue, type Ticket } from '@eiderwind/admit'
 import { readKey, type Attempts, type Book, type Key, type StoredAnswer } from '@eiderwind/run'
-import { Collector, Relay, answerFault, endToEndHeaders, send, wireHeaders, type Call, type Collected } from '@eiderwind/wire'
+import { Collector, Relay, answerFault, collectedHeaders, wireHeaders, writeForwardedHead, type Call, type Collected } from '@eiderwind/wire'
 import { type WorkerBoard } from './facts.js'
 import { upstreamHeaders, type InboundRequest } from './inbound.js'
 import { callFault } from './model.js'
@@ -69,7 +69,7 @@
         answerFault(response, callFault(failure))
       }
     })
-    const cancel = send(upstream.dispatcher, this.#call(inbound), relay)
+    const cancel = upstream.connections.send(this.#call(inbound), relay)
     response.once('close', () => {
       if (!response.writableFinished) cancel(new Error('The entry closed the connection before the answer was complete.'))
     })
@@ -98,10 +98,10 @@
       slotBook.abandon(key)
       return new Fault('tombstoned')
     }
-    send(upstream.dispatcher, this.#call(inbound), new Collector({
+    upstream.connections.send(this.#call(inbound), new Collector({
       whole: collected => {
         ticket.done()
-        const answer = storedAnswer(collected)
+        const answer = storedAnswer(inbound, collected)
         slotBook.finish(key, answer)
         reply(inbound, answer, false)
       },
@@ -125,15 +125,17 @@
   return digest(`${method} ${path}\n${body.toString('latin1')}`)
 }
 
-function storedAnswer ({ status, headers, body }: Collected): StoredAnswer {
+/** The answer as it is stored and sent. It has a length if the upstream's answer had a length or chunks. */
+function storedAnswer ({ method }: InboundRequest, collected: Collected): StoredAnswer {
+  const { status, body } = collected
   const joinedHeaders: Record<string, string> = {}
-  for (const [name, value] of Object.entries(endToEndHeaders(headers))) joinedHeaders[name] = Array.isArray(value) ? value.join(', ') : value
+  for (const [name, value] of Object.entries(collectedHeaders(method, collected))) joinedHeaders[name] = Array.isArray(value) ? value.join(', ') : value
   return { status, headers: joinedHeaders, body }
 }
 
 function reply ({ response, attempt }: InboundRequest, answer: StoredAnswer, isReplay: boolean): void {
   if (response.destroyed) return
   const addedHeaders = { [wireHeaders.attempt]: attempt, ...(isReplay ? { [wireHeaders.replayed]: '1' } : {}) }
-  response.writeHead(answer.status, { ...answer.headers, ...addedHeaders, 'content-length': answer.body.length })
+  writeForwardedHead(response, answer.status, { ...answer.headers, ...addedHeaders })
   response.end(answer.body)
 }
--- a/packages/worker/src/upstream.ts
+++ b/packages/worker/src/upstream.ts
@@ -6,6 +6,7 @@
 import { Agent, request, type Dispatcher } from 'undici'
 import { z } from 'zod'
 import { Timeout, withTimeout, type Clock } from '@eiderwind/clock'
+import { Connections } from '@eiderwind/wire'
 import { type Loaded, type UpstreamState } from './facts.js'
 
 /** How long a health check may take, in ms. */
@@ -17,6 +18,10 @@
 /** How long an engine may take to import a session, in ms. */
 const importTimeout = 10_000
 
+/** Maximum time to establish a connection, and how long an idle one is kept open, in ms. */
+const connectTime = 10_000
+const idleTime = 30_000
+
 /** An order to load a version. */
 export interface LoadOrder {
   readonly version: string
@@ -30,7 +35,7 @@
   /** Address of the upstream, such as `http://127.0.0.1:9000`. */
   readonly url: string
   /** Connections for the data path. */
-  readonly dispatcher = new Agent({ pipelining: 1, bodyTimeout: 0, headersTimeout: 0, keepAliveTimeout: 30_000 })
+  readonly connections = new Connections({ connectTime, idleTime })
 
   protected readonly clock: Clock
 
@@ -43,7 +48,7 @@
   abstract readState (): Promise<UpstreamState>
 
   async close (): Promise<void> {
-    await this.dispatcher.destroy()
+    this.connections.close()
   }
 
   protected async fetchText (path: string): Promise<unknown> {
@@ -84,12 +89,19 @@
  */
 export class EngineUpstream extends Upstream {
   readonly #path: string
+  /** Connections for orders. */
+  readonly #dispatcher = new Agent({ pipelining: 1, bodyTimeout: 0, headersTimeout: 0, keepAliveTimeout: idleTime })
 
   constructor (clock: Clock, url: string, healthPath: string) {
     super(clock, url)
     this.#path = healthPath
   }
 
+  override async close (): Promise<void> {
+    await super.close()
+    await this.#dispatcher.destroy()
+  }
+
   async readState (): Promise<UpstreamState> {
     try {
       const text = await this.fetchText(this.#path)
@@ -108,7 +120,7 @@
     return await withTimeout(this.clock, loadTimeout, async signal => {
       const response = await request(`${this.url}/orders/load`, {
         method: 'POST',
-        dispatcher: this.dispatcher,
+        dispatcher: this.#dispatcher,
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify(order),
         signal
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -43,6 +43,36 @@
     test: 'platform/dist/test/departureschedules.test.js',
     title: 'no request is sent to an upstream that departed*'
   },
+  {
+    name: 'unframed-answer-gets-chunks',
+    point: 5,
+    rule: 'an answer that ends with its connection is forwarded without a length and chunks (MIXED)',
+    file: 'packages/wire/dist/src/framing.js',
+    find: 'if (endsWithConnection(response.req.method, status, headers))',
+    replace: 'if (false)',
+    test: 'packages/worker/dist/test/brokenanswers.test.js',
+    title: 'an answer of a plain service with neither*'
+  },
+  {
+    name: 'unframed-answer-gets-length',
+    point: 5,
+    rule: 'a collected answer gets a length only if it had a length or chunks (MIXED)',
+    file: 'packages/wire/dist/src/framing.js',
+    find: ' || !isFramed(headers))',
+    replace: ')',
+    test: 'packages/entry/dist/test/brokenanswers.test.js',
+    title: 'an answer to a model with neither*'
+  },
+  {
+    name: 'broken-relay-closed-in-order',
+    point: 5,
+    rule: 'a forwarded answer that breaks off looks broken to every caller (MIXED)',
+    file: 'packages/wire/dist/src/relay.js',
+    find: 'breakOff(this.#options.response);',
+    replace: 'this.#options.response.destroy();',
+    test: 'packages/entry/dist/test/brokenanswers.test.js',
+    title: '*ends with a reset for a caller with HTTP/1.0'
+  },
   {
     name: 'late-answer-taken-as-recent',
     point: 4,
