The breakage end-of-a-crashed-engine-trusted names one place of its file again

Its text stood twice in attempt.js since the planner's reads of a head begin with an answer's head, so that prove listed it as not red. It breaks the same rule as before; npm run prove -- end-of-a-crashed-engine-trusted: red.

--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -298,8 +298,8 @@
     point: 3,
     rule: 'an answer that ends with its connection is whole only if its upstream still runs',
     file: 'packages/forward/dist/src/attempt.js',
-    find: 'if (endsWithConnection(',
-    replace: 'if (false && endsWithConnection(',
+    find: 'if (endsWithConnection(this.request.',
+    replace: 'if (false && endsWithConnection(this.request.',
     test: 'platform/dist/test/unframed.test.js',
     title: 'a stream whose engine crashes between two events*'
   },
