An answer whose guard refuses its end is broken off and reported (LOST)

If the grants of a head lapsed between the last bytes of an answer and its end, the worker neither ended nor broke off the answer, and its place in the queue was never returned: the caller waited until the deadline. Cause: Relay aborted the call, which had ended already, so that nothing was reported. Now the relay fails by itself.

--- a/packages/wire/src/relay.ts
+++ b/packages/wire/src/relay.ts
@@ -46,7 +46,8 @@
   }
 
   end (): void {
-    if (!this.#checkGuard()) return
+    // The call has ended: aborting it would report nothing.
+    if (this.#options.guard?.() === false) return this.fail({ error: notForwarded(), sent: true })
     this.#options.response.end()
     this.#options.done(true)
   }
@@ -71,7 +72,11 @@
 
   #checkGuard (): boolean {
     if (this.#options.guard?.() !== false) return true
-    this.#flow?.abort(new Error('The answer may no longer be forwarded.'))
+    this.#flow?.abort(notForwarded())
     return false
   }
 }
+
+function notForwarded (): Error {
+  return new Error('The answer may no longer be forwarded.')
+}
