A stream with a length is forwarded without it where it grows (MIXED)

A stream that its engine sent with a length reached the entry without its last bytes, since the worker numbers the events and kept the length: 'id: 2' instead of 'id: 2, data: two'. A stream that began with a length at one replica and was resumed at another one was cut after the length of the first part. Both looked whole; both tests failed so before.

--- a/packages/entry/test/brokenanswers.test.ts
+++ b/packages/entry/test/brokenanswers.test.ts
@@ -8,6 +8,7 @@
 import { Harness, type Answer, key, model, plain } from './harness.js'
 
 const prompt = JSON.stringify({ model, messages: [{ role: 'user', content: 'Hello' }] })
+const streamed = JSON.stringify({ model, messages: [{ role: 'user', content: 'Hello' }], stream: true })
 
 const paths: ReadonlyArray<{ readonly title: string, readonly service: string, readonly request: Omit<CallerRequest, 'port'> }> = [
   { title: 'to a plain service', service: plain, request: { method: 'GET', path: `/services/${plain}/balance`, headers: {}, body: '' } },
@@ -47,3 +48,24 @@
     t.false(await closesInOrder(asCaller(harness, paths[0].request)))
   })
 }
+
+/** A stream whose first part is sent with a length and breaks off after one event. */
+const firstEvent = 'id: 1\ndata: {"choices":[{"delta":{"content":"a"}}]}\n\n'
+const rest = 'id: 2\ndata: {"choices":[{"delta":{"content":"bcd"}}]}\n\ndata: [DONE]\n\n'
+
+function sendEvents (events: string, length: number): Answer {
+  return ({ headers, socket }) => {
+    socket.end(`HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\neiderwind-attempt: ${String(headers['eiderwind-attempt'])}\r\ncontent-length: ${length}\r\n\r\n${events}`)
+  }
+}
+
+// Guards against: a stream that was resumed had the length of its first part, and was cut there or looked broken (MIXED).
+test('a stream that begins with a length and is resumed at another replica reaches the caller whole', async t => {
+  const harness = new Harness()
+  t.teardown(() => harness.stop())
+  await harness.start()
+  await harness.worker('w0', { answers: [sendEvents(firstEvent, 90), sendEvents(rest, rest.length)], fate: 'started' }, model)
+  await harness.worker('w1', { answers: [sendEvents(rest, rest.length)], fate: 'started' }, model)
+  const received = await receive(asCaller(harness, { method: 'POST', path: '/v1/chat/completions', headers: {}, body: streamed }))
+  t.deepEqual(received, { status: 200, body: firstEvent + rest, framed: true, whole: true })
+})
--- a/packages/worker/src/numberedrelay.ts
+++ b/packages/worker/src/numberedrelay.ts
@@ -2,7 +2,7 @@
  * Numbers the events of a stream by their offset, so that the stream can be resumed. Owns the bytes of an incomplete
  * event.
  */
-import { Relay, type RelayOptions } from '@eiderwind/wire'
+import { Relay, type AnswerHeaders, type Flow, type RelayOptions } from '@eiderwind/wire'
 
 /** The end of a server-sent event (HTML, section 9.2). */
 const boundary = '\n\n'
@@ -24,6 +24,12 @@
     this.#offset = offset
   }
 
+  /** The ids make the stream longer, so an answer with a length is forwarded in chunks. */
+  override head (status: number, headers: AnswerHeaders, flow: Flow): void {
+    const { 'content-length': length, ...others } = headers
+    super.head(status, length === undefined ? headers : { ...others, 'transfer-encoding': 'chunked' }, flow)
+  }
+
   protected override write (chunk: Buffer): void {
     const text = this.#partialEvent + chunk.toString('latin1')
     const end = text.lastIndexOf(boundary)
--- a/packages/worker/test/brokenanswers.test.ts
+++ b/packages/worker/test/brokenanswers.test.ts
@@ -5,7 +5,7 @@
 import { SystemClock } from '@eiderwind/clock'
 import { Attempts, Book } from '@eiderwind/run'
 import { listen, makeServer, readBody, type Handler } from '@eiderwind/wire'
-import { answerForms, faultOf, receive, sendForm, titleOf, type AnswerForm } from '@eiderwind/wire/testing'
+import { answerForms, faultOf, receive, sendForm, titleOf } from '@eiderwind/wire/testing'
 import { workerBoard } from '../src/facts.js'
 import { Flights } from '../src/flights.js'
 import { type Head } from '../src/head.js'
@@ -54,9 +54,9 @@
   { title: 'of an engine', make: modelPath, headers: {} }
 ]
 
-/** Starts a worker whose upstream answers with this form, and returns its port. */
-async function startWorker (t: ExecutionContext, form: AnswerForm, make: (typeof paths)[number]['make']): Promise<number> {
-  const upstreamPort = await serveAt(t, request => sendForm(form, request, 'content-type: text/plain'))
+/** Starts a worker with this upstream, and returns its port. */
+async function startWorker (t: ExecutionContext, upstream: Handler, make: (typeof paths)[number]['make']): Promise<number> {
+  const upstreamPort = await serveAt(t, upstream)
   const path = make(t, `http://127.0.0.1:${upstreamPort}`)
   return await serveAt(t, async (request, response) => {
     const body = await readBody(request, bodyLimit)
@@ -68,9 +68,17 @@
 for (const { title, make, headers } of paths) {
   for (const form of answerForms) {
     test(`an answer ${title} with ${titleOf(form)}, leaves the worker as it is`, async t => {
-      const port = await startWorker(t, form, make)
+      const port = await startWorker(t, request => sendForm(form, request, 'content-type: text/plain'), make)
       const received = await receive({ port, method: 'POST', path: '/x', headers: { ...headers, 'eiderwind-attempt': v7() }, body: 'x' })
       t.is(faultOf(form, received), undefined)
     })
   }
 }
+
+// Guards against: a stream that its engine sent with a length lost its last bytes, since its events were numbered (MIXED).
+test('a stream that the engine sends with a length reaches the entry whole', async t => {
+  const events = 'data: one\n\ndata: two\n\n'
+  const port = await startWorker(t, (_request, response) => { response.setHeader('content-length', events.length).end(events) }, modelPath)
+  const received = await receive({ port, method: 'POST', path: '/x', headers: { 'eiderwind-attempt': v7() }, body: JSON.stringify({ stream: true }) })
+  t.deepEqual(received, { status: 200, body: 'id: 1\ndata: one\n\nid: 2\ndata: two\n\n', framed: true, whole: true })
+})
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -73,6 +73,36 @@
     test: 'packages/entry/dist/test/brokenanswers.test.js',
     title: '*ends with a reset for a caller with HTTP/1.0'
   },
+  {
+    name: 'refused-end-unreported',
+    point: 5,
+    rule: 'an answer whose end may not be forwarded is broken off (LOST)',
+    file: 'packages/wire/dist/src/relay.js',
+    find: 'return this.fail({ error: notForwarded(), sent: true });',
+    replace: 'return this.#flow?.abort(notForwarded());',
+    test: 'packages/wire/dist/test/relay.test.js',
+    title: 'an answer that may no longer be forwarded*'
+  },
+  {
+    name: 'numbered-stream-keeps-length',
+    point: 5,
+    rule: 'a stream that becomes longer is forwarded without its length (MIXED)',
+    file: 'packages/worker/dist/src/numberedrelay.js',
+    find: 'length === undefined ?',
+    replace: 'length !== null ?',
+    test: 'packages/worker/dist/test/brokenanswers.test.js',
+    title: 'a stream that the engine sends with a length*'
+  },
+  {
+    name: 'resumed-stream-keeps-length',
+    point: 5,
+    rule: 'a stream of several parts has not the length of its first one (MIXED)',
+    file: 'packages/entry/dist/src/stream.js',
+    find: "'content-length': _length, ...kept } = endToEndHeaders",
+    replace: '...kept } = endToEndHeaders',
+    test: 'packages/entry/dist/test/brokenanswers.test.js',
+    title: 'a stream that begins with a length*'
+  },
   {
     name: 'late-answer-taken-as-recent',
     point: 4,
