--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -183,6 +183,66 @@
     test: 'platform/dist/test/departureschedules.test.js',
     title: 'no request is sent to an upstream that departed*'
   },
+  {
+    name: 'unframed-answer-gets-chunks',
+    point: 5,
+    rule: 'an answer that ends with its connection is forwarded without a length and chunks (MIXED)',
+    file: 'packages/wire/dist/src/framing.js',
+    find: 'if (endsWithConnection(response.req.method, status, headers))',
+    replace: 'if (false)',
+    test: 'packages/worker/dist/test/brokenanswers.test.js',
+    title: 'an answer of a plain service with neither*'
+  },
+  {
+    name: 'unframed-answer-gets-length',
+    point: 5,
+    rule: 'a collected answer gets a length only if it had a length or chunks (MIXED)',
+    file: 'packages/wire/dist/src/framing.js',
+    find: ' || !isFramed(headers))',
+    replace: ')',
+    test: 'packages/entry/dist/test/brokenanswers.test.js',
+    title: 'an answer to a model with neither*'
+  },
+  {
+    name: 'broken-relay-closed-in-order',
+    point: 5,
+    rule: 'a forwarded answer that breaks off looks broken to every caller (MIXED)',
+    file: 'packages/wire/dist/src/relay.js',
+    find: 'breakOff(this.#options.response);',
+    replace: 'this.#options.response.destroy();',
+    test: 'packages/entry/dist/test/brokenanswers.test.js',
+    title: '*ends with a reset for a caller with HTTP/1.0'
+  },
+  {
+    name: 'refused-end-unreported',
+    point: 5,
+    rule: 'an answer whose end may not be forwarded is broken off (LOST)',
+    file: 'packages/wire/dist/src/relay.js',
+    find: 'return this.fail({ error: notForwarded(), sent: true });',
+    replace: 'return this.#flow?.abort(notForwarded());',
+    test: 'packages/wire/dist/test/relay.test.js',
+    title: 'an answer that may no longer be forwarded*'
+  },
+  {
+    name: 'numbered-stream-keeps-length',
+    point: 5,
+    rule: 'a stream that becomes longer is forwarded without its length (MIXED)',
+    file: 'packages/worker/dist/src/numberedrelay.js',
+    find: 'length === undefined ?',
+    replace: 'length !== null ?',
+    test: 'packages/worker/dist/test/brokenanswers.test.js',
+    title: 'a stream that the engine sends with a length*'
+  },
+  {
+    name: 'resumed-stream-keeps-length',
+    point: 5,
+    rule: 'a stream of several parts has not the length of its first one (MIXED)',
+    file: 'packages/entry/dist/src/stream.js',
+    find: "'content-length': _length, ...kept } = endToEndHeaders",
+    replace: '...kept } = endToEndHeaders',
+    test: 'packages/entry/dist/test/brokenanswers.test.js',
+    title: 'a stream that begins with a length*'
+  },
   {
     name: 'late-answer-taken-as-recent',
     point: 4,
@@ -408,8 +468,8 @@
     point: 3,
     rule: 'an answer that ends with its connection is whole only if its upstream still runs',
     file: 'packages/forward/dist/src/attempt.js',
-    find: 'if (endsWithConnection(',
-    replace: 'if (false && endsWithConnection(',
+    find: 'if (endsWithConnection(this.request.',
+    replace: 'if (false && endsWithConnection(this.request.',
     test: 'platform/dist/test/unframed.test.js',
     title: 'a stream whose engine crashes between two events*'
   },
