An answer on a route that is no stream is collected, whatever its service (LOST)

What callers saw: a plain route, safe or unsafe, that the operator moves to the model service gets the head of a 200, no body and a reset connection for each request, although the request ran. An unsafe one cannot be sent again.

Cause: Callers.#serve sent every request to a model service down StreamPath, whatever the kind of its route. StreamAttempt took the JSON body for an event without its end, kept it back and dropped it.

Why this works: two questions were answered by one class. What serves a request (upstreams, room, cost, choice, refusal) depends on its service: Target, with PlainTarget and ModelTarget. How it is answered (collected or forwarded as it arrives, retries, waits, new connections for unsafe requests) depends on its route alone: PlainPath and StreamPath. Either path has either target.

Tests changed: paths of tests that overrode `choose`, `upstreams` and `refusal` of Path have a ScriptedTarget with the same answers now; PlainPath is given its service. No check changed.

--- a/packages/forward/src/path.ts
+++ b/packages/forward/src/path.ts
@@ -8,7 +8,6 @@
 import { decideRetry, refusals, waitForRoom, type AttemptResult, type QueuedRequest } from '@eiderwind/dispatch'
 import { type Fault } from '@eiderwind/fault'
 import { type Claim } from '@eiderwind/limits'
-import { type Room } from '@eiderwind/places'
 import { type Upstream } from '@eiderwind/roster'
 import { sendAnswer } from './answers.js'
 import { type Context } from './context.js'
@@ -17,6 +16,7 @@
 import { type CallerRequest, type EmptySearch } from './request.js'
 import { RetryCharge } from './retrycharge.js'
 import { type KeptRun, type Outcome } from './run.js'
+import { type Target } from './target.js'
 import { UpstreamSearch } from './upstreamsearch.js'
 import { UpstreamWait } from './upstreamwait.js'
 
@@ -26,10 +26,11 @@
 /** What came of a search and its attempt. Undefined if no attempt was made. */
 type Next = Outcome | 'blocked' | undefined
 
-/** Serves one request. Subclasses choose the upstreams and handle their answers. */
+/** Serves one request. Its target chooses the upstreams; subclasses handle their answers. */
 export abstract class Path {
   protected readonly context: Context
   protected readonly request: CallerRequest
+  protected readonly target: Target
   /** The trial that the next attempt belongs to, if the request is suspected of crashing its upstreams. */
   protected trial: Trial | undefined
   /** Whether the current attempt was not sent because requests are held. */
@@ -45,12 +46,13 @@
   /** Releases the reservation at the upstream of the next attempt. */
   #releaseReservation: (() => void) | undefined
 
-  constructor (context: Context, request: CallerRequest) {
+  constructor (context: Context, request: CallerRequest, target: Target) {
     this.context = context
     this.request = request
+    this.target = target
     this.retries = new RetryCharge(context.clock, () => context.retryBudget(request.service))
     this.#wait = new UpstreamWait(context, request)
-    this.#upstreamSearch = new UpstreamSearch(context, request, () => this.upstreams)
+    this.#upstreamSearch = new UpstreamSearch(context, request, () => this.target.upstreams)
   }
 
   /** Serves the request. Resolves when the request has ended. */
@@ -131,44 +133,26 @@
   /** Id of the last stream event that was sent to the caller. */
   protected abstract readonly lastEvent: number | undefined
 
-  /** The upstreams that serve the request's target, with and without free capacity. */
-  protected abstract get upstreams (): readonly Upstream[]
-
-  /** The room that the request competes for with requests of all gateways. By default there is none. */
-  protected get room (): Room | undefined {
-    return undefined
-  }
-
-  /** The latest time to start an attempt so that the next event arrives in time, on `Clock.now`. */
+  /** The latest time to start an attempt so that the next part of the answer arrives in time, on `Clock.now`. */
   protected get latestStart (): number {
     const { arrivedAt, spent, route: { objective } } = this.request
-    return arrivedAt - spent + objective
+    return arrivedAt - spent + objective - this.target.startTime
   }
 
-  /** The cost of the request, in units of the mean request of its service. */
-  protected get work (): number {
-    return 1
-  }
-
-  /** Chooses an upstream that has free capacity now and is not in `avoided`. */
-  protected abstract choose (avoided: ReadonlySet<string>): Upstream | undefined
-
   /** Sends the request to an upstream. Resolves when the attempt has ended, or is kept while the request moves. */
   protected abstract attempt (upstream: Upstream): Promise<Outcome>
 
   /** Picks which of two results the caller gets. */
   protected abstract prefer (before: AttemptResult | undefined, latest: AttemptResult): AttemptResult
 
-  /** The refusal for a request that certainly did not run. */
-  protected abstract refusal (result: AttemptResult | undefined): Fault
-
   /** Ends the request with the result of its attempts. The result is undefined if no attempt was made. */
   protected conclude (result: AttemptResult | undefined): void {
-    const { request } = this
+    const { request, target } = this
     if (result?.kind === 'answered') return sendAnswer(request, result)
     if (result?.kind === 'lost') return request.refuse(refusals.lost(result.why))
-    request.emptySearch = { upstreams: this.upstreams.length, cause: this.#emptySearchCause }
-    request.refuse(this.#queuedRefusal() ?? this.#upstreamSearch.refusal ?? this.refusal(result))
+    if (result === undefined && request.spent === 0) target.countRefused()
+    request.emptySearch = { upstreams: target.upstreams.length, cause: this.#emptySearchCause }
+    request.refuse(this.#queuedRefusal() ?? this.#upstreamSearch.refusal ?? target.refusal(result))
   }
 
   get #emptySearchCause (): EmptySearch['cause'] {
@@ -193,19 +177,19 @@
 
   /** The request as an entry of the local queue. @param until the end of its wait on `Clock.now`, in ms */
   #queuedRequest (until: number): QueuedRequest {
-    const { room, request, request: { service, attempted }, work, latestStart } = this
+    const { target: { room, work }, request, request: { service, attempted }, latestStart } = this
     return { ...orderingInputs({ request, work, latestStart, until }), room: room?.key ?? service, attempted, orderedElsewhere: this.#placeSearch !== undefined }
   }
 
   /** Maximum wait for an upstream with free capacity, in ms. */
   get #maxWait (): number {
-    const { room, context: { places } } = this
+    const { target: { room }, context: { places } } = this
     return this.#computeMaxWait(room !== undefined && places?.isContended(room) === true)
   }
 
   /** Computes the maximum wait, in ms. @param shared whether the request waits in a queue that all gateways share */
   #computeMaxWait (shared: boolean): number {
-    const { request, kind, upstreams, context: { crashes } } = this
+    const { request, kind, target: { upstreams }, context: { crashes } } = this
     const { timeLeft, route: { objective } } = request
     const attempted = request.attempted || crashes.standing(request.identity) !== 'trusted'
     return waitForRoom({ path: kind, attempted, upstreams: upstreams.length, timeUntilAvailable: this.#upstreamSearch.timeUntilAvailable, objective, timeLeft, shared })
@@ -216,14 +200,14 @@
    * request gets none, since its upstream depends on the trials.
    */
   #beginPlaceSearch (until: number): PlaceSearch | undefined {
-    const { request, room, work, latestStart, context: { clock, places, availability, suspects, crashes } } = this
+    const { request, target, target: { room, work }, latestStart, context: { clock, places, availability, suspects, crashes } } = this
     if (room === undefined || places === undefined || crashes.standing(request.identity) !== 'trusted') return undefined
     const { route: { objective }, tried } = request
     return new PlaceSearch({
       placeClient: places,
       availability,
-      upstreams: () => this.upstreams,
-      choose: excluded => excluded.size === 0 ? this.#chooseLocally('trusted') : this.choose(new Set([...tried, ...excluded])),
+      upstreams: () => target.upstreams,
+      choose: excluded => excluded.size === 0 ? this.#chooseLocally('trusted') : target.choose(new Set([...tried, ...excluded])),
       mayUse: ({ id }) => !tried.has(id) && !crashes.underTrial.has(id) && availability.isAvailable(id) && suspects.mayTry(id)
     }, { ...orderingInputs({ request, work, latestStart, until }), room, aloneUntil: clock.now() + this.#computeMaxWait(false), objective })
   }
@@ -250,7 +234,7 @@
     if (upstream === 'closed') return upstream
     if (this.retries.isDenied(upstream !== undefined)) return this.#deny()
     if (upstream !== undefined) this.#reserve(upstream, claim)
-    else if (mayBeSent) availability.requestToken(claim, this.upstreams, request.tried)
+    else if (mayBeSent) availability.requestToken(claim, this.target.upstreams, request.tried)
     return standing === 'suspected' ? this.#beginTrial(upstream) : upstream
   }
 
@@ -271,10 +255,10 @@
    * if no other upstream has free capacity.
    */
   #chooseLocally (standing: 'trusted' | 'suspected'): Upstream | undefined {
-    const { request: { tried }, context: { crashes: { underTrial } } } = this
+    const { target, request: { tried }, context: { crashes: { underTrial } } } = this
     const avoided = underTrial.size === 0 ? tried : new Set([...tried, ...underTrial])
-    const withoutTrials = this.choose(avoided)
-    return withoutTrials === undefined && avoided !== tried && standing === 'trusted' ? this.choose(tried) : withoutTrials
+    const withoutTrials = target.choose(avoided)
+    return withoutTrials === undefined && avoided !== tried && standing === 'trusted' ? target.choose(tried) : withoutTrials
   }
 
   /** Begins the trial at once, so that no other waiting suspect is sent to the same upstream. */
--- a/packages/forward/test/heldretries.test.ts
+++ b/packages/forward/test/heldretries.test.ts
@@ -2,13 +2,12 @@
 import test from 'ava'
 import { ManualClock } from '@eiderwind/clock'
 import { InFlight, Rests } from '@eiderwind/detect'
-import { Availability, Queue, refusals, type AttemptResult } from '@eiderwind/dispatch'
-import { type Fault } from '@eiderwind/fault'
-import { type Upstream } from '@eiderwind/roster'
+import { Availability, Queue, type AttemptResult } from '@eiderwind/dispatch'
 import { type CallerRequest, type Context } from '../src/index.js'
 import { Path } from '../src/path.js'
 import { soleBudget } from './budgets.js'
 import { callerRequest } from './requests.js'
+import { ScriptedTarget, upstream } from './targets.js'
 
 const slack = 40
 /** In ms. */
@@ -18,20 +17,14 @@
 class RefusedPath extends Path {
   protected readonly kind = 'stream'
   protected readonly lastEvent = undefined
-  readonly #hasRoom: () => boolean
   readonly #sent: () => void
   #attempts = 0
 
   constructor (context: Context, request: CallerRequest, hasRoom: () => boolean, sent: () => void) {
-    super(context, request)
-    this.#hasRoom = hasRoom
+    const target = new ScriptedTarget(context, request)
+    super(context, request, target)
     this.#sent = sent
-  }
-
-  protected readonly upstreams = [{ id: 'u0' } as unknown as Upstream]
-
-  protected choose (): Upstream | undefined {
-    return this.#attempts === 0 || this.#hasRoom() ? { id: `u${this.#attempts}` } as unknown as Upstream : undefined
+    target.find = () => this.#attempts === 0 || hasRoom() ? upstream(`u${this.#attempts}`) : undefined
   }
 
   protected async attempt (): Promise<AttemptResult> {
@@ -45,10 +38,6 @@
     return latest
   }
 
-  protected refusal (): Fault {
-    return refusals.noRoom(1)
-  }
-
   protected override conclude (): void {}
 }
 
--- a/packages/forward/test/heldsends.test.ts
+++ b/packages/forward/test/heldsends.test.ts
@@ -2,14 +2,13 @@
 import test from 'ava'
 import { ManualClock } from '@eiderwind/clock'
 import { InFlight, Rests } from '@eiderwind/detect'
-import { Availability, Queue, refusals, type AttemptResult, type RetryBudget } from '@eiderwind/dispatch'
-import { type Fault } from '@eiderwind/fault'
-import { type Upstream } from '@eiderwind/roster'
+import { Availability, Queue, type AttemptResult, type RetryBudget } from '@eiderwind/dispatch'
 import { type CallerRequest, type Context, type SendGate } from '../src/index.js'
 import { Path } from '../src/path.js'
 import { callerRequest } from './requests.js'
+import { ScriptedTarget, upstream } from './targets.js'
 
-const only = { id: 'u' } as unknown as Upstream
+const only = upstream('u')
 
 /** A gate that the test closes and opens. */
 class ScriptedGate implements SendGate {
@@ -37,10 +36,10 @@
   sent = 0
   outcome: AttemptResult | undefined
 
-  protected readonly upstreams = [only]
-
-  protected choose (avoided: ReadonlySet<string>): Upstream | undefined {
-    return avoided.has(only.id) ? undefined : only
+  constructor (context: Context, request: CallerRequest) {
+    const target = new ScriptedTarget(context, request)
+    super(context, request, target)
+    target.find = avoided => avoided.has(only.id) ? undefined : only
   }
 
   protected async attempt (): Promise<AttemptResult> {
@@ -55,10 +54,6 @@
     return latest
   }
 
-  protected refusal (): Fault {
-    return refusals.noRoom(1)
-  }
-
   protected override conclude (result: AttemptResult | undefined): void {
     this.outcome = result
   }
--- a/packages/forward/test/limited.test.ts
+++ b/packages/forward/test/limited.test.ts
@@ -42,7 +42,7 @@
     names: { request: 'id' },
     random: () => 0
   } as unknown as Context
-  const served = new PlainPath(context, request).serve()
+  const served = new PlainPath(context, request, { model: '', engine: undefined }).serve()
   for (const message of sent.filter(each => each.token === 'ask')) answer?.(tokens, message)
   queue.wake()
   await new Promise(resolve => setImmediate(resolve))
--- a/packages/forward/test/retry.test.ts
+++ b/packages/forward/test/retry.test.ts
@@ -5,13 +5,12 @@
 import test from 'ava'
 import { ManualClock } from '@eiderwind/clock'
 import { InFlight, Rests } from '@eiderwind/detect'
-import { Availability, Queue, refusals, type AttemptResult, type RetryBudget } from '@eiderwind/dispatch'
-import { type Fault } from '@eiderwind/fault'
-import { type Upstream } from '@eiderwind/roster'
+import { Availability, Queue, type AttemptResult, type RetryBudget } from '@eiderwind/dispatch'
 import { type Route } from '@eiderwind/traffic'
 import { type CallerRequest, type Context } from '../src/index.js'
 import { Path } from '../src/path.js'
 import { callerRequest } from './requests.js'
+import { ScriptedTarget, upstream } from './targets.js'
 
 const routes = {
   repeatable: { kind: 'repeatable', resumable: false },
@@ -86,15 +85,11 @@
   attempts = 0
 
   constructor (context: Context, request: CallerRequest, kind: 'plain' | 'stream', first: AttemptResult) {
-    super(context, request)
+    const target = new ScriptedTarget(context, request)
+    super(context, request, target)
     this.kind = kind
     this.#first = first
-  }
-
-  protected readonly upstreams = [{ id: 'u0' } as unknown as Upstream]
-
-  protected choose (): Upstream {
-    return { id: `u${this.attempts}` } as unknown as Upstream
+    target.find = () => upstream(`u${this.attempts}`)
   }
 
   protected async attempt (): Promise<AttemptResult> {
@@ -110,10 +105,6 @@
     return latest
   }
 
-  protected refusal (): Fault {
-    return refusals.upstreamDown('')
-  }
-
   protected override conclude (): void {}
 }
 
--- a/packages/gateway/src/callers.ts
+++ b/packages/gateway/src/callers.ts
@@ -248,8 +248,10 @@
     const { context } = this.#options
     const engine = traffic.services.find(each => each.name === request.service)?.engine
     const model = header(request.incoming, context.names.model) ?? ''
-    if (request.route.kind === 'stream' || engine !== undefined) await new StreamPath(context, request, { model, engine }).serve()
-    else await new PlainPath(context, request).serve()
+    // The service determines what serves the request; the route alone determines whether its answer is a stream.
+    const requested = { model, engine }
+    const path = request.route.kind === 'stream' ? new StreamPath(context, request, requested) : new PlainPath(context, request, requested)
+    await path.serve()
   }
 
   #refuse (incoming: IncomingMessage, response: ServerResponse, fault: Fault): void {
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -53,6 +53,16 @@
     test: 'platform/dist/test/departureschedules.test.js',
     title: 'no request is sent to an upstream that departed*'
   },
+  {
+    name: 'kind-of-service-taken-for-route',
+    point: 4,
+    rule: 'an answer on a route that is no stream is collected, whatever its service',
+    file: 'packages/gateway/dist/src/callers.js',
+    find: "request.route.kind === 'stream' ?",
+    replace: "request.route.kind === 'stream' || engine !== undefined ?",
+    test: 'platform/dist/test/routekinds.test.js',
+    title: 'requests on plain routes get the whole answer*'
+  },
   {
     name: 'old-followed-list-pauses-watch',
     point: 4,
