An answer to a stream that is no series of events is collected (LOST)

What callers saw: on a streaming route whose service answers 200 with a body that is no series of events (a plain service, or JSON), the head of the answer, no body and a reset connection.

Cause: StreamAttempt took each answer of status 200 for events, whatever its type. A body without an empty line is an event without its end; it was kept back and dropped at the end.

Evidence: on the code before, `requests on a streaming route get the whole answer of a plain service that sends no events` got status 200, whole: false at both entries; attempt.test.ts got `lost`, "the stream ended in the middle of an event" for JSON with a length, in chunks, and a body with a length and no type.

Why this works: the protocol gives a series of events the type text/event-stream. An answer of another type is collected and sent with its length, as on plain routes. One that names no type is a series of events unless it has a length, which a stream that begins does not have.

After: both tests and unframed.test.ts pass; breakage answer-taken-for-events turns its test red.

--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -74,8 +74,8 @@
     this.#trial = options.trial
   }
 
-  /** Whether an answer with this status is forwarded as it arrives instead of being collected. */
-  protected abstract isForwarded (status: number): boolean
+  /** Whether an answer is forwarded as it arrives instead of being collected. */
+  protected abstract isForwarded (status: number, headers: AnswerHeaders): boolean
   /** Forwards the status and headers of an answer. */
   protected abstract onHead (status: number, headers: AnswerHeaders): void
   /** Forwards a part of the body. */
@@ -169,7 +169,7 @@
     this.#headers = headers
     context.answered(upstream, { status, headers, refused: this.#reportsNotRun, sentAt: this.#inFlight?.sentAt ?? 0 })
     if (endsWithConnection(request.incoming.method, status, headers)) context.beganUnframed?.(upstream)
-    this.#forwarded = !this.#reportsNotRun && this.isForwarded(status)
+    this.#forwarded = !this.#reportsNotRun && this.isForwarded(status, headers)
     if (this.#forwarded) this.onHead(status, headers)
   }
 
--- a/packages/forward/src/streamattempt.ts
+++ b/packages/forward/src/streamattempt.ts
@@ -4,6 +4,7 @@
  * which the upstreams' protocol guarantees.
  */
 import { endToEndHeaders, type AnswerHeaders } from '@eiderwind/wire'
+import { answerHeader } from './answers.js'
 import { Attempt, maxCollectedBytes, type AttemptOptions } from './attempt.js'
 import { EventSplitter, type StreamEvent } from './events.js'
 
@@ -28,9 +29,12 @@
   readonly onFirst?: (() => void) | undefined
 }
 
-/** The only status with which a stream is forwarded as it arrives. Any other answer is collected. */
+/** The only status with which events are forwarded as they arrive. Any other answer is collected. */
 const okStatus = 200
 
+/** The media type of a series of events (HTML, section 9.2). */
+const eventStreamType = 'text/event-stream'
+
 /** An attempt that forwards the events of a stream as they arrive. */
 export class StreamAttempt extends Attempt {
   readonly #progress: Progress
@@ -71,8 +75,8 @@
     for (const each of chunks) this.onChunk(each)
   }
 
-  protected isForwarded (status: number): boolean {
-    return status === okStatus
+  protected isForwarded (status: number, headers: AnswerHeaders): boolean {
+    return status === okStatus && isEventStream(headers)
   }
 
   protected onHead (status: number, headers: AnswerHeaders): void {
@@ -115,6 +119,16 @@
   }
 }
 
+/**
+ * Whether an answer is a series of events. Any other answer has no events whose end could be awaited. An answer that
+ * names no type counts as one unless it has a length, which is not known when a stream begins.
+ */
+function isEventStream (headers: AnswerHeaders): boolean {
+  const type = answerHeader(headers, 'content-type')
+  if (type === undefined) return headers['content-length'] === undefined
+  return type.split(';')[0].trim().toLowerCase() === eventStreamType
+}
+
 /** The bytes of events in order. Returns a view without a copy if they are contiguous. */
 function joinEventBytes (events: readonly StreamEvent[]): Buffer {
   const { buffer, byteOffset } = events[0].bytes
--- a/packages/forward/test/attempt.test.ts
+++ b/packages/forward/test/attempt.test.ts
@@ -96,3 +96,31 @@
   attempt.receiver?.data(part)
   t.deepEqual(attempt.results, [{ kind: 'lost', why: 'an event is too long', broken: undefined }])
 })
+
+// Guards against an answer that is no series of events, taken for an event without its end and dropped (LOST).
+for (const headers of [
+  { 'content-type': 'application/json', 'content-length': '8' },
+  { 'content-type': 'application/json; charset=utf-8', 'transfer-encoding': 'chunked' },
+  { 'content-length': '8' }
+]) {
+  test(`an answer to a stream that is no series of events is collected: ${JSON.stringify(headers)}`, t => {
+    const attempt = new ScriptedAttempt(true)
+    attempt.receiver?.begun()
+    attempt.answer(200, { id: 'r1', ...headers })
+    attempt.receiver?.data(Buffer.from('{"a"'))
+    attempt.receiver?.data(Buffer.from(': 1}'))
+    attempt.receiver?.end()
+    t.deepEqual(attempt.results, [{ kind: 'answered', status: 200, headers: { id: 'r1', ...headers }, body: Buffer.from('{"a": 1}') }])
+  })
+}
+
+test('an answer of the type of events is forwarded as it arrives, however the type is written', t => {
+  for (const type of ['text/event-stream', 'Text/Event-Stream; charset=utf-8']) {
+    const attempt = new ScriptedAttempt(true)
+    attempt.receiver?.begun()
+    attempt.answer(200, { id: 'r1', 'content-type': type, 'transfer-encoding': 'chunked' })
+    attempt.receiver?.data(Buffer.from('id: 1\n\n'))
+    attempt.receiver?.end()
+    t.deepEqual(attempt.results, [{ kind: 'passed' }], type)
+  }
+})
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -63,6 +63,16 @@
     test: 'platform/dist/test/routekinds.test.js',
     title: 'requests on plain routes get the whole answer*'
   },
+  {
+    name: 'answer-taken-for-events',
+    point: 4,
+    rule: 'an answer to a stream that is no series of events is collected',
+    file: 'packages/forward/dist/src/streamattempt.js',
+    find: 'status === okStatus && isEventStream(headers)',
+    replace: 'status === okStatus',
+    test: 'packages/forward/dist/test/attempt.test.js',
+    title: 'an answer to a stream that is no series of events*'
+  },
   {
     name: 'old-followed-list-pauses-watch',
     point: 4,
