A head that works on an answer that comes as a whole has not stalled

What callers saw: nothing at once; each head that worked on a request of a plain route for over 1 s was taken for stalled (event 420), so it was avoided, and its replica could be repaired while it was sound.

Cause: Stalls takes each request at a head for a stream, which sends events at a steady pace. A collected answer sends nothing before it is complete.

Why this works: whether silence shows a stall depends on how the answer comes, so the attempt says so: StreamAttempt is steady, CollectAttempt is not, and its silence does not count, like that of a request whose caller does not read. Streams at the same head are observed as before. A head with collected requests alone is observed like an idle one, by its entry and by failed requests.

After: the test passes; breakage work-taken-for-stall turns it red.

--- a/packages/detect/src/inflight.ts
+++ b/packages/detect/src/inflight.ts
@@ -32,7 +32,10 @@
   readonly sentAt: number
   /** When anything was last received for it, or else when it was sent, on `Clock.now`. */
   receivedAt: number
-  /** Whether reading from its upstream is paused because the caller does not read. */
+  /**
+   * Whether its silence says nothing about its upstream: the answer comes as a whole, or reading is paused because the
+   * caller does not read.
+   */
   paused = false
   readonly handlers: InFlightHandlers
 
@@ -129,7 +132,7 @@
     if (entry !== undefined) entry.receivedAt = request.receivedAt
   }
 
-  /** Records that reading for a request is paused. Its silence then says nothing about its upstream. */
+  /** Records that the silence of a request says nothing about its upstream from now on. */
   pause (request: InFlightRequest): void {
     request.paused = true
   }
@@ -181,7 +184,7 @@
   /**
    * Upstreams from which nothing was received for longer than `limit(upstream)` ms. The silence counts from the last
    * received byte or, if that is later, from the sending of the oldest request in flight: before, the upstream was idle
-   * and had nothing to send. Requests whose reading is paused do not count.
+   * and had nothing to send. Requests whose silence says nothing do not count.
    */
   silentUpstreams (limit: (upstream: string) => number): string[] {
     const now = this.#clock.now()
--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -74,6 +74,8 @@
     this.#trial = options.trial
   }
 
+  /** Whether the upstream sends parts of the answer at a steady pace, so that a silence shows that it has stalled. */
+  protected abstract readonly isSteady: boolean
   /** Whether an answer is forwarded as it arrives instead of being collected. */
   protected abstract isForwarded (status: number, headers: AnswerHeaders): boolean
   /** Forwards the status and headers of an answer. */
@@ -113,6 +115,7 @@
       lost: () => this.#lose('the upstream has restarted', true),
       withdrawn: why => this.#withdraw(why)
     })
+    if (!this.isSteady) context.inFlight.pause(this.#inFlight)
     this.#cancel = context.connections.send(outgoingCall(request, upstream, context.names, lastEvent), this, newConnection)
     if (this.#ended) this.#cancel(new Error('The attempt has ended.'))
     else this.#removeCancel = request.cancelWith(() => this.abort('the request has ended'))
@@ -266,6 +269,8 @@
 
 /** An attempt that collects the whole answer. */
 export class CollectAttempt extends Attempt {
+  protected readonly isSteady = false
+
   protected isForwarded (): boolean {
     return false
   }
--- a/packages/forward/src/streamattempt.ts
+++ b/packages/forward/src/streamattempt.ts
@@ -37,6 +37,7 @@
 
 /** An attempt that forwards the events of a stream as they arrive. */
 export class StreamAttempt extends Attempt {
+  protected readonly isSteady = true
   readonly #progress: Progress
   readonly #splitter = new EventSplitter()
   readonly #onEvent: (() => void) | undefined
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -73,6 +73,16 @@
     test: 'packages/forward/dist/test/attempt.test.js',
     title: 'an answer to a stream that is no series of events*'
   },
+  {
+    name: 'work-taken-for-stall',
+    point: 4,
+    rule: 'a head that works on an answer that comes as a whole has not stalled',
+    file: 'packages/forward/dist/src/attempt.js',
+    find: 'if (!this.isSteady)',
+    replace: 'if (false)',
+    test: 'platform/dist/test/routekinds.test.js',
+    title: 'a head that works on a long request*'
+  },
   {
     name: 'old-followed-list-pauses-watch',
     point: 4,
