--- a/packages/forward/src/attempt.ts
+++ b/packages/forward/src/attempt.ts
@@ -74,8 +74,10 @@
     this.#trial = options.trial
   }
 
-  /** Whether an answer with this status is forwarded as it arrives instead of being collected. */
-  protected abstract isForwarded (status: number): boolean
+  /** Whether the upstream sends parts of the answer at a steady pace, so that a silence shows that it has stalled. */
+  protected abstract readonly isSteady: boolean
+  /** Whether an answer is forwarded as it arrives instead of being collected. */
+  protected abstract isForwarded (status: number, headers: AnswerHeaders): boolean
   /** Forwards the status and headers of an answer. */
   protected abstract onHead (status: number, headers: AnswerHeaders): void
   /** Forwards a part of the body. */
@@ -113,6 +115,7 @@
       lost: () => this.#lose('the upstream has restarted', true),
       withdrawn: why => this.#withdraw(why)
     })
+    if (!this.isSteady) context.inFlight.pause(this.#inFlight)
     this.#cancel = context.connections.send(outgoingCall(request, upstream, context.names, lastEvent), this, newConnection)
     if (this.#ended) this.#cancel(new Error('The attempt has ended.'))
     else this.#removeCancel = request.cancelWith(() => this.abort('the request has ended'))
@@ -169,7 +172,7 @@
     this.#headers = headers
     context.answered(upstream, { status, headers, refused: this.#reportsNotRun, sentAt: this.#inFlight?.sentAt ?? 0 })
     if (endsWithConnection(request.incoming.method, status, headers)) context.beganUnframed?.(upstream)
-    this.#forwarded = !this.#reportsNotRun && this.isForwarded(status)
+    this.#forwarded = !this.#reportsNotRun && this.isForwarded(status, headers)
     if (this.#forwarded) this.onHead(status, headers)
   }
 
@@ -266,6 +269,8 @@
 
 /** An attempt that collects the whole answer. */
 export class CollectAttempt extends Attempt {
+  protected readonly isSteady = false
+
   protected isForwarded (): boolean {
     return false
   }
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -253,6 +253,46 @@
     test: 'platform/dist/test/departureschedules.test.js',
     title: 'no request is sent to an upstream that departed*'
   },
+  {
+    name: 'kind-of-service-taken-for-route',
+    point: 4,
+    rule: 'an answer on a route that is no stream is collected, whatever its service',
+    file: 'packages/gateway/dist/src/callers.js',
+    find: "request.route.kind === 'stream' ?",
+    replace: "request.route.kind === 'stream' || engine !== undefined ?",
+    test: 'platform/dist/test/routekinds.test.js',
+    title: 'requests on plain routes get the whole answer*'
+  },
+  {
+    name: 'answer-taken-for-events',
+    point: 4,
+    rule: 'an answer to a stream that is no series of events is collected',
+    file: 'packages/forward/dist/src/streamattempt.js',
+    find: 'status === okStatus && isEventStream(headers)',
+    replace: 'status === okStatus',
+    test: 'packages/forward/dist/test/attempt.test.js',
+    title: 'an answer to a stream that is no series of events*'
+  },
+  {
+    name: 'work-taken-for-stall',
+    point: 4,
+    rule: 'a head that works on an answer that comes as a whole has not stalled',
+    file: 'packages/forward/dist/src/attempt.js',
+    find: 'if (!this.isSteady)',
+    replace: 'if (false)',
+    test: 'platform/dist/test/routekinds.test.js',
+    title: 'a head that works on a long request*'
+  },
+  {
+    name: 'length-of-missing-body',
+    point: 4,
+    rule: 'an answer that has no body keeps the length that its upstream gave',
+    file: 'packages/forward/dist/src/answers.js',
+    find: 'framed && mayHaveBody(incoming.method, status) ?',
+    replace: 'framed ?',
+    test: 'packages/forward/dist/test/bodyless.test.js',
+    title: 'an answer that has no body*'
+  },
   {
     name: 'old-followed-list-pauses-watch',
     point: 4,
