--- a/packages/forward/test/bodyless.test.ts
+++ b/packages/forward/test/bodyless.test.ts
@@ -8,6 +8,7 @@
 function forwardedLength (method: string, status: number, length: string): unknown {
   const request = callerRequest(new ManualClock(), { kind: 'repeatable', resumable: false })
   request.incoming.method = method
+  Object.assign(request.response, { req: request.incoming })
   let forwarded: unknown
   request.response.writeHead = ((_status: number, headers: Record<string, string>) => {
     forwarded = headers['content-length']
