An answer that has no body keeps the length that its upstream gave

What callers saw: the answer to HEAD on a plain route, at a plain or a model service, said `content-length: 0` where the worker's said 32. A caller that compares lengths, or a cache, takes the body for empty (RFC 9110, section 8.6).

Cause: sendAnswer set the length of what was collected, and nothing is.

Evidence: on the code before, the test `HEAD and GET on a plain route of the model service ...` and bodyless.test.ts got '0' instead of '32' for HEAD. The same line set the length of a 304; not run apart before the fix.

After: both pass; breakage length-of-missing-body turns its test red.

--- a/packages/forward/src/answers.ts
+++ b/packages/forward/src/answers.ts
@@ -36,9 +36,14 @@
 /** Statuses of answers that have no body. */
 const bodylessStatuses = new Set([204, 304])
 
+/** Whether an answer to a method may have a body. The length of one that has none is that of another answer's body. */
+function mayHaveBody (method: string | undefined, status: number): boolean {
+  return method !== 'HEAD' && !bodylessStatuses.has(status)
+}
+
 /** Whether the body of an answer ends with its connection. A body that breaks off may then look complete. */
 export function endsWithConnection (method: string | undefined, status: number, headers: AnswerHeaders): boolean {
-  return method !== 'HEAD' && !bodylessStatuses.has(status) && !isFramed(headers)
+  return mayHaveBody(method, status) && !isFramed(headers)
 }
 
 /**
@@ -55,7 +60,7 @@
   const { incoming, response, delivery } = request
   const framed = isFramed(headers)
   if (!framed) endWithConnection(response)
-  const length = framed ? { 'content-length': String(body.length) } : {}
+  const length = framed && mayHaveBody(incoming.method, status) ? { 'content-length': String(body.length) } : {}
   request.recordForwarded()
   response.writeHead(status, { ...endToEndHeaders(headers), ...length })
   delivery.end(incoming.method === 'HEAD' ? undefined : body)
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -83,6 +83,16 @@
     test: 'platform/dist/test/routekinds.test.js',
     title: 'a head that works on a long request*'
   },
+  {
+    name: 'length-of-missing-body',
+    point: 4,
+    rule: 'an answer that has no body keeps the length that its upstream gave',
+    file: 'packages/forward/dist/src/answers.js',
+    find: 'framed && mayHaveBody(incoming.method, status) ?',
+    replace: 'framed ?',
+    test: 'packages/forward/dist/test/bodyless.test.js',
+    title: 'an answer that has no body*'
+  },
   {
     name: 'old-followed-list-pauses-watch',
     point: 4,
