Streams at a plain service: their ends are observed, and they count for no model

What callers saw: on a streaming route of a plain service, an upstream that breaks each stream at once has the least load for it and goes on getting the next ones; on a plain route it is avoided. And a caller that names a model there made it count as load of that model, under any name it invents, in each heartbeat from then on.

Cause: what is known of a plain service depended on the kind of the route: only PlainPath reported to Choice how an attempt ended, and only StreamPath counted the model, whatever the service.

Why this works: the target decides what is recorded, for both paths. An attempt that is cancelled because another one went on is not observed.

--- a/packages/forward/src/streampath.ts
+++ b/packages/forward/src/streampath.ts
@@ -40,6 +40,8 @@
   protected attempt (upstream: Upstream): Promise<Outcome> {
     const { context, request, lastEvent, trial, target } = this
     const { model } = target
+    const { clock } = context
+    const startedAt = clock.now()
     const isFirst = !request.attempted
     const markPromptRead = target.expectFirstEvent(upstream)
     const run: Run = new Run({
@@ -60,6 +62,8 @@
       onMove: (why, cause) => this.#move(run, why, cause),
       onEnd: result => {
         markPromptRead?.()
+        // An attempt that is cancelled because another one went on says nothing about its upstream.
+        if (result.kind !== 'cancelled' && !this.wasHeld) target.observe(upstream, result, clock.now() - startedAt)
         this.#ended(run, result)
       }
     })
--- a/packages/forward/src/target.ts
+++ b/packages/forward/src/target.ts
@@ -56,7 +56,7 @@
   /** The refusal for a request that certainly did not run. */
   abstract refusal (result: AttemptResult | undefined): Fault
 
-  /** Records how a request whose answer was collected has ended. @param time until its end, in ms */
+  /** Records how an attempt has ended that says something about its upstream. @param time until its end, in ms */
   abstract observe (upstream: Upstream, result: AttemptResult, time: number): void
 
   /** Counts the refused request as offered load. */
--- a/packages/forward/test/moves.ts
+++ b/packages/forward/test/moves.ts
@@ -68,6 +68,8 @@
   /** Whether the caller does not read. */
   isSlow = false
   outcome: string | undefined
+  /** The upstreams whose requests were observed to their end, with `failed` or `succeeded`. */
+  readonly observed: string[] = []
   readonly request: CallerRequest
   readonly served: Promise<void>
   /** Number of upstreams with free capacity. */
@@ -75,12 +77,12 @@
   retries: number
   #text = ''
 
-  constructor ({ attempts = 3, upstreams = 3, retries = 10, resumable = true }: { attempts?: number, upstreams?: number, retries?: number, resumable?: boolean } = {}) {
+  constructor ({ attempts = 3, upstreams = 3, retries = 10, resumable = true, model = '' }: { attempts?: number, upstreams?: number, retries?: number, resumable?: boolean, model?: string } = {}) {
     this.upstreams = upstreams
     this.retries = retries
     this.request = callerRequest(this.clock, { kind: 'stream', resumable, attempts, onEnd: outcome => { this.outcome = outcome } })
     this.#readAnswer()
-    this.served = new StreamPath(this.#context(), this.request, { model: '', engine: undefined }).serve()
+    this.served = new StreamPath(this.#context(), this.request, { model, engine: undefined }).serve()
   }
 
   /** Ids of the events that the caller got, in order. */
@@ -151,7 +153,10 @@
           }
         }
       },
-      choice: { plain: (_service: string, avoided: ReadonlySet<string>) => list().find(({ id }) => !avoided.has(id)) },
+      choice: {
+        plain: (_service: string, avoided: ReadonlySet<string>) => list().find(({ id }) => !avoided.has(id)),
+        observe: (id: string, _time: number, failed: boolean) => { this.observed.push(`${id} ${failed ? 'failed' : 'succeeded'}`) }
+      },
       suspects: new Suspects(clock, new Roster(clock)),
       availability: new Availability({ clock, rests }),
       queue: new Queue(clock),
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -93,6 +93,26 @@
     test: 'packages/forward/dist/test/bodyless.test.js',
     title: 'an answer that has no body*'
   },
+  {
+    name: 'plain-stream-counts-for-model',
+    point: 4,
+    rule: 'a stream at a plain service counts for no model',
+    file: 'packages/forward/dist/src/target.js',
+    find: "model = '';",
+    replace: "model = 'any';",
+    test: 'packages/forward/dist/test/plainstreams.test.js',
+    title: 'a stream at a plain service counts for no model*'
+  },
+  {
+    name: 'plain-stream-not-observed',
+    point: 4,
+    rule: 'the ends of streams at a plain service are observed',
+    file: 'packages/forward/dist/src/streampath.js',
+    find: 'target.observe(upstream, result, clock.now() - startedAt)',
+    replace: 'void 0',
+    test: 'packages/forward/dist/test/plainstreams.test.js',
+    title: 'the ends of streams at a plain service*'
+  },
   {
     name: 'old-followed-list-pauses-watch',
     point: 4,
