--- a/packages/traffic/src/shape.ts
+++ b/packages/traffic/src/shape.ts
@@ -8,8 +8,14 @@
  */
 import { z } from 'zod'
 
+/**
+ * The longest time that a timer of Node.js can wait, in ms: 24.8 days. A timer for a longer one ends at once, so a longer
+ * time counts as this one.
+ */
+const maxTimerDelay = 2 ** 31 - 1
+
 /** A time, in ms. */
-const Milliseconds = z.number().min(0)
+const Milliseconds = z.number().min(0).transform(time => Math.min(time, maxTimerDelay))
 
 /** One of the services between which the requests of a route are split, with its weight in the split. */
 export const Share = z.object({ service: z.string(), weight: z.number().min(0) })
