--- a/packages/gateway/src/blocklist.ts
+++ b/packages/gateway/src/blocklist.ts
@@ -23,6 +23,8 @@
   readonly blocks: Blocks
   readonly crashes: Crashes
   readonly connections: Connections
+  /** Called with the reason why a block in another gateway's answer is left out. */
+  readonly invalid: (reason: string) => void
 }
 
 /** How long an answer may take, in ms. */
@@ -85,9 +87,9 @@
   }
 
   async #requestBlocked ({ address }: PeerAddress): Promise<BlockedList> {
-    const { clock, connections } = this.#options
+    const { clock, connections, invalid } = this.#options
     const call = { origin: `http://${address}`, path: paths.blocked, method: 'GET', headers: {}, body: undefined }
     const { body } = await ask(connections, clock, call, answerTimeout)
-    return decodeBlocked(body.toString())
+    return decodeBlocked(body.toString(), invalid)
   }
 }
--- a/packages/gateway/src/crashwatch.ts
+++ b/packages/gateway/src/crashwatch.ts
@@ -21,6 +21,8 @@
   readonly roster: Roster
   readonly peers: Peers
   readonly connections: Connections
+  /** Called with the reason why a block in another gateway's answer is left out. */
+  readonly invalid: (reason: string) => void
   readonly blocks: Blocks
   /** How long a new connection to an upstream may take, in ms. */
   readonly connectTime: number
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 import { EvacuationController } from './evacuationcontroller.js'
 import { gatewayBoard, revisionInForce } from './facts.js'
 import { UpstreamLimits } from './upstreamlimits.js'
+import { InvalidObjects } from './invalidobjects.js'
 import { platformListener } from './listener.js'
 import { Health } from './health.js'
 import { Leadership } from './leadership.js'
@@ -58,6 +59,8 @@
   readonly #board = gatewayBoard()
   readonly #connections = new Connections({ connectTime })
   readonly #metrics: Metrics
+  /** Objects in the answers of other gateways that cannot be used. */
+  readonly #invalidObjects = new InvalidObjects((kind, reason) => this.#reportInvalid(kind, reason))
   readonly #modelLoad = new ModelLoad()
   readonly #pauses: Pauses
   readonly #outage: Outage
@@ -135,6 +138,7 @@
       roster: this.#roster,
       peers,
       connections: this.#connections,
+      invalid: this.#invalidObjects.reporterOf('blocked requests'),
       blocks: platform.blocks,
       connectTime,
       changed: () => this.#queue.wake()
@@ -268,7 +272,8 @@
       outage: this.#outage,
       peers: this.#peers,
       conditions: this.#conditions,
-      evacuationController: this.#evacuationController
+      evacuationController: this.#evacuationController,
+      invalidObject: (kind, reason) => this.#reportInvalid(kind, reason)
     }))
     platform.register({ id: settings.id, address: settings.peers })
     if (!settings.isFirstStart) this.#crashWatch.start()
@@ -394,7 +399,7 @@
       incarnation: randomUUID(),
       sources: () => this.#leadership.sources,
       peers: () => this.#leadership.peersByKnowledge,
-      call: upstreamsCall(clock, this.#connections),
+      call: upstreamsCall(clock, this.#connections, this.#invalidObjects.reporterOf('upstreams')),
       maxListAge,
       maxAskAge,
       maxSendAge,
@@ -426,6 +431,11 @@
     return { requests: this.#callers.requests, callersClosed, upstreamsResumed, connectionsOpened: this.#connections.opened }
   }
 
+  #reportInvalid (kind: string, reason: string): void {
+    this.#options.log.write('controller-failed', { controller: kind, cause: reason })
+    this.#metrics.invalidObject(kind)
+  }
+
   /** Passes another gateway's heartbeat to the parts that read it. */
   #receiveHeartbeat (heartbeat: Heartbeat, from: PeerAddress): void {
     this.#crashWatch.receiveHeartbeat(heartbeat, from)
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,6 +2,7 @@
 export { Blocks } from './blocks.js'
 export { Gateway } from './gateway.js'
 export { type GatewayOptions, type GatewaySettings } from './settings.js'
+export { InvalidObjects } from './invalidobjects.js'
 export { Leaders, noLeader, type Leader } from './leaders.js'
 export { gatewayBoard, type GatewayBoard } from './facts.js'
 export { parseUpstreamsRequest } from './messages.js'
--- a/packages/gateway/src/listener.ts
+++ b/packages/gateway/src/listener.ts
@@ -24,11 +24,13 @@
   readonly peers: Peers
   readonly conditions: Conditions
   readonly evacuationController: EvacuationController
+  /** Reports an object that is not used. */
+  readonly invalidObject: (kind: string, reason: string) => void
 }
 
 /** The listener of a gateway's platform. */
 export function platformListener (options: PlatformListenerOptions): PlatformListener {
-  const { clock, log, board, outage, peers, conditions, evacuationController, upstreams } = options
+  const { clock, log, board, outage, peers, conditions, evacuationController, upstreams, invalidObject } = options
   return {
     ...upstreams,
     configuration: (traffic, askedAt) => {
@@ -58,6 +60,7 @@
       board.write('store', false)
       log.write('store-lost', { cause })
     },
-    taskFailed: (task, cause) => log.write('controller-failed', { controller: task, cause })
+    taskFailed: (task, cause) => log.write('controller-failed', { controller: task, cause }),
+    invalidObject
   }
 }
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -8,7 +8,7 @@
 import { blockId, type Block } from '@eiderwind/crashes'
 import { type NodeAddress } from '@eiderwind/detect'
 import { type Order, type OrderResult } from '@eiderwind/forming'
-import { Upstream } from '@eiderwind/roster'
+import { Upstream, listedName, type RosterChange } from '@eiderwind/roster'
 import { Traffic } from '@eiderwind/traffic'
 import { z } from 'zod'
 
@@ -38,34 +38,57 @@
  */
 export type Confirmation = z.infer<typeof ConfirmationMessage>
 
+/** Upper bound on the id of a process, in characters. It is repeated in each request. */
+const maxLifeLength = 256
+
+/**
+ * Bounds of an age, in ms: how long an answer may wait at most, and more than any process runs. A list that seemed
+ * complete up to a time far ahead would never be asked for again.
+ */
+const minAge = -60_000
+const maxAge = 1e12
+
+const Age = z.number().min(minAge).max(maxAge)
+
 const UpstreamsMessage = z.object({
   /** Identifies the incarnation of the answering process. */
-  life: z.string(),
+  life: z.string().max(maxLifeLength),
   /** Number of the newest change there. */
   newest: z.number(),
   /** Every upstream that the answering gateway knows, if the requester lacks more changes than are retained. */
-  upstreams: z.array(Upstream).optional(),
+  upstreams: z.array(z.unknown()).optional(),
   /**
    * Ms from the time up to which the answer is complete until the request arrived. Negative if the answer waited and is
    * complete up to a later time. Absent from builds that do not send it.
    */
-  age: z.number().optional(),
+  age: Age.optional(),
   /**
    * Ms from the end of the last outage of the store, as the answering gateway judged it, until the request arrived.
    * Absent from builds that do not send it.
    */
-  outageAge: z.number().optional(),
+  outageAge: Age.optional(),
   /**
    * The store's revision up to which the answer is complete. Absent if it is unknown, and from builds that do not send
    * it.
    */
-  revision: z.number().optional(),
-  /** The changes since then, in order. The schema of an upstream names its fields (`roster`). */
-  changes: z.array(z.union([z.object({ upstream: Upstream }), z.object({ gone: z.string(), certain: z.boolean().optional() })])).optional()
+  revision: z.int().nonnegative().optional(),
+  /** The changes since then, in order: each with `upstream`, whose schema names its fields (`roster`), or a departure. */
+  changes: z.array(z.unknown()).optional()
 })
 
+const Departure = z.object({ gone: z.string(), certain: z.boolean().optional() })
+
+/** What names an item that is not valid: an upstream, or a block. */
+const NamedItem = z.object({ id: z.string().optional(), request: z.string().optional() })
+
+/** What is read of an upstream that is not valid. */
+const ListedUpstream = z.object({ id: z.string(), name: z.string().optional() })
+
 /** An answer about another gateway's upstreams: the whole list, or the changes after those that the requester has. */
-export type UpstreamChanges = z.infer<typeof UpstreamsMessage>
+export interface UpstreamChanges extends Omit<z.infer<typeof UpstreamsMessage>, 'upstreams' | 'changes'> {
+  readonly upstreams?: readonly Upstream[] | undefined
+  readonly changes?: readonly RosterChange[] | undefined
+}
 
 /**
  * What the requester already has: the number of the last change that it took, and the incarnation of the process that
@@ -83,6 +106,10 @@
   readonly wait?: boolean
 }
 
+/** Upper bounds on the issues in the reason why an item is left out, and on its length in characters. */
+const maxIssues = 3
+const maxReasonLength = 500
+
 const OrderMessage = z.object({
   kind: z.enum(['join', 'open', 'close', 'stage', 'leave']),
   /** Id and address of the engine that receives the order. */
@@ -98,19 +125,32 @@
   fence: z.number()
 })
 
+/** Upper bounds on a block: the length and the number of its names, and its duration in ms (a day). */
+const maxNameLength = 256
+const maxNames = 256
+const maxBlockDuration = 24 * 60 * 60_000
+
+const BlockName = z.string().min(1).max(maxNameLength)
+
+const BlockMessage = z.object({
+  /** The id of the block: the request's fingerprint in builds that block nothing else. */
+  request: BlockName,
+  /** Ms since the crash that led to it. */
+  age: z.number().nonnegative(),
+  /** The names of the block. Absent if the id is its only name, and for builds that block only whole requests. */
+  names: z.array(BlockName).min(1).max(maxNames).optional(),
+  /** Ms from that crash to its end. Absent for builds in which all blocks last equally long. */
+  duration: z.number().positive().max(maxBlockDuration).optional()
+})
+
+/** A request that was served: its name, and ms since then. */
+const Clearance = z.tuple([BlockName, z.number().nonnegative()])
+
 const BlockedMessage = z.object({
-  blocked: z.array(z.object({
-    /** The id of the block: the request's fingerprint in builds that block nothing else. */
-    request: z.string(),
-    /** Ms since the crash that led to it. */
-    age: z.number().nonnegative(),
-    /** The names of the block. Absent if the id is its only name, and for builds that block only whole requests. */
-    names: z.array(z.string()).min(1).optional(),
-    /** Ms from that crash to its end. Absent for builds in which all blocks last equally long. */
-    duration: z.number().positive().optional()
-  })),
-  /** Names of requests that were served: ms since then. Absent for builds that do not send it. */
-  cleared: z.record(z.string(), z.number().nonnegative()).optional()
+  /** Each a `BlockMessage`. */
+  blocked: z.array(z.unknown()),
+  /** Names of requests that were served, each with its age. Absent for builds that do not send it. */
+  cleared: z.record(z.string(), z.unknown()).optional()
 })
 
 /** The blocks of a gateway, and the clearances that may lift those of another one. */
@@ -163,9 +203,44 @@
   return JSON.stringify(changes)
 }
 
-/** Throws if the text is not an answer about upstreams. */
-export function decodeUpstreamChanges (text: string): UpstreamChanges {
-  return UpstreamsMessage.parse(JSON.parse(text))
+/**
+ * Throws if the text is not an answer about upstreams. An upstream in it that is not valid is left out, and whatever was
+ * listed under its name is gone: a build that checks less may have sent it.
+ * @param invalid called with the reason why an upstream is left out
+ */
+export function decodeUpstreamChanges (text: string, invalid: (reason: string) => void): UpstreamChanges {
+  const { upstreams, changes, ...others } = UpstreamsMessage.parse(JSON.parse(text))
+  return {
+    ...others,
+    ...upstreams !== undefined && { upstreams: validItems(Upstream, upstreams, invalid) },
+    ...changes !== undefined && { changes: changes.flatMap(each => decodeChange(each, invalid)) }
+  }
+}
+
+function decodeChange (value: unknown, invalid: (reason: string) => void): RosterChange[] {
+  const { data } = z.object({ upstream: z.unknown() }).safeParse(value)
+  if (data?.upstream === undefined) return validItems(Departure, [value], invalid)
+  const [upstream] = validItems(Upstream, [data.upstream], invalid)
+  if (upstream !== undefined) return [{ upstream }]
+  const listed = ListedUpstream.safeParse(data.upstream).data
+  return listed === undefined ? [] : [{ gone: listedName(listed), certain: true }]
+}
+
+/** The items of a list that match a schema. The others are left out, each with its reason. */
+function validItems<Schema extends z.ZodType> (schema: Schema, items: readonly unknown[], invalid: (reason: string) => void): Array<z.infer<Schema>> {
+  return items.flatMap(each => {
+    const { data, error } = schema.safeParse(each)
+    if (error !== undefined) invalid(reasonOf(error, each))
+    return data === undefined ? [] : [data]
+  })
+}
+
+/** Why an item is not used: its id, if it has one, and the fields that are not valid, but no values. */
+function reasonOf ({ issues }: z.ZodError, item: unknown): string {
+  const { id, request } = NamedItem.safeParse(item).data ?? {}
+  const name = (id ?? request ?? '').slice(0, maxNameLength)
+  const fields = issues.slice(0, maxIssues).map(({ path, message }) => `${path.join('.')}: ${message}`)
+  return `An item ${name} in the answer of another gateway is invalid: ${fields.join('; ')}`.slice(0, maxReasonLength)
 }
 
 /** The blocks and clearances of this gateway. */
@@ -174,11 +249,14 @@
   return JSON.stringify({ blocked, cleared: clearances })
 }
 
-/** Throws if the text is not a list of blocks. */
-export function decodeBlocked (text: string): BlockedList {
+/**
+ * Throws if the text is not a list of blocks.
+ * @param invalid called with the reason why a block or a clearance is left out
+ */
+export function decodeBlocked (text: string, invalid: (reason: string) => void): BlockedList {
   const { blocked, cleared = {} } = BlockedMessage.parse(JSON.parse(text))
-  const blocks = blocked.map(({ request, age, names = [request], duration = defaultBlockDuration }) => ({ names, age, duration }))
-  return { blocks, clearances: cleared }
+  const blocks = validItems(BlockMessage, blocked, invalid).map(({ request, age, names = [request], duration = defaultBlockDuration }) => ({ names, age, duration }))
+  return { blocks, clearances: Object.fromEntries(validItems(Clearance, Object.entries(cleared), invalid)) }
 }
 
 /** The target of an order to lift a block. */
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -77,6 +77,7 @@
   readonly #rests: Counter
   readonly #connectionsClosed: Counter
   readonly #unlisted: Counter<'how'>
+  readonly #invalidObjects: Counter<'kind'>
 
   constructor (options: MetricsOptions) {
     this.#options = options
@@ -148,6 +149,12 @@
       labelNames: ['how'],
       registers
     })
+    this.#invalidObjects = new Counter({
+      name: 'eiderwind_invalid_objects_total',
+      help: 'Objects of other writers that are not used, or of which a part is not used: each object and reason once.',
+      labelNames: ['kind'],
+      registers
+    })
     this.#rests = new Counter({ name: 'eiderwind_rests_total', help: 'Rests that upstreams have asked this gateway for.', registers })
     this.#connectionsClosed = new Counter({ name: 'eiderwind_connections_closed_total', help: 'New connections of callers that were closed unread under overload.', registers })
     this.#registerGauges(registers)
@@ -217,6 +224,10 @@
     this.#unlisted.inc({ how })
   }
 
+  invalidObject (kind: string): void {
+    this.#invalidObjects.inc({ kind })
+  }
+
   rested (): void {
     this.#rests.inc()
   }
--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -59,6 +59,11 @@
    * log only.
    */
   taskFailed (task: string, cause: string): void
+  /**
+   * An object that another writer has stored is not used, or a part of it. Each reason is reported once. For the log and
+   * the metrics only.
+   */
+  invalidObject (kind: string, reason: string): void
 }
 
 /** How a gateway uses the store. Calls cost money, so it makes only those that this use requires. */
--- a/packages/gateway/test/upstreamfeed.test.ts
+++ b/packages/gateway/test/upstreamfeed.test.ts
@@ -62,7 +62,7 @@
   const connections = new Connections({ connectTime: 500 })
   const log = { write: () => {} } as unknown as Log
   const upstreamList = new UpstreamList({ clock, log, board, roster, outage: new Outage(clock), maxAge })
-  const feed = new UpstreamFeed({ clock, board, upstreamList, platform, call: upstreamsCall(clock, connections), maxListAge: maxAge, sources: () => [{ id: 'source', address: `127.0.0.1:${port}` }], failed: error => { throw error } })
+  const feed = new UpstreamFeed({ clock, board, upstreamList, platform, call: upstreamsCall(clock, connections, () => {}), maxListAge: maxAge, sources: () => [{ id: 'source', address: `127.0.0.1:${port}` }], failed: error => { throw error } })
   feed.start()
   pauses.start()
   try {
--- a/packages/roster/src/index.ts
+++ b/packages/roster/src/index.ts
@@ -1,5 +1,5 @@
 /** The upstreams that the store lists, the replicas that their engines report, and when each upstream departed. */
-export { Membership, Upstream, listedName, withWeightsInUse } from './upstream.js'
+export { Membership, Upstream, listedName, maxEpoch, withWeightsInUse } from './upstream.js'
 export { evacuatedUpstreams } from './evacuation.js'
 export { Roster, type Absence, type Departure, type RosterChange } from './roster.js'
 export { servesReplica } from './serving.js'
