--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import { EvacuationController } from './evacuationcontroller.js'
 import { gatewayBoard, revisionInForce } from './facts.js'
 import { UpstreamLimits } from './upstreamlimits.js'
+import { InvalidObjects } from './invalidobjects.js'
 import { platformListener } from './listener.js'
 import { Health } from './health.js'
 import { Leadership } from './leadership.js'
@@ -59,6 +60,8 @@
   readonly #board = gatewayBoard()
   readonly #connections = new Connections({ connectTime })
   readonly #metrics: Metrics
+  /** Objects in the answers of other gateways that cannot be used. */
+  readonly #invalidObjects = new InvalidObjects((kind, reason) => this.#reportInvalid(kind, reason))
   readonly #modelLoad = new ModelLoad()
   readonly #pauses: Pauses
   readonly #outage: Outage
@@ -138,6 +141,7 @@
       roster: this.#roster,
       peers,
       connections: this.#connections,
+      invalid: this.#invalidObjects.reporterOf('blocked requests'),
       blocks: platform.blocks,
       connectTime,
       changed: () => this.#queue.wake()
@@ -276,7 +280,8 @@
       peers: this.#peers,
       conditions: this.#conditions,
       evacuationController: this.#evacuationController,
-      failures
+      failures,
+      invalidObject: (kind, reason) => this.#reportInvalid(kind, reason)
     }))
     platform.register({ id: settings.id, address: settings.peers })
     if (!settings.isFirstStart) this.#crashWatch.start()
@@ -403,7 +408,7 @@
       incarnation: randomUUID(),
       sources: () => this.#leadership.sources,
       peers: () => this.#leadership.peersByKnowledge,
-      call: upstreamsCall(clock, this.#connections),
+      call: upstreamsCall(clock, this.#connections, this.#invalidObjects.reporterOf('upstreams')),
       maxListAge,
       maxAskAge,
       maxSendAge,
@@ -435,6 +440,11 @@
     return { requests: this.#callers.requests, callersClosed, upstreamsResumed, connectionsOpened: this.#connections.opened }
   }
 
+  #reportInvalid (kind: string, reason: string): void {
+    this.#options.log.write('controller-failed', { controller: kind, cause: reason })
+    this.#metrics.invalidObject(kind)
+  }
+
   /** Passes another gateway's heartbeat to the parts that read it. */
   #receiveHeartbeat (heartbeat: Heartbeat, from: PeerAddress): void {
     this.#crashWatch.receiveHeartbeat(heartbeat, from)
--- a/packages/gateway/src/listener.ts
+++ b/packages/gateway/src/listener.ts
@@ -27,6 +27,8 @@
   readonly conditions: Conditions
   readonly evacuationController: EvacuationController
   readonly failures: TaskFailures
+  /** Reports an object that is not used. */
+  readonly invalidObject: (kind: string, reason: string) => void
 }
 
 /** The listener of a gateway's platform. None of its methods throws. */
@@ -50,13 +52,14 @@
     condition: contain(to.condition),
     storeAnswered: contain(to.storeAnswered),
     storeFailed: contain(to.storeFailed),
-    taskFailed: to.taskFailed
+    taskFailed: to.taskFailed,
+    invalidObject: to.invalidObject
   }
 }
 
 /** What each delivery does. */
 function receivers (options: PlatformListenerOptions): PlatformListener {
-  const { clock, log, board, outage, peers, conditions, evacuationController, upstreams } = options
+  const { clock, log, board, outage, peers, conditions, evacuationController, upstreams, invalidObject } = options
   return {
     ...upstreams,
     configuration: (traffic, askedAt) => {
@@ -86,6 +89,7 @@
       board.write('store', false)
       log.write('store-lost', { cause })
     },
-    taskFailed: (task, cause) => log.write('controller-failed', { controller: task, cause })
+    taskFailed: (task, cause) => log.write('controller-failed', { controller: task, cause }),
+    invalidObject
   }
 }
