--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -106,19 +106,28 @@
   readonly wait?: boolean
 }
 
+/** Upper bound on the invalid items of one list. Each of them takes time; a list with more is of no use. */
+const maxInvalidItems = 1000
+
 /** Upper bounds on the issues in the reason why an item is left out, and on its length in characters. */
 const maxIssues = 3
 const maxReasonLength = 500
 
+/** Upper bounds on the length of a text in an order or a probe, and on the engines of a replica. */
+const maxTextLength = 512
+const maxMembers = 512
+
+const Text = z.string().max(maxTextLength)
+
 const OrderMessage = z.object({
   kind: z.enum(['join', 'open', 'close', 'stage', 'leave']),
   /** Id and address of the engine that receives the order. */
-  node: z.string(),
+  node: Text,
   address: Address,
-  replica: z.string(),
+  replica: Text,
   epoch: z.number(),
-  model: z.string().optional(),
-  members: z.array(z.string()).optional(),
+  model: Text.optional(),
+  members: z.array(Text).max(maxMembers).optional(),
   manner: z.enum(['finish', 'cut']).optional(),
   loads: z.boolean(),
   spare: z.boolean().optional(),
@@ -226,12 +235,18 @@
   return listed === undefined ? [] : [{ gone: listedName(listed), certain: true }]
 }
 
-/** The items of a list that match a schema. The others are left out, each with its reason. */
+/**
+ * The items of a list that match a schema. The others are left out, each with its reason. Throws if too many do not
+ * match.
+ */
 function validItems<Schema extends z.ZodType> (schema: Schema, items: readonly unknown[], invalid: (reason: string) => void): Array<z.infer<Schema>> {
+  let left = maxInvalidItems
   return items.flatMap(each => {
     const { data, error } = schema.safeParse(each)
-    if (error !== undefined) invalid(reasonOf(error, each))
-    return data === undefined ? [] : [data]
+    if (error === undefined) return [data]
+    if (left-- === 0) throw new Error(`More than ${maxInvalidItems} items in the answer of another gateway are invalid.`)
+    invalid(reasonOf(error, each))
+    return []
   })
 }
 
@@ -292,7 +307,7 @@
 
 const ProbeMessage = z.object({
   /** Id and address of the engine. */
-  id: z.string(),
+  id: Text,
   address: Address
 })
 
--- a/packages/limits/src/messages.ts
+++ b/packages/limits/src/messages.ts
@@ -7,7 +7,11 @@
 import { z } from 'zod'
 
 const number = z.int().nonnegative()
-const time = z.number().nonnegative()
+
+/** The longest time that a timer of Node.js can wait, in ms. A timer for a longer one ends at once. */
+const maxTimerDelay = 2 ** 31 - 1
+const time = z.number().nonnegative().max(maxTimerDelay)
+const rate = z.number().nonnegative()
 
 const TokenMessage = z.discriminatedUnion('token', [
   /**
@@ -15,7 +19,7 @@
    * limit. `cold` is the rate of the cold upstream and how much longer it is cold; it is absent if the upstream is
    * not cold, and from earlier builds.
    */
-  z.object({ token: z.literal('ask'), upstream: z.string(), number, priority: z.number(), patience: time, limit: z.tuple([time.nullable(), time]), cold: z.tuple([z.number().positive(), time]).optional() }),
+  z.object({ token: z.literal('ask'), upstream: z.string(), number, priority: z.number(), patience: time, limit: z.tuple([rate.nullable(), z.number().nonnegative()]), cold: z.tuple([z.number().positive(), time]).optional() }),
   /** The request no longer waits. */
   z.object({ token: z.literal('drop'), upstream: z.string(), number }),
   /** The request has the token. */
--- a/packages/peers/src/heartbeat.ts
+++ b/packages/peers/src/heartbeat.ts
@@ -114,24 +114,36 @@
   named: z.record(z.string(), z.object({ parts: z.array(z.string()), team: z.string().optional(), beginning: z.boolean(), trial: z.boolean() })).optional()
 })
 
+/** Upper bound on the length of a gateway's id, which others store and log. */
+const maxIdLength = 256
+
+/**
+ * Upper bound on the time between two heartbeats, in ms. A gateway counts as live for a multiple of that time, so one
+ * that has gone must not have announced centuries. A fleet of 9,600 gateways sends this seldom.
+ */
+const maxInterval = 60_000
+
+/** A count. A negative one would draw all requests to the upstream or model. */
+const Count = z.int().nonnegative()
+
 /** The datagram: JSON with these keys. Unknown keys are dropped, so a newer gateway may send more. */
 const Datagram = z.object({
-  id: z.string(),
+  id: z.string().min(1).max(maxIdLength),
   revision: z.int(),
   /** `canPlan`. */
   able: z.boolean(),
   /** `canWatch`. Absent if false, and for builds that do not send it. */
   watch: z.literal(true).optional(),
   /** `inFlight`. */
-  loads: z.record(z.string(), z.int()),
+  loads: z.record(z.string(), Count),
   suspects: z.array(z.string()),
   /** `offeredByModel`. */
-  models: z.record(z.string(), z.int()),
+  models: z.record(z.string(), Count),
   served: z.boolean(),
   /** `loads` of the inner type, whose name was taken on the wire. Absent if there are none. */
   weights: z.record(z.string(), z.string()).optional(),
   /** `interval`. */
-  every: z.number().positive().optional(),
+  every: z.number().positive().max(maxInterval).optional(),
   /** `wantsReply`. Absent if false. */
   ask: z.literal(true).optional(),
   /** `terms`. Absent if there are none. */
--- a/packages/places/src/messages.ts
+++ b/packages/places/src/messages.ts
@@ -9,7 +9,13 @@
 import { type Room } from './room.js'
 
 const number = z.int().nonnegative()
-const time = z.number().nonnegative()
+
+/** The longest time that a timer of Node.js can wait, in ms. A timer for a longer one ends at once. */
+const maxTimerDelay = 2 ** 31 - 1
+const time = z.number().nonnegative().max(maxTimerDelay)
+
+/** Upper bound on the work of a request. The sum of all that wait must stay a number. */
+const maxWork = 1e15
 const flag = z.boolean().optional()
 const room = { service: z.string(), model: z.string() }
 
@@ -20,7 +26,7 @@
    * It cannot be sent to the upstreams in `besides`; `near` is its preferred data centre. `again`: its caller retries
    * after a refusal. `early`: its caller retries sooner than the refusal asked for.
    */
-  z.object({ place: z.literal('ask'), ...room, number, priority: z.number(), team: z.string(), work: z.number(), age: time, timely: z.number(), patience: time, review: time.optional(), besides: z.array(z.string()), near: z.string(), again: flag, early: flag }),
+  z.object({ place: z.literal('ask'), ...room, number, priority: z.number(), team: z.string(), work: z.number().nonnegative().max(maxWork), age: time, timely: z.number().min(-maxTimerDelay).max(maxTimerDelay), patience: time, review: time.optional(), besides: z.array(z.string()), near: z.string(), again: flag, early: flag }),
   /** The request no longer waits. */
   z.object({ place: z.literal('drop'), ...room, number }),
   /** The request is in the queue. */
