--- a/packages/daemon/src/roles.ts
+++ b/packages/daemon/src/roles.ts
@@ -21,7 +21,7 @@
   const { log, metric } = observers(settings, 'entry')
   const delays = loopDelays(clock, log)
   const firstOperator = operators.name === undefined || operators.token_sha256 === undefined ? undefined : { name: operators.name, token: operators.token_sha256 }
-  const store = new HttpStore({ ...platform, clock })
+  const store = new HttpStore({ ...platform, clock, invalid: cause => log.write('controller-failed', { controller: 'nodes', cause }) })
   const entry = new Entry({
     clock,
     log,
--- a/packages/schema/src/placement.ts
+++ b/packages/schema/src/placement.ts
@@ -2,6 +2,7 @@
  * The stored objects about nodes and replicas: the platform's node list, placements, voters, and addresses of entries.
  * Stored objects must stay readable, so new fields need a default and fields are never renamed.
  */
+import { Address } from '@eiderwind/address'
 import { z } from 'zod'
 
 /** A node in the platform's node list. */
@@ -11,7 +12,7 @@
   dataCentre: z.string(),
   region: z.string(),
   /** `host:port` of the worker on the node. */
-  address: z.string(),
+  address: Address,
   accelerators: z.int().min(0),
   /** The plain service that runs on the node; undefined if the node runs an engine. */
   service: z.string().optional(),
@@ -60,12 +61,18 @@
   dataCentre: z.string(),
   region: z.string(),
   /** `host:port` at which other processes of the system reach the entry. */
-  peer: z.string(),
+  peer: Address,
   /** A UUID of version 7, created at each start: later incarnations compare greater. Older builds have none. */
   incarnation: z.string().optional()
 })
 export type EntryAddress = z.infer<typeof EntryAddress>
 
-/** The entries of one data centre. */
-export const EntryList = z.object({ dataCentre: z.string(), entries: z.array(EntryAddress) })
+/**
+ * The entries of one data centre. An entry that is not valid is left out: it must not keep the others from registering.
+ * The next of them that registers writes the list without it.
+ */
+export const EntryList = z.object({
+  dataCentre: z.string(),
+  entries: z.array(EntryAddress.nullable().catch(null)).transform(entries => entries.filter(each => each !== null))
+})
 export type EntryList = z.infer<typeof EntryList>
--- a/packages/settings/test/settings.test.ts
+++ b/packages/settings/test/settings.test.ts
@@ -37,3 +37,15 @@
 test('a file that cannot be read is reported as a problem', t => {
   t.is(problemLine(readSettings('/nowhere.ini').unwrapErr()[0]), '/nowhere.ini: The file cannot be read (ENOENT). Give the path of a readable file.')
 })
+
+// Guards against: a process that starts with an address that nobody can call or listen on, and ends later (FAULT).
+test('an address with an odd port or host is refused with its section and key', t => {
+  const text = readFileSync(new URL('examples/direct.ini', root), 'utf8')
+  for (const [section, key] of [['listen', 'callers'], ['listen', 'health'], ['listen', 'peers'], ['platform', 'store'], ['observe', 'metrics']]) {
+    for (const address of ['10.0.0.1:99999', '10.0.0.1:-1', 'a%zz<>:80', '[::1:80:8080', '10.0.0.1:', ':80']) {
+      const odd = text.replace(new RegExp(`^${key} = .*$`, 'm'), `${key} = ${address}`)
+      t.deepEqual(lines(odd).map(each => each.split(':')[1]), [` [${section}] ${key}`], `${key} = ${address}`)
+    }
+  }
+  t.is(lines(text.replace(/^store = .*$/m, 'store = 10.0.0.1:0')).length, 1)
+})
--- a/packages/store/src/http.ts
+++ b/packages/store/src/http.ts
@@ -19,6 +19,8 @@
   readonly timeout?: number
   /** Sends the calls. The store closes it. Default: a connection pool of its own. */
   readonly dispatcher?: Dispatcher
+  /** Called with the reason why nodes are left out, whenever it changes. Default: nothing. */
+  readonly invalid?: (reason: string) => void
 }
 
 interface Reply {
@@ -44,6 +46,9 @@
 /** Default time-out of a call. */
 const defaultTimeoutMs = 2000
 
+/** Maximum length of the reason why nodes are left out, in characters. */
+const maxReasonLength = 500
+
 /** Maximum number of connections to the object API. */
 const maxConnections = 32
 
@@ -68,12 +73,16 @@
   readonly #url: string
   readonly #timeout: number
   readonly #dispatcher: Dispatcher
+  readonly #reportInvalid: (reason: string) => void
+  /** Why nodes of the last list were left out; empty if none was. */
+  #invalid = ''
 
   constructor (options: HttpStoreOptions) {
     super()
     this.#clock = options.clock
     this.#url = options.url.replace(/\/$/, '')
     this.#timeout = options.timeout ?? defaultTimeoutMs
+    this.#reportInvalid = options.invalid ?? (() => {})
     this.#dispatcher = options.dispatcher ?? new Agent({ connections: maxConnections, keepAliveTimeout: keepAliveMs, headersTimeout: 0, bodyTimeout: 0 })
   }
 
@@ -103,11 +112,22 @@
   async nodes (): Promise<Result<Node[], Fault>> {
     const reply = await this.#call('GET', '/nodes')
     return reply.andThen(({ body }) => {
-      const nodes = Node.array().safeParse(body)
-      return nodes.success ? Ok(nodes.data) : Err(new Fault('store-down', { detail: 'The node list does not match its schema.' }))
+      if (!Array.isArray(body)) return Err(new Fault('store-down', { detail: 'The node list does not match its schema.' }))
+      return Ok(this.#validNodes(body))
     })
   }
 
+  /** The nodes of a list that match their schema. One that does not must not cost the others. */
+  #validNodes (list: readonly unknown[]): Node[] {
+    const results = list.map(each => Node.safeParse(each))
+    const [first] = results.flatMap(({ error }) => error?.issues ?? [])
+    const count = results.filter(each => !each.success).length
+    const reason = first === undefined ? '' : `${count} nodes of the list are invalid; the first: ${first.path.join('.')}: ${first.message}`.slice(0, maxReasonLength)
+    if (reason !== this.#invalid && reason !== '') this.#reportInvalid(reason)
+    this.#invalid = reason
+    return results.flatMap(({ data }) => data ?? [])
+  }
+
   /** Closes the connections. */
   async close (): Promise<void> {
     await this.#dispatcher.destroy()
--- a/packages/store/test/http.test.ts
+++ b/packages/store/test/http.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava'
 import { MockAgent } from 'undici'
 import { ManualClock } from '@eiderwind/clock'
+import { EntryList } from '@eiderwind/schema'
 import { HttpStore } from '../src/index.js'
 
 const url = 'http://platform.example'
@@ -37,3 +38,29 @@
   const errors = ['192.0.2.1', '192.0.2.2'].map(address => Object.assign(new Error(address), { code: 'ECONNREFUSED', syscall: 'connect' }))
   t.is(await codeAfter({ code: 'ECONNREFUSED', errors }), 'store-down')
 })
+
+function node (id: string, address: string): object {
+  return { id, domain: 'd', dataCentre: 'dc', region: 'r', address, accelerators: 1, state: 'live' }
+}
+
+// Guards against: one odd node costs all others of the list, or is called at an address that is none.
+test('a node that is not valid is left out of the list and reported once, and the others are read', async t => {
+  for (const odd of [node('odd', 'host:99999'), { ...node('odd', 'a:1'), accelerators: 'many' }, null]) {
+    const dispatcher = new MockAgent()
+    dispatcher.disableNetConnect()
+    const list = [node('a', 'a:1'), odd, node('b', 'b:1')]
+    dispatcher.get(url).intercept({ path: '/nodes', method: 'GET' }).reply(200, JSON.stringify(list)).times(2)
+    const reasons: string[] = []
+    const store = new HttpStore({ clock: new ManualClock(), url, dispatcher, invalid: reason => reasons.push(reason) })
+    for (let count = 0; count < 2; count++) t.deepEqual((await store.nodes()).unwrap().map(each => each.id), ['a', 'b'])
+    t.is(reasons.length, 1)
+    await dispatcher.close()
+  }
+})
+
+// Guards against: one odd entry in the stored list keeps the other entries of its data centre from registering.
+test('an entry whose address is none is left out of the stored list', t => {
+  const entry = (id: string, peer: string): object => ({ id, dataCentre: 'dc', region: 'r', peer })
+  const { entries } = EntryList.parse({ dataCentre: 'dc', entries: [entry('a', 'a:1'), entry('odd', 'x y'), 4, entry('b', 'b:1')] })
+  t.deepEqual(entries.map(each => each.id), ['a', 'b'])
+})
