A receiver hears nothing before the function that sends its call has returned (FAULT, LOST)

What callers saw: no answer, where an attempt of an entry could not be sent: an address that is none, a team whose name is no header value. The promise of the attempt rejected with 'Cannot access timer before initialization'; its timer and its entry in the list of attempts were never set.

Cause, the same as in ask(): the client library reports some failures before dispatch returns, and receivers use what is set after it: the timer, removeFromList and cancel in attempting.ts, plainpath.ts and stream.ts of the entry, removeFlight in model.ts of the worker. Connections.send failed at once for an origin that is none.

A question whose signal was aborted before it was asked was asked all the same.

--- a/packages/wire/src/ask.ts
+++ b/packages/wire/src/ask.ts
@@ -42,7 +42,6 @@
 export function ask (connections: Pick<Connections, 'send'>, clock: Clock, call: Call, timeout: number, { fresh = false, signal, maxBytes }: AskOptions = {}): Promise<Collected> {
   return new Promise((resolve, reject) => {
     let expired = false
-    // Set before the call is sent: it may fail at once.
     let cancel: Cancel = () => {}
     const stop = (): void => cancel(new Error('The call was cancelled.'))
     const timer = clock.after(timeout, () => {
@@ -66,5 +65,7 @@
       }
     })
     cancel = connections.send(call, collector, fresh)
+    // A signal that is aborted already has no event.
+    if (signal?.aborted === true) stop()
   })
 }
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -33,6 +33,36 @@
     test: 'platform/dist/test/storenames.test.js',
     title: 'objects of any name*'
   },
+  {
+    name: 'failure-before-send-returns',
+    point: 4,
+    rule: 'a receiver hears nothing before the function that sends the call has returned',
+    file: 'packages/wire/dist/src/call.js',
+    find: 'let returned = false;',
+    replace: 'let returned = true;',
+    test: 'packages/entry/dist/test/attempting.test.js',
+    title: 'an attempt with an address that is none*'
+  },
+  {
+    name: 'tunnel-sent-as-call',
+    point: 4,
+    rule: 'a call by the method of tunnels fails as not sent',
+    file: 'packages/wire/dist/src/call.js',
+    find: 'if (call.method === tunnelMethod)',
+    replace: 'if (call.method === undefined)',
+    test: 'packages/wire/dist/test/oddcalls.test.js',
+    title: 'a call that asks for a tunnel*'
+  },
+  {
+    name: 'withdrawn-question-sent',
+    point: 4,
+    rule: 'a question whose signal is aborted before is not sent',
+    file: 'packages/wire/dist/src/ask.js',
+    find: 'signal?.aborted === true',
+    replace: 'false',
+    test: 'packages/wire/dist/test/oddcalls.test.js',
+    title: 'a question that was withdrawn*'
+  },
   {
     name: 'odd-event-drops-others',
     point: 4,
