--- a/packages/daemon/src/roles.ts
+++ b/packages/daemon/src/roles.ts
@@ -11,6 +11,9 @@
 import { Worker } from '@eiderwind/worker'
 import { LoopDelays, TaskFailures, type Daemon } from '@eiderwind/life'
 
+/** Time for closing after the last answer, in ms. */
+const closeTime = 1000
+
 /** The settings that both roles have. */
 type CommonSettings = Pick<EntrySettings, 'process' | 'observe'>
 
@@ -42,6 +45,7 @@
   })
   return {
     log,
+    maxStopTime: limits.stop + closeTime,
     start: async () => {
       delays.start()
       return { ...await entry.start() }
@@ -78,6 +82,7 @@
   })
   return {
     log,
+    maxStopTime: limits.stop + closeTime,
     start: async () => {
       delays.start()
       return { peers: await worker.start() }
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -33,6 +33,26 @@
     test: 'platform/dist/test/departureschedules.test.js',
     title: 'no request is sent to an upstream that departed*'
   },
+  {
+    name: 'uncaught-error-not-drained',
+    point: 7,
+    rule: 'a process that serves drains after an error',
+    file: 'packages/life/dist/src/run.js',
+    find: 'errors.first.then(async () => await expired(daemon, errors))',
+    replace: 'errors.first.then(() => false)',
+    test: 'platform/dist/test/uncaught.test.js',
+    title: 'streams in flight are whole when an error*'
+  },
+  {
+    name: 'drain-unbounded',
+    point: 7,
+    rule: 'a drain after an error is bounded',
+    file: 'packages/life/dist/src/run.js',
+    find: '}, maxStopTime);',
+    replace: '}, 60_000);',
+    test: 'packages/life/dist/test/run.test.js',
+    title: 'a drain that does not end*'
+  },
   {
     name: 'timer-error-uncontained',
     point: 7,
@@ -1466,7 +1486,7 @@
     point: 7,
     rule: 'a process that ends by an error logs why',
     file: 'packages/life/dist/src/run.js',
-    find: "log.write('uncaught-error', { cause: causeOf(error) });",
+    find: "this.#log.write('uncaught-error', { cause: causeOf(error) });",
     replace: '',
     test: 'packages/life/dist/test/run.test.js',
     title: 'an error that reaches the event loop is logged*'
