--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,7 +9,7 @@
 import { UsualMaxWaits } from '@eiderwind/fairness'
 import { type Reconciler } from '@eiderwind/forming'
 import { Deliveries, type Context } from '@eiderwind/forward'
-import { LoopDelays, type WorkTotals } from '@eiderwind/life'
+import { LoopDelays, PortWait, type WorkTotals } from '@eiderwind/life'
 import { Peers, type Heartbeat, type PeerAddress } from '@eiderwind/peers'
 import { Outage, Roster } from '@eiderwind/roster'
 import { Connections } from '@eiderwind/wire'
@@ -255,14 +255,13 @@
     return this.#board.read('inForce') !== undefined && this.#roster.hasList && !this.#board.read('stopping') && this.#callers.servesKeys && this.#readiness.cause === undefined
   }
 
-  /** Listens on all addresses, then watches the platform. Rejects if an address cannot be used. */
+  /** Listens on all addresses, then watches the platform. Rejects if an address cannot be used, at once or in time. */
   async start (): Promise<void> {
     const { clock, log, failures, platform, settings } = this.#options
     growDescriptorTable().catch(() => { /* Never rejects: a table that cannot grow further stays as it is. */ })
-    await Promise.all([this.#callers.start(), this.#health.start(), this.#peerServer.start(), this.#peers.start()])
+    await this.#listen()
     this.#confirmations.start()
     this.#upstreamSync.start()
-    if (settings.metrics !== '') await this.#metrics.start(settings.metrics)
     platform.watch(platformListener({
       clock,
       log,
@@ -307,6 +306,19 @@
     this.#connections.close()
   }
 
+  /** Listens on each address once it is free. */
+  async #listen (): Promise<void> {
+    const { clock, log, settings: { callers, health, peers, metrics } } = this.#options
+    const ports = new PortWait({ clock, log })
+    await Promise.all([
+      ports.start(callers, async () => await this.#callers.start()),
+      ports.start(health, async () => await this.#health.start()),
+      ports.start(peers, async () => await this.#peerServer.start()),
+      ports.start(peers, async () => await this.#peers.start()),
+      metrics === '' ? undefined : ports.start(metrics, async () => await this.#metrics.start(metrics))
+    ])
+  }
+
   #followRoster (): void {
     this.#roster.listen(() => this.#queue.wake())
     // A request that waits for its connection was chosen before the upstream departed.
--- a/packages/log/src/events.ts
+++ b/packages/log/src/events.ts
@@ -28,6 +28,7 @@
   'callers-closed': { number: 108, level: 'info', text: 'At its stop this process has closed its listening socket and its callers\' connections. `drained`: for how long it refused the last requests before, in ms. `requests`: how many arrived meanwhile. `quiet`: whether nothing more was to be read; if not, requests may have been left unread or unanswered.' },
   'uncaught-error': { number: 109, level: 'error', text: 'An error reached the event loop, so nothing of this process handled it. `cause`: its stack. A process that serves drains, as at a signal to stop, and ends with status 1; the platform starts it again.' },
   'task-failed': { number: 110, level: 'error', text: 'An error of this program ended one task: the work of a timer, a datagram, a message, a delivery or a request for figures. `task`: which kind. `cause`: its stack. Everything else goes on; periodic tasks run again.' },
+  'port-in-use': { number: 111, level: 'warn', text: 'A port of this process is in use at its start. It waits for the port, for 10 s at most, and serves once it is free. `address`: which.' },
   'store-lost': { number: 200, level: 'warn', text: 'Store unreachable; continuing with cached state.' },
   'store-back': { number: 201, level: 'info', text: 'Store reachable again.' },
   'configuration-new': { number: 202, level: 'info', text: 'A new revision of the configuration is in force in this process.' },
--- a/packages/log/test/forms.test.ts
+++ b/packages/log/test/forms.test.ts
@@ -16,6 +16,7 @@
   '108 callers-closed info',
   '109 uncaught-error error',
   '110 task-failed error',
+  '111 port-in-use warn',
   '200 store-lost warn',
   '201 store-back info',
   '202 configuration-new info',
--- a/packages/peers/src/datagrams.ts
+++ b/packages/peers/src/datagrams.ts
@@ -32,7 +32,10 @@
     const socket = createSocket('udp4')
     const { host, port } = splitAddress(this.#address)
     await new Promise<void>((resolve, reject) => {
-      socket.once('error', reject)
+      socket.once('error', error => {
+        socket.close()
+        reject(error)
+      })
       socket.bind(port, host, resolve)
     })
     // Errors are ignored. A lost datagram needs no handling: the next one follows soon, and liveness is decided by
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -33,6 +33,16 @@
     test: 'platform/dist/test/departureschedules.test.js',
     title: 'no request is sent to an upstream that departed*'
   },
+  {
+    name: 'port-not-waited-for',
+    point: 7,
+    rule: 'a start waits for a port in use',
+    file: 'packages/life/dist/src/portwait.js',
+    find: 'const maxWait = 10_000;',
+    replace: 'const maxWait = 0;',
+    test: 'platform/dist/test/heldports.test.js',
+    title: 'a gateway whose port for heartbeats is in use*'
+  },
   {
     name: 'uncaught-error-not-drained',
     point: 7,
