A wait for what is unread, whose end passes in a pause, goes on until that is read (LOST)

What callers saw: a gateway that is paused, or waits for a processor, while its time to close comes resets the connections whose requests arrived meanwhile.

Cause: untilQuiet ended as soon as its time was over, also at the end of the turn in which the process had been paused. What arrived in that turn after its sockets were read lay unread.

Why this works: after a turn that was too long the wait goes on for 100 ms, or until nothing arrives, so that what lay unread is read; at most twice, so a machine that is too slow exceeds the time by a bounded amount.

--- a/packages/wire/src/quiet.ts
+++ b/packages/wire/src/quiet.ts
@@ -15,10 +15,16 @@
 /** Time between two checks while requests are unanswered, in ms. Below `maxTurn`. */
 const checkInterval = 10
 
+/** For how long the wait goes on beyond its end after a turn that was too long, in ms: what arrived in it is read. */
+const readingTime = 100
+
+/** Number of turns after which the wait goes on beyond its end. It bounds the excess while each turn is too long. */
+const maxExtensions = 2
+
 /** What to wait for, and for how long. */
 export interface QuietOptions {
   readonly clock: Clock
-  /** When the wait ends in any case, on `Clock.now`. */
+  /** When the wait ends, on `Clock.now`, unless a turn that was too long has just ended. */
   readonly until: number
   /** Whether all requests that were read are answered. */
   readonly isAnswered: () => boolean
@@ -33,10 +39,17 @@
   return new Promise(resolve => {
     // Whatever had arrived before this time was read in the turns after it.
     let readUntil = -Infinity
+    let endsAt = until
+    let extensions = 0
     const endTurn = (): void => {
       const now = clock.now()
-      const isQuiet = !arrivals.take() && now - readUntil <= maxTurn && isAnswered()
-      if (isQuiet || now >= until) {
+      const isLong = now - readUntil > maxTurn
+      const isQuiet = !arrivals.take() && !isLong && isAnswered()
+      if (isLong && now >= endsAt && extensions < maxExtensions) {
+        extensions++
+        endsAt = now + readingTime
+      }
+      if (isQuiet || now >= endsAt) {
         arrivals.stop()
         return resolve(isQuiet)
       }
--- a/packages/wire/test/quiet.test.ts
+++ b/packages/wire/test/quiet.test.ts
@@ -101,3 +101,45 @@
   t.true(await closeOnceQuiet(server))
   t.is(await answer, 'HTTP/1.1 200')
 })
+
+// Guards against a wait whose end passes in a pause of the process: the requests that arrived meanwhile are not read (LOST).
+test.serial('a request on a kept connection that arrived while the loop was blocked past the end of the wait is answered', async t => {
+  const { server, port } = await startServer(t)
+  const socket = await open(port)
+  socket.write(request)
+  await nextAnswer(socket)
+  const answer = nextAnswer(socket)
+  setImmediate(() => setImmediate(() => {
+    socket.write(request)
+    block(300)
+  }))
+  await closeOnceQuiet(server, 100)
+  t.is(await answer, 'HTTP/1.1 200')
+})
+
+// Guards against the same on connections that wait to be accepted, of which a turn accepts one.
+test.serial('requests on connections that arrived while the loop was blocked past the end of the wait are answered', async t => {
+  const { server, port } = await startServer(t)
+  const answers: Array<Promise<string>> = []
+  setImmediate(() => setImmediate(() => {
+    for (let index = 0; index < count; index++) {
+      const socket = connect(port, '127.0.0.1')
+      socket.write(request)
+      answers.push(nextAnswer(socket))
+    }
+    block(300)
+  }))
+  await closeOnceQuiet(server, 100)
+  t.deepEqual(await Promise.all(answers), Array.from({ length: count }, () => 'HTTP/1.1 200'))
+})
+
+// Guards against a wait that goes on while each turn is long.
+test.serial('the wait ends soon after its time although each turn is long', async t => {
+  const { server } = await startServer(t)
+  const blocking = setInterval(() => block(80), 1)
+  const begun = performance.now()
+  t.false(await closeOnceQuiet(server, 200, () => false))
+  clearInterval(blocking)
+  const time = performance.now() - begun
+  t.true(time >= 195 && time < 1000, `${time}`)
+})
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -113,6 +113,16 @@
     test: 'packages/forward/dist/test/plainstreams.test.js',
     title: 'the ends of streams at a plain service*'
   },
+  {
+    name: 'wait-ends-in-pause',
+    point: 4,
+    rule: 'a wait for what is unread, whose end passes in a pause, goes on until that is read',
+    file: 'packages/wire/dist/src/quiet.js',
+    find: 'extensions < maxExtensions',
+    replace: 'false',
+    test: 'packages/wire/dist/test/quiet.test.js',
+    title: '*past the end of the wait are answered'
+  },
   {
     name: 'old-followed-list-pauses-watch',
     point: 4,
