--- a/packages/gateway/src/callers.ts
+++ b/packages/gateway/src/callers.ts
@@ -158,7 +158,7 @@
 
   #accept (incoming: IncomingMessage, response: ServerResponse): void {
     this.#unanswered++
-    response.once('close', () => { this.#unanswered-- })
+    whenOver(response, () => { this.#unanswered-- })
     this.#handle(incoming, response).catch(error => this.#fail(incoming, response, error))
   }
 
@@ -187,7 +187,7 @@
     const inForce = board.read('inForce')
     if (inForce === undefined) return this.#refuse(incoming, response, refusals.behind())
     const held = bodies.open()
-    response.once('close', () => held.release())
+    whenOver(response, () => held.release())
     const body = await readBody(incoming, inForce.traffic.limits.body, held)
     if (response.destroyed) return
     if (body.isErr()) return this.#refuse(incoming, response, body.error)
@@ -273,3 +273,18 @@
 function headSize ({ rawHeaders }: IncomingMessage): number {
   return rawHeaders.reduce((sum, each) => sum + each.length + headerSeparator, 0)
 }
+
+/**
+ * Calls `done` once, when a response is complete or its connection is gone. A response that waits behind another one on
+ * its connection never had that connection, and so reports no close of its own.
+ */
+function whenOver (response: ServerResponse, done: () => void): void {
+  const { socket } = response.req
+  const end = (): void => {
+    response.off('close', end)
+    socket.off('close', end)
+    done()
+  }
+  response.once('close', end)
+  socket.once('close', end)
+}
--- a/packages/gateway/test/callers.test.ts
+++ b/packages/gateway/test/callers.test.ts
@@ -3,6 +3,7 @@
  * of this program.
  */
 import { once } from 'node:events'
+import { connect } from 'node:net'
 import { createServer, request, type IncomingMessage, type ServerResponse } from 'node:http'
 import { SystemClock } from '@eiderwind/clock'
 import { Pauses } from '@eiderwind/detect'
@@ -20,6 +21,9 @@
 interface Failing {
   readonly find?: () => unknown
   readonly open?: Deliveries['open']
+  readonly bodies?: Bodies
+  /** Holds each admitted request instead of failing it. */
+  readonly held?: boolean
 }
 
 function fail (): never {
@@ -27,7 +31,7 @@
 }
 
 /** Callers of which each request fails, with the address and the log lines. */
-async function startCallers (t: ExecutionContext, { find = () => route, open = (() => ({})) as unknown as Deliveries['open'] }: Failing): Promise<{ callers: Callers, port: number, lines: string[] }> {
+async function startCallers (t: ExecutionContext, { find = () => route, open = (() => ({})) as unknown as Deliveries['open'], bodies = new Bodies(1000), held = false }: Failing): Promise<{ callers: Callers, port: number, lines: string[] }> {
   const clock = new SystemClock()
   const lines: string[] = []
   const board = gatewayBoard()
@@ -38,10 +42,11 @@
     log: new Log({ sink: (line: unknown) => lines.push(String(line)) }),
     roster: { hasList: true },
     names: { request: 'x-request', deadline: 'x-deadline', key: 'x-key', model: 'x-model', parts: 'x-parts' },
-    retryBudget: fail
+    retryBudget: held ? () => ({ countRequest: () => {} }) : fail,
+    sendGate: { opened: new Promise(() => {}), isClosed: true }
   } as unknown as Context
   const port = await freePort()
-  const options = { context, board, pauses: new Pauses(clock), address: `127.0.0.1:${port}`, strictKeys: false, random: () => 0, bodies: new Bodies(limits.body), deliveries: { open }, refused: () => {}, ended: () => {} }
+  const options = { context, board, pauses: new Pauses(clock), address: `127.0.0.1:${port}`, strictKeys: false, random: () => 0, bodies, deliveries: { open }, refused: () => {}, ended: () => {} }
   const callers = new Callers(options as unknown as CallersOptions)
   await callers.start()
   t.teardown(async () => await callers.close(clock.now()))
@@ -96,3 +101,26 @@
   t.not(received?.answer.complete, true)
   t.is(callers.open, 0)
 })
+
+/** Sends requests on one connection at once, and drops it after `time` ms. */
+async function sendPipelined (port: number, text: string, time: number): Promise<void> {
+  const socket = connect(port, '127.0.0.1')
+  socket.on('error', () => {})
+  socket.write(text)
+  await new Promise(resolve => setTimeout(resolve, time))
+  socket.destroy()
+}
+
+// Guards against: a caller that drops its connection takes room for bodies until a restart, and others get 429.
+test('the room of a request that waits behind another one on its connection is free again when the connection is dropped', async t => {
+  const bodies = new Bodies(1000)
+  const { port } = await startCallers(t, { bodies, held: true })
+  const first = 'GET /a HTTP/1.1\r\nhost: a\r\nx-request: r1\r\n\r\n'
+  const second = `POST /a HTTP/1.1\r\nhost: a\r\nx-request: r2\r\ncontent-length: 900\r\n\r\n${'x'.repeat(900)}`
+  const sent = sendPipelined(port, first + second, 100)
+  await new Promise(resolve => setTimeout(resolve, 50))
+  t.is(bodies.held, 900)
+  await sent
+  await new Promise(resolve => setTimeout(resolve, 50))
+  t.is(bodies.held, 0)
+})
