A delivery that fails in the gateway is made again (DRAIN, CONFIG)

Found by the review, by reading: an error in a part that takes a change of the list was contained, and the list then counted as complete; what the part had not taken never came again. A configuration that failed so was confirmed all the same.

failures.test: it asked that no delivery throws; it asks now that those of objects are reported and throw, and the others do not. watch.test fails without the check (breakage failed-delivery-complete).

--- a/packages/gateway/src/listener.ts
+++ b/packages/gateway/src/listener.ts
@@ -12,7 +12,7 @@
 import { type Conditions } from './conditions.js'
 import { type EvacuationController } from './evacuationcontroller.js'
 import { recordConfirmation, applyConfiguration, type GatewayBoard } from './facts.js'
-import { type PlatformListener } from './platform.js'
+import { DeliveryError, type PlatformListener } from './platform.js'
 import { type UpstreamListener } from './upstreamsync.js'
 
 /** Dependencies of a platform's listener. */
@@ -31,24 +31,29 @@
   readonly invalidObject: (kind: string, reason: string) => void
 }
 
-/** The listener of a gateway's platform. None of its methods throws. */
+/**
+ * The listener of a gateway's platform. A delivery of objects that fails throws `DeliveryError`; no other method throws.
+ */
 export function platformListener (options: PlatformListenerOptions): PlatformListener {
   const { failures } = options
   const contain = <Delivered extends unknown[]>(deliver: (...delivered: Delivered) => void) => (...delivered: Delivered): void => {
     failures.run('delivery', () => deliver(...delivered))
   }
+  const report = <Delivered extends unknown[]>(deliver: (...delivered: Delivered) => void) => (...delivered: Delivered): void => {
+    failures.run('delivery', () => deliver(...delivered), () => { throw new DeliveryError() })
+  }
   const to = receivers(options)
   return {
-    configuration: contain(to.configuration),
-    confirmed: contain(to.confirmed),
-    upstreams: contain(to.upstreams),
-    upstreamChanges: contain(to.upstreamChanges),
-    upstreamsComplete: contain(to.upstreamsComplete),
+    configuration: report(to.configuration),
+    confirmed: report(to.confirmed),
+    upstreams: report(to.upstreams),
+    upstreamChanges: report(to.upstreamChanges),
+    upstreamsComplete: report(to.upstreamsComplete),
     // These two only read the board.
     isSuperseded: to.isSuperseded,
     upstreamsRevision: to.upstreamsRevision,
-    evacuations: contain(to.evacuations),
-    gateways: contain(to.gateways),
+    evacuations: report(to.evacuations),
+    gateways: report(to.gateways),
     condition: contain(to.condition),
     storeAnswered: contain(to.storeAnswered),
     storeFailed: contain(to.storeFailed),
--- a/packages/gateway/src/platform.ts
+++ b/packages/gateway/src/platform.ts
@@ -20,6 +20,17 @@
   readonly revision: number
 }
 
+/**
+ * A delivery of objects that failed in this process, and was reported. The platform has to deliver the whole list again,
+ * since a part of it may not have been taken.
+ */
+export class DeliveryError extends Error {
+  constructor () {
+    super('A delivery failed in this process; its log has the cause.')
+    this.name = 'DeliveryError'
+  }
+}
+
 /** Receives what a platform reads from its store. Times are on `Clock.bootNow`, in ms. */
 export interface PlatformListener {
   /** A configuration, read by a call that was made at `askedAt`. It may already be in force. */
--- a/packages/gateway/test/failures.test.ts
+++ b/packages/gateway/test/failures.test.ts
@@ -11,7 +11,7 @@
 import { paths } from '../src/messages.js'
 import { Metrics, type MetricsOptions } from '../src/metrics.js'
 import { PeerServer, type PeerServerOptions } from '../src/peerserver.js'
-import { type PlatformListener } from '../src/platform.js'
+import { DeliveryError, type PlatformListener } from '../src/platform.js'
 
 function fail (): never {
   throw new Error('a part failed')
@@ -84,16 +84,19 @@
   return platformListener(options as unknown as PlatformListenerOptions)
 }
 
-// Guards against: a delivery that fails here counted as a failure of the store, or ended the watch (FAULT, stale lists).
-test('no delivery of the platform throws, whatever fails in the parts that take it', t => {
+// Guards against: a list of which a part was not taken counts as complete, so that what it lacks never comes (DRAIN, CONFIG).
+test('a delivery of objects that fails is reported and throws, so that it is made again; no other delivery throws', t => {
   const { failures, lines } = recordedFailures()
   const listener = failingListener(failures)
   const upTo = { at: 0, revision: 1 }
-  listener.upstreams([] as Upstream[], upTo)
-  listener.upstreamChanges([])
-  listener.upstreamsComplete(upTo)
-  listener.evacuations([], 1)
-  listener.gateways([])
+  for (const deliver of [
+    () => listener.upstreams([] as Upstream[], upTo),
+    () => listener.upstreamChanges([]),
+    () => listener.upstreamsComplete(upTo),
+    () => listener.evacuations([], 1),
+    () => listener.gateways([])
+  ]) t.throws(deliver, { instanceOf: DeliveryError })
+  // Guards against: a failure here that counts as a failure of the store, or ends the watch (FAULT, stale lists).
   listener.condition('u', { leaving: true, rest: 0 })
   listener.storeAnswered()
   listener.storeFailed(0, 'cause')
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -1730,5 +1730,25 @@
     replace: 'true',
     test: 'platform/dist/test/bodies.test.js',
     title: 'a gateway stays within its memory*'
+  },
+  {
+    name: 'pipelined-body-leaks',
+    point: 4,
+    rule: 'the room of a request is free again once its connection is gone',
+    file: 'packages/gateway/dist/src/callers.js',
+    find: "socket.once('close', end);",
+    replace: '',
+    test: 'packages/gateway/dist/test/callers.test.js',
+    title: 'the room of a request that waits behind another one*'
+  },
+  {
+    name: 'failed-delivery-complete',
+    point: 4,
+    rule: 'a list of which a part was not taken is delivered again',
+    file: 'platform/dist/src/watch.js',
+    find: 'if (error instanceof DeliveryError) {',
+    replace: 'if (false) {',
+    test: 'platform/dist/test/watch.test.js',
+    title: 'after a delivery that failed in the gateway*'
   }
 )
