A confirmation is never from the future (CONFIG)

Found by the review: an age of -1e300 in another process's answer set the time of the confirmation to 1e300, so keys were fresh for ever (shown by it on the decoder and the record). The test of this commit fails without the bound.

--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -26,8 +26,8 @@
 
 const ConfirmationMessage = z.object({
   revision: z.number(),
-  /** Ms since the answering gateway's newest confirmation was requested. */
-  age: z.number(),
+  /** Ms since the answering gateway's newest confirmation was requested. It is never in the future. */
+  age: z.number().nonnegative(),
   /** The whole configuration, if it is newer than the requester's. Its own schema names its fields (`traffic`). */
   traffic: Traffic.optional()
 })
--- a/packages/gateway/test/oddmessages.test.ts
+++ b/packages/gateway/test/oddmessages.test.ts
@@ -201,3 +201,9 @@
   const list = decodeUpstreamChanges(JSON.stringify({ life: 'l', newest: 3, upstreams: [plain('p-2'), odd] }), () => {})
   t.deepEqual(list.upstreams, [plain('p-2')])
 })
+
+// Guards against: one answer of another process makes keys count as confirmed for ever (CONFIG).
+test('a confirmation from the future is no confirmation', t => {
+  for (const age of [-1, -1e300]) t.throws(() => decodeConfirmation(JSON.stringify({ revision: 3, age })))
+  t.is(decodeConfirmation(JSON.stringify({ revision: 3, age: 0 })).age, 0)
+})
