Servers outlive an error of one connection; ends, ports and TLS of calls (FAULT, LOST)

Found by the review. A server had no listener for errors once it listened, so an accept that fails ended the process (by reading; the test emits the error). A receiver that throws at the end of its answer heard of nothing more; it fails now. Connections, which entry and worker use since, sent calls to http://host to port 0 and calls to https in plain text (both shown by the review); they use the scheme's port, and TLS. Each test failed before by what the review showed; a call by TLS that succeeds is not tested, for lack of a certificate.

--- a/packages/wire/src/call.ts
+++ b/packages/wire/src/call.ts
@@ -107,7 +107,7 @@
     onResponseEnd () {
       if (ended) return
       ended = true
-      receiver.end()
+      endOrFail(receiver)
     },
     onResponseError (_controller, error) {
       // The error does not tell: TCP reports a lost route with the same codes before and after the request is written.
@@ -120,3 +120,12 @@
     else flow.abort(reason)
   }
 }
+
+/** Ends a call. A receiver that cannot take the end of its answer hears of a failure: without either it would wait. */
+function endOrFail (receiver: Receiver): void {
+  try {
+    receiver.end()
+  } catch (error) {
+    receiver.fail({ error: error as Error, sent: true })
+  }
+}
--- a/packages/wire/src/connections.ts
+++ b/packages/wire/src/connections.ts
@@ -3,7 +3,8 @@
  * library checks too little: on a connection that will not be reused, it accepts any answer as complete once the
  * connection ends, even by a reset or in the middle of a chunk. Relies on `call.ts` for the calls themselves.
  */
-import { connect, type Socket } from 'node:net'
+import { connect, isIP, type Socket } from 'node:net'
+import { connect as connectSecurely } from 'node:tls'
 import { Client } from 'undici'
 import { Overhead } from './overhead.js'
 import { Receiver, connectTimeoutCode, failUnsent, send, type AnswerHeaders, type Call, type CallFailure, type Cancel, type Flow } from './call.js'
@@ -20,6 +21,9 @@
 const defaultConnectTime = 1000
 const defaultIdleTime = 1000
 
+/** Ports of origins that name none. */
+const defaultPorts = { 'http:': 80, 'https:': 443 } as const
+
 /** Maximum number of idle connections to one origin. */
 const maxIdlePerOrigin = 32
 
@@ -120,7 +124,8 @@
       connect: (options, done) => {
         openSocket({
           host: options.hostname,
-          port: Number(options.port),
+          port: options.port === '' ? defaultPorts[options.protocol as keyof typeof defaultPorts] : Number(options.port),
+          isSecure: options.protocol === 'https:',
           timeout: this.#connectTime,
           opened: socket => {
             connection.socket = socket
@@ -243,16 +248,19 @@
 interface SocketOptions {
   readonly host: string
   readonly port: number
+  /** Whether to use TLS. */
+  readonly isSecure: boolean
   /** Maximum time to connect, in ms. */
   readonly timeout: number
   readonly opened: (socket: Socket) => void
   readonly failed: (error: Error) => void
 }
 
-function openSocket ({ host, port, timeout, opened, failed }: SocketOptions): void {
-  const socket = connect({ host, port, noDelay: true })
+function openSocket ({ host, port, isSecure, timeout, opened, failed }: SocketOptions): void {
+  const socket = isSecure ? connectSecurely({ host, port, servername: isIP(host) === 0 ? host : '' }) : connect({ host, port, noDelay: true })
+  let isOpen = false
   const expire = (): void => {
-    if (socket.connecting) socket.destroy(Object.assign(new Error(`No connection to ${host}:${port} within ${timeout} ms.`), { code: connectTimeoutCode }))
+    if (!isOpen) socket.destroy(Object.assign(new Error(`No connection to ${host}:${port} within ${timeout} ms.`), { code: connectTimeoutCode }))
   }
   // After a delay of the event loop, timers run before the completed connection is noticed. The immediate runs after it.
   const timer = setTimeout(() => setImmediate(expire), timeout)
@@ -261,7 +269,8 @@
     failed(error)
   }
   socket.once('error', onError)
-  socket.once('connect', () => {
+  socket.once(isSecure ? 'secureConnect' : 'connect', () => {
+    isOpen = true
     clearTimeout(timer)
     socket.off('error', onError)
     opened(socket)
--- a/packages/wire/src/serve.ts
+++ b/packages/wire/src/serve.ts
@@ -85,6 +85,8 @@
     server.once('error', reject)
     server.listen(port, host, () => {
       server.off('error', reject)
+      // A connection that cannot be accepted concerns its caller alone, who opens another one. The server goes on.
+      server.on('error', () => {})
       resolve((server.address() as { port: number }).port)
     })
   })
--- a/packages/wire/test/connections.test.ts
+++ b/packages/wire/test/connections.test.ts
@@ -212,3 +212,47 @@
     t.is(sockets(), 2)
   })
 }
+
+/** A receiver that throws at the end of its answer. */
+class ThrowingReceiver extends Receiver {
+  readonly failures: CallFailure[] = []
+
+  head (): void {}
+  data (): void {}
+
+  end (): void {
+    throw new Error('the end was not taken')
+  }
+
+  fail (failure: CallFailure): void {
+    this.failures.push(failure)
+  }
+}
+
+// Guards against: a request that waits until its deadline, since its receiver failed at the end of the answer (LOST).
+test('a receiver that throws at the end of its answer fails', async t => {
+  const { origin, server } = await startUpstream(socket => socket.write(completeAnswer))
+  const connections = new Connections()
+  const receiver = new ThrowingReceiver()
+  connections.send({ origin, path: '/', method: 'GET', headers: {}, body: undefined }, receiver)
+  while (receiver.failures.length === 0) await new Promise(resolve => setTimeout(resolve, 5))
+  t.like(receiver.failures[0], { sent: true, error: { message: 'the end was not taken' } })
+  connections.close()
+  server.close()
+})
+
+// Guards against: calls of a worker to an upstream whose URL names no port went to port 0.
+test('an origin without a port has the port of its scheme', async t => {
+  const error = await t.throwsAsync(call(new Connections(), 'http://127.0.0.1'))
+  t.regex(error.message, /127\.0\.0\.1:80$/)
+})
+
+// Guards against: a request to an upstream with https was sent in plain text.
+test('a call to an origin with https sends nothing in plain text', async t => {
+  let received = ''
+  const { origin, server } = await startUpstream(socket => { socket.end(completeAnswer) })
+  server.on('connection', (socket: Socket) => socket.on('data', bytes => { received += bytes.toString('latin1') }))
+  await t.throwsAsync(call(new Connections(), origin.replace('http:', 'https:')))
+  t.false(received.includes('GET '))
+  server.close()
+})
--- a/packages/wire/test/serve.test.ts
+++ b/packages/wire/test/serve.test.ts
@@ -133,3 +133,12 @@
   socket.write('x\r\n\r\n')
   t.is(await nextAnswer(socket), 'closed')
 })
+
+// Guards against: a connection that cannot be accepted, for lack of descriptors or memory, ends the process (FAULT).
+test('a server goes on after an error of one connection', async t => {
+  const server = makeServer()
+  const port = await listen(server, '127.0.0.1:0')
+  t.notThrows(() => server.emit('error', new Error('accept ENFILE')))
+  t.is((await fetch(`http://127.0.0.1:${port}/`)).status, 404)
+  server.close()
+})
