--- a/packages/detect/src/agreement.ts
+++ b/packages/detect/src/agreement.ts
@@ -22,7 +22,7 @@
  */
 export function isMajoritySuspect (id: string, views: readonly GatewayView[]): boolean {
   const suspecting = views.filter(each => each.suspects.includes(id)).length
-  const trusting = views.filter(each => (each.inFlight[id] ?? 0) > 0 && !each.suspects.includes(id)).length
+  const trusting = views.filter(each => Object.hasOwn(each.inFlight, id) && each.inFlight[id] > 0 && !each.suspects.includes(id)).length
   return suspecting > trusting
 }
 
--- a/packages/dispatch/src/choice.ts
+++ b/packages/dispatch/src/choice.ts
@@ -104,7 +104,7 @@
   }
 
   #load (id: string, heartbeats: readonly Heartbeat[]): number {
-    const others = heartbeats.reduce((sum, { inFlight }) => sum + (inFlight[id] ?? 0), 0)
+    const others = heartbeats.reduce((sum, { inFlight }) => sum + (Object.hasOwn(inFlight, id) ? inFlight[id] : 0), 0)
     return this.#options.inFlight.count(id) + others
   }
 
--- a/packages/forming/src/fleet.ts
+++ b/packages/forming/src/fleet.ts
@@ -115,14 +115,14 @@
 
 /** Replicas of each model whose members are all available. */
 export function intactReplicas (domains: readonly Domain[], exclusions: Exclusions): Counts {
-  const intact: Record<string, number> = {}
+  const intact = new Map<string, number>()
   for (const { placement, upstreams } of domains) {
     const staying = new Set(upstreams.filter(each => isCounted(each, exclusions)).map(each => each.id))
     for (const { model, members } of placement.replicas) {
-      if (members.every(({ id }) => staying.has(id))) intact[model] = (intact[model] ?? 0) + 1
+      if (members.every(({ id }) => staying.has(id))) intact.set(model, (intact.get(model) ?? 0) + 1)
     }
   }
-  return intact
+  return Object.fromEntries(intact)
 }
 
 /** Whether every domain has targets, and at least as many open replicas as they require. */
--- a/packages/forming/src/reconciler.ts
+++ b/packages/forming/src/reconciler.ts
@@ -221,7 +221,7 @@
     const lost = this.#lost
     const unreachable = this.#unreachable
     const demand = this.#options.demand(service.name)
-    const maxReplicaSize = Math.max(...engine.models.map(each => each.size))
+    const maxReplicaSize = engine.models.reduce((largest, { size }) => Math.max(largest, size), 0)
     const evacuated = this.#evacuated(domains)
     const sizes = domains.map(each => domainSize(each, { lost, evacuated }, this.#appearances.isUnderWay(each, maxReplicaSize)))
     const targets = this.#targets(engine, sizes.filter((_each, index) => !isEvacuated(domains[index], evacuated)), demand, evacuated.size > 0)
--- a/packages/forming/src/targets.ts
+++ b/packages/forming/src/targets.ts
@@ -86,9 +86,9 @@
  */
 function makeRoomFor (model: Model, models: readonly Model[], nodes: number, present: Counts, all: ReadonlyMap<string, Counts>, demand: Demand): Counts | undefined {
   const counts: Record<string, number> = { ...present }
-  const left = ({ name }: Model): number => total(all, name) - (present[name] ?? 0) + (counts[name] ?? 0)
+  const left = ({ name }: Model): number => total(all, name) - countOf(present, name) + countOf(counts, name)
   while (enginesUsed(models, counts) + model.size > nodes) {
-    const donors = models.filter(each => (counts[each.name] ?? 0) > 0 && left(each) > 1)
+    const donors = models.filter(each => countOf(counts, each.name) > 0 && left(each) > 1)
     if (donors.length === 0) return undefined
     const donor = donors.reduce((a, b) => needOf(b, left(b) - 1, demand) < needOf(a, left(a) - 1, demand) ? b : a)
     counts[donor.name]--
@@ -153,10 +153,15 @@
 
 /** Engines that the replicas occupy. */
 function enginesUsed (models: readonly Model[], counts: Counts): number {
-  return models.reduce((sum, { name, size }) => sum + size * (counts[name] ?? 0), 0)
+  return models.reduce((sum, { name, size }) => sum + size * countOf(counts, name), 0)
 }
 
 /** Replicas of a model in all domains. */
 function total (targets: ReadonlyMap<string, Counts>, model: string): number {
-  return [...targets.values()].reduce((sum, counts) => sum + (counts[model] ?? 0), 0)
+  return [...targets.values()].reduce((sum, counts) => sum + countOf(counts, model), 0)
+}
+
+/** A model may have the name of a property that every object has. */
+function countOf (counts: Counts, model: string): number {
+  return Object.hasOwn(counts, model) ? counts[model] : 0
 }
--- a/packages/forming/test/covered.test.ts
+++ b/packages/forming/test/covered.test.ts
@@ -33,3 +33,10 @@
 for (const { name, domains, expected } of cases) {
   test(name, t => t.deepEqual(targetsOf(domains), expected))
 }
+
+// Guards against: one model with the name of a property that every object has keeps all models from being planned.
+test('a model named constructor is planned like any other', t => {
+  const odd = models.map(each => each.name === 'large' ? { ...each, name: 'constructor' } : each)
+  const targets = new Map([['a', { small: 4 }]])
+  t.deepEqual(coverModels(odd, [domain('a', 9, { small: 4 })], targets, new Map()), new Map([['a', { small: 2, constructor: 1 } as unknown as Counts]]))
+})
--- a/packages/schema/src/report.ts
+++ b/packages/schema/src/report.ts
@@ -3,14 +3,20 @@
  * They are sent and never stored. Entries and workers of two versions run at the same time, so new fields must be
  * optional.
  */
+import { Address } from '@eiderwind/address'
 import { z } from 'zod'
 
+/** Ids of processes become values of headers, so they hold visible ASCII characters only. */
+const Incarnation = z.string().regex(/^[\x21-\x7e]{1,256}$/)
+
+const Count = z.int().nonnegative()
+
 /** The state that a worker reports periodically to a few entries of its data centre. */
 export const Report = z.object({
   worker: z.string(),
   /** An id that is created each time the process starts. */
-  incarnation: z.string(),
-  address: z.string(),
+  incarnation: Incarnation,
+  address: Address,
   dataCentre: z.string(),
   /** Increases with each report of one incarnation. */
   sequence: z.int(),
@@ -24,9 +30,9 @@
   leaving: z.boolean(),
   /** Whether the engine or service of this worker answers. */
   healthy: z.boolean(),
-  running: z.int(),
-  queued: z.int(),
-  concurrency: z.int(),
+  running: Count,
+  queued: Count,
+  concurrency: Count,
   /** Members from which this head has had no grant for a long time. */
   missing: z.array(z.string()),
   /** Slots of idempotency keys for which this worker is the home. */
@@ -41,7 +47,7 @@
 export type Report = z.infer<typeof Report>
 
 /** A member or voter, with the address at which a worker reaches it. */
-export const Peer = z.object({ id: z.string(), address: z.string() })
+export const Peer = z.object({ id: z.string(), address: Address })
 export type Peer = z.infer<typeof Peer>
 
 /** The assignment of a model worker: its replica, and the members that grant leases to the replica's head. */
