--- a/packages/gateway/test/relays.test.ts
+++ b/packages/gateway/test/relays.test.ts
@@ -118,3 +118,19 @@
   t.is(encodeProbeAnswer(true), '{"answers":true}')
   t.is(paths.probe, '/probe')
 })
+
+// Guards against: a relayed call that rejects since one gateway's address is none, although another gateway could have made it.
+test('a call through gateways that cannot be called is unanswered', async t => {
+  const clock = new ManualClock()
+  const connections = new Connections()
+  const oddAddresses = ['127.0.0.1:99999', '\\\\:80', '[::1:80:8080', 'ho?st#x:80', 'x y:80', '']
+  const recorded: boolean[] = []
+  const relays = {
+    choose: () => oddAddresses.map((address, index) => ({ id: `gateway-${index}`, address })),
+    record: (_engine: string, _gateway: string, answered: boolean) => recorded.push(answered)
+  } as unknown as ConstructorParameters<typeof RelayCalls>[0]['relays']
+  const calls = new RelayCalls({ clock, relays, connections })
+  t.is(await calls.send('i-1', { path: '/order', body: '{}', timeout: 900, decode: () => 'taken', unanswered: 'unanswered' }), 'unanswered')
+  t.deepEqual(recorded, oddAddresses.map(() => false))
+  connections.close()
+})
