--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -13,6 +13,118 @@
     test: 'platform/dist/test/departureschedules.test.js',
     title: 'no request is sent to an upstream that departed*'
   },
+  {
+    name: 'odd-object-costs-list',
+    point: 4,
+    rule: 'an object whose decoding fails in any way costs only itself',
+    file: 'platform/dist/src/decode.js',
+    find: `report(String(error).slice(0, maxMessageLength));
+            return [];`,
+    replace: 'throw error;',
+    test: 'platform/dist/test/oddobjects.test.js',
+    title: 'an object whose decoding fails*'
+  },
+  {
+    name: 'long-name-in-heartbeat',
+    point: 4,
+    rule: 'a name too long for a heartbeat is left out',
+    file: 'platform/dist/src/evacuations.js',
+    find: 'return decode(Name, name,',
+    replace: 'return name ?? decode(Name, name,',
+    test: 'platform/dist/test/oddobjects.test.js',
+    title: 'an evacuation, a worker or a gateway with a name too long*'
+  },
+  {
+    name: 'name-beyond-header',
+    point: 4,
+    rule: 'a worker whose name no header can carry is left out',
+    file: 'platform/dist/src/upstreams.js',
+    find: 'decode(WorkerName, name,',
+    replace: 'decode(z.string(), name,',
+    test: 'platform/dist/test/oddobjects.test.js',
+    title: 'a worker whose name no header can carry*'
+  },
+  {
+    name: 'epoch-without-bound',
+    point: 4,
+    rule: 'an epoch that leaves no higher ones is left out',
+    file: 'packages/roster/dist/src/upstream.js',
+    find: 'export const maxEpoch = 2 ** 48;',
+    replace: 'export const maxEpoch = Number.MAX_SAFE_INTEGER;',
+    test: 'platform/dist/test/oddobjects.test.js',
+    title: 'an engine in a replica whose epoch*'
+  },
+  {
+    name: 'target-without-bound',
+    point: 4,
+    rule: 'a target in a placement that no domain can hold is left out',
+    file: 'platform/dist/src/placements.js',
+    find: 'z.int().min(0).max(10_000)',
+    replace: 'z.int().min(0).max(20_000)',
+    test: 'platform/dist/test/oddobjects.test.js',
+    title: 'a target in a placement*'
+  },
+  {
+    name: 'member-address-believed',
+    point: 4,
+    rule: 'the address of a member in a placement is checked',
+    file: 'platform/dist/src/placements.js',
+    find: 'decode(Address, each, what)',
+    replace: 'each',
+    test: 'platform/dist/test/oddobjects.test.js',
+    title: 'a member of a placement whose address is none*'
+  },
+  {
+    name: 'odd-object-reported-again',
+    point: 4,
+    rule: 'an odd entry is reported once',
+    file: 'packages/gateway/dist/src/invalidobjects.js',
+    find: `if (!isNew)
+            return;`,
+    replace: '',
+    test: 'platform/dist/test/oddobjects.test.js',
+    title: 'an odd entry is reported once*'
+  },
+  {
+    name: 'time-beyond-timers',
+    point: 4,
+    rule: 'a time that no timer can wait for counts as the longest one',
+    file: 'packages/traffic/dist/src/shape.js',
+    find: '.transform(time => Math.min(time, maxTimerDelay))',
+    replace: '',
+    test: 'platform/dist/test/oddobjects.test.js',
+    title: 'a time in the configuration*'
+  },
+  {
+    name: 'odd-change-costs-answer',
+    point: 4,
+    rule: 'one odd upstream or block in an answer of another gateway costs only itself',
+    file: 'packages/gateway/dist/src/messages.js',
+    find: 'if (left-- === 0)',
+    replace: 'if (left-- > 0)',
+    test: 'packages/gateway/dist/test/oddmessages.test.js',
+    title: 'an upstream of another gateway whose address is none*'
+  },
+  {
+    name: 'heartbeat-interval-believed',
+    point: 4,
+    rule: 'a heartbeat that announces the next one in centuries is not taken',
+    file: 'packages/peers/dist/src/heartbeat.js',
+    find: 'const maxInterval = 60_000',
+    replace: 'const maxInterval = Infinity',
+    test: 'packages/gateway/dist/test/oddmessages.test.js',
+    title: 'a heartbeat that announces*'
+  },
+  {
+    name: 'odd-node-costs-list',
+    point: 4,
+    rule: 'a node that is not valid costs only itself',
+    file: 'packages/store/dist/src/http.js',
+    find: 'return results.flatMap(({ data }) => data ?? []);',
+    replace: 'return first === undefined ? results.flatMap(({ data }) => data ?? []) : [];',
+    test: 'packages/store/dist/test/http.test.js',
+    title: 'a node that is not valid*'
+  },
   {
     name: 'repeat-on-idle-connection',
     point: 4,
