A 304 with a length is a whole answer, and an answer to HEAD on a stream's route keeps its length

The library's failure of a 304 counts as its end now, and the length of an answer to HEAD is kept: it marks no end.

--- a/packages/forward/src/streamattempt.ts
+++ b/packages/forward/src/streamattempt.ts
@@ -80,10 +80,11 @@
     // The head belongs to the upstream that goes on.
     this.#onEvent?.()
     this.#progress.started = true
-    const { response } = this.request
-    // The answer is sent in chunks also if the upstream's is not, so that it looks broken if this process is killed.
-    const { 'content-length': _length, ...forwardedHeaders } = endToEndHeaders(headers)
-    response.writeHead(status, forwardedHeaders)
+    const { response, incoming } = this.request
+    const { 'content-length': length, ...others } = endToEndHeaders(headers)
+    // The answer is sent in chunks also if the upstream's is not, so that it looks broken if this process is killed. An
+    // answer to HEAD has no body, so its length marks no end.
+    response.writeHead(status, incoming.method === 'HEAD' && length !== undefined ? { ...others, 'content-length': length } : others)
     response.flushHeaders()
   }
 
--- a/packages/wire/src/connections.ts
+++ b/packages/wire/src/connections.ts
@@ -170,6 +170,13 @@
   }
 }
 
+/**
+ * Status of an answer whose length is that of another answer (RFC 9110, section 8.6), and the error with which the
+ * client library fails it once its head is complete, since no body follows.
+ */
+const notModified = 304
+const lengthMismatchCode = 'UND_ERR_RES_CONTENT_LENGTH_MISMATCH'
+
 /**
  * Decides whether an answer is complete (RFC 9112, section 8), because the library also accepts incomplete answers. An
  * answer with a length or in chunks must be complete before its connection ends. An answer with neither ends when the
@@ -179,6 +186,7 @@
   readonly #receiver: Receiver
   readonly #connection: Connection
   readonly #release: (whole: boolean) => void
+  #status = 0
   /** Whether the answer has a length or comes in chunks. */
   #framed = false
 
@@ -199,6 +207,7 @@
   }
 
   head (status: number, headers: AnswerHeaders, flow: Flow): void {
+    this.#status = status
     this.#framed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
     this.#receiver.head(status, headers, {
       pause: () => {
@@ -226,6 +235,7 @@
 
   fail (failure: CallFailure): void {
     this.#release(false)
+    if (this.#status === notModified && (failure.error as { code?: string }).code === lengthMismatchCode) return this.#receiver.end()
     this.#receiver.fail(failure)
   }
 }
--- a/packages/wire/test/connections.test.ts
+++ b/packages/wire/test/connections.test.ts
@@ -48,6 +48,9 @@
   ['chunks without the last chunk, closed', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n', 'close', undefined],
   ['chunks without the last chunk, connection: close, closed', 'HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n', 'close', undefined],
   ['chunks without the last chunk, connection: close, reset', 'HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n', 'reset', undefined],
+  ['status 304 and a length, closed', 'HTTP/1.1 304 Not Modified\r\ncontent-length: 9\r\n\r\n', 'close', ''],
+  ['status 304 and a length, connection stays open', 'HTTP/1.1 304 Not Modified\r\ncontent-length: 9\r\n\r\n', 'keep', ''],
+  ['status 304 and a length, closed within the head', 'HTTP/1.1 304 Not Modified\r\ncontent-length: 9\r\n', 'close', undefined],
   ['bytes that are not HTTP', 'nonsense\r\n\r\n', 'keep', undefined]
 ]
 
--- a/prove/breakages.js
+++ b/prove/breakages.js
@@ -103,6 +103,16 @@
     test: 'packages/entry/dist/test/brokenanswers.test.js',
     title: 'a stream that begins with a length*'
   },
+  {
+    name: 'not-modified-with-length-refused',
+    point: 5,
+    rule: 'a 304 with a length is a whole answer',
+    file: 'packages/wire/dist/src/connections.js',
+    find: 'this.#status === notModified &&',
+    replace: 'false &&',
+    test: 'packages/wire/dist/test/connections.test.js',
+    title: 'an answer with status 304 and a length*'
+  },
   {
     name: 'late-answer-taken-as-recent',
     point: 4,
