run.test does not rely on the order of the last two lines before an exit

The same lines, in the same order, are required; the fixture lets the line before the last be written first.

--- a/packages/life/test/run.test.ts
+++ b/packages/life/test/run.test.ts
@@ -18,7 +18,10 @@
   readonly lines: readonly Line[]
 }
 
-/** The code of a daemon's methods. `log` and `pause(ms)` are in scope. */
+/**
+ * The code of a daemon's methods. `log` and `pause(ms)` are in scope. `stop` pauses after a line: the log may write one
+ * that is under way when the process exits after the last one.
+ */
 interface DaemonCode {
   readonly start?: string
   readonly stop?: string
@@ -50,7 +53,7 @@
 
 // Guards against: a process that ends by an error leaves no line in its log, and ends with its requests (FAULT, LOST).
 test('an error that reaches the event loop is logged with its stack, and the process drains and ends with status 1', t => {
-  const { status, lines } = runDaemon({ start: throwInTimer, stop: "await pause(100); log.write('callers-closed')" })
+  const { status, lines } = runDaemon({ start: throwInTimer, stop: "await pause(100); log.write('callers-closed'); await pause(50)" })
   t.deepEqual(lines.map(each => each.name), ['started', 'uncaught-error', 'stopping', 'callers-closed', 'stopped'])
   t.like(lines[1], { level: 'error' })
   t.regex(lines[1].cause ?? '', /^Error: thrown in a timer\n {4}at /)
@@ -89,7 +92,7 @@
 
 // Guards against: a process that cannot drain stays, or ends without a line.
 test('a drain that fails is logged with its stack, and the process ends with status 1', t => {
-  const { status, lines } = runDaemon({ start: "setTimeout(() => process.kill(process.pid, 'SIGTERM'), 20)", stop: "throw new Error('cannot drain')" })
+  const { status, lines } = runDaemon({ start: "setTimeout(() => process.kill(process.pid, 'SIGTERM'), 20)", stop: "await pause(50); throw new Error('cannot drain')" })
   t.deepEqual(lines.map(each => each.name), ['started', 'stopping', 'uncaught-error'])
   t.regex(lines[2].cause ?? '', /^Error: cannot drain\n {4}at /)
   t.is(status, 1)
