--- a/packages/wire/test/testing.ts
+++ b/packages/wire/test/testing.ts
@@ -79,14 +79,17 @@
 /** Sends a request and resolves with what came back. Never rejects: status 0 means that no answer began. */
 export function receive ({ port, method, path, headers, body }: CallerRequest): Promise<Received> {
   return new Promise(resolve => {
+    let wasReset = false
     const sent = request({ host: '127.0.0.1', port, method, path, headers: { ...headers, 'content-length': String(body.length) }, agent: false }, response => {
       const { statusCode: status = 0, headers: { 'content-length': length, 'transfer-encoding': encoding } } = response
       const framed = length !== undefined || encoding !== undefined
       let text = ''
       response.setEncoding('utf8').on('data', (chunk: string) => { text += chunk })
-      response.on('end', () => resolve({ status, body: text, framed, whole: response.complete }))
+      response.on('end', () => resolve({ status, body: text, framed, whole: response.complete && !wasReset }))
       response.on('error', () => resolve({ status, body: text, framed, whole: false }))
     })
+    // Node.js reports a reset that arrives with the last bytes as an ordinary end (`watchEnding` in connections.ts).
+    sent.on('socket', socket => socket.prependListener('end', () => { wasReset = socket.remoteAddress === undefined }))
     sent.on('error', () => resolve({ status: 0, body: '', framed: false, whole: false }))
     sent.end(body)
   })
