--- a/packages/entry/test/attempting.test.ts
+++ b/packages/entry/test/attempting.test.ts
@@ -1,8 +1,8 @@
 /** Attempts that cannot be sent. */
 import { EventEmitter } from 'node:events'
 import test from 'ava'
-import { Agent } from 'undici'
 import { ManualClock } from '@eiderwind/clock'
+import { Connections } from '@eiderwind/wire'
 import { collectAttempt } from '../src/attempting.js'
 import { type Context } from '../src/context.js'
 import { type Exchange } from '../src/exchange.js'
@@ -21,9 +21,9 @@
       recordEnded: () => counts.push('ended')
     } as unknown as Targets
     const response = new EventEmitter()
-    const dispatcher = new Agent()
-    t.teardown(async () => await dispatcher.destroy())
-    const context = { clock, targets, dispatcher, inFlight: new AttemptsInFlight(clock, targets) } as unknown as Context
+    const connections = new Connections()
+    t.teardown(() => connections.close())
+    const context = { clock, targets, connections, inFlight: new AttemptsInFlight(clock, targets) } as unknown as Context
     const exchange = { request: { url: '/', method: 'GET', headers: {} }, response, body: Buffer.alloc(0), team: { name: teamName }, service: 's', deadline } as unknown as Exchange
     const target = { worker: 'w', address, incarnation: 'i' } as unknown as Target
     const end = await collectAttempt(context, exchange, target)
