Cases: what a script has started ends however the script ends

A script that was ended by SIGTERM or SIGKILL left its gateway, the clients of case 6 and its folder behind: seen in each of 6 tries. A script also waits for the end of its processes before it ends.

--- a/review/common-2/site.mjs
+++ b/review/common-2/site.mjs
@@ -1,6 +1,7 @@
 /**
  * A small deployment on loopback: the store of the project's stand-ins, and gateways as processes of their own with the
- * command of the deploy file. Owns the processes that it starts and a temporary folder, and ends both.
+ * command of the deploy file. Owns the processes that it starts and a temporary folder, and ends both, however the script
+ * itself ends (see `review/common/guard.mjs`).
  */
 import { spawn } from 'node:child_process'
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
@@ -16,6 +17,27 @@
 /** The words of `run` in deploy/system.toml. */
 const [program, ...words] = /^run = "(.*)"$/m.exec(readFileSync(join(root, 'deploy/system.toml'), 'utf8'))[1].split(' ')
 
+const guard = spawn(process.execPath, [fileURLToPath(new URL('../common/guard.mjs', import.meta.url))], { stdio: ['pipe', 'ignore', 'ignore'], detached: true })
+guard.stdin.on('error', () => {})
+const guardEnd = new Promise(resolve => guard.on('exit', resolve))
+const ends = new Set()
+
+/** Has the process with this id end with this one, however this one ends. */
+export function guardPid (pid) {
+  guard.stdin.write(`+${pid}\n`)
+}
+
+/** Has a child process end with this one, however this one ends. */
+export function guarded (child) {
+  guardPid(child.pid)
+  const end = new Promise(resolve => child.on('exit', resolve)).then(() => {
+    ends.delete(end)
+    guard.stdin.write(`-${child.pid}\n`)
+  })
+  ends.add(end)
+  return child
+}
+
 /** The bounds of a small deployment. */
 export const bounds = {
   drainMs: 2000, graceS: 8, strictRevoke: true, revokeMs: 5000, retryBudgetRatio: 0.2, retrySlack: 154, budgetWindowS: 10
@@ -86,6 +108,10 @@
   gateways = []
   #folder = mkdtempSync(join(tmpdir(), 'eiderwind-review-'))
 
+  constructor () {
+    guard.stdin.write(`${this.#folder}\n`)
+  }
+
   /** Lists a worker of the plain service. */
   list (id, port) {
     this.store.put('servers', id, { service: 'plain', address: `127.0.0.1:${port}`, zone: 'z1', version: 'v1', slots: 6, state: 'ready', coldRemainingMs: 0, seq: 1 })
@@ -107,7 +133,7 @@
     }
     const settings = join(this.#folder, `${id}.ini`)
     writeFileSync(settings, fill(readFileSync(join(root, 'platform/settings.ini'), 'utf8'), fields))
-    const child = spawn(program, words, { cwd: root, env: { PATH: process.env.PATH, HOME: process.env.HOME, EIDERWIND_BOOT: settings }, stdio: ['ignore', 'pipe', 'inherit'] })
+    const child = guarded(spawn(program, words, { cwd: root, env: { PATH: process.env.PATH, HOME: process.env.HOME, EIDERWIND_BOOT: settings }, stdio: ['ignore', 'pipe', 'inherit'] }))
     const gateway = { id, front, child, lines: [], ended: false }
     child.stdout.setEncoding('utf8').on('data', text => gateway.lines.push(...text.split('\n').filter(line => line !== '')))
     child.on('exit', () => { gateway.ended = true })
@@ -132,24 +158,29 @@
 export async function main (url, run, end = () => {}) {
   const record = new Record(url)
   const deployment = new Deployment()
-  const exit = status => {
+  const exit = async status => {
     end()
     deployment.stop()
+    await Promise.race([Promise.all(ends), pause(5000)])
+    guard.stdin.end()
+    await guardEnd
     process.exit(status)
   }
-  setTimeout(() => {
-    record.add('the case took too long')
-    exit(2)
-  }, longestRun)
+  const fail = why => {
+    record.add(`could not run: ${why}`)
+    return exit(2)
+  }
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, () => fail(`ended by ${signal}`))
+  process.on('uncaughtException', error => fail(error.stack))
+  setTimeout(() => fail('the case took too long'), longestRun)
   try {
     await deployment.store.start()
     record.add(isTroubled ? 'with the disruption' : 'without the disruption (TROUBLE=0)')
     const broken = await run(deployment, record)
     for (const each of broken) record.add(`BROKEN ${each}`)
     record.add(broken.length > 0 ? `the rule was broken ${broken.length} times` : 'the rule held')
-    exit(broken.length > 0 ? 1 : 0)
+    await exit(broken.length > 0 ? 1 : 0)
   } catch (error) {
-    record.add(`could not run: ${error.stack}`)
-    exit(2)
+    await fail(error.stack)
   }
 }
