--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -13,11 +13,11 @@
 const root = fileURLToPath(new URL('../../', import.meta.url))
 const standins = new URL('../../platform/dist/test/standins/', import.meta.url)
 const { StoreStandIn } = await import(new URL('store.js', standins))
-const { freePorts } = await import(new URL('ports.js', standins))
+export const { freePorts } = await import(new URL('ports.js', standins))
 const { fill } = await import(new URL('template.js', standins))
 
-/** The figures of the site rdp-eiderwind. */
-export const bounds = { revokeMs: 5000, strictRevoke: 'true', drainMs: 2000, graceS: 8, stallMs: 6000, retryBudgetRatio: 0.2, retrySlack: 160, budgetWindowS: 10 }
+/** The figures of the site coop-atitlan. */
+export const bounds = { revokeMs: 5000, strictRevoke: 'true', drainMs: 2000, graceS: 8, stallMs: 6000, retryBudgetRatio: 0.2, retrySlack: 154, budgetWindowS: 10 }
 export const heartbeatMs = 1200
 
 export const pause = time => new Promise(resolve => setTimeout(resolve, time))
@@ -46,12 +46,12 @@
 }
 
 /** A configuration: one host, and the routes and tenants of the case. */
-export function configuration (routes, tenants = [{ name: 'shop', apiKeys: ['key-of-shop'] }]) {
-  const common = { host: 'site.example', service: 'pos-core', priority: 2, maxAttempts: 2, public: false, timeoutMs: 1000, targetLatencyMs: 193 }
+export function configuration (routes, tenants = [{ name: 'growers', apiKeys: ['key-of-growers'] }]) {
+  const common = { host: 'site.example', service: 'registro', priority: 2, maxAttempts: 2, public: false, timeoutMs: 1500, targetLatencyMs: 193 }
   return {
     version: 1,
     routes: routes.map(each => ({ ...common, ...each })),
-    services: [{ name: 'pos-core', healthPath: '/health', maxConnections: 110, protocol: 'h1', tls: false }],
+    services: [{ name: 'registro', healthPath: '/health', maxConnections: 48, protocol: 'h1', tls: false }],
     limits: { maxHeaderBytes: 16384, maxBodyBytes: 4194304, headerTimeoutMs: 5000, idleTimeoutMs: 20000 },
     tenants
   }
@@ -64,13 +64,15 @@
   workers = []
   #folder = mkdtempSync(join(tmpdir(), 'eiderwind-review-'))
   #timers = []
+  #children = []
 
   constructor () {
     process.on('exit', () => this.#killAll())
     for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => process.exit(status.notRun))
   }
 
-  async start ({ gateways, workers, serve, config }) {
+  /** @param serve answers a request at a worker of this process; not needed if there are none */
+  async start ({ gateways, workers = 0, serve, config }) {
     await this.store.start()
     this.store.put('config', 'main', config)
     for (let index = 0; index < workers; index++) await this.#addWorker(`i-${index + 1}`, serve)
@@ -91,7 +93,7 @@
   }
 
   #killAll () {
-    for (const { child } of this.gateways) if (child.exitCode === null && child.signalCode === null) child.kill('SIGKILL')
+    for (const child of [...this.gateways.map(each => each.child), ...this.#children]) if (child.exitCode === null && child.signalCode === null) child.kill('SIGKILL')
   }
 
   async #addWorker (id, serve) {
@@ -108,11 +110,27 @@
     })
     server.listen(0, '127.0.0.1')
     await once(server, 'listening')
+    this.register(id, server.address().port)
+    this.workers.push({ id, server })
+  }
+
+  /** Keeps a worker's entry in the store. Returns a function that ends its heartbeats; its entry goes after three. */
+  register (id, port, service = 'registro') {
     let seq = 0
-    const beat = () => this.store.put('servers', id, { service: 'pos-core', address: `127.0.0.1:${server.address().port}`, zone: 'mvd-centro', version: 'v1', slots: 6, state: 'ready', coldRemainingMs: 0, seq: ++seq })
+    const beat = () => this.store.put('servers', id, { service, address: `127.0.0.1:${port}`, zone: 'sala-norte', version: 'v1', slots: 6, state: 'ready', coldRemainingMs: 0, seq: ++seq })
     beat()
-    this.#timers.push(setInterval(beat, heartbeatMs))
-    this.workers.push({ id, server })
+    const timer = setInterval(beat, heartbeatMs)
+    this.#timers.push(timer)
+    return () => {
+      clearInterval(timer)
+      this.#timers.push(setTimeout(() => this.store.remove('servers', id), 3 * heartbeatMs))
+    }
+  }
+
+  /** Has a process end with this one. */
+  adopt (child) {
+    this.#children.push(child)
+    return child
   }
 
   async #addGateway (id, [program, ...words]) {
@@ -120,8 +138,8 @@
     const settings = join(this.#folder, `${id}.ini`)
     writeFileSync(settings, fill(readFileSync(join(root, 'platform/settings.ini'), 'utf8'), {
       nodeName: id,
-      zone: 'mvd-centro',
-      region: 'uy-sur',
+      zone: 'sala-norte',
+      region: 'gt-central',
       bootstrap: true,
       ip: '127.0.0.1',
       listen: { front: `127.0.0.1:${front}`, ready: `127.0.0.1:${ready}` },
