--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -15,6 +15,7 @@
 const { StoreStandIn } = await import(new URL('store.js', standins))
 export const { freePorts } = await import(new URL('ports.js', standins))
 const { fill } = await import(new URL('template.js', standins))
+export const { FaultProxy } = await import(new URL('proxy.js', standins))
 
 /** The figures of the site coop-atitlan. */
 export const bounds = { revokeMs: 5000, strictRevoke: 'true', drainMs: 2000, graceS: 8, stallMs: 6000, retryBudgetRatio: 0.2, retrySlack: 154, budgetWindowS: 10 }
