--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10: the project's own, which they import from platform/dist.
-# Those of the cases themselves are plain JavaScript and Python.
+# Builds what the scripts of review/6 to review/10 start besides the program of the deploy file: the project's stand-ins.
 set -e
 cd "$(dirname "$0")/.."
 npx tsc -b
