--- a/review/common-2/site.mjs
+++ b/review/common-2/site.mjs
@@ -5,10 +5,10 @@
  */
 import { spawn } from 'node:child_process'
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
-import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { freePorts } from '../../platform/dist/test/standins/ports.js'
 import { StoreStandIn } from '../../platform/dist/test/standins/store.js'
 import { fill } from '../../platform/dist/test/standins/template.js'
 
@@ -77,14 +77,6 @@
   }
 }
 
-async function freePort () {
-  const server = createServer()
-  await new Promise(resolve => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address()
-  await new Promise(resolve => server.close(resolve))
-  return port
-}
-
 /** The record of a run, in `record.txt` beside the script. */
 export class Record {
   #lines = []
@@ -118,7 +110,7 @@
   }
 
   async startGateway (id) {
-    const [front, ready, peers, metrics] = [await freePort(), await freePort(), await freePort(), await freePort()]
+    const [front, ready, peers, metrics] = await freePorts(4)
     const fields = {
       nodeName: id,
       zone: 'z1',
