--- a/review/common-2/site.mjs
+++ b/review/common-2/site.mjs
@@ -4,7 +4,7 @@
  * itself ends (see `review/common/guard.mjs`).
  */
 import { spawn } from 'node:child_process'
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -79,18 +79,17 @@
 
 /** The record of a run, in `record.txt` beside the script. */
 export class Record {
-  #lines = []
   #path
   #startedAt = Date.now()
 
   /** @param url that of the script */
   constructor (url) {
     this.#path = fileURLToPath(new URL('record.txt', url))
+    writeFileSync(this.#path, '')
   }
 
   add (line) {
-    this.#lines.push(`${((Date.now() - this.#startedAt) / 1000).toFixed(3)} ${line}`)
-    writeFileSync(this.#path, this.#lines.join('\n') + '\n')
+    appendFileSync(this.#path, `${((Date.now() - this.#startedAt) / 1000).toFixed(3)} ${line}\n`)
   }
 }
 
